Serve the whole path from a caller to a target and back

Cause: the product starts here; the thin path has to exist before its parts are built. Conclusion: the parts can now grow side by side behind the interfaces of each package.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product against its stated targets."""
--- /dev/null
+++ b/src/chervilmill/callers/_app.py
@@ -0,0 +1,146 @@
+"""Serve the callers' HTTP interface."""
+
+import time
+from collections.abc import Iterable, Iterator
+from http import HTTPStatus
+
+from prometheus_client import Histogram
+
+from chervilmill.callers._forward import ForwardedAnswer, Forwarder
+from chervilmill.callers._in_flight import InFlight
+from chervilmill.callers._lookup import Lookups
+from chervilmill.callers._refusal import Refusal
+from chervilmill.callers._request import CallerRequest, read_request, request_id_of
+from chervilmill.http import Environ, StartResponse, close_connection
+from chervilmill.logs import log_event
+from chervilmill.metrics import Metrics
+from chervilmill.reasons import Ran, RefusalReason
+from chervilmill.settings import Settings
+
+_HOP_HEADERS = frozenset({"connection", "keep-alive", "transfer-encoding", "date", "server"})
+
+
+class CallersApp:
+    """Answer look-ups and forward requests."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        lookups: Lookups,
+        forwarder: Forwarder,
+        in_flight: InFlight,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._lookups = lookups
+        self._forwarder = forwarder
+        self._in_flight = in_flight
+        self._metrics = metrics
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request of a caller."""
+        if environ["PATH_INFO"] == "/lookup":
+            return self._look_up(start_response)
+        self._in_flight.enter()
+        try:
+            answer = self._forward(environ, start_response)
+        except Refusal as refusal:
+            self._in_flight.leave()
+            return self._refuse(environ, start_response, refusal)
+        except BaseException:
+            self._in_flight.leave()
+            raise
+        return answer
+
+    def _look_up(self, start_response: StartResponse) -> Iterable[bytes]:
+        body = self._lookups.answer().body()
+        self._metrics.lookups.labels("").inc()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("Cache-Control", f"max-age={self._settings.limits.lookup_lifetime_s}"),
+        ]
+        start_response("200 OK", headers)
+        return [body]
+
+    def _forward(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        started_s = time.monotonic()
+        req = read_request(environ, self._settings.limits.default_deadline_ms)
+        if self._settings.service(req.service) is None:
+            detail = f"service {req.service} is not in the settings"
+            raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
+        answer = self._forwarder.forward(req)
+        headers = [item for item in answer.headers if item[0].lower() not in _HOP_HEADERS]
+        start_response(_status_line(answer.status), headers)
+        return _Delivery(req, answer, started_s, self._in_flight, self._metrics)
+
+    def _refuse(
+        self, environ: Environ, start_response: StartResponse, refusal: Refusal
+    ) -> Iterable[bytes]:
+        request_id = request_id_of(environ)
+        service = environ["PATH_INFO"].split("/")[2:3]
+        known = bool(service) and self._settings.service(service[0]) is not None
+        label = service[0] if known else ""
+        self._metrics.count_refusal(label, refusal.reason)
+        log_event(
+            "request refused",
+            request_id=request_id,
+            service=label,
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+        )
+        close_connection(environ)
+        body = refusal.body(request_id)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("X-Request-Id", request_id),
+        ]
+        if refusal.retry_after_ms is not None:
+            headers.append(("Retry-After", str(-(-refusal.retry_after_ms // 1000))))
+        start_response(_status_line(refusal.reason.status), headers)
+        return [body]
+
+
+class _Delivery:
+    """Pass an answer to the caller and account for its end."""
+
+    def __init__(
+        self,
+        req: CallerRequest,
+        answer: ForwardedAnswer,
+        started_s: float,
+        in_flight: InFlight,
+        metrics: Metrics,
+    ) -> None:
+        self._req = req
+        self._answer = answer
+        self._started_s = started_s
+        self._in_flight = in_flight
+        self._metrics = metrics
+
+    def __iter__(self) -> Iterator[bytes]:
+        is_first = True
+        for part in self._answer:
+            if is_first:
+                self._observe(self._metrics.first_part)
+                is_first = False
+            yield part
+        self._observe(self._metrics.latency)
+
+    def close(self) -> None:
+        """End the exchange; the server calls this after the last part or a failure."""
+        self._answer.close()
+        self._in_flight.leave()
+
+    def _observe(self, histogram: Histogram) -> None:
+        elapsed_s = time.monotonic() - self._started_s
+        histogram.labels(self._req.service).observe(elapsed_s)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- /dev/null
+++ b/src/chervilmill/callers/_refusal.py
@@ -0,0 +1,29 @@
+"""Refuse requests with a reason and what is known about their execution."""
+
+import json
+
+from chervilmill.reasons import Ran, RefusalReason
+
+
+class Refusal(Exception):  # noqa: N818 - a refusal is an answer, not an error
+    """End a request with a reason instead of an answer of a target."""
+
+    def __init__(
+        self, reason: RefusalReason, ran: Ran, detail: str, retry_after_ms: int | None = None
+    ) -> None:
+        super().__init__(detail)
+        self.reason = reason
+        self.ran = ran
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+
+    def body(self, request_id: str) -> bytes:
+        """Return the JSON body that tells the caller about the refusal."""
+        fields = {
+            "reason": self.reason.value,
+            "ran": self.ran.value,
+            "detail": self.detail,
+            "request_id": request_id,
+            "retry_after_ms": self.retry_after_ms,
+        }
+        return json.dumps(fields).encode()
--- /dev/null
+++ b/src/chervilmill/daemon/_root.py
@@ -0,0 +1,106 @@
+"""Wire the parts of a node together."""
+
+import random
+import threading
+import time
+from typing import Any
+
+from chervilmill.callers import CallersApp, Forwarder, InFlight, Lookups
+from chervilmill.http import HttpServer
+from chervilmill.logs import log_event
+from chervilmill.metrics import Metrics
+from chervilmill.operators import OperatorsApp
+from chervilmill.platform import Directory, HttpPlatform, Vm
+from chervilmill.requests import TwoRandomChoices
+from chervilmill.settings import Settings
+from chervilmill.targets import HttpTargets
+
+OPERATOR_THREADS = 4
+
+
+class _NodeView:
+    """Hide this node from look-ups once it is leaving."""
+
+    def __init__(self, directory: Directory, name: str) -> None:
+        self._directory = directory
+        self._name = name
+        self.is_leaving = False
+
+    def entry_vms(self) -> tuple[Vm, ...]:
+        vms = self._directory.entry_vms()
+        if not self.is_leaving:
+            return vms
+        return tuple(vm for vm in vms if vm.name != self._name)
+
+
+class Daemon:
+    """Hold the running parts of one node."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.in_flight = InFlight()
+        self.metrics.in_flight.set_function(lambda: self.in_flight.count)
+        platform = HttpPlatform(settings.platform.address, settings.platform.timeout_ms / 1000)
+        self.directory = Directory(platform)
+        self._view = _NodeView(self.directory, settings.node.name)
+        self._callers = self._callers_server()
+        self._operators = HttpServer(
+            settings.node.operators,
+            OperatorsApp(settings.operators_token, self.metrics, self.status),
+            threads=OPERATOR_THREADS,
+        )
+        self._stop_asked = threading.Event()
+
+    def start(self) -> None:
+        """Begin to serve callers and operators, or raise OSError."""
+        self.directory.start()
+        self._operators.start()
+        self._callers.start()
+        log_event("node started", callers=str(self.settings.node.callers))
+
+    def ask_stop(self) -> None:
+        """Begin a graceful stop; asking again changes nothing."""
+        self._stop_asked.set()
+
+    def run(self) -> None:
+        """Wait for a stop to be asked for, then end without cutting a request."""
+        self._stop_asked.wait()
+        started_s = time.monotonic()
+        self._view.is_leaving = True
+        log_event("node leaving", in_flight=self.in_flight.count)
+        time.sleep(self.settings.limits.lookup_lifetime_s)
+        self._callers.refuse_keep_alive()
+        self.in_flight.wait_until_idle()
+        self._callers.stop()
+        self._operators.stop()
+        self.directory.stop()
+        elapsed_s = time.monotonic() - started_s
+        self.metrics.drain.labels("entry").observe(elapsed_s)
+        log_event("node stopped", drain_s=round(elapsed_s, 3))
+
+    def status(self) -> dict[str, Any]:
+        """Return what an operator sees of this node."""
+        return {
+            "node": self.settings.node.name,
+            "is_leaving": self._view.is_leaving,
+            "in_flight": self.in_flight.count,
+            "entry_vms": [vm.name for vm in self.directory.entry_vms()],
+        }
+
+    def _callers_server(self) -> HttpServer:
+        settings = self.settings
+        lookups = Lookups(self._view, settings.node.region, settings.limits.lookup_lifetime_s)
+        connections = max(service.connections_per_target for service in settings.services)
+        forwarder = Forwarder(
+            self.directory, HttpTargets(connections), TwoRandomChoices(), random.Random()
+        )
+        app = CallersApp(settings, lookups, forwarder, self.in_flight, self.metrics)
+        return HttpServer(
+            settings.node.callers,
+            app,
+            threads=settings.limits.request_threads,
+            max_header_bytes=settings.limits.max_header_bytes,
+            max_body_bytes=settings.limits.max_body_bytes,
+            idle_timeout_s=settings.limits.idle_timeout_s,
+        )
--- /dev/null
+++ b/src/chervilmill/logs.py
@@ -0,0 +1,53 @@
+"""Write logs as JSON lines through absl.logging."""
+
+import json
+import logging
+import sys
+import time
+
+from absl import logging as absl_logging
+
+_FIELDS_KEY = "chervilmill_fields"
+
+
+class _JsonFormatter(logging.Formatter):
+    def __init__(self, node: str) -> None:
+        super().__init__()
+        self._node = node
+
+    def format(self, record: logging.LogRecord) -> str:
+        line = {
+            "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+            + f".{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "node": self._node,
+            "event": record.getMessage(),
+        }
+        line.update(getattr(record, _FIELDS_KEY, {}))
+        if record.exc_info:
+            line["error"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def set_up_logs(node: str) -> None:
+    """Send every log line of this process to standard error as one JSON object."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(_JsonFormatter(node))
+    root = logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(handler)
+    logger = absl_logging.get_absl_logger()
+    logger.handlers.clear()
+    logger.propagate = True
+    absl_logging.set_verbosity(absl_logging.INFO)
+
+
+def log_event(event: str, **fields: object) -> None:
+    """Log a decision with its fields."""
+    absl_logging.get_absl_logger().info(event, extra={_FIELDS_KEY: fields})
+
+
+def log_problem(event: str, **fields: object) -> None:
+    """Log something an operator should look at."""
+    absl_logging.get_absl_logger().warning(event, extra={_FIELDS_KEY: fields})
--- /dev/null
+++ b/src/chervilmill/metrics.py
@@ -0,0 +1,65 @@
+"""Define the metrics of a node."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from chervilmill.reasons import RefusalReason, RetryReason
+
+LATENCY_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
+DRAIN_BUCKETS_S = (0.1, 0.5, 1, 2, 3, 5, 10, 30, 60, 300, 1800)
+
+
+class Metrics:
+    """Hold every metric of one node in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.refusals = Counter(
+            "chervilmill_refusals",
+            "Requests refused, by service and reason",
+            ["service", "reason"],
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            "chervilmill_retries",
+            "Requests sent to a further target, by service and reason",
+            ["service", "reason"],
+            registry=self.registry,
+        )
+        self.lookups = Counter(
+            "chervilmill_lookups",
+            "Look-ups answered, by service",
+            ["service"],
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            "chervilmill_request_seconds",
+            "Time from a request's headers to the end of its answer",
+            ["service"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.first_part = Histogram(
+            "chervilmill_first_part_seconds",
+            "Time from a request's headers to the first part of its answer",
+            ["service"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.drain = Histogram(
+            "chervilmill_drain_seconds",
+            "Time from the first sign of leaving to the last answer in flight",
+            ["peer_kind"],
+            buckets=DRAIN_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "chervilmill_in_flight", "Requests in flight at this node", registry=self.registry
+        )
+
+    def count_refusal(self, service: str, reason: RefusalReason) -> None:
+        """Count one refused request."""
+        self.refusals.labels(service, reason.value).inc()
+
+    def count_retry(self, service: str, reason: RetryReason) -> None:
+        """Count one request sent again."""
+        self.retries.labels(service, reason.value).inc()
--- /dev/null
+++ b/src/chervilmill/platform/__init__.py
@@ -0,0 +1,35 @@
+"""Talk to the platform: its object store and its list of VMs."""
+
+from chervilmill.platform._client import HttpPlatform
+from chervilmill.platform._directory import Directory
+from chervilmill.platform._errors import (
+    PlatformError,
+    StoreUnavailableError,
+    VersionConflictError,
+    WriteUnsureError,
+)
+from chervilmill.platform._model import (
+    ObjectStore,
+    StoredObject,
+    Vm,
+    VmList,
+    VmRole,
+    VmState,
+    WatchResult,
+)
+
+__all__ = [
+    "Directory",
+    "HttpPlatform",
+    "ObjectStore",
+    "PlatformError",
+    "StoreUnavailableError",
+    "StoredObject",
+    "VersionConflictError",
+    "Vm",
+    "VmList",
+    "VmRole",
+    "VmState",
+    "WatchResult",
+    "WriteUnsureError",
+]
--- /dev/null
+++ b/src/chervilmill/platform/_client.py
@@ -0,0 +1,114 @@
+"""Call the platform's object API over HTTP."""
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+import urllib3
+
+from chervilmill.addresses import Address
+from chervilmill.platform._codec import object_from_json, vm_from_json, watch_from_json
+from chervilmill.platform._errors import (
+    StoreUnavailableError,
+    VersionConflictError,
+    WriteUnsureError,
+)
+from chervilmill.platform._model import StoredObject, Vm, WatchResult
+
+MAX_CONNECTIONS = 16
+WATCH_MARGIN_S = 2.0
+
+
+class HttpPlatform:
+    """Implement ObjectStore and VmList against the platform's HTTP API."""
+
+    def __init__(self, address: Address, timeout_s: float) -> None:
+        self._peer = str(address)
+        self._timeout_s = timeout_s
+        self._pool = urllib3.HTTPConnectionPool(
+            address.host, address.port, maxsize=MAX_CONNECTIONS, retries=False
+        )
+
+    def get(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object, or None if there is none."""
+        resp = self._read("get object", _object_path(kind, name))
+        if resp.status == 404:
+            return None
+        return object_from_json(self._decoded("get object", resp))
+
+    def list(self, kind: str) -> tuple[StoredObject, ...]:
+        """Return all objects of a kind, ordered by name."""
+        resp = self._read("list objects", f"/objects/{quote(kind, safe='')}")
+        return tuple(object_from_json(raw) for raw in self._decoded("list objects", resp))
+
+    def create(self, kind: str, name: str, value: bytes) -> int:
+        """Create an object that must not exist and return its version."""
+        return self._write("create object", "PUT", kind, name, value, {"If-None-Match": "*"})
+
+    def update(self, kind: str, name: str, value: bytes, version: int) -> int:
+        """Replace an object that must have the given version and return the new version."""
+        condition = {"If-Match": str(version)}
+        return self._write("update object", "PUT", kind, name, value, condition)
+
+    def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete an object that must have the given version."""
+        self._write("delete object", "DELETE", kind, name, b"", {"If-Match": str(version)})
+
+    def watch(self, kind: str, after_version: int, timeout_s: float) -> WatchResult:
+        """Wait for changes of a kind after a version, at most for the timeout."""
+        path = f"/watch/{quote(kind, safe='')}?after={after_version}&timeout_s={timeout_s}"
+        resp = self._read("watch objects", path, timeout_s=timeout_s + WATCH_MARGIN_S)
+        return watch_from_json(self._decoded("watch objects", resp))
+
+    def vms(self) -> tuple[Vm, ...]:
+        """Return all VMs, ordered by name."""
+        resp = self._read("list VMs", "/vms")
+        return tuple(vm_from_json(raw) for raw in self._decoded("list VMs", resp))
+
+    def _read(
+        self, step: str, path: str, timeout_s: float | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        try:
+            resp = self._pool.request("GET", path, timeout=timeout_s or self._timeout_s)
+        except urllib3.exceptions.HTTPError as exc:
+            raise StoreUnavailableError(str(exc), step=step, peer=self._peer) from exc
+        if resp.status >= 500:
+            raise StoreUnavailableError(f"status {resp.status}", step=step, peer=self._peer)
+        return resp
+
+    def _write(
+        self,
+        step: str,
+        method: str,
+        kind: str,
+        name: str,
+        value: bytes,
+        condition: dict[str, str],
+    ) -> int:
+        path = _object_path(kind, name)
+        try:
+            resp = self._pool.request(
+                method, path, body=value, headers=condition, timeout=self._timeout_s
+            )
+        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
+            raise StoreUnavailableError(str(e), step=step, peer=self._peer) from e
+        except urllib3.exceptions.HTTPError as exc:
+            raise WriteUnsureError(str(exc), step=step, peer=self._peer) from exc
+        if resp.status == 412:
+            message = f"{kind}/{name} does not have the expected version"
+            raise VersionConflictError(message, step=step, peer=self._peer)
+        if resp.status == 503:
+            raise StoreUnavailableError("status 503", step=step, peer=self._peer)
+        if resp.status >= 300:
+            raise WriteUnsureError(f"status {resp.status}", step=step, peer=self._peer)
+        return int(self._decoded(step, resp)["version"])
+
+    def _decoded(self, step: str, resp: urllib3.BaseHTTPResponse) -> Any:
+        try:
+            return json.loads(resp.data)
+        except ValueError as exc:
+            raise StoreUnavailableError("malformed body", step=step, peer=self._peer) from exc
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
--- /dev/null
+++ b/src/chervilmill/reasons.py
@@ -0,0 +1,56 @@
+"""Name every reason for which a request is refused or sent again.
+
+The values are label values of the metrics and appear in refusal bodies, so they are stable.
+"""
+
+from enum import Enum
+
+
+class Ran(Enum):
+    """Tell what is known about the execution of a refused request."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(Enum):
+    """Say why a request did not get an answer of a target."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    ENTRY_LEAVING = "entry_leaving"
+    IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
+    LENGTH_REQUIRED = "length_required"
+    NO_TARGET = "no_target"
+    TARGET_FAILED = "target_failed"
+    UNKNOWN_PATH = "unknown_path"
+    UNKNOWN_SERVICE = "unknown_service"
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status code of a refusal for this reason."""
+        return _STATUS_BY_REASON[self]
+
+
+class RetryReason(Enum):
+    """Say why a request was sent to a further target."""
+
+    CONNECT_FAILED = "connect_failed"
+    TARGET_SHED = "target_shed"
+    ANSWER_LOST = "answer_lost"
+
+
+_STATUS_BY_REASON = {
+    RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.DEADLINE_EXCEEDED: 504,
+    RefusalReason.ENTRY_LEAVING: 503,
+    RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 428,
+    RefusalReason.LENGTH_REQUIRED: 411,
+    RefusalReason.NO_TARGET: 503,
+    RefusalReason.TARGET_FAILED: 502,
+    RefusalReason.UNKNOWN_PATH: 404,
+    RefusalReason.UNKNOWN_SERVICE: 404,
+}
--- /dev/null
+++ b/src/chervilmill/settings/_check.py
@@ -0,0 +1,136 @@
+"""Turn decoded settings into typed values, or report every mistake at once."""
+
+from typing import Any
+
+from chervilmill.settings._model import (
+    Limits,
+    Link,
+    Node,
+    Objective,
+    Platform,
+    Region,
+    Service,
+    Settings,
+)
+from chervilmill.settings._reader import Reader, SettingError
+
+MAX_BODY_BYTES = 64 * 1024**3
+DEFAULT_MAX_BODY_BYTES = 4 * 1024**3
+DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+DEFAULT_DEADLINE_MS = 30_000
+DEFAULT_LOOKUP_LIFETIME_S = 5
+DEFAULT_REQUEST_THREADS = 64
+DEFAULT_IDLE_TIMEOUT_S = 10
+DEFAULT_PLATFORM_TIMEOUT_MS = 1_000
+
+
+def check_settings(raw: dict[str, Any]) -> Settings:
+    """Return checked settings, or raise an ExceptionGroup of SettingError."""
+    problems: list[SettingError] = []
+    top = Reader(raw, "", problems)
+    settings = Settings(
+        node=_read_node(top.child("node")),
+        platform=_read_platform(top.child("platform")),
+        regions=top.items("regions", _read_region),
+        links=top.items("links", _read_link, least=0),
+        services=top.items("services", _read_service),
+        objective=_read_objective(top.child("objective")),
+        limits=_read_limits(top.child("limits")),
+        operators_token=top.secret("operators_token"),
+        nodes_key=top.secret("nodes_key"),
+    )
+    top.finish()
+    if not problems:
+        _check_places(settings, top)
+    if problems:
+        raise ExceptionGroup(f"{len(problems)} wrong settings", problems)
+    return settings
+
+
+def _read_node(reader: Reader) -> Node:
+    node = Node(
+        name=reader.text("name"),
+        region=reader.text("region"),
+        failure_domain=reader.text("failure_domain"),
+        callers=reader.address("callers"),
+        operators=reader.address("operators"),
+        nodes=reader.address("nodes"),
+    )
+    reader.finish()
+    return node
+
+
+def _read_platform(reader: Reader) -> Platform:
+    platform = Platform(
+        address=reader.address("address"),
+        timeout_ms=reader.whole("timeout_ms", 10, 60_000, DEFAULT_PLATFORM_TIMEOUT_MS),
+    )
+    reader.finish()
+    return platform
+
+
+def _read_region(reader: Reader) -> Region:
+    return Region(name=reader.text("name"), failure_domains=reader.texts("failure_domains"))
+
+
+def _read_link(reader: Reader) -> Link:
+    between = reader.texts("between")
+    if len(between) != 2:
+        reader.reject("between", f"{len(between)} names", "the names of two regions")
+        between = ("", "")
+    return Link(
+        between=(between[0], between[1]),
+        mbit_per_s=reader.whole("mbit_per_s", 1, 10_000_000),
+        one_way_delay_ms=reader.whole("one_way_delay_ms", 0, 10_000),
+    )
+
+
+def _read_service(reader: Reader) -> Service:
+    return Service(
+        name=reader.text("name", max_length=64),
+        slots_per_target=reader.whole("slots_per_target", 1, 10_000),
+        connections_per_target=reader.whole("connections_per_target", 1, 1_000_000),
+        reports_load=reader.flag("reports_load"),
+        connect_cost_ms=reader.whole("connect_cost_ms", 0, 60_000, 1),
+        probe_cost_ms=reader.whole("probe_cost_ms", 0, 60_000, 1),
+    )
+
+
+def _read_objective(reader: Reader) -> Objective:
+    objective = Objective(
+        latency_percent=reader.whole("latency_percent", 0, 100),
+        headroom_percent=reader.whole("headroom_percent", 0, 100),
+    )
+    total = objective.latency_percent + objective.headroom_percent
+    if total != 100:
+        reader.reject("headroom_percent", f"a sum of {total}", "100 less latency_percent")
+    reader.finish()
+    return objective
+
+
+def _read_limits(reader: Reader) -> Limits:
+    limits = Limits(
+        max_body_bytes=reader.whole("max_body_bytes", 1, MAX_BODY_BYTES, DEFAULT_MAX_BODY_BYTES),
+        max_header_bytes=reader.whole("max_header_bytes", 1024, 1024**2, DEFAULT_MAX_HEADER_BYTES),
+        default_deadline_ms=reader.whole("default_deadline_ms", 1, 3_600_000, DEFAULT_DEADLINE_MS),
+        lookup_lifetime_s=reader.whole("lookup_lifetime_s", 1, 3_600, DEFAULT_LOOKUP_LIFETIME_S),
+        request_threads=reader.whole("request_threads", 2, 1_000, DEFAULT_REQUEST_THREADS),
+        idle_timeout_s=reader.whole("idle_timeout_s", 1, 3_600, DEFAULT_IDLE_TIMEOUT_S),
+    )
+    reader.finish()
+    return limits
+
+
+def _check_places(settings: Settings, top: Reader) -> None:
+    region_names = tuple(region.name for region in settings.regions)
+    home = next((r for r in settings.regions if r.name == settings.node.region), None)
+    if home is None:
+        top.reject("node.region", repr(settings.node.region), "one of " + ", ".join(region_names))
+    elif settings.node.failure_domain not in home.failure_domains:
+        allowed = "one of " + ", ".join(home.failure_domains)
+        top.reject("node.failure_domain", repr(settings.node.failure_domain), allowed)
+    for index, link in enumerate(settings.links):
+        for name in link.between:
+            if name not in region_names:
+                allowed = "one of " + ", ".join(region_names)
+                top.reject(f"links[{index}].between", repr(name), allowed)
--- /dev/null
+++ b/src/chervilmill/settings/_model.py
@@ -0,0 +1,96 @@
+"""Hold checked settings as typed values."""
+
+from dataclasses import dataclass
+
+from chervilmill.addresses import Address
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """Describe this entry VM: its place and the addresses it listens on."""
+
+    name: str
+    region: str
+    failure_domain: str
+    callers: Address
+    operators: Address
+    nodes: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """Say where the platform's object API is and how long one call may take."""
+
+    address: Address
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Region:
+    """Name a region and its failure domains."""
+
+    name: str
+    failure_domains: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """Describe the link between two regions; the rate holds for each direction."""
+
+    between: tuple[str, str]
+    mbit_per_s: int
+    one_way_delay_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Describe one service and the shape of its targets."""
+
+    name: str
+    slots_per_target: int
+    connections_per_target: int
+    reports_load: bool
+    connect_cost_ms: int
+    probe_cost_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    """Weigh latency against headroom; the two weights add up to 100."""
+
+    latency_percent: int
+    headroom_percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bound what callers and peers may take from this node."""
+
+    max_body_bytes: int
+    max_header_bytes: int
+    default_deadline_ms: int
+    lookup_lifetime_s: int
+    request_threads: int
+    idle_timeout_s: int
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Hold everything a node is told at its start."""
+
+    node: Node
+    platform: Platform
+    regions: tuple[Region, ...]
+    links: tuple[Link, ...]
+    services: tuple[Service, ...]
+    objective: Objective
+    limits: Limits
+    operators_token: str
+    nodes_key: str
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of that name, or None."""
+        for service in self.services:
+            if service.name == name:
+                return service
+        return None
--- /dev/null
+++ b/src/chervilmill/settings/_reader.py
@@ -0,0 +1,153 @@
+"""Walk decoded settings and collect every mistake with its path."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from chervilmill.addresses import Address, parse_address
+
+T = TypeVar("T")
+
+_UNSET_ADDRESS = Address("0.0.0.0", 1)
+
+
+class SettingError(ValueError):
+    """Report one wrong setting: where it is, what was found and what is allowed."""
+
+    def __init__(self, path: str, found: str, allowed: str) -> None:
+        super().__init__(f"{path}: found {found}, allowed is {allowed}")
+        self.path = path
+        self.found = found
+        self.allowed = allowed
+
+
+def _shown(value: object) -> str:
+    return "nothing" if value is None else repr(value)
+
+
+@dataclass(slots=True)
+class Reader:
+    """Read the members of one decoded object.
+
+    Each method returns a usable value even after a mistake, so that one pass finds all mistakes.
+    """
+
+    raw: dict[str, Any]
+    path: str
+    problems: list[SettingError]
+    known: set[str] = field(default_factory=set)
+
+    def text(self, key: str, *, min_length: int = 1, max_length: int = 200) -> str:
+        """Return a string whose length is within the bounds."""
+        value = self._take(key)
+        if isinstance(value, str) and min_length <= len(value) <= max_length:
+            return value
+        self._report(key, value, f"a string of {min_length} to {max_length} characters")
+        return ""
+
+    def secret(self, key: str) -> str:
+        """Return a string of at least 16 characters without showing it in a problem."""
+        value = self._take(key)
+        if isinstance(value, str) and 16 <= len(value) <= 200:
+            return value
+        found = "nothing" if value is None else f"a {type(value).__name__}"
+        self._add(key, found, "a string of 16 to 200 characters")
+        return ""
+
+    def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
+        """Return a whole number within the bounds, both included."""
+        value = self._take(key)
+        if value is None and default is not None:
+            return default
+        is_whole = isinstance(value, int) and not isinstance(value, bool)
+        if is_whole and least <= value <= most:
+            return int(value)
+        self._report(key, value, f"a whole number from {least} to {most}")
+        return least
+
+    def flag(self, key: str) -> bool:
+        """Return true or false."""
+        value = self._take(key)
+        if isinstance(value, bool):
+            return value
+        self._report(key, value, "true or false")
+        return False
+
+    def address(self, key: str) -> Address:
+        """Return an address written as `IP:port`."""
+        value = self._take(key)
+        try:
+            return parse_address(value)
+        except (ValueError, AttributeError):
+            self._report(key, value, "an address as IP:port")
+            return _UNSET_ADDRESS
+
+    def one_of(self, key: str, allowed: tuple[str, ...]) -> str:
+        """Return one of the allowed strings."""
+        value = self._take(key)
+        if isinstance(value, str) and value in allowed:
+            return value
+        self._report(key, value, "one of " + ", ".join(allowed))
+        return ""
+
+    def texts(self, key: str) -> tuple[str, ...]:
+        """Return a list of distinct, non-empty strings."""
+        value = self._take(key)
+        is_list = isinstance(value, list) and bool(value)
+        is_text_list = is_list and all(isinstance(item, str) and item for item in value)
+        if is_text_list and len(set(value)) == len(value):
+            return tuple(value)
+        self._report(key, value, "a list of distinct strings")
+        return ()
+
+    def child(self, key: str) -> "Reader":
+        """Return a reader of the object under a key."""
+        value = self._take(key)
+        if not isinstance(value, dict):
+            self._report(key, value, "an object")
+            value = {}
+            return Reader(value, self._path(key), [])
+        return Reader(value, self._path(key), self.problems)
+
+    def items(self, key: str, read: Callable[["Reader"], T], *, least: int = 1) -> tuple[T, ...]:
+        """Return what `read` makes of each object of a list."""
+        value = self._take(key)
+        if not isinstance(value, list) or len(value) < least:
+            self._report(key, value, f"a list of at least {least} objects")
+            return ()
+        return tuple(self._read_items(key, value, read))
+
+    def finish(self) -> None:
+        """Report every member that no method has read."""
+        for key in self.raw:
+            if key not in self.known:
+                self._add(key, "an unknown key", "one of " + ", ".join(sorted(self.known)))
+
+    def reject(self, key: str, found: str, allowed: str) -> None:
+        """Report a mistake that a caller found in a member."""
+        self._add(key, found, allowed)
+
+    def _read_items(
+        self, key: str, values: list[Any], read: Callable[["Reader"], T]
+    ) -> Iterator[T]:
+        for index, value in enumerate(values):
+            path = f"{self._path(key)}[{index}]"
+            if not isinstance(value, dict):
+                self.problems.append(SettingError(path, _shown(value), "an object"))
+                continue
+            reader = Reader(value, path, self.problems)
+            yield read(reader)
+            reader.finish()
+
+    def _take(self, key: str) -> Any:
+        self.known.add(key)
+        return self.raw.get(key)
+
+    def _path(self, key: str) -> str:
+        return f"{self.path}.{key}" if self.path else key
+
+    def _report(self, key: str, value: object, allowed: str) -> None:
+        self._add(key, _shown(value), allowed)
+
+    def _add(self, key: str, found: str, allowed: str) -> None:
+        self.problems.append(SettingError(self._path(key), found, allowed))
