Hold the configuration in force and judge benchmark figures

Cause: steering, nodes and benchmarks need shared interfaces before they are built. The benchmark runner sets each figure against a bound from one file.

--- /dev/null
+++ b/bench/_rows.py
@@ -0,0 +1,86 @@
+"""Set figures against the bounds of the stated targets."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Protocol
+
+import json5
+
+BOUNDS_FILE = Path(__file__).with_name("bounds.jsonc")
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """Hold one measured figure; `name` is unique within its group."""
+
+    name: str
+    value: float
+    unit: str
+
+
+class Group(Protocol):
+    """Measure the figures of one group."""
+
+    def __call__(self, seed: int) -> Iterator[Figure]:
+        """Yield the figures as they are measured."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """Hold the least and the most that a figure may be, and where that was stated."""
+
+    least: float | None
+    most: float | None
+    source: str
+
+    def holds(self, value: float) -> bool:
+        """Return whether a value lies within the bound."""
+        is_enough = self.least is None or value >= self.least
+        return is_enough and (self.most is None or value <= self.most)
+
+    def __str__(self) -> str:
+        parts = []
+        if self.least is not None:
+            parts.append(f">= {self.least:g}")
+        if self.most is not None:
+            parts.append(f"<= {self.most:g}")
+        return " and ".join(parts)
+
+
+class Verdict(Enum):
+    """Say whether a figure is within its bound."""
+
+    PASS = "pass"
+    OVER = "OVER"
+    SHOWN = "shown"
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Hold a figure of a group with its bound and verdict."""
+
+    group: str
+    figure: Figure
+    bound: Bound | None
+    verdict: Verdict
+
+
+def load_bounds() -> dict[str, Bound]:
+    """Return the bounds by `group.name`."""
+    raw = json5.loads(BOUNDS_FILE.read_text())
+    return {
+        name: Bound(item.get("least"), item.get("most"), item["source"])
+        for name, item in raw.items()
+    }
+
+
+def judge(group: str, figure: Figure, bounds: Mapping[str, Bound]) -> Row:
+    """Return the row of a figure; a figure without a bound is only shown."""
+    bound = bounds.get(f"{group}.{figure.name}")
+    if bound is None:
+        return Row(group, figure, None, Verdict.SHOWN)
+    verdict = Verdict.PASS if bound.holds(figure.value) else Verdict.OVER
+    return Row(group, figure, bound, verdict)
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -10,7 +10,13 @@
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
 from chervilmill.operators import OperatorsApp
-from chervilmill.platform import Directory, HttpPlatform, Vm
+from chervilmill.platform import (
+    ConfigurationWatch,
+    Directory,
+    HeldConfiguration,
+    HttpPlatform,
+    Vm,
+)
 from chervilmill.requests import TwoRandomChoices
 from chervilmill.settings import Settings
 from chervilmill.targets import HttpTargets
@@ -43,6 +49,8 @@
         self.metrics.in_flight.set_function(lambda: self.in_flight.count)
         platform = HttpPlatform(settings.platform.address, settings.platform.timeout_ms / 1000)
         self.directory = Directory(platform)
+        self.configuration = HeldConfiguration()
+        self._configuration_watch = ConfigurationWatch(platform, self.configuration)
         self._view = _NodeView(self.directory, settings.node.name)
         self._callers = self._callers_server()
         self._operators = HttpServer(
@@ -55,6 +63,7 @@
     def start(self) -> None:
         """Begin to serve callers and operators, or raise OSError."""
         self.directory.start()
+        self._configuration_watch.start()
         self._operators.start()
         self._callers.start()
         log_event("node started", callers=str(self.settings.node.callers))
@@ -75,6 +84,7 @@
         self._callers.stop()
         self._operators.stop()
         self.directory.stop()
+        self._configuration_watch.stop()
         elapsed_s = time.monotonic() - started_s
         self.metrics.drain.labels("entry").observe(elapsed_s)
         log_event("node stopped", drain_s=round(elapsed_s, 3))
@@ -85,6 +95,7 @@
             "node": self.settings.node.name,
             "is_leaving": self._view.is_leaving,
             "in_flight": self.in_flight.count,
+            "revision": self.configuration.snapshot().revision,
             "entry_vms": [vm.name for vm in self.directory.entry_vms()],
         }
 
--- a/src/chervilmill/platform/__init__.py
+++ b/src/chervilmill/platform/__init__.py
@@ -1,6 +1,15 @@
 """Talk to the platform: its object store and its list of VMs."""
 
 from chervilmill.platform._client import HttpPlatform
+from chervilmill.platform._configuration import (
+    CONFIGURATION_KIND,
+    EMPTY_CONFIGURATION,
+    Configuration,
+    ConfigurationSnapshot,
+    ConfigurationWatch,
+    HeldConfiguration,
+    merge_objects,
+)
 from chervilmill.platform._directory import Directory
 from chervilmill.platform._errors import (
     PlatformError,
@@ -19,7 +28,13 @@
 )
 
 __all__ = [
+    "CONFIGURATION_KIND",
+    "EMPTY_CONFIGURATION",
+    "Configuration",
+    "ConfigurationSnapshot",
+    "ConfigurationWatch",
     "Directory",
+    "HeldConfiguration",
     "HttpPlatform",
     "ObjectStore",
     "PlatformError",
@@ -32,4 +47,5 @@
     "VmState",
     "WatchResult",
     "WriteUnsureError",
+    "merge_objects",
 ]
