End waiting watches when the platform stand-in stops

Cause: the stand-in's server joins its threads at its stop, and a waiting watch held one for 20 s. Change: the server closes its store first, which wakes every watch. Conclusion: a watch in the daemon itself ends with the process and needs no such step.

--- a/src/chervilmill/http.py
+++ b/src/chervilmill/http.py
@@ -43,7 +43,9 @@
         max_header_bytes: int = 16 * 1024,
         max_body_bytes: int = 0,
         idle_timeout_s: int = 10,
+        before_stop: Callable[[], None] | None = None,
     ) -> None:
+        self._before_stop = before_stop
         self._server = wsgi.Server(
             (address.host, address.port),
             app,
@@ -76,4 +78,6 @@
 
     def stop(self) -> None:
         """Close the listener and all idle connections."""
+        if self._before_stop is not None:
+            self._before_stop()
         self._server.stop()
--- a/src/chervilmill/standins/platform_server.py
+++ b/src/chervilmill/standins/platform_server.py
@@ -103,7 +103,7 @@
 
 def platform_server(address: Address, store: MemoryStore) -> HttpServer:
     """Return a server of the platform's object API."""
-    return HttpServer(address, PlatformApp(store), threads=THREADS)
+    return HttpServer(address, PlatformApp(store), threads=THREADS, before_stop=store.close)
 
 
 def _body(environ: Environ) -> bytes:
--- a/src/chervilmill/standins/store.py
+++ b/src/chervilmill/standins/store.py
@@ -32,6 +32,7 @@
         self._deleted: dict[tuple[str, str], int] = {}
         self._vms: dict[str, Vm] = {}
         self._version = 0
+        self._is_closed = False
         self._changed = threading.Condition()
 
     def get(self, kind: str, name: str) -> StoredObject | None:
@@ -65,7 +66,9 @@
         """Wait for changes of a kind after a version, at most for the timeout."""
         self._begin("watch objects")
         with self._changed:
-            self._changed.wait_for(lambda: self._has_news(kind, after_version), timeout_s)
+            self._changed.wait_for(
+                lambda: self._is_closed or self._has_news(kind, after_version), timeout_s
+            )
             return self._news(kind, after_version)
 
     def vms(self) -> tuple[Vm, ...]:
@@ -74,6 +77,12 @@
         with self._changed:
             return tuple(self._vms[name] for name in sorted(self._vms))
 
+    def close(self) -> None:
+        """End every waiting watch."""
+        with self._changed:
+            self._is_closed = True
+            self._changed.notify_all()
+
     def put_vm(self, vm: Vm) -> None:
         """Add or replace a VM of the list."""
         with self._changed:
