Hold leases in the store and fence the writes of their holders

Cause: planner, allotter and executor are single, and a paused holder may wake past its lease. Change: Lease acquires, renews and releases by conditional writes and reads unsure writes back; FencedObject stamps the epoch on what a holder governs before it writes. Conclusion: safety rests on the store's conditions alone, the clock only decides who may try.

--- a/src/chervilmill/platform/__init__.py
+++ b/src/chervilmill/platform/__init__.py
@@ -17,6 +17,15 @@
     VersionConflictError,
     WriteUnsureError,
 )
+from chervilmill.platform._fencing import (
+    FencedObject,
+    FencedOffError,
+    FencedValue,
+    MalformedObjectError,
+    decode_fenced,
+    encode_fenced,
+)
+from chervilmill.platform._lease import LEASE_KIND, Clock, Lease, LeaseRecord, decode_lease
 from chervilmill.platform._model import (
     ObjectStore,
     StoredObject,
@@ -29,13 +38,21 @@
 
 __all__ = [
     "CONFIGURATION_KIND",
+    "Clock",
     "EMPTY_CONFIGURATION",
     "Configuration",
     "ConfigurationSnapshot",
     "ConfigurationWatch",
     "Directory",
+    "FencedObject",
+    "FencedOffError",
+    "FencedValue",
     "HeldConfiguration",
     "HttpPlatform",
+    "LEASE_KIND",
+    "Lease",
+    "LeaseRecord",
+    "MalformedObjectError",
     "ObjectStore",
     "PlatformError",
     "StoreUnavailableError",
@@ -47,5 +64,8 @@
     "VmState",
     "WatchResult",
     "WriteUnsureError",
+    "decode_fenced",
+    "decode_lease",
+    "encode_fenced",
     "merge_objects",
 ]
--- /dev/null
+++ b/tests/platform/test_lease.py
@@ -0,0 +1,243 @@
+"""Interleave holders of one lease with pauses, lost and late writes, and outages."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from chervilmill.platform import (
+    FencedObject,
+    FencedOffError,
+    FencedValue,
+    Lease,
+    PlatformError,
+    StoredObject,
+    StoreUnavailableError,
+    VersionConflictError,
+    WriteUnsureError,
+    decode_fenced,
+    encode_fenced,
+)
+from chervilmill.standins.store import MemoryStore
+
+DURATION_S = 3.0
+SEEDS_PER_CASE = 2_500
+CASES = 4
+STEPS_PER_SEED = 30
+MAX_NESTING = 3
+
+
+@dataclass
+class FakeTime:
+    """Hold the true time that every holder's clock is derived from."""
+
+    now_s: float = 100.0
+
+
+class FaultyStore:
+    """Pass calls to a MemoryStore; let time and other holders run before and after each."""
+
+    def __init__(self, rng: random.Random, interrupt: Callable[[], None]) -> None:
+        self.inner = MemoryStore()
+        self.written: list[StoredObject] = []
+        self._rng = rng
+        self._interrupt = interrupt
+        self._late: list[tuple[str, str, Callable[[], int]]] = []
+
+    def get(self, kind: str, name: str) -> StoredObject | None:
+        self._before("get object")
+        stored = self.inner.get(kind, name)
+        self._interrupt()
+        return stored
+
+    def create(self, kind: str, name: str, value: bytes) -> int:
+        return self._write(kind, name, lambda: self.inner.create(kind, name, value))
+
+    def update(self, kind: str, name: str, value: bytes, version: int) -> int:
+        return self._write(kind, name, lambda: self.inner.update(kind, name, value, version))
+
+    def land_late_write(self) -> None:
+        if self._late and self._rng.random() < 0.5:
+            kind, name, apply = self._late.pop(self._rng.randrange(len(self._late)))
+            try:
+                apply()
+            except VersionConflictError:
+                return
+            self._record(kind, name)
+
+    def _write(self, kind: str, name: str, apply: Callable[[], int]) -> int:
+        self._before("write object")
+        if self._rng.random() < 0.1:
+            self._late.append((kind, name, apply))
+            self._interrupt()
+            raise WriteUnsureError("late", step="write object", peer="store")
+        version = apply()
+        self._record(kind, name)
+        self._interrupt()
+        if self._rng.random() < 0.15:
+            raise WriteUnsureError("reply lost", step="write object", peer="store")
+        return version
+
+    def _record(self, kind: str, name: str) -> None:
+        stored = self.inner.get(kind, name)
+        assert stored is not None
+        self.written.append(stored)
+
+    def _before(self, step: str) -> None:
+        self._interrupt()
+        if self._rng.random() < 0.1:
+            raise StoreUnavailableError("down", step=step, peer="store")
+
+
+@dataclass
+class Holder:
+    """Drive one lease and the object that it governs."""
+
+    name: str
+    lease: Lease
+    governed: FencedObject
+    writes_begun: int = 0
+    fenced_off: int = 0
+
+    def act(self, rng: random.Random) -> None:
+        if rng.random() < 0.05:
+            self.lease.release()
+            return
+        if not self.lease.step():
+            return
+        try:
+            self.governed.take_over()
+            self.writes_begun += 1
+            self.governed.write(f"{self.name} {self.writes_begun}".encode())
+        except FencedOffError:
+            self.fenced_off += 1
+        except PlatformError:
+            return
+
+
+@dataclass
+class Race:
+    """Run holders against each other in one seeded interleaving."""
+
+    seed: int
+    holder_count: int = 3
+    rng: random.Random = field(init=False)
+    time: FakeTime = field(default_factory=FakeTime)
+    holders: list[Holder] = field(default_factory=list)
+    depth: int = 0
+    most_held: int = 0
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.store = FaultyStore(self.rng, self.interrupt)
+        for index in range(self.holder_count):
+            self.holders.append(self._holder(f"node-{index}"))
+
+    def _holder(self, name: str) -> Holder:
+        rate = self.rng.uniform(0.99, 1.01)
+        lease = Lease(self.store, "planner", name, DURATION_S, lambda: self.time.now_s * rate)
+        return Holder(name, lease, FencedObject(self.store, "table", "t", lease))
+
+    def interrupt(self) -> None:
+        """Let time pass and, at times, another holder act in the middle of a step."""
+        self.time.now_s += self.rng.choice((0.0, 0.01, 0.3, 2.0))
+        self.store.land_late_write()
+        self._count_held()
+        if self.depth < MAX_NESTING and self.rng.random() < 0.15:
+            self.depth += 1
+            self.rng.choice(self.holders).act(self.rng)
+            self.depth -= 1
+
+    def run(self) -> None:
+        for _step in range(STEPS_PER_SEED):
+            self.time.now_s += self.rng.choice((0.1, 1.0, 4.0))
+            self.rng.choice(self.holders).act(self.rng)
+            self._count_held()
+
+    def epochs_written(self) -> list[int]:
+        written = sorted(self.store.written, key=lambda stored: stored.version)
+        return [decode_fenced(stored).epoch for stored in written if stored.kind == "table"]
+
+    def _count_held(self) -> None:
+        held = sum(holder.lease.is_held for holder in self.holders)
+        self.most_held = max(self.most_held, held)
+
+
+@pytest.mark.parametrize("case", range(CASES))
+def test_no_write_of_an_earlier_holder_takes_effect(case: int) -> None:
+    writes = fenced_off = 0
+    for seed in range(case * SEEDS_PER_CASE, (case + 1) * SEEDS_PER_CASE):
+        race = Race(seed)
+        race.run()
+        epochs = race.epochs_written()
+        assert epochs == sorted(epochs), f"seed {seed}"
+        assert race.most_held <= 1, f"seed {seed}"
+        writes += len(epochs)
+        fenced_off += sum(holder.fenced_off for holder in race.holders)
+    assert writes > SEEDS_PER_CASE
+    assert fenced_off > 0
+
+
+class UnfencedObject(FencedObject):
+    """Write without a condition on what this holder stamped, as a planted fault."""
+
+    def write(self, body: bytes) -> int:
+        stored = self._store.get(self._kind, self._name)
+        assert stored is not None
+        value = encode_fenced(FencedValue(self._epoch, body))
+        return self._store.update(self._kind, self._name, value, stored.version)
+
+
+class HastyLease(Lease):
+    """Take a lease over before it can have lapsed, as a planted fault."""
+
+    def _is_free(self, seen) -> bool:
+        return self._clock() - seen.at_s >= self._duration_s / 2
+
+
+def test_the_check_catches_writes_that_are_not_fenced() -> None:
+    def is_caught(seed: int) -> bool:
+        race = Race(seed)
+        for holder in race.holders:
+            holder.governed = UnfencedObject(race.store, "table", "t", holder.lease)
+        race.run()
+        return race.epochs_written() != sorted(race.epochs_written())
+
+    assert any(is_caught(seed) for seed in range(500))
+
+
+def test_the_check_catches_two_holders_at_once() -> None:
+    def is_caught(seed: int) -> bool:
+        race = Race(seed)
+        for holder in race.holders:
+            holder.lease.__class__ = HastyLease
+        race.run()
+        return race.most_held > 1
+
+    assert any(is_caught(seed) for seed in range(500))
+
+
+def test_released_lease_is_had_at_once() -> None:
+    time = FakeTime()
+    store = MemoryStore()
+    first = Lease(store, "planner", "a", DURATION_S, lambda: time.now_s)
+    second = Lease(store, "planner", "b", DURATION_S, lambda: time.now_s)
+    assert first.step()
+    assert not second.step()
+    first.release()
+    assert second.step()
+    assert second.epoch == 2
+    assert second.known_holder == "b"
+
+
+def test_held_lease_outlives_an_outage_no_longer_than_its_duration() -> None:
+    time = FakeTime()
+    store = MemoryStore()
+    lease = Lease(store, "planner", "a", DURATION_S, lambda: time.now_s)
+    assert lease.step()
+    store.is_down = True
+    time.now_s += DURATION_S / 2
+    assert lease.step()
+    time.now_s += DURATION_S / 2
+    assert not lease.step()
