Keep the membership and spread the configuration by pure state machines

Each entry VM keeps links to its neighbours on three rings, hears their heartbeats there and passes changes of the membership on. Configuration objects and the list of VMs travel on the same links. Nothing is wired into the daemon yet.

--- /dev/null
+++ b/bench/nodes_network.py
@@ -0,0 +1,213 @@
+"""Carry messages between the state machines of many nodes on a virtual clock.
+
+A fake of the transport alone: every node runs the product's own NodeMachine. Messages are
+delayed, lost by chance or cut off between regions, and counted in the bytes of the real codec.
+"""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from chervilmill.nodes._actions import Close, Dial, Send
+from chervilmill.nodes._codec import encode
+from chervilmill.nodes._machine import TICK_S, NodeMachine
+from chervilmill.nodes._messages import Member, MemberState, Message
+from chervilmill.platform import HeldConfiguration
+
+DOMAIN_DELAY_S = 0.003
+REGION_DELAY_S = 0.055
+DIAL_TIMEOUT_S = 1.0
+FRAME_AND_PACKET_BYTES = 4 + 52
+PACKET_BYTES = 1448
+
+
+@dataclass(slots=True)
+class Node:
+    """Hold one node of the network and what it has sent and received."""
+
+    own: Member
+    held: HeldConfiguration
+    machine: NodeMachine
+    is_running: bool = True
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    messages: Counter[str] = field(default_factory=Counter)
+
+
+class Network:
+    """Run nodes on a virtual clock."""
+
+    def __init__(self, seed: int, loss: float = 0.0) -> None:
+        self.now = 0.0
+        self.loss = loss
+        self.nodes: dict[str, Node] = {}
+        self.cut_off_regions: set[str] = set()
+        self._by_address: dict[str, str] = {}
+        self._rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self._sizes: dict[int, tuple[Message, int]] = {}
+
+    def add(self, own: Member, seeds: Iterable[str]) -> Node:
+        """Start a node that knows a few addresses only."""
+        held = HeldConfiguration()
+        machine = NodeMachine(own, held, random.Random(f"{own.name}{own.incarnation}"))
+        machine.membership.hint(seeds, None)
+        node = Node(own, held, machine)
+        self.nodes[own.name] = node
+        self._by_address[own.nodes] = own.name
+        self._at(self._rng.random() * TICK_S, lambda: self._tick(node))
+        return node
+
+    def stop(self, name: str) -> None:
+        """End a node without warning; its peers see their links end."""
+        node = self.nodes[name]
+        node.is_running = False
+        for peer in list(node.machine.outbox.links):
+            self._unlink(name, peer)
+
+    def run(self, seconds: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let time pass and return whether the condition became true."""
+        end_s = self.now + seconds
+        checked_s = self.now
+        while self._events and self._events[0][0] <= end_s:
+            self.now, _, event = heapq.heappop(self._events)
+            event()
+            if until is not None and self.now - checked_s >= TICK_S / 4:
+                checked_s = self.now
+                if until():
+                    return True
+        self.now = end_s
+        return until is not None and until()
+
+    def reset_counts(self) -> None:
+        """Count bytes and messages anew."""
+        for node in self.nodes.values():
+            node.sent_bytes = node.received_bytes = 0
+            node.messages.clear()
+
+    def act(self, node: Node) -> None:
+        """Carry out what a node's machine asks for."""
+        for action in node.machine.take():
+            if isinstance(action, Send):
+                self._send(node, action)
+            elif isinstance(action, Dial):
+                self._dial(node, action)
+            else:
+                self._close(node, action)
+        due_s = node.machine.due_s
+        if due_s is not None:
+            self._at(max(0.0, due_s - self.now), lambda: self._flush(node))
+
+    def _at(self, delay_s: float, event: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (self.now + delay_s, self._count, event))
+
+    def _tick(self, node: Node) -> None:
+        if node.is_running:
+            node.machine.tick(self.now)
+            self.act(node)
+            self._at(TICK_S, lambda: self._tick(node))
+
+    def _flush(self, node: Node) -> None:
+        due_s = node.machine.due_s
+        if node.is_running and due_s is not None and due_s <= self.now:
+            node.machine.flush(self.now)
+            self.act(node)
+
+    def _send(self, node: Node, action: Send) -> None:
+        size = self._size(action.message)
+        node.sent_bytes += size
+        node.messages[type(action.message).__name__] += 1
+        peer = self.nodes[action.peer]
+        if self._is_cut(node, peer) or self._rng.random() < self.loss:
+            return
+        self._at(self._delay_s(node, peer), lambda: self._receive(node, peer, action, size))
+
+    def _receive(self, node: Node, peer: Node, action: Send, size: int) -> None:
+        if peer.is_running and node.own.name in peer.machine.outbox.links:
+            peer.received_bytes += size
+            peer.machine.receive(node.own.name, action.message, self.now)
+            self.act(peer)
+
+    def _dial(self, node: Node, action: Dial) -> None:
+        name = self._by_address.get(action.address, "")
+        peer = self.nodes.get(name)
+        if peer is None or not peer.is_running or self._is_cut(node, peer) or peer is node:
+            return
+        self._at(3 * self._delay_s(node, peer), lambda: self._link(node, peer))
+
+    def _link(self, node: Node, peer: Node) -> None:
+        if not (node.is_running and peer.is_running) or self._is_cut(node, peer):
+            return
+        for one, other in ((node, peer), (peer, node)):
+            if other.own.name not in one.machine.outbox.links:
+                one.machine.linked(other.machine.membership.own, self.now)
+                self.act(one)
+
+    def _close(self, node: Node, action: Close) -> None:
+        self._unlink(node.own.name, action.peer)
+
+    def _unlink(self, first: str, second: str) -> None:
+        for name, peer in ((first, second), (second, first)):
+            machine = self.nodes[name].machine
+            if peer in machine.outbox.links:
+                machine.unlinked(peer)
+
+    def _is_cut(self, node: Node, peer: Node) -> bool:
+        regions = {node.own.region, peer.own.region}
+        return len(regions) == 2 and bool(regions & self.cut_off_regions)
+
+    def _delay_s(self, node: Node, peer: Node) -> float:
+        is_near = node.own.region == peer.own.region
+        base_s = DOMAIN_DELAY_S if is_near else REGION_DELAY_S
+        return base_s * (1.0 + 0.2 * self._rng.random())
+
+    def _size(self, message: Message) -> int:
+        known = self._sizes.get(id(message))
+        if known is None or known[0] is not message:
+            body = len(encode(message))
+            packets = 1 + body // PACKET_BYTES
+            known = (message, body + packets * FRAME_AND_PACKET_BYTES)
+            self._sizes = {} if len(self._sizes) > 10_000 else self._sizes
+            self._sizes[id(message)] = known
+        return known[1]
+
+
+def member(index: int, regions: int, domains_per_region: int, incarnation: int = 1) -> Member:
+    """Return the member of an index, spread evenly over regions and failure domains."""
+    region = f"region-{index % regions}"
+    domain = f"{region}-{index // regions % domains_per_region}"
+    address = f"10.{index // 65536}.{index // 256 % 256}.{index % 256}"
+    nodes, callers = f"{address}:8082", f"{address}:8080"
+    return Member(f"entry-{index}", region, domain, nodes, callers, incarnation, MemberState.LIVE)
+
+
+def running_network(
+    count: int, seed: int, loss: float = 0.0, *, regions: int = 3, domains_per_region: int = 2
+) -> Network:
+    """Return a network of nodes that know each other already, after ten quiet seconds."""
+    network = Network(seed, 0.0)
+    members = [member(index, regions, domains_per_region) for index in range(count)]
+    for own in members:
+        node = network.add(own, [other.nodes for other in members[:3]])
+        for other in members:
+            node.machine.membership.members.merge(other, 0.0)
+        node.machine.configuration.confirm(0.0)
+    network.run(5.0)
+    network.loss = loss
+    network.run(5.0)
+    network.reset_counts()
+    return network
+
+
+def live_views(network: Network) -> dict[str, Any]:
+    """Return by running node the names of the members it holds for present."""
+    return {
+        name: {m.name for m in node.machine.membership.members.present()}
+        for name, node in network.nodes.items()
+        if node.is_running
+    }
--- /dev/null
+++ b/src/chervilmill/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Act together with the other entry VMs."""
--- /dev/null
+++ b/src/chervilmill/nodes/_machine.py
@@ -0,0 +1,100 @@
+"""Join the state machines of one node behind four inputs: time, links and messages."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from chervilmill.nodes import _messages as messages
+from chervilmill.nodes._actions import Action, Outbox
+from chervilmill.nodes._configuration import ConfigurationSpread
+from chervilmill.nodes._membership import Membership
+from chervilmill.nodes._messages import Heartbeat, Member, Message
+from chervilmill.nodes._vms import VmSpread
+from chervilmill.platform import HeldConfiguration
+
+HEARTBEAT_INTERVAL_S = 0.7
+TICK_S = 0.2
+MAX_AGE_MS = 2**31
+
+
+class NodeMachine:
+    """Hold all that a node does together with its peers, without sockets, threads or clocks.
+
+    `now` is a monotonic clock reading in seconds. After any input `take` returns the actions.
+    """
+
+    def __init__(self, own: Member, held: HeldConfiguration, rng: random.Random) -> None:
+        self.outbox = Outbox()
+        self.membership = Membership(own, self.outbox, rng)
+        self.configuration = ConfigurationSpread(held, self.outbox)
+        self.vms = VmSpread(self.outbox)
+        self._heartbeat_s: dict[str, float] = {}
+        self._handlers: dict[type[Any], Callable[[str, Any, float], None]] = {
+            Heartbeat: self._receive_heartbeat,
+            messages.Rumours: self.membership.receive_rumours,
+            messages.MembersPull: lambda p, m, _: self.membership.receive_pull(p, m),
+            messages.ConfigurationNotice: self.configuration.receive_notice,
+            messages.ConfigurationPull: lambda p, m, _: self.configuration.receive_pull(p, m),
+            messages.ConfigurationGet: lambda p, m, _: self.configuration.receive_get(p, m),
+            messages.ConfigurationObjects: lambda p, m, _: self.configuration.receive_objects(p, m),
+            messages.ConfigurationEnd: lambda _p, _m, _n: self.configuration.receive_end(),
+            messages.VmChanges: self.vms.receive,
+            messages.VmsPull: lambda p, _m, _n: self.vms.receive_pull(p),
+        }
+
+    def linked(self, peer: Member, now: float) -> None:
+        """Take notice of a link whose handshake is done."""
+        self.outbox.links.add(peer.name)
+        self._heartbeat_s[peer.name] = now
+        self.membership.linked(peer, now)
+        self.configuration.linked(peer.name)
+        self.vms.tick(now)
+
+    def unlinked(self, peer: str) -> None:
+        """Take notice of a link that has ended."""
+        self.outbox.links.discard(peer)
+        self._heartbeat_s.pop(peer, None)
+        self.membership.unlinked(peer)
+        self.configuration.unlinked(peer)
+
+    def receive(self, peer: str, message: Message, now: float) -> None:
+        """Handle one message of a linked peer; handshake messages are ignored."""
+        self.membership.heard(peer, now)
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(peer, message, now)
+
+    def tick(self, now: float) -> None:
+        """Do what has become due; call it every TICK_S."""
+        self.membership.tick(now)
+        self.configuration.tick(now)
+        self.vms.tick(now)
+        self._send_heartbeats(now)
+
+    @property
+    def due_s(self) -> float | None:
+        """Return when to call `flush`, or None while nothing waits."""
+        return self.membership.due_s
+
+    def flush(self, now: float) -> None:
+        """Pass on changes of the membership that were held back for a moment."""
+        self.membership.flush(now)
+
+    def take(self) -> list[Action]:
+        """Return the actions that the last inputs led to."""
+        return self.outbox.take()
+
+    def _send_heartbeats(self, now: float) -> None:
+        due = [p for p, sent_s in self._heartbeat_s.items() if now - sent_s >= HEARTBEAT_INTERVAL_S]
+        if not due:
+            return
+        age_ms = min(self.configuration.age_s(now) * 1000, MAX_AGE_MS)
+        heartbeat = Heartbeat(self.membership.members.hash, self.configuration.hash, int(age_ms))
+        for peer in due:
+            self._heartbeat_s[peer] = now
+            self.outbox.send(peer, heartbeat)
+
+    def _receive_heartbeat(self, peer: str, heartbeat: Heartbeat, now: float) -> None:
+        self.membership.receive_hash(peer, heartbeat.members_hash, now)
+        age_s = heartbeat.age_ms / 1000
+        self.configuration.receive_hash(peer, heartbeat.configuration_hash, age_s, now)
--- /dev/null
+++ b/src/chervilmill/nodes/_overlay.py
@@ -0,0 +1,63 @@
+"""Choose with whom a node keeps links, from the membership alone.
+
+Members stand on three rings. The first is ordered by region and failure domain, so the members of
+a failure domain or of a region that has lost the rest are still connected with each other. The
+other two are ordered by hashes and join each node with random peers; a graph of several random
+rings loses its connection only when nearly all of a node's neighbours fail at once. Several rings
+for the choice of observers are known from the Rapid membership service (Suresh et al., 2018).
+"""
+
+from collections.abc import Iterable, Mapping
+from functools import lru_cache
+from typing import Any
+
+import xxhash
+
+from chervilmill.nodes._messages import Member
+
+RANDOM_RINGS = 2
+RELAYS_PER_DOMAIN = 2
+CACHED_NAMES = 65536
+
+
+@lru_cache(CACHED_NAMES)
+def _hash(name: str, ring: int) -> int:
+    return xxhash.xxh64_intdigest(name.encode(), seed=ring)
+
+
+def ring_keys(member: Member) -> tuple[Any, ...]:
+    """Return the positions of a member, one for each ring; positions of a ring are ordered."""
+    return _ring_keys(member.region, member.failure_domain, member.name)
+
+
+@lru_cache(CACHED_NAMES)
+def _ring_keys(region: str, failure_domain: str, name: str) -> tuple[Any, ...]:
+    local = (region, failure_domain, _hash(name, 0), name)
+    random_rings = ((_hash(name, ring), name) for ring in range(1, RANDOM_RINGS + 1))
+    return (local, *random_rings)
+
+
+def neighbours(own: Member, others: Iterable[Member]) -> frozenset[str]:
+    """Return the names of the members before and after a member on each ring."""
+    own_keys = ring_keys(own)
+    keyed = [(ring_keys(other), other.name) for other in others if other.name != own.name]
+    if not keyed:
+        return frozenset()
+    chosen: set[str] = set()
+    for ring, own_key in enumerate(own_keys):
+        ordered = [(keys[ring], name) for keys, name in keyed]
+        after = [item for item in ordered if item[0] > own_key]
+        before = [item for item in ordered if item[0] < own_key]
+        chosen.add(min(after or ordered)[1])
+        chosen.add(max(before or ordered)[1])
+    return frozenset(chosen)
+
+
+def is_relay(own: Member, members: Mapping[str, Member]) -> bool:
+    """Return whether a member is among those of its failure domain that watch the store."""
+    rank = sum(
+        other.failure_domain == own.failure_domain
+        and (_hash(other.name, 0), other.name) < (_hash(own.name, 0), own.name)
+        for other in members.values()
+    )
+    return rank < RELAYS_PER_DOMAIN
--- /dev/null
+++ b/src/chervilmill/nodes/_transport.py
@@ -0,0 +1,253 @@
+"""Carry messages between nodes over websockets, in one thread with an event loop of its own."""
+
+import asyncio
+import contextlib
+import logging
+import threading
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, serve
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+
+from chervilmill.addresses import Address
+from chervilmill.logs import log_problem
+from chervilmill.nodes._actions import Dial, Send
+from chervilmill.nodes._codec import MAX_MESSAGE_BYTES, DecodeError, decode, encode
+from chervilmill.nodes._handshake import (
+    HANDSHAKE_BYTES,
+    Handshake,
+    LinkRefusal,
+    LinkRefusedError,
+)
+from chervilmill.nodes._machine import TICK_S, NodeMachine
+from chervilmill.nodes._messages import Member, Message
+
+HANDSHAKE_TIMEOUT_S = 2.0
+DIAL_TIMEOUT_S = 1.5
+STOP_TIMEOUT_S = 2.0
+QUEUED_MESSAGES = 512
+TOO_BIG_CODE = 1009
+
+CountRefusal = Callable[[LinkRefusal], None]
+
+_QUIET = logging.getLogger("chervilmill.nodes.websockets")
+_QUIET.setLevel(logging.CRITICAL)
+
+
+class _Link:
+    """Hold one connection and the messages that wait to be sent on it."""
+
+    def __init__(self, connection: Connection, peer: Member) -> None:
+        self.connection = connection
+        self.peer = peer
+        self.queue: asyncio.Queue[bytes] = asyncio.Queue(QUEUED_MESSAGES)
+
+    async def write(self) -> None:
+        """Send what is queued until the connection ends."""
+        with contextlib.suppress(ConnectionClosed):
+            while True:
+                await self.connection.send(await self.queue.get())
+
+
+class Transport:
+    """Drive a NodeMachine with real links and a real clock."""
+
+    def __init__(
+        self, address: Address, key: str, machine: NodeMachine, count_refusal: CountRefusal
+    ) -> None:
+        self._address = address
+        self._machine = machine
+        self._handshake = Handshake(key)
+        self._count_refusal = count_refusal
+        self._links: dict[str, list[_Link]] = {}
+        self._dialling: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loop = asyncio.new_event_loop()
+        self._server: Server | None = None
+        self._thread = threading.Thread(target=self._loop.run_forever, name="nodes", daemon=True)
+
+    def start(self) -> None:
+        """Bind the address and begin to run the machine, or raise OSError."""
+        self._thread.start()
+        asyncio.run_coroutine_threadsafe(self._start(), self._loop).result()
+
+    def stop(self) -> None:
+        """Close every link and end the thread."""
+        stopping = asyncio.run_coroutine_threadsafe(self._stop(), self._loop)
+        with contextlib.suppress(TimeoutError):
+            stopping.result(STOP_TIMEOUT_S)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(STOP_TIMEOUT_S)
+
+    def call(self, change: Callable[[NodeMachine, float], None]) -> None:
+        """Have the machine changed in the loop's thread, and carry out what follows."""
+        self._loop.call_soon_threadsafe(self._change, change)
+
+    async def _start(self) -> None:
+        self._server = await serve(
+            self._accept,
+            self._address.host,
+            self._address.port,
+            compression=None,
+            ping_interval=None,
+            max_size=MAX_MESSAGE_BYTES,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            server_header=None,
+            logger=_QUIET,
+        )
+        self._spawn(self._tick())
+
+    async def _stop(self) -> None:
+        await self._flush_queues()
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        for links in list(self._links.values()):
+            for link in links:
+                await link.connection.close()
+
+    async def _flush_queues(self) -> None:
+        for _ in range(10):
+            if all(link.queue.empty() for links in self._links.values() for link in links):
+                return
+            await asyncio.sleep(0.02)
+
+    async def _tick(self) -> None:
+        while True:
+            self._change(NodeMachine.tick)
+            await asyncio.sleep(TICK_S)
+
+    def _change(self, change: Callable[[NodeMachine, float], None]) -> None:
+        try:
+            change(self._machine, time.monotonic())
+        except Exception as exc:
+            log_problem("node machine failed", step="change", peer="", error=repr(exc))
+        self._act()
+
+    def _act(self) -> None:
+        for action in self._machine.take():
+            if isinstance(action, Send):
+                self._send(action)
+            elif isinstance(action, Dial):
+                self._begin_dial(action)
+            else:
+                for link in self._links.get(action.peer, []):
+                    self._spawn(link.connection.close())
+        due_s = self._machine.due_s
+        if due_s is not None:
+            self._loop.call_later(max(0.0, due_s - time.monotonic()), self._flush)
+
+    def _flush(self) -> None:
+        due_s = self._machine.due_s
+        if due_s is not None and due_s <= time.monotonic():
+            self._change(NodeMachine.flush)
+
+    def _send(self, action: Send) -> None:
+        links = self._links.get(action.peer)
+        if not links:
+            return
+        try:
+            links[-1].queue.put_nowait(encode(action.message))
+        except asyncio.QueueFull:
+            self._count_refusal(LinkRefusal.QUEUE_FULL)
+
+    def _begin_dial(self, action: Dial) -> None:
+        if action.address not in self._dialling:
+            self._dialling.add(action.address)
+            self._spawn(self._dial(action))
+
+    async def _dial(self, action: Dial) -> None:
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                connection = await connect(
+                    f"ws://{action.address}",
+                    compression=None,
+                    ping_interval=None,
+                    max_size=MAX_MESSAGE_BYTES,
+                    proxy=None,
+                    user_agent_header=None,
+                    logger=_QUIET,
+                )
+        except (OSError, TimeoutError, InvalidHandshake, EOFError):
+            return
+        finally:
+            self._dialling.discard(action.address)
+        await self._run(connection, self._greet(connection))
+
+    async def _greet(self, connection: Connection) -> Member:
+        challenge = await self._receive_first(connection)
+        hello = self._handshake.hello(challenge, self._machine.membership.own)
+        await connection.send(encode(hello))
+        welcome = await self._receive_first(connection)
+        return self._handshake.check_welcome(challenge, hello, welcome)
+
+    async def _accept(self, connection: Connection) -> None:
+        await self._run(connection, self._admit(connection))
+
+    async def _admit(self, connection: Connection) -> Member:
+        challenge = self._handshake.challenge()
+        await connection.send(encode(challenge))
+        hello = await self._receive_first(connection)
+        welcome = self._handshake.welcome(challenge, hello, self._machine.membership.own)
+        await connection.send(encode(welcome))
+        return hello.member  # type: ignore[union-attr]
+
+    async def _receive_first(self, connection: Connection) -> Message:
+        raw = _as_bytes(await connection.recv())
+        if len(raw) > HANDSHAKE_BYTES:
+            raise LinkRefusedError(LinkRefusal.OVERSIZED)
+        return decode(raw)
+
+    async def _run(self, connection: Connection, greeting: Coroutine[Any, Any, Member]) -> None:
+        """Complete the handshake, then read until the connection ends or is refused."""
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                peer = await greeting
+            await self._read(_Link(connection, peer))
+        except LinkRefusedError as exc:
+            self._count_refusal(exc.refusal)
+        except DecodeError as exc:
+            self._count_refusal(LinkRefusal(exc.problem.value))
+        except TimeoutError:
+            self._count_refusal(LinkRefusal.TIMEOUT)
+        except ConnectionClosed as exc:
+            if exc.sent is not None and exc.sent.code == TOO_BIG_CODE:
+                self._count_refusal(LinkRefusal.OVERSIZED)
+        finally:
+            await connection.close()
+
+    async def _read(self, link: _Link) -> None:
+        name = link.peer.name
+        self._links.setdefault(name, []).append(link)
+        writer = asyncio.create_task(link.write())
+        if len(self._links[name]) == 1:
+            self._change(lambda machine, now: machine.linked(link.peer, now))
+        try:
+            while True:
+                message = decode(_as_bytes(await link.connection.recv()))
+                self._receive(name, message)
+        finally:
+            writer.cancel()
+            self._links[name].remove(link)
+            if not self._links[name]:
+                del self._links[name]
+                self._change(lambda machine, _: machine.unlinked(name))
+
+    def _receive(self, peer: str, message: Message) -> None:
+        self._change(lambda machine, now: machine.receive(peer, message, now))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _as_bytes(raw: str | bytes) -> bytes:
+    if isinstance(raw, str):
+        raise LinkRefusedError(LinkRefusal.MALFORMED)
+    return raw
--- /dev/null
+++ b/src/chervilmill/nodes/_vms.py
@@ -0,0 +1,166 @@
+"""Share the readings of the platform's list of VMs between nodes.
+
+Each node reads the list more rarely the more nodes there are, so the store's calls stay nearly
+flat; the first node that sees a change tells the others. The list goes from live to leaving to
+removed, so a reading that lags does not take back what a peer has just told.
+"""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from chervilmill.addresses import parse_address
+from chervilmill.nodes._actions import Outbox
+from chervilmill.nodes._messages import VmChanges, VmEntry, VmsPull
+from chervilmill.platform import Vm, VmRole, VmState
+
+LIST_LAG_S = 10.0
+REMEMBER_REMOVED_S = 60.0
+ASK_AGAIN_S = 1.0
+ENTRIES_PER_MESSAGE = 100
+LEAST_READ_INTERVAL_S = 0.5
+BASE_READS_PER_S = 5.0
+NODES_PER_READ_PER_S = 20.0
+REMOVED = "removed"
+
+_RANKS = {VmState.LIVE.value: 0, VmState.LEAVING.value: 1, REMOVED: 2}
+
+
+class VmSpread:
+    """Hold the newest known list of VMs."""
+
+    def __init__(self, outbox: Outbox) -> None:
+        self._outbox = outbox
+        self._entries: dict[str, VmEntry] = {}
+        self._changed_s: dict[str, float] = {}
+        self._asked_s = float("-inf")
+        self.is_known = False
+        self.generation = 0
+
+    def current(self) -> tuple[Vm, ...]:
+        """Return the VMs that are not removed, ordered by name."""
+        entries = (self._entries[name] for name in sorted(self._entries))
+        return tuple(_vm(entry) for entry in entries if entry.state != REMOVED)
+
+    def read(self, vms: Iterable[Vm], now: float) -> None:
+        """Take a reading of the platform's list and tell peers what is new in it."""
+        is_first = not self.is_known
+        self.is_known = True
+        listed = {vm.name: _entry(vm) for vm in vms}
+        for name, held in self._entries.items():
+            if name not in listed and held.state != REMOVED:
+                listed[name] = replace(held, state=REMOVED)
+        news = [entry for entry in listed.values() if self._overrides(entry, now)]
+        stamped = [self._stamped(entry) for entry in news]
+        for entry in stamped:
+            self._keep(entry, now)
+        self._forget(now)
+        if not is_first:
+            self._spread(stamped, "")
+
+    def receive(self, peer: str, changes: VmChanges, now: float) -> None:
+        """Merge what a peer tells and pass on what is news."""
+        news = [entry for entry in changes.entries if self._is_newer(entry)]
+        for entry in news:
+            self._keep(entry, now)
+        self.is_known = self.is_known or bool(news)
+        self._spread(news, peer)
+
+    def receive_pull(self, peer: str) -> None:
+        """Send the whole list to a peer."""
+        entries = list(self._entries.values())
+        for start in range(0, len(entries), ENTRIES_PER_MESSAGE):
+            self._outbox.send(peer, VmChanges(tuple(entries[start : start + ENTRIES_PER_MESSAGE])))
+
+    def tick(self, now: float) -> None:
+        """Ask a peer for the list while none is known."""
+        if self.is_known or now - self._asked_s < ASK_AGAIN_S:
+            return
+        for peer in sorted(self._outbox.links)[:1]:
+            self._asked_s = now
+            self._outbox.send(peer, VmsPull())
+
+    def _spread(self, entries: list[VmEntry], source: str) -> None:
+        for start in range(0, len(entries), ENTRIES_PER_MESSAGE):
+            page = tuple(entries[start : start + ENTRIES_PER_MESSAGE])
+            self._outbox.spread(VmChanges(page), but=source)
+
+    def _overrides(self, entry: VmEntry, now: float) -> bool:
+        held = self._entries.get(entry.name)
+        if held is None:
+            return True
+        if replace(entry, stamp=held.stamp) == held:
+            return False
+        is_onward = entry.address == held.address and _rank(entry) > _rank(held)
+        return is_onward or now - self._changed_s[entry.name] > LIST_LAG_S
+
+    def _stamped(self, entry: VmEntry) -> VmEntry:
+        held = self._entries.get(entry.name)
+        return replace(entry, stamp=1 if held is None else held.stamp + 1)
+
+    def _is_newer(self, entry: VmEntry) -> bool:
+        if not _is_usable(entry):
+            return False
+        held = self._entries.get(entry.name)
+        if held is None:
+            return True
+        return (entry.stamp, _rank(entry)) > (held.stamp, _rank(held))
+
+    def _keep(self, entry: VmEntry, now: float) -> None:
+        self._entries[entry.name] = entry
+        self._changed_s[entry.name] = now
+        self.generation += 1
+
+    def _forget(self, now: float) -> None:
+        for name, changed_s in list(self._changed_s.items()):
+            is_removed = self._entries[name].state == REMOVED
+            if is_removed and now - changed_s > REMEMBER_REMOVED_S:
+                del self._entries[name]
+                del self._changed_s[name]
+
+
+def read_interval_s(nodes: int) -> float:
+    """Return how often each of so many nodes reads the platform's list."""
+    reads_per_s = BASE_READS_PER_S + nodes / NODES_PER_READ_PER_S
+    return max(LEAST_READ_INTERVAL_S, nodes / reads_per_s)
+
+
+def _rank(entry: VmEntry) -> int:
+    return _RANKS[entry.state]
+
+
+def _entry(vm: Vm) -> VmEntry:
+    return VmEntry(
+        name=vm.name,
+        role=vm.role.value,
+        state=vm.state.value,
+        service=vm.service,
+        region=vm.region,
+        failure_domain=vm.failure_domain,
+        address=str(vm.address),
+        nodes="" if vm.nodes is None else str(vm.nodes),
+        stamp=1,
+    )
+
+
+def _vm(entry: VmEntry) -> Vm:
+    return Vm(
+        name=entry.name,
+        role=VmRole(entry.role),
+        state=VmState(entry.state),
+        service=entry.service,
+        region=entry.region,
+        failure_domain=entry.failure_domain,
+        address=parse_address(entry.address),
+        nodes=parse_address(entry.nodes) if entry.nodes else None,
+    )
+
+
+def _is_usable(entry: VmEntry) -> bool:
+    """Return whether every field of a received entry has a value this node understands."""
+    if entry.state == REMOVED:
+        return True
+    try:
+        _vm(entry)
+    except ValueError:
+        return False
+    return True
