Save and compare benchmark runs and print known failures

Cause: figures of two runs had to be compared by hand, one broken group hid the others, and a listed failure would have had to be skipped to keep a run green. Conclusion: red stays visible and does not hide new red.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,48 +4,109 @@
 import importlib
 import importlib.util
 import sys
-from collections.abc import Iterator, Sequence
+import traceback
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
 
+from bench._known_red import KnownRed, load_known_red
+from bench._report import HEADER, line, load, save
 from bench._rows import Group, Row, Verdict, judge, load_bounds
 
 GROUPS = ("requests", "lookup", "steering", "nodes", "faults", "capacity")
 
 
+@dataclass(slots=True)
+class _Run:
+    rows: list[Row] = field(default_factory=list)
+    failed_groups: list[str] = field(default_factory=list)
+
+    @property
+    def is_red(self) -> bool:
+        is_over = any(row.verdict is Verdict.OVER for row in self.rows)
+        return is_over or bool(self.failed_groups)
+
+
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run groups of benchmarks and return 1 when any figure is over its bound."""
+    """Run groups of benchmarks and return 1 when any figure is over its bound.
+
+    Figures listed in KNOWN-RED.txt are printed and do not count as over.
+    """
     args = _parser().parse_args(argv)
-    is_over = False
-    for row in _rows(args.groups or _available(), args.seed):
-        print(_line(row), flush=True)
-        is_over = is_over or row.verdict is Verdict.OVER
-    return int(is_over)
+    before = {row.name: row.figure.value for row in load(args.compare)} if args.compare else {}
+    known_red = load_known_red()
+    run = _Run()
+    print(HEADER)
+    for name in args.groups or _available():
+        _measure(name, args.seed, known_red, before, run)
+    if args.json:
+        save(args.json, args.seed, run.rows)
+    for text in _closing(run, known_red):
+        print(text)
+    return int(run.is_red)
+
+
+def _measure(
+    name: str,
+    seed: int,
+    known_red: Mapping[str, KnownRed],
+    before: Mapping[str, float],
+    run: _Run,
+) -> None:
+    try:
+        for row in _rows(name, seed, known_red):
+            run.rows.append(row)
+            print(line(row, before.get(row.name)), flush=True)
+    except Exception:  # one broken group must not hide the figures of the others
+        traceback.print_exc()
+        run.failed_groups.append(name)
 
 
-def _rows(groups: Sequence[str], seed: int) -> Iterator[Row]:
+def _rows(name: str, seed: int, known_red: Mapping[str, KnownRed]) -> Iterator[Row]:
     bounds = load_bounds()
-    for name in groups:
-        measure: Group = importlib.import_module(f"bench.{name}").figures
-        for figure in measure(seed):
-            yield judge(name, figure, bounds)
+    measure: Group = importlib.import_module(f"bench.{name}").figures
+    for figure in measure(seed):
+        yield judge(name, figure, bounds, known_red)
 
 
-def _available() -> tuple[str, ...]:
-    return tuple(name for name in GROUPS if importlib.util.find_spec(f"bench.{name}"))
+def _closing(run: _Run, known_red: Mapping[str, KnownRed]) -> Iterator[str]:
+    for row in run.rows:
+        entry = known_red.get(f"bench:{row.name}")
+        if entry is None:
+            continue
+        if row.verdict is Verdict.KNOWN_RED:
+            yield f"known red: {row.name}: {entry.seen} (issue {entry.issue})"
+        else:
+            yield f"known red no longer fails: {row.name}: take it out of KNOWN-RED.txt"
+    for name in run.failed_groups:
+        yield f"group failed: {name}"
 
 
-def _line(row: Row) -> str:
-    figure = row.figure
-    bound = "" if row.bound is None else f"{row.bound} ({row.bound.source})"
-    name = f"{row.group}.{figure.name}"
-    return f"{name:<56} {figure.value:>14.4g} {figure.unit:<10} {bound:<40} {row.verdict.value}"
+def _available() -> tuple[str, ...]:
+    return tuple(name for name in GROUPS if importlib.util.find_spec(f"bench.{name}"))
 
 
 def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(prog="python -m bench", description="Run benchmarks.")
-    parser.add_argument("groups", nargs="*", metavar="GROUP", help=", ".join(GROUPS))
+    parser = argparse.ArgumentParser(
+        prog="python -m bench",
+        description="Run benchmarks.",
+        epilog="Exit codes: 0 within bounds, 1 over a bound or a group failed, 2 wrong arguments.",
+    )
+    available = _available()
+    parser.add_argument(
+        "groups", nargs="*", metavar="GROUP", type=_group, help=", ".join(available)
+    )
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", type=Path, metavar="FILE", help="save the rows")
+    parser.add_argument("--compare", type=Path, metavar="OLD", help="show a saved run beside")
     return parser
 
 
+def _group(name: str) -> str:
+    if name not in _available():
+        raise argparse.ArgumentTypeError(f"no group {name!r}; there are {', '.join(_available())}")
+    return name
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/bench/_known_red.py
@@ -0,0 +1,41 @@
+"""Read KNOWN-RED.txt, the list of tests and figures that fail for a fault not yet mended."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+KNOWN_RED_FILE = Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
+FIELDS = ("test", "command", "seen", "issue")
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRed:
+    """Describe one known failure; `test` is a pytest node id or `bench:GROUP.FIGURE`."""
+
+    test: str
+    command: str
+    seen: str
+    issue: str
+
+
+class KnownRedError(ValueError):
+    """Report a line that does not hold the four fields of an entry."""
+
+
+def load_known_red(path: Path = KNOWN_RED_FILE) -> Mapping[str, KnownRed]:
+    """Return the entries by test, or raise KnownRedError; without a file there are none."""
+    if not path.exists():
+        return {}
+    entries: dict[str, KnownRed] = {}
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        if line.strip() and not line.startswith("#"):
+            entry = _entry(line, number)
+            entries[entry.test] = entry
+    return entries
+
+
+def _entry(line: str, number: int) -> KnownRed:
+    fields = [field.strip() for field in line.split("|")]
+    if len(fields) != len(FIELDS) or not all(fields):
+        raise KnownRedError(f"line {number}: not {' | '.join(FIELDS)}")
+    return KnownRed(*fields)
--- a/bench/_rows.py
+++ b/bench/_rows.py
@@ -8,6 +8,8 @@
 
 import json5
 
+from bench._known_red import KnownRed
+
 BOUNDS_FILE = Path(__file__).with_name("bounds.jsonc")
 
 
@@ -55,6 +57,7 @@
 
     PASS = "pass"
     OVER = "OVER"
+    KNOWN_RED = "known red"
     SHOWN = "shown"
 
 
@@ -67,6 +70,11 @@
     bound: Bound | None
     verdict: Verdict
 
+    @property
+    def name(self) -> str:
+        """Return the name that is unique among all groups."""
+        return f"{self.group}.{self.figure.name}"
+
 
 def load_bounds() -> dict[str, Bound]:
     """Return the bounds by `group.name`."""
@@ -77,10 +85,18 @@
     }
 
 
-def judge(group: str, figure: Figure, bounds: Mapping[str, Bound]) -> Row:
+def judge(
+    group: str,
+    figure: Figure,
+    bounds: Mapping[str, Bound],
+    known_red: Mapping[str, KnownRed],
+) -> Row:
     """Return the row of a figure; a figure without a bound is only shown."""
-    bound = bounds.get(f"{group}.{figure.name}")
+    name = f"{group}.{figure.name}"
+    bound = bounds.get(name)
     if bound is None:
         return Row(group, figure, None, Verdict.SHOWN)
-    verdict = Verdict.PASS if bound.holds(figure.value) else Verdict.OVER
-    return Row(group, figure, bound, verdict)
+    if bound.holds(figure.value):
+        return Row(group, figure, bound, Verdict.PASS)
+    is_known = f"bench:{name}" in known_red
+    return Row(group, figure, bound, Verdict.KNOWN_RED if is_known else Verdict.OVER)
