--- /dev/null
+++ b/src/chervilmill/cli/_options.py
@@ -0,0 +1,75 @@
+"""Define the options that commands share and make a client of them."""
+
+import argparse
+import os
+from pathlib import Path
+
+from chervilmill.addresses import Address, parse_address
+from chervilmill.cli._client import OperatorsClient
+from chervilmill.cli._exit import CommandError, ExitCode
+from chervilmill.settings import load_settings
+
+
+def output_options() -> argparse.ArgumentParser:
+    """Return a parent parser with the options of every command that prints data."""
+    parser = argparse.ArgumentParser(add_help=False)
+    parser.add_argument("--json", action="store_true", help="print JSON instead of text")
+    return parser
+
+
+def client_options() -> argparse.ArgumentParser:
+    """Return a parent parser with the options that say which node to ask."""
+    parser = argparse.ArgumentParser(add_help=False)
+    group = parser.add_argument_group("node to ask", "a settings file, or address and token")
+    group.add_argument("--settings", type=Path, metavar="FILE", help="settings of a node")
+    group.add_argument(
+        "--operators", type=_address, metavar="IP:PORT", help="operators' address of a node"
+    )
+    group.add_argument("--token-file", type=Path, metavar="FILE", help="file with the token")
+    group.add_argument("--token-env", metavar="NAME", help="environment variable with the token")
+    return parser
+
+
+def client_of(args: argparse.Namespace) -> OperatorsClient:
+    """Return a client for the node that the options name.
+
+    Raises CommandError, or an ExceptionGroup of SettingError for a wrong settings file.
+    """
+    if args.settings is not None:
+        settings = load_settings(args.settings)
+        address = args.operators or settings.node.operators
+        return OperatorsClient(address, settings.operators_token)
+    if args.operators is None:
+        raise _wrong_use("give --settings FILE, or --operators IP:PORT with a token")
+    return OperatorsClient(args.operators, _token(args))
+
+
+def _token(args: argparse.Namespace) -> str:
+    if args.token_file is not None:
+        return _token_of_file(args.token_file)
+    if args.token_env is None:
+        raise _wrong_use("give --token-file FILE or --token-env NAME")
+    token = os.environ.get(args.token_env, "")
+    if not token:
+        raise _wrong_use(f"environment variable {args.token_env} is not set")
+    return token
+
+
+def _token_of_file(path: Path) -> str:
+    try:
+        return path.read_text().strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise CommandError(
+            str(exc), step="read token", peer=str(path), code=ExitCode.WRONG_USE
+        ) from exc
+
+
+def _wrong_use(message: str) -> CommandError:
+    return CommandError(message, step="read options", peer="command", code=ExitCode.WRONG_USE)
+
+
+def _address(text: str) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(str(exc)) from exc
--- /dev/null
+++ b/src/chervilmill/cli/_output.py
@@ -0,0 +1,14 @@
+"""Print the results of commands as text or as JSON."""
+
+import argparse
+import json
+from collections.abc import Iterable
+
+
+def show(args: argparse.Namespace, value: object, lines: Iterable[str]) -> None:
+    """Print a value as JSON where `--json` was given, else the lines of text."""
+    if args.json:
+        print(json.dumps(value, indent=2, sort_keys=True))
+        return
+    for line in lines:
+        print(line)
--- /dev/null
+++ b/src/chervilmill/cli/_status.py
@@ -0,0 +1,33 @@
+"""Show the state of a node."""
+
+import argparse
+from collections.abc import Iterator
+from typing import Any
+
+from chervilmill.cli._exit import ExitCode
+from chervilmill.cli._options import client_of, client_options, output_options
+from chervilmill.cli._output import show
+
+
+def add_parser(commands: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    """Add the command `status`."""
+    parser = commands.add_parser(
+        "status", help="show the state of a node", parents=[client_options(), output_options()]
+    )
+    parser.set_defaults(run=_run)
+
+
+def _run(args: argparse.Namespace) -> ExitCode:
+    status = client_of(args).get("read status", "/status")
+    show(args, status, _lines(status))
+    return ExitCode.DONE
+
+
+def _lines(status: dict[str, Any]) -> Iterator[str]:
+    state = "leaving" if status["is_leaving"] else "live"
+    yield f"node       {status['node']} ({status['region']}, {status['failure_domain']}), {state}"
+    yield f"in flight  {status['in_flight']}"
+    yield f"revision   {status['revision']}"
+    yield f"entry VMs  {', '.join(status['entry_vms']) or 'none'}"
+    for service, count in sorted(status["targets"].items()):
+        yield f"targets    {service}: {count}"
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -3,13 +3,12 @@
 import random
 import threading
 import time
-from typing import Any
 
 from chervilmill.callers import CallersApp, Forwarder, InFlight, Lookups
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
-from chervilmill.operators import OperatorsApp
+from chervilmill.operators import LeavingMarks, NodeStatus, OperatorsApp, Route, status_routes
 from chervilmill.platform import (
     ConfigurationWatch,
     Directory,
@@ -22,6 +21,7 @@
 from chervilmill.targets import HttpTargets
 
 OPERATOR_THREADS = 4
+MAX_OPERATOR_BODY_BYTES = 1024**2
 
 
 class _NodeView:
@@ -48,16 +48,13 @@
         self.in_flight = InFlight()
         self.metrics.in_flight.set_function(lambda: self.in_flight.count)
         platform = HttpPlatform(settings.platform.address, settings.platform.timeout_ms / 1000)
+        self._platform = platform
         self.directory = Directory(platform)
         self.configuration = HeldConfiguration()
         self._configuration_watch = ConfigurationWatch(platform, self.configuration)
         self._view = _NodeView(self.directory, settings.node.name)
         self._callers = self._callers_server()
-        self._operators = HttpServer(
-            settings.node.operators,
-            OperatorsApp(settings.operators_token, self.metrics, self.status),
-            threads=OPERATOR_THREADS,
-        )
+        self._operators = self._operators_server()
         self._stop_asked = threading.Event()
 
     def start(self) -> None:
@@ -89,15 +86,31 @@
         self.metrics.drain.labels("entry").observe(elapsed_s)
         log_event("node stopped", drain_s=round(elapsed_s, 3))
 
-    def status(self) -> dict[str, Any]:
+    def status(self) -> NodeStatus:
         """Return what an operator sees of this node."""
-        return {
-            "node": self.settings.node.name,
-            "is_leaving": self._view.is_leaving,
-            "in_flight": self.in_flight.count,
-            "revision": self.configuration.snapshot().revision,
-            "entry_vms": [vm.name for vm in self.directory.entry_vms()],
-        }
+        node, services = self.settings.node, self.settings.services
+        return NodeStatus(
+            node=node.name,
+            region=node.region,
+            failure_domain=node.failure_domain,
+            is_leaving=self._view.is_leaving,
+            in_flight=self.in_flight.count,
+            revision=self.configuration.snapshot().revision,
+            entry_vms=tuple(vm.name for vm in self.directory.entry_vms()),
+            targets={item.name: len(self.directory.targets(item.name)) for item in services},
+        )
+
+    def _operator_routes(self) -> tuple[Route, ...]:
+        return (*status_routes(self.status), *LeavingMarks(self._platform).routes())
+
+    def _operators_server(self) -> HttpServer:
+        settings = self.settings
+        return HttpServer(
+            settings.node.operators,
+            OperatorsApp(settings.operators_token, self.metrics, self._operator_routes()),
+            threads=OPERATOR_THREADS,
+            max_body_bytes=MAX_OPERATOR_BODY_BYTES,
+        )
 
     def _callers_server(self) -> HttpServer:
         settings = self.settings
--- a/src/chervilmill/operators/_app.py
+++ b/src/chervilmill/operators/_app.py
@@ -1,48 +1,28 @@
 """Serve the operators' HTTP interface."""
 
-import hmac
-import json
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Iterable
 
-from prometheus_client import generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from chervilmill.http import Environ, StartResponse
 from chervilmill.metrics import Metrics
+from chervilmill.operators._router import Route, Router
 
-StatusSource = Callable[[], dict[str, Any]]
+METRICS_PATH = "/metrics"
 
 
 class OperatorsApp:
-    """Answer operators that present the token of the settings.
+    """Serve metrics to any scraper and everything else to operators with the token."""
 
-    `/metrics` needs no token, so that a scraper can read it.
-    """
-
-    def __init__(self, token: str, metrics: Metrics, status: StatusSource) -> None:
-        self._expected = f"Bearer {token}"
+    def __init__(self, token: str, metrics: Metrics, routes: Iterable[Route]) -> None:
         self._metrics = metrics
-        self._status = status
+        self._router = Router(token, routes)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
-        """Answer one request of an operator."""
-        path = environ["PATH_INFO"]
-        if path == "/metrics":
-            text = generate_latest(self._metrics.registry)
-            return _respond(start_response, "200 OK", "text/plain; version=0.0.4", text)
-        if not hmac.compare_digest(environ.get("HTTP_AUTHORIZATION", ""), self._expected):
-            return _json(start_response, "401 Unauthorized", {"error": "wrong or missing token"})
-        if path == "/status":
-            return _json(start_response, "200 OK", self._status())
-        return _json(start_response, "404 Not Found", {"error": f"no path {path}"})
-
-
-def _json(start_response: StartResponse, status: str, body: dict[str, Any]) -> Iterable[bytes]:
-    return _respond(start_response, status, "application/json", json.dumps(body).encode())
-
-
-def _respond(
-    start_response: StartResponse, status: str, content_type: str, body: bytes
-) -> Iterable[bytes]:
-    start_response(status, [("Content-Type", content_type), ("Content-Length", str(len(body)))])
-    return [body]
+        """Answer one request of an operator or a scraper."""
+        if environ["PATH_INFO"] != METRICS_PATH:
+            return self._router(environ, start_response)
+        text = generate_latest(self._metrics.registry)
+        headers = [("Content-Type", CONTENT_TYPE_LATEST), ("Content-Length", str(len(text)))]
+        start_response("200 OK", headers)
+        return [text]
--- /dev/null
+++ b/src/chervilmill/operators/_router.py
@@ -0,0 +1,158 @@
+"""Route operators' requests to the parts that answer them, after a check of the token."""
+
+import hmac
+import json
+import re
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl, unquote
+
+from chervilmill.errors import ChervilmillError
+from chervilmill.http import Environ, StartResponse
+from chervilmill.logs import log_event
+from chervilmill.platform import StoreUnavailableError, VersionConflictError, WriteUnsureError
+
+JSON_TYPE = "application/json"
+_PARAMETER = re.compile(r"\{(\w+)\}")
+_STATUS_BY_ERROR: Mapping[type[ChervilmillError], HTTPStatus] = {
+    VersionConflictError: HTTPStatus.CONFLICT,
+    StoreUnavailableError: HTTPStatus.SERVICE_UNAVAILABLE,
+    WriteUnsureError: HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+
+class OperatorRefusal(Exception):  # noqa: N818 - a refusal is an answer, not an error
+    """Refuse an operator's request with a status and what is wrong with it."""
+
+    def __init__(self, status: HTTPStatus, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorRequest:
+    """Hold an operator's request; `parameters` are the named segments of its path."""
+
+    method: str
+    path: str
+    parameters: Mapping[str, str]
+    query: Mapping[str, str]
+    body: bytes
+
+    def decoded(self) -> dict[str, Any]:
+        """Return the JSON object of the body, or raise OperatorRefusal."""
+        try:
+            value = json.loads(self.body)
+        except (ValueError, RecursionError) as exc:
+            raise OperatorRefusal(HTTPStatus.BAD_REQUEST, f"body is not JSON: {exc}") from exc
+        if not isinstance(value, dict):
+            raise OperatorRefusal(HTTPStatus.BAD_REQUEST, "body is not a JSON object")
+        return value
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorResponse:
+    """Hold the answer to an operator; `value` is what the JSON body encodes."""
+
+    value: object
+    status: HTTPStatus = HTTPStatus.OK
+
+
+Handler = Callable[[OperatorRequest], OperatorResponse]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Lead one method on one path to a handler.
+
+    `{word}` in the path stands for one segment, which the handler finds in `parameters`.
+    """
+
+    method: str
+    path: str
+    handler: Handler
+    pattern: re.Pattern[str] = field(init=False)
+
+    def __post_init__(self) -> None:
+        pattern = re.compile(_PARAMETER.sub(r"(?P<\1>[^/]+)", self.path))
+        object.__setattr__(self, "pattern", pattern)
+
+
+class Router:
+    """Answer operators that present the token of the settings."""
+
+    def __init__(self, token: str, routes: Iterable[Route]) -> None:
+        self._expected = f"Bearer {token}".encode()
+        self._routes = tuple(routes)
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request of an operator."""
+        resp = self._answer(environ)
+        body = json.dumps(resp.value).encode()
+        headers = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body)))]
+        start_response(f"{resp.status.value} {resp.status.phrase}", headers)
+        return [body]
+
+    def _answer(self, environ: Environ) -> OperatorResponse:
+        try:
+            self._check_token(environ)
+            return self._dispatch(environ)
+        except OperatorRefusal as refusal:
+            return _refused(environ, refusal)
+        except ChervilmillError as exc:
+            return _failed(environ, exc)
+
+    def _check_token(self, environ: Environ) -> None:
+        given = str(environ.get("HTTP_AUTHORIZATION", "")).encode()
+        if not hmac.compare_digest(given, self._expected):
+            raise OperatorRefusal(HTTPStatus.UNAUTHORIZED, "wrong or missing token")
+
+    def _dispatch(self, environ: Environ) -> OperatorResponse:
+        method, path = environ["REQUEST_METHOD"], environ["REQUEST_URI"].partition("?")[0]
+        matches = [(route, route.pattern.fullmatch(path)) for route in self._routes]
+        on_path = [(route, match) for route, match in matches if match is not None]
+        if not on_path:
+            raise OperatorRefusal(HTTPStatus.NOT_FOUND, f"no path {path}")
+        for route, match in on_path:
+            if route.method == method:
+                return route.handler(_request(environ, path, match))
+        allowed = ", ".join(sorted(route.method for route, _ in on_path))
+        raise OperatorRefusal(HTTPStatus.METHOD_NOT_ALLOWED, f"{path} takes {allowed}")
+
+
+def _request(environ: Environ, path: str, match: re.Match[str]) -> OperatorRequest:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    body = environ["wsgi.input"].read(length) if length else b""
+    if len(body) != length:
+        raise OperatorRefusal(HTTPStatus.BAD_REQUEST, "body is shorter than Content-Length")
+    return OperatorRequest(
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        parameters={name: unquote(value) for name, value in match.groupdict().items()},
+        query=dict(parse_qsl(environ["QUERY_STRING"])),
+        body=body,
+    )
+
+
+def _refused(environ: Environ, refusal: OperatorRefusal) -> OperatorResponse:
+    _log_refusal(environ, refusal.status, refusal.detail)
+    return OperatorResponse({"error": refusal.detail}, refusal.status)
+
+
+def _failed(environ: Environ, exc: ChervilmillError) -> OperatorResponse:
+    status = _STATUS_BY_ERROR.get(type(exc), HTTPStatus.BAD_GATEWAY)
+    _log_refusal(environ, status, str(exc))
+    return OperatorResponse({"error": exc.message, "step": exc.step, "peer": exc.peer}, status)
+
+
+def _log_refusal(environ: Environ, status: HTTPStatus, detail: str) -> None:
+    log_event(
+        "operator refused",
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        status=status.value,
+        detail=detail,
+    )
--- /dev/null
+++ b/src/chervilmill/operators/_status.py
@@ -0,0 +1,29 @@
+"""Show operators the state of one node."""
+
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+
+from chervilmill.operators._router import OperatorRequest, OperatorResponse, Route
+
+
+@dataclass(frozen=True, slots=True)
+class NodeStatus:
+    """Hold what an operator sees of one node."""
+
+    node: str
+    region: str
+    failure_domain: str
+    is_leaving: bool
+    in_flight: int
+    revision: int
+    entry_vms: tuple[str, ...]
+    targets: dict[str, int]
+
+
+def status_routes(status: Callable[[], NodeStatus]) -> tuple[Route, ...]:
+    """Return the route that shows the status of this node."""
+
+    def show(_req: OperatorRequest) -> OperatorResponse:
+        return OperatorResponse(asdict(status()))
+
+    return (Route("GET", "/status", show),)
