Add faults to the stand-ins and bound what a connection may hold

Cause: fault tests and the demonstration need targets that shed, crash, lag and mislead, and the server gave a thread to each new connection for 10 s, kept no more than 10 idle connections, and lost an answer whose close was skipped after a failed header write. The HTTP server reads at a bounded pace, gives a thread only to connections that have sent something, refuses doubled framing headers, lingers where a body is unread, counts and formats its own refusals, and can drain.

--- a/src/chervilmill/callers/_refusal.py
+++ b/src/chervilmill/callers/_refusal.py
@@ -1,6 +1,7 @@
 """Refuse requests with a reason and what is known about their execution."""
 
 import json
+from http import HTTPStatus
 
 from chervilmill.reasons import Ran, RefusalReason
 
@@ -27,3 +28,11 @@
             "retry_after_ms": self.retry_after_ms,
         }
         return json.dumps(fields).encode()
+
+
+def status_line(status: int) -> str:
+    """Return an HTTP status code with its phrase."""
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from chervilmill.callers import CallersApp, Forwarder, InFlight, Lookups
+from chervilmill.callers import CallersApp, EarlyRefusalCounter, Forwarder, InFlight, Lookups
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
@@ -21,7 +21,6 @@
 from chervilmill.targets import HttpTargets
 
 OPERATOR_THREADS = 4
-MAX_OPERATOR_BODY_BYTES = 1024**2
 
 
 class _NodeView:
@@ -109,7 +108,6 @@
             settings.node.operators,
             OperatorsApp(settings.operators_token, self.metrics, self._operator_routes()),
             threads=OPERATOR_THREADS,
-            max_body_bytes=MAX_OPERATOR_BODY_BYTES,
         )
 
     def _callers_server(self) -> HttpServer:
@@ -125,6 +123,9 @@
             app,
             threads=settings.limits.request_threads,
             max_header_bytes=settings.limits.max_header_bytes,
-            max_body_bytes=settings.limits.max_body_bytes,
-            idle_timeout_s=settings.limits.idle_timeout_s,
+            io_timeout_s=settings.limits.idle_timeout_s,
+            least_bytes_per_s=settings.limits.least_bytes_per_s,
+            keep_alive_s=settings.limits.keep_alive_s,
+            kept_connections=settings.limits.kept_connections,
+            early_refusals=EarlyRefusalCounter(self.metrics),
         )
--- /dev/null
+++ b/src/chervilmill/http/__init__.py
@@ -0,0 +1,26 @@
+"""Serve WSGI applications with cheroot, with bounds on what a peer may take."""
+
+from chervilmill.http._connection import EarlyRefusal, EarlyRefusals
+from chervilmill.http._exchange import (
+    Environ,
+    Exchange,
+    StartResponse,
+    WsgiApp,
+    close_connection,
+    exchange_of,
+)
+from chervilmill.http._pace import ReadPace
+from chervilmill.http._server import HttpServer
+
+__all__ = [
+    "EarlyRefusal",
+    "EarlyRefusals",
+    "Environ",
+    "Exchange",
+    "HttpServer",
+    "ReadPace",
+    "StartResponse",
+    "WsgiApp",
+    "close_connection",
+    "exchange_of",
+]
--- /dev/null
+++ b/src/chervilmill/http/_server.py
@@ -0,0 +1,145 @@
+"""Run a WSGI application on an address in threads of its own."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+from traceback import format_exc
+from typing import Any
+
+from cheroot import wsgi
+
+from chervilmill.addresses import Address
+from chervilmill.http._connection import Connection, EarlyRefusals
+from chervilmill.http._exchange import EXCHANGE_KEY, Environ, Exchange, WsgiApp
+from chervilmill.logs import log_problem
+
+STOP_TIMEOUT_S = 1
+DRAIN_POLL_S = 0.02
+ACCEPT_QUEUE_LENGTH = 512
+
+
+class _Gateway(wsgi.Gateway_10):
+    def get_environ(self) -> Environ:  # type: ignore[override]
+        environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[EXCHANGE_KEY] = Exchange(self.req)
+        return environ
+
+    def respond(self) -> None:
+        """Write the answer, and close it whatever happens, so that nothing it holds is kept."""
+        response: Any = self.req.server.wsgi_app(self.env, self.start_response)
+        try:
+            for part in filter(None, response):
+                self.write(part)
+            self.req.ensure_headers_sent()
+        finally:
+            if hasattr(response, "close"):
+                response.close()
+
+
+class _Server(wsgi.Server):
+    ConnectionClass = Connection
+    io_timeout_s: float
+    least_bytes_per_s: int
+    early_refusals: EarlyRefusals | None
+    opened: set[Connection]
+    _connections: Any
+
+    def process_conn(self, conn: Any) -> None:
+        """Give a connection to a thread once it has sent something."""
+        if conn.last_used is None:
+            self._connections.put(conn)
+            return
+        super().process_conn(conn)
+
+    def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
+        """Log what cheroot reports as one JSON line."""
+        if level < logging.WARNING:
+            return
+        error = format_exc() if traceback else ""
+        log_problem("http server", step="serve", peer=str(self.bind_addr), detail=msg, error=error)
+
+
+class HttpServer:
+    """Run a WSGI application on an address in threads of its own.
+
+    A request has `io_timeout_s` to begin and must then arrive at `least_bytes_per_s`; an answer
+    must be taken at a similar pace. A connection without a request is kept for `keep_alive_s`.
+    `early_refusals` answers requests that are too malformed for the application.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        app: WsgiApp,
+        *,
+        threads: int,
+        max_header_bytes: int = 16 * 1024,
+        io_timeout_s: float = 10,
+        least_bytes_per_s: int = 1024,
+        keep_alive_s: int = 60,
+        kept_connections: int = 1_000,
+        early_refusals: EarlyRefusals | None = None,
+        before_stop: Callable[[], None] | None = None,
+    ) -> None:
+        self._before_stop = before_stop
+        self._server = _Server(
+            (address.host, address.port),
+            app,
+            numthreads=threads,
+            request_queue_size=ACCEPT_QUEUE_LENGTH,
+            timeout=keep_alive_s,
+            shutdown_timeout=STOP_TIMEOUT_S,
+        )
+        self._server.gateway = _Gateway
+        self._server.max_request_header_size = max_header_bytes
+        self._server.keep_alive_conn_limit = kept_connections
+        self._server.io_timeout_s = io_timeout_s
+        self._server.least_bytes_per_s = least_bytes_per_s
+        self._server.early_refusals = early_refusals
+        self._server.opened = set()
+        self._thread = threading.Thread(
+            target=self._server.serve, name=f"http {address}", daemon=True
+        )
+
+    @property
+    def address(self) -> Address:
+        """Return the bound address; its port is known once started."""
+        host, port = self._server.bind_addr[:2]
+        return Address(host, port)
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.opened)
+
+    def start(self) -> None:
+        """Bind the address and begin to serve, or raise OSError."""
+        self._server.prepare()
+        self._thread.start()
+
+    def refuse_keep_alive(self) -> None:
+        """Close each connection after its present answer."""
+        self._server.keep_alive_conn_limit = 0
+
+    def drain(self, idle_s: int) -> None:
+        """Answer every connection once more and return when none is open.
+
+        A connection that sends no request for `idle_s` is closed.
+        """
+        self.refuse_keep_alive()
+        self._server.timeout = idle_s
+        while self._server.opened:
+            time.sleep(DRAIN_POLL_S)
+
+    def stop(self) -> None:
+        """Close the listener and all idle connections."""
+        if self._before_stop is not None:
+            self._before_stop()
+        self._server.stop()
+
+    def abort(self) -> None:
+        """Cut every connection, also amid an answer, and close the listener."""
+        for conn in tuple(self._server.opened):
+            conn.cut()
+        self.stop()
--- a/src/chervilmill/operators/_router.py
+++ b/src/chervilmill/operators/_router.py
@@ -10,11 +10,12 @@
 from urllib.parse import parse_qsl, unquote
 
 from chervilmill.errors import ChervilmillError
-from chervilmill.http import Environ, StartResponse
+from chervilmill.http import Environ, StartResponse, close_connection
 from chervilmill.logs import log_event
 from chervilmill.platform import StoreUnavailableError, VersionConflictError, WriteUnsureError
 
 JSON_TYPE = "application/json"
+MAX_BODY_BYTES = 1024**2
 _PARAMETER = re.compile(r"\{(\w+)\}")
 _STATUS_BY_ERROR: Mapping[type[ChervilmillError], HTTPStatus] = {
     VersionConflictError: HTTPStatus.CONFLICT,
@@ -124,7 +125,13 @@
 
 
 def _request(environ: Environ, path: str, match: re.Match[str]) -> OperatorRequest:
-    length = int(environ.get("CONTENT_LENGTH") or 0)
+    length_text = environ.get("CONTENT_LENGTH") or "0"
+    if "HTTP_TRANSFER_ENCODING" in environ or not length_text.isdecimal():
+        raise OperatorRefusal(HTTPStatus.LENGTH_REQUIRED, "a body needs Content-Length")
+    length = int(length_text)
+    if length > MAX_BODY_BYTES:
+        detail = f"body is over {MAX_BODY_BYTES} bytes"
+        raise OperatorRefusal(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, detail)
     body = environ["wsgi.input"].read(length) if length else b""
     if len(body) != length:
         raise OperatorRefusal(HTTPStatus.BAD_REQUEST, "body is shorter than Content-Length")
@@ -138,6 +145,7 @@
 
 
 def _refused(environ: Environ, refusal: OperatorRefusal) -> OperatorResponse:
+    close_connection(environ)
     _log_refusal(environ, refusal.status, refusal.detail)
     return OperatorResponse({"error": refusal.detail}, refusal.status)
 
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -21,9 +21,13 @@
     BODY_TOO_LARGE = "body_too_large"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ENTRY_LEAVING = "entry_leaving"
+    HEADERS_TOO_LARGE = "headers_too_large"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
+    INTERNAL_ERROR = "internal_error"
     LENGTH_REQUIRED = "length_required"
     NO_TARGET = "no_target"
+    REQUEST_SHORT = "request_short"
+    REQUEST_TOO_SLOW = "request_too_slow"
     TARGET_FAILED = "target_failed"
     UNKNOWN_PATH = "unknown_path"
     UNKNOWN_SERVICE = "unknown_service"
@@ -47,9 +51,13 @@
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.ENTRY_LEAVING: 503,
+    RefusalReason.HEADERS_TOO_LARGE: 431,
     RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 428,
+    RefusalReason.INTERNAL_ERROR: 500,
     RefusalReason.LENGTH_REQUIRED: 411,
     RefusalReason.NO_TARGET: 503,
+    RefusalReason.REQUEST_SHORT: 400,
+    RefusalReason.REQUEST_TOO_SLOW: 408,
     RefusalReason.TARGET_FAILED: 502,
     RefusalReason.UNKNOWN_PATH: 404,
     RefusalReason.UNKNOWN_SERVICE: 404,
--- a/src/chervilmill/settings/_model.py
+++ b/src/chervilmill/settings/_model.py
@@ -72,6 +72,9 @@
     lookup_lifetime_s: int
     request_threads: int
     idle_timeout_s: int
+    least_bytes_per_s: int
+    keep_alive_s: int
+    kept_connections: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilmill/standins/platform_server.py
+++ b/src/chervilmill/standins/platform_server.py
@@ -1,6 +1,7 @@
 """Serve a MemoryStore over HTTP as the platform's object API.
 
-`/faults` sets the store's faults and `/calls` reads its counter; both exist in the stand-in only.
+`/faults` sets the store's faults (what is not named ends) and `/calls` reads its counters; both
+exist in the stand-in only, as does writing to `/vms/NAME`.
 """
 
 import json
@@ -55,7 +56,7 @@
         if path.startswith("/vms/"):
             return "200 OK", self._change_vm(method, path.removeprefix("/vms/"), body)
         if path == "/calls":
-            return "200 OK", {"calls": self.store.calls}
+            return "200 OK", {"calls": self.store.calls, "by_step": self.store.calls_by_step}
         if path == "/faults":
             return "200 OK", self._set_faults(json.loads(body))
         return "404 Not Found", {"error": f"no path {path}"}
@@ -98,6 +99,8 @@
         self.store.is_down = bool(faults.get("is_down", False))
         self.store.delay_s = float(faults.get("delay_s", 0.0))
         self.store.lose_replies = int(faults.get("lose_replies", 0))
+        self.store.fail_calls = int(faults.get("fail_calls", 0))
+        self.store.vm_lag_s = float(faults.get("vm_lag_s", 0.0))
         return {}
 
 
--- a/src/chervilmill/standins/store.py
+++ b/src/chervilmill/standins/store.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 
 from chervilmill.platform import (
@@ -19,22 +20,31 @@
 class MemoryStore:
     """Implement ObjectStore and VmList in memory, with faults and counted calls.
 
-    `lose_replies` makes that many next writes raise WriteUnsureError after they took effect.
-    A waiting watch counts as one call.
+    `lose_replies` makes that many next writes raise WriteUnsureError after they took effect,
+    `fail_calls` that many next calls raise StoreUnavailableError, `delay_s` slows every call and
+    `vm_lag_s` shows the list of VMs as it was then. A waiting watch counts as one call.
     """
 
     def __init__(self) -> None:
-        self.calls = 0
+        self.calls_by_step: Counter[str] = Counter()
         self.is_down = False
+        self.fail_calls = 0
+        self.vm_lag_s = 0.0
         self.delay_s = 0.0
         self.lose_replies = 0
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._deleted: dict[tuple[str, str], int] = {}
         self._vms: dict[str, Vm] = {}
+        self._past_vms: list[tuple[float, dict[str, Vm]]] = []
         self._version = 0
         self._is_closed = False
         self._changed = threading.Condition()
 
+    @property
+    def calls(self) -> int:
+        """Return the number of calls so far."""
+        return self.calls_by_step.total()
+
     def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if there is none."""
         self._begin("get object")
@@ -75,7 +85,8 @@
         """Return all VMs, ordered by name."""
         self._begin("list VMs")
         with self._changed:
-            return tuple(self._vms[name] for name in sorted(self._vms))
+            vms = self._shown_vms()
+            return tuple(vms[name] for name in sorted(vms))
 
     def close(self) -> None:
         """End every waiting watch."""
@@ -86,19 +97,32 @@
     def put_vm(self, vm: Vm) -> None:
         """Add or replace a VM of the list."""
         with self._changed:
+            self._keep_past_vms()
             self._vms[vm.name] = vm
 
     def remove_vm(self, name: str) -> None:
         """Remove a VM from the list."""
         with self._changed:
+            self._keep_past_vms()
             self._vms.pop(name, None)
 
+    def _keep_past_vms(self) -> None:
+        if self.vm_lag_s:
+            self._past_vms.append((time.monotonic(), dict(self._vms)))
+
+    def _shown_vms(self) -> dict[str, Vm]:
+        shown_s = time.monotonic() - self.vm_lag_s
+        self._past_vms = [past for past in self._past_vms if past[0] > shown_s]
+        return self._past_vms[0][1] if self._past_vms else self._vms
+
     def _begin(self, step: str) -> None:
         with self._changed:
-            self.calls += 1
+            self.calls_by_step[step] += 1
+            must_fail = self.fail_calls > 0
+            self.fail_calls -= int(must_fail)
         if self.delay_s:
             time.sleep(self.delay_s)
-        if self.is_down:
+        if self.is_down or must_fail:
             raise StoreUnavailableError("store is down", step=step, peer=PEER)
 
     def _write(
--- a/tests/operators/test_router.py
+++ b/tests/operators/test_router.py
@@ -2,9 +2,12 @@
 
 import io
 import json
+from types import SimpleNamespace
 
 import pytest
 
+from chervilmill.http import Exchange
+from chervilmill.http._exchange import EXCHANGE_KEY
 from chervilmill.metrics import Metrics
 from chervilmill.operators import (
     LeavingMarks,
@@ -50,6 +53,7 @@
             "HTTP_AUTHORIZATION": f"Bearer {self.token}",
             "CONTENT_LENGTH": str(len(body)),
             "wsgi.input": io.BytesIO(body),
+            EXCHANGE_KEY: Exchange(SimpleNamespace()),
         }
         parts = self.app(environ, lambda status, headers: seen.append(status))
         return int(seen[0][:3]), json.loads(b"".join(parts))
