--- /dev/null
+++ b/src/chervilmill/standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstrate the product on loopback and check every claim of the report."""
