Check settings against each other

Cause: two services of one name, two addresses that clash, a doubled link or a doubled key went unnoticed, and the settings' representation held the secrets. Change: a second pass reports contradictions once each setting is right by itself; names are safe for paths and labels; secrets are left out of representations and long values are cut. Conclusion: a node no longer starts on settings that contradict each other.

--- a/src/chervilmill/settings/_check.py
+++ b/src/chervilmill/settings/_check.py
@@ -13,6 +13,7 @@
     Settings,
 )
 from chervilmill.settings._reader import Reader, SettingError
+from chervilmill.settings._together import check_together
 
 MAX_BODY_BYTES = 64 * 1024**3
 DEFAULT_MAX_BODY_BYTES = 4 * 1024**3
@@ -44,7 +45,7 @@
     )
     top.finish()
     if not problems:
-        _check_places(settings, top)
+        check_together(settings, top)
     if problems:
         raise ExceptionGroup(f"{len(problems)} wrong settings", problems)
     return settings
@@ -52,9 +53,9 @@
 
 def _read_node(reader: Reader) -> Node:
     node = Node(
-        name=reader.text("name"),
-        region=reader.text("region"),
-        failure_domain=reader.text("failure_domain"),
+        name=reader.name("name"),
+        region=reader.name("region"),
+        failure_domain=reader.name("failure_domain"),
         callers=reader.address("callers"),
         operators=reader.address("operators"),
         nodes=reader.address("nodes"),
@@ -73,11 +74,11 @@
 
 
 def _read_region(reader: Reader) -> Region:
-    return Region(name=reader.text("name"), failure_domains=reader.texts("failure_domains"))
+    return Region(name=reader.name("name"), failure_domains=reader.names("failure_domains"))
 
 
 def _read_link(reader: Reader) -> Link:
-    between = reader.texts("between")
+    between = reader.names("between")
     if len(between) != 2:
         reader.reject("between", f"{len(between)} names", "the names of two regions")
         between = ("", "")
@@ -90,7 +91,7 @@
 
 def _read_service(reader: Reader) -> Service:
     return Service(
-        name=reader.text("name", max_length=64),
+        name=reader.name("name"),
         slots_per_target=reader.whole("slots_per_target", 1, 10_000),
         connections_per_target=reader.whole("connections_per_target", 1, 1_000_000),
         reports_load=reader.flag("reports_load"),
@@ -125,18 +126,3 @@
     )
     reader.finish()
     return limits
-
-
-def _check_places(settings: Settings, top: Reader) -> None:
-    region_names = tuple(region.name for region in settings.regions)
-    home = next((r for r in settings.regions if r.name == settings.node.region), None)
-    if home is None:
-        top.reject("node.region", repr(settings.node.region), "one of " + ", ".join(region_names))
-    elif settings.node.failure_domain not in home.failure_domains:
-        allowed = "one of " + ", ".join(home.failure_domains)
-        top.reject("node.failure_domain", repr(settings.node.failure_domain), allowed)
-    for index, link in enumerate(settings.links):
-        for name in link.between:
-            if name not in region_names:
-                allowed = "one of " + ", ".join(region_names)
-                top.reject(f"links[{index}].between", repr(name), allowed)
--- a/src/chervilmill/settings/_load.py
+++ b/src/chervilmill/settings/_load.py
@@ -20,7 +20,7 @@
     if len(raw) > MAX_SETTINGS_BYTES:
         raise _one_problem(path, f"{len(raw)} bytes", f"at most {MAX_SETTINGS_BYTES} bytes")
     try:
-        decoded = json5.loads(raw.decode())
+        decoded = json5.loads(raw.decode(), allow_duplicate_keys=False)
     except (ValueError, RecursionError) as exc:
         raise _one_problem(path, str(exc), "JSON with comments") from exc
     if not isinstance(decoded, dict):
--- a/src/chervilmill/settings/_model.py
+++ b/src/chervilmill/settings/_model.py
@@ -1,6 +1,6 @@
 """Hold checked settings as typed values."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chervilmill.addresses import Address
 
@@ -88,8 +88,8 @@
     services: tuple[Service, ...]
     objective: Objective
     limits: Limits
-    operators_token: str
-    nodes_key: str
+    operators_token: str = field(repr=False)
+    nodes_key: str = field(repr=False)
 
     def service(self, name: str) -> Service | None:
         """Return the service of that name, or None."""
--- a/src/chervilmill/settings/_reader.py
+++ b/src/chervilmill/settings/_reader.py
@@ -1,5 +1,6 @@
 """Walk decoded settings and collect every mistake with its path."""
 
+import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -8,6 +9,10 @@
 
 T = TypeVar("T")
 
+MAX_NAME_LENGTH = 64
+MAX_SHOWN_LENGTH = 80
+
+_NAME = re.compile(rf"[A-Za-z0-9_.-]{{1,{MAX_NAME_LENGTH}}}")
 _UNSET_ADDRESS = Address("0.0.0.0", 1)
 
 
@@ -21,8 +26,16 @@
         self.allowed = allowed
 
 
-def _shown(value: object) -> str:
-    return "nothing" if value is None else repr(value)
+def _is_name(value: object) -> bool:
+    return isinstance(value, str) and _NAME.fullmatch(value) is not None
+
+
+def shown(value: object) -> str:
+    """Return a found value as a problem shows it, cut where it is long."""
+    if value is None:
+        return "nothing"
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN_LENGTH else text[:MAX_SHOWN_LENGTH] + "..."
 
 
 @dataclass(slots=True)
@@ -37,12 +50,12 @@
     problems: list[SettingError]
     known: set[str] = field(default_factory=set)
 
-    def text(self, key: str, *, min_length: int = 1, max_length: int = 200) -> str:
-        """Return a string whose length is within the bounds."""
+    def name(self, key: str) -> str:
+        """Return a name that is safe in paths and labels."""
         value = self._take(key)
-        if isinstance(value, str) and min_length <= len(value) <= max_length:
-            return value
-        self._report(key, value, f"a string of {min_length} to {max_length} characters")
+        if _is_name(value):
+            return str(value)
+        self._report(key, value, f"1 to {MAX_NAME_LENGTH} characters of A-Z a-z 0-9 _ . -")
         return ""
 
     def secret(self, key: str) -> str:
@@ -90,14 +103,13 @@
         self._report(key, value, "one of " + ", ".join(allowed))
         return ""
 
-    def texts(self, key: str) -> tuple[str, ...]:
-        """Return a list of distinct, non-empty strings."""
+    def names(self, key: str) -> tuple[str, ...]:
+        """Return a list of distinct names."""
         value = self._take(key)
         is_list = isinstance(value, list) and bool(value)
-        is_text_list = is_list and all(isinstance(item, str) and item for item in value)
-        if is_text_list and len(set(value)) == len(value):
+        if is_list and all(_is_name(item) for item in value) and len(set(value)) == len(value):
             return tuple(value)
-        self._report(key, value, "a list of distinct strings")
+        self._report(key, value, "a list of distinct names")
         return ()
 
     def child(self, key: str) -> "Reader":
@@ -133,7 +145,7 @@
         for index, value in enumerate(values):
             path = f"{self._path(key)}[{index}]"
             if not isinstance(value, dict):
-                self.problems.append(SettingError(path, _shown(value), "an object"))
+                self.problems.append(SettingError(path, shown(value), "an object"))
                 continue
             reader = Reader(value, path, self.problems)
             yield read(reader)
@@ -147,7 +159,7 @@
         return f"{self.path}.{key}" if self.path else key
 
     def _report(self, key: str, value: object, allowed: str) -> None:
-        self._add(key, _shown(value), allowed)
+        self._add(key, shown(value), allowed)
 
     def _add(self, key: str, found: str, allowed: str) -> None:
         self.problems.append(SettingError(self._path(key), found, allowed))
