--- a/src/chervilmill/settings/_model.py
+++ b/src/chervilmill/settings/_model.py
@@ -1,6 +1,6 @@
 """Hold checked settings as typed values."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from chervilmill.addresses import Address
 
@@ -72,6 +72,9 @@
     lookup_lifetime_s: int
     request_threads: int
     idle_timeout_s: int
+    least_bytes_per_s: int
+    keep_alive_s: int
+    kept_connections: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,8 +88,8 @@
     services: tuple[Service, ...]
     objective: Objective
     limits: Limits
-    operators_token: str
-    nodes_key: str
+    operators_token: str = field(repr=False)
+    nodes_key: str = field(repr=False)
 
     def service(self, name: str) -> Service | None:
         """Return the service of that name, or None."""
