Claim orders in the store before they are sent

A resend through another entry VM ran an order again, because nothing of an order outlived the request. Each order is now claimed by a conditional write of its shard, sent once, and its outcome recorded; a resend gets the recorded answer, 'outcome unknown', or a refusal with its reason. Writes of one shard are grouped, and a claim that nobody will send is released.

A lone order costs 2 writes and 1 read of the store, 60 orders at once on one shard at most 30 calls.

--- a/src/chervilmill/callers/__init__.py
+++ b/src/chervilmill/callers/__init__.py
@@ -1,9 +1,20 @@
 """Answer callers: look-ups, forwarded requests and refusals."""
 
 from chervilmill.callers._app import CallersApp
+from chervilmill.callers._attempts import Attempts
 from chervilmill.callers._forward import Forwarder
 from chervilmill.callers._in_flight import InFlight
 from chervilmill.callers._lookup import LookupAnswer, Lookups
+from chervilmill.callers._orders import Orders
 from chervilmill.callers._refusal import Refusal
 
-__all__ = ["CallersApp", "Forwarder", "InFlight", "LookupAnswer", "Lookups", "Refusal"]
+__all__ = [
+    "Attempts",
+    "CallersApp",
+    "Forwarder",
+    "InFlight",
+    "LookupAnswer",
+    "Lookups",
+    "Orders",
+    "Refusal",
+]
--- a/src/chervilmill/callers/_app.py
+++ b/src/chervilmill/callers/_app.py
@@ -6,7 +6,7 @@
 
 from prometheus_client import Histogram
 
-from chervilmill.callers._forward import ForwardedAnswer, Forwarder
+from chervilmill.callers._forward import CallerAnswer, Forwarder
 from chervilmill.callers._in_flight import InFlight
 from chervilmill.callers._lookup import Lookups
 from chervilmill.callers._refusal import Refusal
@@ -109,7 +109,7 @@
     def __init__(
         self,
         req: CallerRequest,
-        answer: ForwardedAnswer,
+        answer: CallerAnswer,
         started_s: float,
         in_flight: InFlight,
         metrics: Metrics,
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any
 
-from chervilmill.callers import CallersApp, Forwarder, InFlight, Lookups
+from chervilmill.callers import Attempts, CallersApp, Forwarder, InFlight, Lookups, Orders
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
@@ -15,6 +15,7 @@
     Directory,
     HeldConfiguration,
     HttpPlatform,
+    OrderLedger,
     Vm,
 )
 from chervilmill.requests import TwoRandomChoices
@@ -22,6 +23,7 @@
 from chervilmill.targets import HttpTargets
 
 OPERATOR_THREADS = 4
+ORDERS_STOP_TIMEOUT_S = 10.0
 
 
 class _NodeView:
@@ -51,6 +53,7 @@
         self.directory = Directory(platform)
         self.configuration = HeldConfiguration()
         self._configuration_watch = ConfigurationWatch(platform, self.configuration)
+        self._orders = OrderLedger(platform)
         self._view = _NodeView(self.directory, settings.node.name)
         self._callers = self._callers_server()
         self._operators = HttpServer(
@@ -64,6 +67,7 @@
         """Begin to serve callers and operators, or raise OSError."""
         self.directory.start()
         self._configuration_watch.start()
+        self._orders.start()
         self._operators.start()
         self._callers.start()
         log_event("node started", callers=str(self.settings.node.callers))
@@ -82,6 +86,7 @@
         self._callers.refuse_keep_alive()
         self.in_flight.wait_until_idle()
         self._callers.stop()
+        self._orders.stop(ORDERS_STOP_TIMEOUT_S)
         self._operators.stop()
         self.directory.stop()
         self._configuration_watch.stop()
@@ -103,9 +108,10 @@
         settings = self.settings
         lookups = Lookups(self._view, settings.node.region, settings.limits.lookup_lifetime_s)
         connections = max(service.connections_per_target for service in settings.services)
-        forwarder = Forwarder(
+        attempts = Attempts(
             self.directory, HttpTargets(connections), TwoRandomChoices(), random.Random()
         )
+        forwarder = Forwarder(attempts, Orders(self._orders, attempts))
         app = CallersApp(settings, lookups, forwarder, self.in_flight, self.metrics)
         return HttpServer(
             settings.node.callers,
--- a/src/chervilmill/platform/__init__.py
+++ b/src/chervilmill/platform/__init__.py
@@ -26,6 +26,7 @@
     VmState,
     WatchResult,
 )
+from chervilmill.platform._order_ledger import OrderLedger
 
 __all__ = [
     "CONFIGURATION_KIND",
@@ -37,6 +38,7 @@
     "HeldConfiguration",
     "HttpPlatform",
     "ObjectStore",
+    "OrderLedger",
     "PlatformError",
     "StoreUnavailableError",
     "StoredObject",
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -24,6 +24,13 @@
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     LENGTH_REQUIRED = "length_required"
     NO_TARGET = "no_target"
+    ORDER_ANSWER_NOT_KEPT = "order_answer_not_kept"
+    ORDER_KEY_EXPIRED = "order_key_expired"
+    ORDER_KEY_FROM_FUTURE = "order_key_from_future"
+    ORDER_KEY_REUSED = "order_key_reused"
+    ORDER_OUTCOME_UNKNOWN = "order_outcome_unknown"
+    ORDER_RECORDS_FULL = "order_records_full"
+    ORDER_RECORDS_UNAVAILABLE = "order_records_unavailable"
     TARGET_FAILED = "target_failed"
     UNKNOWN_PATH = "unknown_path"
     UNKNOWN_SERVICE = "unknown_service"
@@ -50,6 +57,13 @@
     RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 428,
     RefusalReason.LENGTH_REQUIRED: 411,
     RefusalReason.NO_TARGET: 503,
+    RefusalReason.ORDER_ANSWER_NOT_KEPT: 409,
+    RefusalReason.ORDER_KEY_EXPIRED: 410,
+    RefusalReason.ORDER_KEY_FROM_FUTURE: 400,
+    RefusalReason.ORDER_KEY_REUSED: 422,
+    RefusalReason.ORDER_OUTCOME_UNKNOWN: 409,
+    RefusalReason.ORDER_RECORDS_FULL: 503,
+    RefusalReason.ORDER_RECORDS_UNAVAILABLE: 503,
     RefusalReason.TARGET_FAILED: 502,
     RefusalReason.UNKNOWN_PATH: 404,
     RefusalReason.UNKNOWN_SERVICE: 404,
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -2,5 +2,69 @@
 
 from chervilmill.requests._choice import TargetChoice, TwoRandomChoices
 from chervilmill.requests._kinds import RequestKind, kind_of
+from chervilmill.requests._order_model import MAX_OUTCOME_BYTES, OrderKey, Outcome, order_key
+from chervilmill.requests._order_queue import ShardQueue
+from chervilmill.requests._order_shard import (
+    Change,
+    Claim,
+    ClaimReply,
+    Commit,
+    Finish,
+    HeldShard,
+    ReadShard,
+    Release,
+    Standing,
+    StoreCall,
+    StoreFailure,
+    StoreReply,
+    WriteShard,
+    commit_changes,
+    read_stored,
+)
+from chervilmill.requests._orders import (
+    Answered,
+    OrderAction,
+    OrderEnd,
+    OrderEvent,
+    OrderResult,
+    OrderRun,
+    OrderState,
+    Send,
+    SendFailure,
+)
 
-__all__ = ["RequestKind", "TargetChoice", "TwoRandomChoices", "kind_of"]
+__all__ = [
+    "MAX_OUTCOME_BYTES",
+    "Answered",
+    "Change",
+    "Claim",
+    "ClaimReply",
+    "Commit",
+    "Finish",
+    "HeldShard",
+    "OrderAction",
+    "OrderEnd",
+    "OrderEvent",
+    "OrderKey",
+    "OrderResult",
+    "OrderRun",
+    "OrderState",
+    "Outcome",
+    "ReadShard",
+    "Release",
+    "RequestKind",
+    "Send",
+    "SendFailure",
+    "ShardQueue",
+    "Standing",
+    "StoreCall",
+    "StoreFailure",
+    "StoreReply",
+    "TargetChoice",
+    "TwoRandomChoices",
+    "WriteShard",
+    "commit_changes",
+    "kind_of",
+    "order_key",
+    "read_stored",
+]
--- /dev/null
+++ b/tests/platform/test_order_ledger.py
@@ -0,0 +1,117 @@
+"""Claim orders through the ledger while the store fails, and count its calls."""
+
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from chervilmill.platform import OrderLedger
+from chervilmill.requests import Claim, Finish, Outcome, Release, Standing, order_key
+from chervilmill.standins.store import MemoryStore, retry_until
+
+TIMEOUT_S = 5.0
+DONE = Outcome(200, "text/plain", b"done")
+
+
+@pytest.fixture
+def store() -> MemoryStore:
+    return MemoryStore()
+
+
+@pytest.fixture
+def ledgers(store: MemoryStore) -> Iterator[list[OrderLedger]]:
+    running = [OrderLedger(store, shards=4) for _ in range(2)]
+    for ledger in running:
+        ledger.start()
+    yield running
+    for ledger in running:
+        ledger.stop(0)
+
+
+def claim(key: str, nonce: int, body: bytes = b"body") -> Claim:
+    return Claim(order_key("souhrny", key, "POST", "/orders", body), nonce.to_bytes(12, "big"))
+
+
+def is_written(ledger: OrderLedger) -> bool:
+    return retry_until(lambda: ledger.pending_records == 0, TIMEOUT_S)
+
+
+def test_resend_through_another_entry_vm(ledgers: list[OrderLedger]) -> None:
+    first, second = ledgers
+    mine = claim("k", 1)
+    assert first.claim(mine, TIMEOUT_S).standing is Standing.GRANTED
+    assert second.claim(claim("k", 2), TIMEOUT_S).standing is Standing.CLAIMED_BEFORE
+    assert second.claim(claim("k", 3, b"else"), TIMEOUT_S).standing is Standing.KEY_REUSED
+    first.record(Finish(mine.key, mine.nonce, DONE))
+    assert is_written(first)
+    reply = second.claim(claim("k", 4), TIMEOUT_S)
+    assert (reply.standing, reply.outcome) == (Standing.FINISHED_BEFORE, DONE)
+
+
+def test_lost_reply_is_resolved_by_reading(ledgers: list[OrderLedger], store: MemoryStore) -> None:
+    store.lose_replies = 1
+    assert ledgers[0].claim(claim("k", 1), TIMEOUT_S).standing is Standing.GRANTED
+    assert ledgers[1].claim(claim("k", 2), TIMEOUT_S).standing is Standing.CLAIMED_BEFORE
+
+
+def test_store_down_refuses_claims_and_keeps_outcomes(
+    ledgers: list[OrderLedger], store: MemoryStore
+) -> None:
+    first, second = ledgers
+    mine = claim("k", 1)
+    assert first.claim(mine, TIMEOUT_S).standing is Standing.GRANTED
+    store.is_down = True
+    first.record(Finish(mine.key, mine.nonce, DONE))
+    assert first.claim(claim("other", 2), TIMEOUT_S).standing is Standing.STORE_UNAVAILABLE
+    assert first.pending_records == 1
+    store.is_down = False
+    assert is_written(first)
+    assert second.claim(claim("k", 3), TIMEOUT_S).outcome == DONE
+    assert second.claim(claim("other", 4), TIMEOUT_S).standing is Standing.GRANTED
+
+
+def test_claim_given_up_is_released(ledgers: list[OrderLedger], store: MemoryStore) -> None:
+    store.delay_s = 0.2
+    assert ledgers[0].claim(claim("k", 1), 0.05).standing is Standing.STORE_UNAVAILABLE
+    store.delay_s = 0.0
+    again = claim("k", 2)
+    assert retry_until(
+        lambda: ledgers[1].claim(again, TIMEOUT_S).standing is Standing.GRANTED, TIMEOUT_S
+    )
+
+
+def test_released_claim_can_be_claimed_again(ledgers: list[OrderLedger]) -> None:
+    mine = claim("k", 1)
+    ledgers[0].claim(mine, TIMEOUT_S)
+    ledgers[0].record(Release(mine.key, mine.nonce))
+    assert is_written(ledgers[0])
+    assert ledgers[1].claim(claim("k", 2), TIMEOUT_S).standing is Standing.GRANTED
+
+
+def test_orders_of_one_node_share_writes(store: MemoryStore) -> None:
+    """Hold 60 orders at once to far fewer than two store calls each."""
+    ledger = OrderLedger(store, shards=1)
+    ledger.start()
+    store.delay_s = 0.02
+    claims = [claim(f"k{index}", index) for index in range(60)]
+    threads = [threading.Thread(target=ledger.claim, args=(one, TIMEOUT_S)) for one in claims]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    for one in claims:
+        ledger.record(Finish(one.key, one.nonce, DONE))
+    assert is_written(ledger)
+    ledger.stop(0)
+    assert store.calls <= 30
+
+
+def test_lone_order_costs_two_writes_and_one_read(store: MemoryStore) -> None:
+    ledger = OrderLedger(store)
+    ledger.start()
+    mine = claim("k", 1)
+    ledger.claim(mine, TIMEOUT_S)
+    ledger.record(Finish(mine.key, mine.nonce, DONE))
+    assert is_written(ledger)
+    ledger.stop(0)
+    assert store.calls == 3
