Solve shares of places and compute plans of capped shifts

Steering had no model of clients, places or links. Two linear programs give the load of each failure domain: the least utilisation with any one failure domain lost, then the fewest moved blocks.

Tests compare the solver with an independent evaluation of losses, with a grid of all divisions on small cases and with the corners of small programs. A recomputation without change moves nothing, and the loss of a place moves at most 1.1 times its own blocks in all cases tried.

--- a/src/chervilmill/settings/_check.py
+++ b/src/chervilmill/settings/_check.py
@@ -13,6 +13,7 @@
     Settings,
 )
 from chervilmill.settings._reader import Reader, SettingError
+from chervilmill.settings._steering import check_clients, read_steering
 
 MAX_BODY_BYTES = 64 * 1024**3
 DEFAULT_MAX_BODY_BYTES = 4 * 1024**3
@@ -22,6 +23,9 @@
 DEFAULT_REQUEST_THREADS = 64
 DEFAULT_IDLE_TIMEOUT_S = 10
 DEFAULT_PLATFORM_TIMEOUT_MS = 1_000
+DEFAULT_REQUESTS_PER_S = 100
+DEFAULT_REQUESTS_PER_SLOT_PER_S = 10
+DEFAULT_KBIT_PER_REQUEST = 100
 
 
 def check_settings(raw: dict[str, Any]) -> Settings:
@@ -36,6 +40,7 @@
         services=top.items("services", _read_service),
         objective=_read_objective(top.child("objective")),
         limits=_read_limits(top.child("limits")),
+        steering=read_steering(top, raw),
         operators_token=top.secret("operators_token"),
         nodes_key=top.secret("nodes_key"),
     )
@@ -93,6 +98,11 @@
         reports_load=reader.flag("reports_load"),
         connect_cost_ms=reader.whole("connect_cost_ms", 0, 60_000, 1),
         probe_cost_ms=reader.whole("probe_cost_ms", 0, 60_000, 1),
+        requests_per_s=reader.whole("requests_per_s", 1, 10_000_000, DEFAULT_REQUESTS_PER_S),
+        requests_per_slot_per_s=reader.whole(
+            "requests_per_slot_per_s", 1, 100_000, DEFAULT_REQUESTS_PER_SLOT_PER_S
+        ),
+        kbit_per_request=reader.whole("kbit_per_request", 1, 10_000_000, DEFAULT_KBIT_PER_REQUEST),
     )
 
 
@@ -134,3 +144,4 @@
             if name not in region_names:
                 allowed = "one of " + ", ".join(region_names)
                 top.reject(f"links[{index}].between", repr(name), allowed)
+    check_clients(settings.steering, region_names, top)
--- a/src/chervilmill/settings/_model.py
+++ b/src/chervilmill/settings/_model.py
@@ -1,6 +1,7 @@
 """Hold checked settings as typed values."""
 
 from dataclasses import dataclass
+from ipaddress import IPv4Network, IPv6Network
 
 from chervilmill.addresses import Address
 
@@ -44,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Describe one service and the shape of its targets."""
+    """Describe one service, the shape of its targets and the demand to plan for."""
 
     name: str
     slots_per_target: int
@@ -52,6 +53,9 @@
     reports_load: bool
     connect_cost_ms: int
     probe_cost_ms: int
+    requests_per_s: int
+    requests_per_slot_per_s: int
+    kbit_per_request: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +78,29 @@
     idle_timeout_s: int
 
 
+@dataclass(frozen=True, slots=True)
+class ClientRange:
+    """Say in which region the callers of an IP network are."""
+
+    network: IPv4Network | IPv6Network
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Steering:
+    """Describe the callers and bound what steering may do.
+
+    `block_prefix` is the prefix length of an IPv4 block; IPv6 blocks are 64-bit prefixes or the
+    whole of a shorter network.
+    """
+
+    clients: tuple[ClientRange, ...]
+    block_prefix: int
+    max_utilisation_percent: int
+    emergency_percent_per_min: int
+    plan_lifetime_s: int
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """Hold everything a node is told at its start."""
@@ -85,6 +112,7 @@
     services: tuple[Service, ...]
     objective: Objective
     limits: Limits
+    steering: Steering
     operators_token: str
     nodes_key: str
 
--- /dev/null
+++ b/src/chervilmill/steering/_loads.py
@@ -0,0 +1,23 @@
+"""Work out the loads of places and links under a map of shares."""
+
+import numpy as np
+
+from chervilmill.steering._shares import ShareMap
+from chervilmill.steering._topology import Array, Topology
+
+KBIT_PER_MBIT = 1000
+
+
+def flows(topology: Topology, shares: ShareMap, demand: Array) -> Array:
+    """Return requests a second by home region and place; `demand` is by home place."""
+    by_home = shares.shares(len(topology.places)) * demand[:, None]
+    by_region = np.zeros((len(topology.regions), len(topology.places)))
+    np.add.at(by_region, topology.region_of_place, by_home)
+    return by_region
+
+
+def link_loads(topology: Topology, region_flows: Array, kbit_per_request: float) -> Array:
+    """Return Mbit/s by source and sink region, 0 within a region."""
+    crossing = np.array([topology.by_region(row) for row in region_flows])
+    np.fill_diagonal(crossing, 0.0)
+    return crossing * (kbit_per_request / KBIT_PER_MBIT)
--- /dev/null
+++ b/src/chervilmill/steering/_plan.py
@@ -0,0 +1,183 @@
+"""Describe what a shift will do, before anyone confirms it."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import xxhash
+
+from chervilmill.steering._shares import ShareMap
+from chervilmill.steering._steps import BlockCap, ShiftStep
+
+
+class RefusalCause(Enum):
+    """Say why a plan may not be confirmed."""
+
+    CAP_TOO_SMALL = "cap_too_small"
+    DOMAIN_LOSS_NOT_SURVIVED = "domain_loss_not_survived"
+    LINK_OVERLOADED = "link_overloaded"
+    NOT_ENOUGH_CAPACITY = "not_enough_capacity"
+    PLACE_OVERLOADED = "place_overloaded"
+    SHARE_NOT_POSSIBLE = "share_not_possible"
+    SHIFT_IN_PROGRESS = "shift_in_progress"
+
+
+@dataclass(frozen=True, slots=True)
+class PlanRefusal:
+    """Hold one reason for which a plan may not be confirmed."""
+
+    cause: RefusalCause
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceLoad:
+    """Give the load of a place and its limit, in requests a second."""
+
+    place: str
+    requests_per_s: float
+    limit_requests_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLoad:
+    """Give the load of a link in one direction and its limit, in Mbit/s of all services."""
+
+    source: str
+    sink: str
+    mbit_per_s: float
+    limit_mbit_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """Give the worst state after the loss of one failure domain or region."""
+
+    lost: str
+    utilisation: float
+    refused_requests_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlanStep:
+    """Describe the state that one step leads to; blocks and requests count from the start."""
+
+    after_s: float
+    blocks_moved: int
+    requests_per_s_moved: float
+    cold_connections: int
+    cold_start_s: float
+    places: tuple[PlaceLoad, ...]
+    links: tuple[LinkLoad, ...]
+    worst_domain_loss: Loss
+    worst_region_loss: Loss
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Give the load of a home region that will be refused for want of capacity."""
+
+    region: str
+    requests_per_s: float
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class UndoShare:
+    """Give the share of a place before the shift, for an intent that undoes it."""
+
+    place: str
+    percent: float
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold a plan; `carried_out` is what a confirm records and `steps` is what it shows.
+
+    `best_headroom` is the greatest that any placing could keep with one failure domain lost.
+    """
+
+    intent: str
+    service: str
+    revision: int
+    is_emergency: bool
+    block_count: int
+    cap: BlockCap
+    before: PlanStep
+    steps: tuple[PlanStep, ...]
+    best_headroom: float
+    refused: tuple[Refused, ...]
+    refusals: tuple[PlanRefusal, ...]
+    undo: tuple[UndoShare, ...]
+    base: ShareMap
+    goal: ShareMap
+    shift_steps: tuple[ShiftStep, ...]
+
+    @property
+    def may_be_confirmed(self) -> bool:
+        """Return whether nothing speaks against the plan."""
+        return not self.refusals
+
+    @property
+    def plan_id(self) -> str:
+        """Return a digest of all that the plan says and does."""
+        content = [self._content(), self.goal.to_lists(), [s.fraction for s in self.shift_steps]]
+        return xxhash.xxh3_128_hexdigest(json.dumps(content, sort_keys=True).encode())
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the JSON form for operators."""
+        return {"plan": self.plan_id, **self._content()}
+
+    def encode(self) -> bytes:
+        """Return the JSON text, equal byte for byte for equal plans."""
+        return json.dumps(self.to_json(), sort_keys=True, indent=1).encode()
+
+    def _content(self) -> dict[str, Any]:
+        return {
+            "intent": self.intent,
+            "service": self.service,
+            "revision": self.revision,
+            "is_emergency": self.is_emergency,
+            "blocks": self.block_count,
+            "cap_blocks_per_min": self.cap.blocks_per_min,
+            "before": _step_json(self.before),
+            "steps": [_step_json(step) for step in self.steps],
+            "best_headroom": self.best_headroom,
+            "refused": [
+                {"region": r.region, "requests_per_s": r.requests_per_s, "share": r.share}
+                for r in self.refused
+            ],
+            "refusals": [{"cause": r.cause.value, "detail": r.detail} for r in self.refusals],
+            "undo": {
+                "while_moving": "the steps are taken back in reverse order under the same cap",
+                "shares_before": {share.place: share.percent for share in self.undo},
+            },
+        }
+
+
+def _step_json(step: PlanStep) -> dict[str, Any]:
+    return {
+        "after_s": step.after_s,
+        "blocks_moved": step.blocks_moved,
+        "requests_per_s_moved": step.requests_per_s_moved,
+        "cold_connections": step.cold_connections,
+        "cold_start_s": step.cold_start_s,
+        "places": {
+            load.place: [load.requests_per_s, load.limit_requests_per_s] for load in step.places
+        },
+        "links": {
+            f"{load.source}>{load.sink}": [load.mbit_per_s, load.limit_mbit_per_s]
+            for load in step.links
+        },
+        "worst_domain_loss": _loss_json(step.worst_domain_loss),
+        "worst_region_loss": _loss_json(step.worst_region_loss),
+    }
+
+
+def _loss_json(loss: Loss) -> dict[str, Any]:
+    return {
+        "lost": loss.lost,
+        "utilisation": loss.utilisation,
+        "refused_requests_per_s": loss.refused_requests_per_s,
+    }
--- /dev/null
+++ b/src/chervilmill/steering/_steps.py
@@ -0,0 +1,89 @@
+"""Divide a shift into steps that keep its cap, counted in blocks."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+from numpy.typing import NDArray
+
+from chervilmill.steering._blocks import BlockTable
+from chervilmill.steering._hashing import HASH_SPAN, positions
+from chervilmill.steering._shares import Change
+
+STEPS_PER_MIN = 12
+STEP_INTERVAL_S = 5.0
+CHUNK_BLOCKS = 262_144
+PERCENT = 100
+
+
+@dataclass(frozen=True, slots=True)
+class ShiftStep:
+    """Give the fraction of HASH_SPAN that a step reaches and the blocks moved since the start."""
+
+    fraction: int
+    blocks: int
+
+
+@dataclass(frozen=True, slots=True)
+class BlockCap:
+    """Bound how many blocks move within any minute."""
+
+    blocks_per_min: int
+
+    @property
+    def blocks_per_step(self) -> int:
+        """Return how many blocks a step moves where their hashes allow it."""
+        return max(1, self.blocks_per_min // STEPS_PER_MIN)
+
+
+def block_cap(block_count: int, percent_per_min: int) -> BlockCap:
+    """Return the cap of a service in whole blocks."""
+    return BlockCap(block_count * percent_per_min // PERCENT)
+
+
+def shift_steps(
+    blocks: BlockTable, seed: int, changed: Sequence[Change], cap: BlockCap
+) -> tuple[ShiftStep, ...]:
+    """Return the steps of a shift, each of which moves at most a step's blocks.
+
+    Blocks whose hashes make them move at the same fraction cannot be told apart, so a step may be
+    larger by those. The last step reaches HASH_SPAN.
+    """
+    if not changed:
+        return ()
+    moving = np.sort(_move_fractions(blocks, seed, changed))
+    steps: list[ShiftStep] = []
+    size = cap.blocks_per_step
+    for end in range(size, len(moving), size):
+        fraction = int(moving[end])
+        reached = int(moving.searchsorted(np.uint32(fraction), side="left"))
+        if reached > (steps[-1].blocks if steps else 0):
+            steps.append(ShiftStep(fraction, reached))
+    steps.append(ShiftStep(HASH_SPAN, len(moving)))
+    return tuple(steps)
+
+
+def _move_fractions(blocks: BlockTable, seed: int, changed: Sequence[Change]) -> NDArray[np.uint32]:
+    """Return for every block that moves the fraction that has to be exceeded for it."""
+    lows = np.array([(c.home << 32) + c.low for c in changed], np.uint64)
+    highs = np.array([(c.home << 32) + c.high for c in changed], np.uint64)
+    parts = [_fractions_of_chunk(keys, lows, highs) for keys in _hashed_chunks(blocks, seed)]
+    return np.concatenate(parts) if parts else np.empty(0, np.uint32)
+
+
+def _hashed_chunks(blocks: BlockTable, seed: int) -> Iterator[NDArray[np.uint64]]:
+    keys, homes = blocks.keys(), blocks.known_homes()
+    for begin in range(0, len(keys), CHUNK_BLOCKS):
+        hashes = positions(keys[begin : begin + CHUNK_BLOCKS], seed).astype(np.uint64)
+        yield (homes[begin : begin + CHUNK_BLOCKS].astype(np.uint64) << np.uint64(32)) + hashes
+
+
+def _fractions_of_chunk(
+    keys: NDArray[np.uint64], lows: NDArray[np.uint64], highs: NDArray[np.uint64]
+) -> NDArray[np.uint32]:
+    index = lows.searchsorted(keys, side="right").astype(np.int64) - 1
+    is_moving = (index >= 0) & (keys < highs[np.maximum(index, 0)])
+    index = index[is_moving]
+    offsets = keys[is_moving] - lows[index]
+    widths = highs[index] - lows[index]
+    return ((offsets << np.uint64(32)) // widths).astype(np.uint32)
--- /dev/null
+++ b/tests/steering/test_capacity.py
@@ -0,0 +1,186 @@
+"""Check the solver of shares against independent evaluations."""
+
+import itertools
+import random
+
+import numpy as np
+import pytest
+
+from bench._fleet import Fleet, FleetSize, fleet
+from chervilmill.steering import CapacityProblem, CapacitySolution, Pin, ShareMap, after_loss, solve
+from chervilmill.steering._loads import flows, link_loads
+from chervilmill.steering._realise import realise
+from chervilmill.steering._shares import changes
+from chervilmill.steering._simplex import Program
+
+SIZE = FleetSize(places=20, domains=6, regions=3)
+LINKS_MBIT_PER_S = {"wide": 4_000.0, "thin": 30.0, "none": 0.0}
+KBIT = 20
+UTILISATIONS = (0.3, 0.6, 0.85, 0.99)
+CASES = [(u, link, seed) for u in UTILISATIONS for link in LINKS_MBIT_PER_S for seed in range(3)]
+
+
+def problem(
+    world: Fleet, base: ShareMap, closed: tuple[int, ...] = (), part: float = 1.0, pins=()
+) -> CapacityProblem:
+    topology = world.topology
+    keepable = flows(topology, base, world.demand)
+    keepable[:, closed] = 0
+    capacities = topology.capacities()
+    capacities[list(closed)] = 0
+    return CapacityProblem(
+        topology,
+        topology.by_region(world.demand),
+        np.array([topology.by_domain(row) for row in keepable]),
+        topology.by_domain(capacities),
+        topology.link_limits() * 1000 / KBIT,
+        tuple(pins),
+        part,
+    )
+
+
+def placed(
+    world: Fleet, base: ShareMap, closed: tuple[int, ...] = (), part: float = 1.0
+) -> tuple[CapacitySolution, ShareMap]:
+    solution = solve(problem(world, base, closed, part))
+    goal = realise(
+        world.topology, base, world.demand, solution.loads, solution.level, frozenset(closed)
+    )
+    return solution, goal
+
+
+def worst_utilisation(world: Fleet, goal: ShareMap) -> float:
+    topology = world.topology
+    own = flows(topology, goal, world.demand)
+    slack = (topology.link_limits() - link_loads(topology, own, KBIT)) * 1000 / KBIT
+    loads = own.sum(axis=0)
+    return max(
+        after_loss(topology, loads, slack, name, topology.places_within(name)).utilisation
+        for name in topology.domains
+    )
+
+
+def moved_weight(world: Fleet, base: ShareMap, goal: ShareMap) -> float:
+    return sum(world.demand[c.home] * (c.high - c.low) / 2**32 for c in changes(base, goal))
+
+
+@pytest.mark.parametrize(("utilisation", "link", "seed"), CASES)
+def test_limits_hold_and_the_level_is_what_an_evaluation_finds(
+    utilisation: float, link: str, seed: int
+) -> None:
+    world = fleet(seed, SIZE, utilisation, LINKS_MBIT_PER_S[link])
+    base = ShareMap.at_home(SIZE.places)
+    solution, goal = placed(world, base)
+    topology = world.topology
+    own = flows(topology, goal, world.demand)
+    if solution.shed.sum() > 0:
+        assert link != "wide"
+        return
+    assert np.all(own.sum(axis=0) <= topology.capacities() * (1 + 1e-6))
+    assert np.all(link_loads(topology, own, KBIT) <= topology.link_limits() * (1 + 1e-6) + 1e-6)
+    assert worst_utilisation(world, goal) == pytest.approx(min(1, solution.level), abs=1e-5)
+
+
+@pytest.mark.parametrize(("utilisation", "link", "seed"), CASES)
+def test_recomputation_without_change_moves_nothing(
+    utilisation: float, link: str, seed: int
+) -> None:
+    world = fleet(seed, SIZE, utilisation, LINKS_MBIT_PER_S[link])
+    _, once = placed(world, ShareMap.at_home(SIZE.places))
+    _, twice = placed(world, once)
+    assert moved_weight(world, once, twice) <= 1e-6 * world.demand.sum()
+
+
+@pytest.mark.parametrize("part", [0.3, 1.0])
+@pytest.mark.parametrize("lost", range(0, 20, 3))
+def test_loss_of_a_place_moves_little_more_than_its_blocks(lost: int, part: float) -> None:
+    world = fleet(lost, SIZE, 0.6, LINKS_MBIT_PER_S["wide"])
+    _, before = placed(world, ShareMap.at_home(SIZE.places), part=part)
+    own = flows(world.topology, before, world.demand).sum(axis=0)[lost]
+    _, after = placed(world, before, (lost,), part)
+    assert after.shares(SIZE.places)[:, lost].sum() == 0
+    assert own <= moved_weight(world, before, after) * (1 + 1e-6) <= 1.1 * own
+
+
+def test_no_placing_of_a_grid_has_more_headroom() -> None:
+    """Compare with every division of two regions' demand in steps of a fiftieth."""
+    size = FleetSize(places=4, domains=4, regions=2)
+    for seed in range(4):
+        world = fleet(seed, size, 0.55, 60.0)
+        solution = solve(problem(world, ShareMap.at_home(4)))
+        demand = world.topology.by_region(world.demand)
+        limits = world.topology.link_limits() * 1000 / KBIT
+        best = np.inf
+        for one, two in itertools.product(np.linspace(0, 1, 51), repeat=2):
+            crossing = np.array([[0, demand[0] * one], [demand[1] * two, 0]])
+            if np.any(crossing > limits):
+                continue
+            loads = demand - crossing.sum(axis=1) + crossing.sum(axis=0)
+            best = min(best, _worst_level(world, loads, limits - crossing))
+        assert solution.best_level <= best + 1e-6
+
+
+def _worst_level(world: Fleet, region_loads: np.ndarray, slack: np.ndarray) -> float:
+    topology = world.topology
+    capacities = topology.capacities()
+    shares = capacities / topology.by_region(capacities)[topology.region_of_place]
+    loads = region_loads[topology.region_of_place] * shares
+    if np.any(loads > capacities):
+        return np.inf
+    outcomes = [
+        after_loss(topology, loads, slack, name, topology.places_within(name))
+        for name in topology.domains
+    ]
+    return np.inf if any(o.refused > 0 for o in outcomes) else max(o.utilisation for o in outcomes)
+
+
+def test_too_little_capacity_is_said_and_no_place_is_over_its_limit() -> None:
+    world = fleet(1, SIZE, 1.2, LINKS_MBIT_PER_S["wide"])
+    solution = solve(problem(world, ShareMap.at_home(SIZE.places)))
+    assert solution.shed.sum() == pytest.approx(world.demand.sum() / 6, rel=1e-6)
+    capacities = world.topology.by_domain(world.topology.capacities())
+    assert np.all(solution.loads.sum(axis=0) <= capacities * (1 + 1e-9))
+
+
+def test_pins_are_met_or_their_shortfall_is_told() -> None:
+    world = fleet(2, SIZE, 0.5, LINKS_MBIT_PER_S["wide"])
+    base = ShareMap.at_home(SIZE.places)
+    possible = solve(problem(world, base, pins=[Pin("domain-1", (1,), 0.2)]))
+    assert possible.unmet == (0.0,)
+    assert possible.loads[:, 1].sum() == pytest.approx(0.2 * world.demand.sum())
+    too_much = solve(problem(world, base, pins=[Pin("domain-1", (1,), 0.9)]))
+    room = world.topology.by_domain(world.topology.capacities())[1]
+    assert too_much.unmet[0] == pytest.approx(0.9 * world.demand.sum() - room)
+
+
+def test_simplex_agrees_with_an_enumeration_of_corners() -> None:
+    rng = random.Random(4)
+    for _ in range(60):
+        rows = [(rng.uniform(0.1, 1), rng.uniform(0.1, 1), rng.uniform(1, 5)) for _ in range(5)]
+        costs = (rng.uniform(-2, 1), rng.uniform(-2, 1))
+        program = Program()
+        x, y = program.variables(2)
+        for a, b, limit in rows:
+            program.at_most({x: a, y: b}, limit)
+        values = program.minimise([{x: costs[0], y: costs[1]}])
+        found = costs[0] * values[x] + costs[1] * values[y]
+        lines = [*rows, (1.0, 0.0, 0.0), (0.0, 1.0, 0.0)]
+        corners = [_crossing(p, q) for p, q in itertools.combinations(lines, 2)]
+        allowed = [
+            c
+            for c in corners
+            if c is not None
+            and min(c) >= -1e-9
+            and all(a * c[0] + b * c[1] <= limit + 1e-9 for a, b, limit in rows)
+        ]
+        assert found == pytest.approx(min(costs[0] * c[0] + costs[1] * c[1] for c in allowed))
+
+
+def _crossing(p: tuple[float, ...], q: tuple[float, ...]) -> tuple[float, float] | None:
+    determinant = p[0] * q[1] - p[1] * q[0]
+    if abs(determinant) < 1e-12:
+        return None
+    return (
+        (p[2] * q[1] - p[1] * q[2]) / determinant,
+        (p[0] * q[2] - p[2] * q[0]) / determinant,
+    )
