--- a/src/chervilmill/settings/_check.py
+++ b/src/chervilmill/settings/_check.py
@@ -13,6 +13,7 @@
     Settings,
 )
 from chervilmill.settings._reader import Reader, SettingError
+from chervilmill.settings._steering import check_clients, read_steering
 from chervilmill.settings._together import check_together
 
 MAX_BODY_BYTES = 64 * 1024**3
@@ -26,6 +27,9 @@
 DEFAULT_KEEP_ALIVE_S = 300
 DEFAULT_KEPT_CONNECTIONS = 4_000
 DEFAULT_PLATFORM_TIMEOUT_MS = 1_000
+DEFAULT_REQUESTS_PER_S = 100
+DEFAULT_REQUESTS_PER_SLOT_PER_S = 10
+DEFAULT_KBIT_PER_REQUEST = 100
 
 
 def check_settings(raw: dict[str, Any]) -> Settings:
@@ -40,12 +44,15 @@
         services=top.items("services", _read_service),
         objective=_read_objective(top.child("objective")),
         limits=_read_limits(top.child("limits")),
+        steering=read_steering(top, raw),
         operators_token=top.secret("operators_token"),
         nodes_key=top.secret("nodes_key"),
     )
     top.finish()
     if not problems:
         check_together(settings, top)
+        region_names = tuple(region.name for region in settings.regions)
+        check_clients(settings.steering, region_names, top)
     if problems:
         raise ExceptionGroup(f"{len(problems)} wrong settings", problems)
     return settings
@@ -97,6 +104,11 @@
         reports_load=reader.flag("reports_load"),
         connect_cost_ms=reader.whole("connect_cost_ms", 0, 60_000, 1),
         probe_cost_ms=reader.whole("probe_cost_ms", 0, 60_000, 1),
+        requests_per_s=reader.whole("requests_per_s", 1, 10_000_000, DEFAULT_REQUESTS_PER_S),
+        requests_per_slot_per_s=reader.whole(
+            "requests_per_slot_per_s", 1, 100_000, DEFAULT_REQUESTS_PER_SLOT_PER_S
+        ),
+        kbit_per_request=reader.whole("kbit_per_request", 1, 10_000_000, DEFAULT_KBIT_PER_REQUEST),
     )
 
 
