Check every promise over typed records of a run

Cause: the promises had no judge that is independent of the code that makes them. Conclusion: runs of real processes can be judged once they yield these records.

--- /dev/null
+++ b/bench/checker/_invariants.py
@@ -0,0 +1,184 @@
+"""Check each promise as one named invariant over the records of a run."""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from bench.checker._answers import is_own_and_whole
+from bench.checker._records import CallerRecord, Kind, Outcome, PlannedStop, Shift, Trace
+
+IN_FORCE_S = 3.0
+LEAVING_S = 3.0
+OVERLOAD_S = 1.0
+NOT_RUN = "not_run"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """Name a broken invariant and the records that show it."""
+
+    invariant: str
+    detail: str
+
+
+Invariant = Callable[[Trace], Iterator[str]]
+
+
+def check(trace: Trace) -> tuple[Violation, ...]:
+    """Return every violation that a run shows."""
+    return tuple(
+        Violation(name, detail)
+        for name, invariant in INVARIANTS.items()
+        for detail in invariant(trace)
+    )
+
+
+def _shift_within_cap(trace: Trace) -> Iterator[str]:
+    for shift in trace.shifts:
+        home = _homes(trace, shift)
+        away: set[str] = set()
+        for seen in sorted(trace.lookups, key=lambda record: record.at_s):
+            is_within = shift.from_s <= seen.at_s <= shift.until_s
+            if not is_within or seen.service != shift.service or seen.block not in home:
+                continue
+            if seen.region == shift.from_region:
+                away.discard(seen.block)
+                continue
+            away.add(seen.block)
+            if len(away) > shift.most_fraction * len(home):
+                yield f"{len(away)} of {len(home)} blocks away, cap {shift.most_fraction}"
+                break
+
+
+def _homes(trace: Trace, shift: Shift) -> set[str]:
+    return {
+        seen.block
+        for seen in trace.lookups
+        if seen.service == shift.service
+        and seen.region == shift.from_region
+        and seen.at_s < shift.from_s
+    }
+
+
+def _no_region_overloaded(trace: Trace) -> Iterator[str]:
+    for limit in trace.slots:
+        changes: list[tuple[float, int]] = []
+        for run in trace.runs:
+            if (run.region, run.service) == (limit.region, limit.service):
+                end_s = run.started_s if run.ended_s is None else run.ended_s
+                changes += [(run.started_s, 1), (end_s, -1)]
+        in_flight, over_since_s = 0, None
+        for at_s, change in sorted(changes):
+            in_flight += change
+            if in_flight <= limit.slots:
+                if over_since_s is not None and at_s - over_since_s > OVERLOAD_S:
+                    yield f"{limit.region} over {limit.slots} slots for {at_s - over_since_s:.1f} s"
+                over_since_s = None
+            elif over_since_s is None:
+                over_since_s = at_s
+
+
+def _answers_are_own_and_whole(trace: Trace) -> Iterator[str]:
+    for record in trace.callers:
+        if record.outcome is Outcome.WHOLE and not is_own_and_whole(record):
+            yield f"{record.request_id} got {record.body[:120]!r} as a whole answer"
+
+
+def _not_run_is_true(trace: Trace) -> Iterator[str]:
+    ran = {run.request_id: run for run in trace.runs}
+    for record in trace.callers:
+        if record.ran == NOT_RUN and record.request_id in ran:
+            yield f"{record.request_id} ran at {ran[record.request_id].target}: {record.reason}"
+
+
+def _not_run_is_true_of_resends(trace: Trace) -> Iterator[str]:
+    started: dict[str, float] = {}
+    for run in trace.runs:
+        if run.key is not None:
+            started[run.key] = min(run.started_s, started.get(run.key, run.started_s))
+    for record in trace.callers:
+        if record.ran == NOT_RUN and started.get(record.key or "", record.ended_s) < record.ended_s:
+            yield f"order {record.key} had run before {record.request_id}: {record.reason}"
+
+
+def _orders_run_at_most_once(trace: Trace) -> Iterator[str]:
+    targets_by_key: dict[str, list[str]] = {}
+    for run in trace.runs:
+        if run.kind is Kind.ORDER:
+            targets_by_key.setdefault(run.key or "", []).append(run.target)
+    for key, targets in targets_by_key.items():
+        if len(targets) > 1:
+            yield f"order {key} ran at {', '.join(targets)}"
+
+
+def _leaving_target_gets_no_new_work(trace: Trace) -> Iterator[str]:
+    for leaving in trace.leavings:
+        for run in trace.runs:
+            is_late = leaving.told_s + LEAVING_S < run.started_s < leaving.until_s
+            if run.target == leaving.target and is_late:
+                late_s = run.started_s - leaving.told_s
+                yield f"{run.target} got {run.request_id} {late_s:.1f} s after it was to leave"
+
+
+def _planned_stop_cuts_nothing(trace: Trace) -> Iterator[str]:
+    target_by_request = {run.request_id: run.target for run in trace.runs}
+    for stop in trace.stops:
+        if stop.exit_code != 0:
+            yield f"{stop.entry} ended with {stop.exit_code}"
+        for record in trace.callers:
+            if not _was_cut(record, stop):
+                continue
+            vms = {record.entry, target_by_request.get(record.request_id)}
+            is_excused = any(
+                item.vm in vms and item.overlaps(record.sent_s, record.ended_s)
+                for item in trace.disruptions
+            )
+            if not is_excused:
+                yield f"{record.request_id} {record.outcome.value} while {stop.entry} stopped"
+
+
+def _was_cut(record: CallerRecord, stop: PlannedStop) -> bool:
+    is_cut = record.outcome in (Outcome.SHORT, Outcome.LOST)
+    is_during = record.sent_s <= stop.ended_s and record.ended_s >= stop.asked_s
+    return is_cut and is_during and record.entry == stop.entry
+
+
+def _configuration_in_force_in_time(trace: Trace) -> Iterator[str]:
+    for write in trace.writes:
+        for seen in trace.revisions:
+            due_s = write.at_s + IN_FORCE_S
+            if seen.at_s < due_s or seen.revision >= write.version:
+                continue
+            is_excused = any(
+                item.vm == seen.node and item.overlaps(seen.at_s - IN_FORCE_S, seen.at_s)
+                for item in trace.disruptions
+            )
+            if not is_excused:
+                late_s = seen.at_s - write.at_s
+                yield f"{seen.node} lacks {write.name} v{write.version} after {late_s:.1f} s"
+                break
+
+
+def _configuration_never_reverts(trace: Trace) -> Iterator[str]:
+    highest: dict[str, int] = {}
+    for seen in sorted(trace.revisions, key=lambda record: record.at_s):
+        before = highest.get(seen.node, 0)
+        if seen.revision < before:
+            yield f"{seen.node} went from revision {before} to {seen.revision}"
+        highest[seen.node] = max(before, seen.revision)
+
+
+INVARIANTS: Mapping[str, Invariant] = MappingProxyType(
+    {
+        "shift_within_cap": _shift_within_cap,
+        "no_region_overloaded": _no_region_overloaded,
+        "answers_are_own_and_whole": _answers_are_own_and_whole,
+        "not_run_is_true": _not_run_is_true,
+        "not_run_is_true_of_resends": _not_run_is_true_of_resends,
+        "orders_run_at_most_once": _orders_run_at_most_once,
+        "leaving_target_gets_no_new_work": _leaving_target_gets_no_new_work,
+        "planned_stop_cuts_nothing": _planned_stop_cuts_nothing,
+        "configuration_in_force_in_time": _configuration_in_force_in_time,
+        "configuration_never_reverts": _configuration_never_reverts,
+    }
+)
