--- /dev/null
+++ b/bench/faults/__init__.py
@@ -0,0 +1,49 @@
+"""Run both users' fleets under load and mixed faults and count broken promises."""
+
+import sys
+from collections import Counter
+from collections.abc import Iterator
+
+from bench._rows import Figure
+from bench.checker import INVARIANTS, Outcome, Trace, Violation, check
+from bench.faults._run import FaultRun, run_faults
+from bench.faults._schedule import schedule
+from bench.fleet import SHAPES
+
+SHOWN_VIOLATIONS = 3
+SHOWN_REASONS = 6
+
+
+def figures(seed: int) -> Iterator[Figure]:
+    """Yield the violations of each invariant and the extent of the run, for each user."""
+    for name, shape in SHAPES.items():
+        run = run_faults(shape, schedule(shape, seed), seed)
+        violations = check(run.trace)
+        _explain(run, violations)
+        for invariant in INVARIANTS:
+            count = sum(violation.invariant == invariant for violation in violations)
+            yield Figure(f"{name}.{invariant}", count, "violations")
+        yield from _extent(name, run.trace)
+
+
+def _extent(name: str, trace: Trace) -> Iterator[Figure]:
+    attempts = len(trace.callers)
+    whole = sum(record.outcome is Outcome.WHOLE for record in trace.callers)
+    yield Figure(f"{name}.attempts", attempts, "requests")
+    yield Figure(f"{name}.whole", 100 * whole / max(1, attempts), "% of attempts")
+    yield Figure(f"{name}.runs", len(trace.runs), "runs")
+    yield Figure(f"{name}.revisions_seen", len(trace.revisions), "readings")
+    yield Figure(f"{name}.planned_stops", len(trace.stops), "stops")
+
+
+def _explain(run: FaultRun, violations: tuple[Violation, ...]) -> None:
+    for fault in run.faults:
+        print(f"  {run.shape.name}: {fault}", file=sys.stderr)
+    reasons = Counter(f"{item.outcome.value} {item.reason or ''}" for item in run.trace.callers)
+    for reason, count in reasons.most_common(SHOWN_REASONS):
+        print(f"  {count:>5} {reason}", file=sys.stderr)
+    shown: dict[str, int] = {}
+    for violation in violations:
+        shown[violation.invariant] = shown.get(violation.invariant, 0) + 1
+        if shown[violation.invariant] <= SHOWN_VIOLATIONS:
+            print(f"  {violation.invariant}: {violation.detail}", file=sys.stderr)
--- /dev/null
+++ b/bench/faults/_run.py
@@ -0,0 +1,152 @@
+"""Run one fleet under load and faults and return the trace of the run."""
+
+import json
+import random
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from bench.checker import (
+    ConfigurationWrite,
+    Kind,
+    RegionSlots,
+    RevisionSeen,
+    TargetRun,
+    Trace,
+)
+from bench.faults._inject import Injector, Supervisor, write_configuration
+from bench.faults._schedule import FaultKind, PlannedFault
+from bench.fleet import Fleet, Shape
+from bench.fleet.target import CRASH_EXIT_CODE
+from bench.load import Callers, Mix, PlannedRequest, offer, plan
+from chervilmill.platform import Vm
+
+LOAD_S = 12.0
+LOAD = Mix(per_s=40.0)
+CRASH_NUMBER = 1_000_000
+RESTART_AFTER_S = 0.5
+STATUS_INTERVAL_S = 0.5
+CONFIGURATION_INTERVAL_S = 1.5
+QUIET_BEFORE_OUTAGE_S = 1.0
+_KIND_BY_METHOD = {"GET": Kind.DIGEST, "POST": Kind.ORDER, "PUT": Kind.UPLOAD}
+
+
+@dataclass(frozen=True, slots=True)
+class FaultRun:
+    """Hold what a run was and what was seen in it."""
+
+    shape: Shape
+    faults: tuple[PlannedFault, ...]
+    trace: Trace
+
+
+def run_faults(shape: Shape, faults: Sequence[PlannedFault], seed: int) -> FaultRun:
+    """Return the trace of one run of the whole fleet."""
+    trace = Trace()
+    with tempfile.TemporaryDirectory() as directory:
+        with Fleet(shape, Path(directory)) as fleet:
+            _run_load(fleet, faults, seed, trace)
+        for vm in fleet.targets.values():
+            trace.runs += _runs(fleet.records_file(vm.name), vm)
+    trace.slots += _slots(fleet)
+    return FaultRun(shape, tuple(faults), trace)
+
+
+def _run_load(fleet: Fleet, faults: Sequence[PlannedFault], seed: int, trace: Trace) -> None:
+    stopped = threading.Event()
+    started_s = time.monotonic()
+    injector = Injector(fleet, trace)
+    supervisor = Supervisor(fleet, trace, CRASH_EXIT_CODE)
+    observers = ThreadPoolExecutor(len(fleet.entries) + 2, thread_name_prefix="observer")
+    injections = ThreadPoolExecutor(len(faults) or 1, thread_name_prefix="fault")
+    with observers, injections:
+        futures = [injections.submit(injector.inject, fault, started_s) for fault in faults]
+        watching = [observers.submit(supervisor.run, stopped, RESTART_AFTER_S)]
+        watching.append(observers.submit(_change_configuration, fleet, trace, faults, stopped))
+        for name in fleet.entries:
+            watching.append(observers.submit(_read_revisions, fleet, trace, name, stopped))
+        try:
+            offer(Callers(fleet, trace), _requests(fleet.shape, faults, seed), threading.Event())
+            for fut in futures:
+                fut.result()
+        finally:
+            stopped.set()
+        for fut in watching:
+            fut.result()
+
+
+def _requests(shape: Shape, faults: Sequence[PlannedFault], seed: int) -> list[PlannedRequest]:
+    requests = list(plan(LOAD, shape.regions, LOAD_S, random.Random(seed)))
+    for fault in faults:
+        if fault.kind is FaultKind.CRASH_REQUEST:
+            base = replace(requests[0], kind=Kind.DIGEST, due_s=fault.from_s)
+            requests.append(replace(base, number=CRASH_NUMBER, is_crashing=True))
+    return sorted(requests, key=lambda req: req.due_s)
+
+
+def _change_configuration(
+    fleet: Fleet, trace: Trace, faults: Sequence[PlannedFault], stopped: threading.Event
+) -> None:
+    started_s = time.monotonic()
+    name = f"leaving/{next(iter(fleet.entries))}"
+    while not stopped.wait(CONFIGURATION_INTERVAL_S):
+        if _is_near_outage(faults, time.monotonic() - started_s):
+            continue
+        version = write_configuration(fleet, name, b'{"leaving": false}')
+        if version is not None:
+            trace.writes.append(ConfigurationWrite(name, version, time.monotonic()))
+
+
+def _is_near_outage(faults: Sequence[PlannedFault], at_s: float) -> bool:
+    return any(
+        fault.kind is FaultKind.STORE_DOWN
+        and fault.from_s - QUIET_BEFORE_OUTAGE_S < at_s < fault.until_s
+        for fault in faults
+    )
+
+
+def _read_revisions(fleet: Fleet, trace: Trace, entry: str, stopped: threading.Event) -> None:
+    while not stopped.wait(STATUS_INTERVAL_S):
+        asked_s = time.monotonic()
+        status = fleet.status(entry)
+        if status is not None:
+            trace.revisions.append(RevisionSeen(entry, asked_s, int(status["revision"])))
+
+
+def _runs(file: Path, vm: Vm) -> Iterator[TargetRun]:
+    if not file.exists():
+        return
+    lines = [json.loads(line) for line in file.read_text().splitlines()]
+    ended: dict[str, list[float]] = {}
+    for line in lines:
+        if line["event"] == "end":
+            ended.setdefault(line["id"], []).append(line["at_s"])
+    seen: Counter[str] = Counter()
+    for line in lines:
+        if line["event"] == "start":
+            ends = ended.get(line["id"], [])
+            index = seen[line["id"]]
+            seen[line["id"]] += 1
+            yield TargetRun(
+                target=vm.name,
+                region=vm.region,
+                service=vm.service,
+                request_id=line["id"],
+                kind=_KIND_BY_METHOD[line["method"]],
+                key=line["key"],
+                started_s=line["at_s"],
+                ended_s=ends[index] if index < len(ends) else None,
+            )
+
+
+def _slots(fleet: Fleet) -> Iterator[RegionSlots]:
+    slots: Counter[str] = Counter()
+    for vm in fleet.targets.values():
+        slots[vm.region] += fleet.shape.slots
+    for region, count in slots.items():
+        yield RegionSlots(region, fleet.shape.service, count)
--- /dev/null
+++ b/bench/faults/_schedule.py
@@ -0,0 +1,74 @@
+"""Draw the faults of a run from its seed."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from bench.fleet import Shape
+
+FAULTS_PER_RUN = 4
+EARLIEST_S = 2.0
+LATEST_S = 5.0
+SHORTEST_S = 2.0
+LONGEST_S = 4.0
+
+
+class FaultKind(Enum):
+    """Name the faults that are injected."""
+
+    ENTRY_KILLED = "entry killed"
+    ENTRY_PAUSED = "entry paused"
+    TARGET_KILLED = "target killed"
+    DOMAIN_LOST = "failure domain lost"
+    REGIONS_PARTED = "regions parted"
+    STORE_DOWN = "store down"
+    STORE_SLOW = "store slow"
+    REPLIES_LOST = "store replies lost"
+    VM_LIST_STALE = "list of VMs stale"
+    TARGET_DRAINS = "target drains"
+    CRASH_REQUEST = "crash request resent"
+    ROLLING_REPLACEMENT = "rolling replacement"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """Hold a fault, the names it strikes and its times in seconds after the start."""
+
+    kind: FaultKind
+    names: tuple[str, ...]
+    from_s: float
+    until_s: float
+
+    def __str__(self) -> str:
+        names = ", ".join(self.names)
+        return f"{self.from_s:.1f} to {self.until_s:.1f} s: {self.kind.value} {names}".rstrip()
+
+
+def schedule(shape: Shape, seed: int) -> tuple[PlannedFault, ...]:
+    """Return the faults of a run; two or three of them overlap."""
+    rng = random.Random(f"{shape.name} {seed}")
+    kinds = rng.sample(list(FaultKind), FAULTS_PER_RUN)
+    faults = []
+    for kind in kinds:
+        from_s = rng.uniform(EARLIEST_S, LATEST_S)
+        until_s = from_s + rng.uniform(SHORTEST_S, LONGEST_S)
+        faults.append(PlannedFault(kind, _names(kind, shape, rng), from_s, until_s))
+    return tuple(sorted(faults, key=lambda fault: fault.from_s))
+
+
+def _names(kind: FaultKind, shape: Shape, rng: random.Random) -> tuple[str, ...]:
+    domains = [place.failure_domain for place in shape.places]
+    match kind:
+        case FaultKind.ENTRY_KILLED | FaultKind.ENTRY_PAUSED:
+            return (f"entry-{rng.choice(domains)}-1",)
+        case FaultKind.TARGET_KILLED:
+            return (f"target-{rng.choice(domains)}-1",)
+        case FaultKind.TARGET_DRAINS:
+            return (f"target-{rng.choice(domains)}-2",)
+        case FaultKind.ROLLING_REPLACEMENT:
+            return tuple(f"entry-{domain}-2" for domain in rng.sample(domains, 2))
+        case FaultKind.DOMAIN_LOST:
+            return (rng.choice(domains),)
+        case FaultKind.REGIONS_PARTED:
+            return tuple(rng.sample(shape.regions, 2))
+    return ()
--- /dev/null
+++ b/bench/load/_caller.py
@@ -0,0 +1,234 @@
+"""Look entry VMs up, send requests to them and record how each attempt ended."""
+
+import hashlib
+import io
+import json
+import threading
+import time
+from dataclasses import dataclass, replace
+
+import urllib3
+
+from bench.checker import CallerRecord, Kind, LookupRecord, Outcome, Trace
+from bench.fleet import Fleet
+from bench.load._plan import PlannedRequest
+
+ATTEMPTS = 3
+CRASH_RESENDS = 4
+RESEND_PAUSE_S = 0.3
+DEADLINE_MS = 5000
+TIMEOUT_S = 8.0
+LOOKUP_TIMEOUT_S = 2.0
+CONNECTIONS_PER_ENTRY = 64
+UPLOAD_PIECE_BYTES = 32 * 1024
+UPLOAD_PIECE_PAUSE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    name: str
+    url: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    req: PlannedRequest
+    request_id: str
+    due_s: float
+    key: str | None
+    path: str
+    body: bytes
+    expected: str
+
+
+class Callers:
+    """Act as all callers of a run; one look-up serves the callers of a region for its lifetime."""
+
+    def __init__(self, fleet: Fleet, trace: Trace) -> None:
+        self._fleet = fleet
+        self._trace = trace
+        self._http = urllib3.PoolManager(
+            num_pools=64, maxsize=CONNECTIONS_PER_ENTRY, block=False, retries=False
+        )
+        self._entries: dict[str, tuple[float, tuple[_Entry, ...]]] = {}
+        self._lock = threading.Lock()
+
+    def send(self, req: PlannedRequest, due_s: float) -> None:
+        """Send a request, and again with the same key while its outcome is not known."""
+        attempts = CRASH_RESENDS if req.is_crashing else ATTEMPTS
+        if req.kind is Kind.UPLOAD:
+            attempts = 1
+        for number in range(attempts):
+            record = self._attempt(_attempt(self._fleet.shape.name, req, number, due_s))
+            self._trace.callers.append(record)
+            if record.outcome is Outcome.WHOLE:
+                return
+            time.sleep(RESEND_PAUSE_S)
+            due_s = time.monotonic()
+
+    def _attempt(self, attempt: _Attempt) -> CallerRecord:
+        entry = self._entry(attempt.req)
+        delay_s = self._fleet.shape.caller_delay_s
+        record = CallerRecord(
+            request_id=attempt.request_id,
+            kind=attempt.req.kind,
+            key=attempt.key,
+            entry=entry.name,
+            due_s=attempt.due_s,
+            sent_s=time.monotonic(),
+            first_part_s=None,
+            ended_s=0.0,
+            outcome=Outcome.LOST,
+            expected=attempt.expected,
+        )
+        time.sleep(delay_s)
+        record = self._exchange(attempt, entry, record, delay_s)
+        return replace(record, ended_s=time.monotonic() + delay_s)
+
+    def _exchange(
+        self, attempt: _Attempt, entry: _Entry, record: CallerRecord, delay_s: float
+    ) -> CallerRecord:
+        headers = {"X-Request-Id": attempt.request_id, "X-Deadline-Ms": str(DEADLINE_MS)}
+        if attempt.key is not None:
+            headers["Idempotency-Key"] = attempt.key
+        if attempt.req.kind is Kind.UPLOAD:
+            headers["Content-Length"] = str(len(attempt.body))
+        try:
+            resp = self._http.request(
+                _METHODS[attempt.req.kind],
+                f"{entry.url}/s/{self._fleet.shape.service}{attempt.path}",
+                body=_body(attempt),
+                headers=headers,
+                preload_content=False,
+                timeout=TIMEOUT_S,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ):
+            self._forget(attempt.req.region)
+            return replace(record, outcome=Outcome.REFUSED, reason="unreachable")
+        except urllib3.exceptions.HTTPError as exc:
+            self._forget(attempt.req.region)
+            return replace(record, outcome=Outcome.LOST, reason=str(exc)[:200])
+        return _read(resp, record, delay_s)
+
+    def _entry(self, req: PlannedRequest) -> _Entry:
+        entries = self._looked_up(req.region)
+        near = [entry for entry in entries if self._is_near(entry, req.region)]
+        usable = near or list(entries)
+        return usable[req.number % len(usable)]
+
+    def _is_near(self, entry: _Entry, region: str) -> bool:
+        return self._fleet.entries[entry.name].region == region
+
+    def _looked_up(self, region: str) -> tuple[_Entry, ...]:
+        with self._lock:
+            until_s, entries = self._entries.get(region, (0.0, ()))
+            if time.monotonic() < until_s:
+                return entries
+            fresh = self._look_up(region)
+            if fresh is not None:
+                self._entries[region] = fresh
+                return fresh[1]
+            return entries or self._all(region)
+
+    def _look_up(self, region: str) -> tuple[float, tuple[_Entry, ...]] | None:
+        names = sorted(self._fleet.entries, key=lambda name: self._rank(name, region))
+        for name in names:
+            url = self._fleet.callers_url(name, region)
+            try:
+                resp = self._http.request(
+                    "GET",
+                    f"{url}/lookup?service={self._fleet.shape.service}",
+                    timeout=LOOKUP_TIMEOUT_S,
+                )
+                answer = resp.json()
+            except (urllib3.exceptions.HTTPError, ValueError):
+                continue
+            entries = tuple(
+                _Entry(raw["name"], f"http://{raw['address']}") for raw in answer["entries"]
+            )
+            if entries:
+                self._record_lookup(region, entries[0])
+                return time.monotonic() + float(answer["lifetime_s"]), entries
+        return None
+
+    def _record_lookup(self, region: str, first: _Entry) -> None:
+        seen_region = self._fleet.entries[first.name].region
+        service = self._fleet.shape.service
+        self._trace.lookups.append(LookupRecord(region, service, time.monotonic(), seen_region))
+
+    def _rank(self, name: str, region: str) -> tuple[bool, str]:
+        return self._fleet.entries[name].region != region, name
+
+    def _all(self, region: str) -> tuple[_Entry, ...]:
+        return tuple(
+            _Entry(name, self._fleet.callers_url(name, region)) for name in self._fleet.entries
+        )
+
+    def _forget(self, region: str) -> None:
+        with self._lock:
+            self._entries.pop(region, None)
+
+
+class _SlowBody(io.BytesIO):
+    """Give an upload out in pieces with pauses, as a thin link would."""
+
+    def read(self, size: int | None = -1) -> bytes:
+        time.sleep(UPLOAD_PIECE_PAUSE_S)
+        return super().read(UPLOAD_PIECE_BYTES)
+
+
+_METHODS = {Kind.DIGEST: "GET", Kind.ORDER: "POST", Kind.UPLOAD: "PUT"}
+
+
+def _attempt(user: str, req: PlannedRequest, number: int, due_s: float) -> _Attempt:
+    name = f"{user}-{req.kind.value}-{req.number}"
+    request_id = f"{name}.{number}"
+    if req.kind is Kind.ORDER:
+        return _Attempt(req, request_id, due_s, name, "/orders", name.encode(), name)
+    if req.kind is Kind.UPLOAD:
+        body = (name.encode() + b" ") * (req.upload_bytes // (len(name) + 1))
+        expected = hashlib.sha256(body).hexdigest()
+        return _Attempt(req, request_id, due_s, None, f"/scans/{name}", body, expected)
+    path = f"/{'crash' if req.is_crashing else 'digest'}/{name}"
+    return _Attempt(req, request_id, due_s, None, path, b"", path)
+
+
+def _body(attempt: _Attempt) -> bytes | io.BytesIO | None:
+    if attempt.req.kind is Kind.UPLOAD:
+        return _SlowBody(attempt.body)
+    return attempt.body or None
+
+
+def _read(resp: urllib3.BaseHTTPResponse, record: CallerRecord, delay_s: float) -> CallerRecord:
+    parts: list[bytes] = []
+    first_part_s = None
+    try:
+        for part in resp.stream(64 * 1024):
+            if first_part_s is None:
+                first_part_s = time.monotonic() + delay_s
+            parts.append(part)
+    except urllib3.exceptions.HTTPError as exc:
+        resp.close()
+        return replace(record, outcome=Outcome.SHORT, reason=str(exc)[:200])
+    resp.release_conn()
+    record = replace(
+        record,
+        first_part_s=first_part_s,
+        body=b"".join(parts),
+        echoed_id=resp.headers.get("X-Request-Id"),
+    )
+    if resp.status == 200:
+        return replace(record, outcome=Outcome.WHOLE)
+    return _refused(resp, record)
+
+
+def _refused(resp: urllib3.BaseHTTPResponse, record: CallerRecord) -> CallerRecord:
+    try:
+        fields = json.loads(record.body)
+        reason, ran = str(fields["reason"]), str(fields["ran"])
+    except (ValueError, KeyError, TypeError):
+        reason, ran = f"status {resp.status}", None
+    return replace(record, outcome=Outcome.REFUSED, reason=reason, ran=ran)
