--- a/src/chervilmill/platform/__init__.py
+++ b/src/chervilmill/platform/__init__.py
@@ -35,6 +35,7 @@
     VmState,
     WatchResult,
 )
+from chervilmill.platform._order_ledger import OrderLedger
 
 __all__ = [
     "CONFIGURATION_KIND",
@@ -54,6 +55,7 @@
     "LeaseRecord",
     "MalformedObjectError",
     "ObjectStore",
+    "OrderLedger",
     "PlatformError",
     "StoreUnavailableError",
     "StoredObject",
--- a/src/chervilmill/settings/_model.py
+++ b/src/chervilmill/settings/_model.py
@@ -1,6 +1,7 @@
 """Hold checked settings as typed values."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from ipaddress import IPv4Network, IPv6Network
 
 from chervilmill.addresses import Address
 
@@ -44,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Describe one service and the shape of its targets."""
+    """Describe one service, the shape of its targets and the demand to plan for."""
 
     name: str
     slots_per_target: int
@@ -52,6 +53,9 @@
     reports_load: bool
     connect_cost_ms: int
     probe_cost_ms: int
+    requests_per_s: int
+    requests_per_slot_per_s: int
+    kbit_per_request: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +76,32 @@
     lookup_lifetime_s: int
     request_threads: int
     idle_timeout_s: int
+    least_bytes_per_s: int
+    keep_alive_s: int
+    kept_connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRange:
+    """Say in which region the callers of an IP network are."""
+
+    network: IPv4Network | IPv6Network
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Steering:
+    """Describe the callers and bound what steering may do.
+
+    `block_prefix` is the prefix length of an IPv4 block; IPv6 blocks are 64-bit prefixes or the
+    whole of a shorter network.
+    """
+
+    clients: tuple[ClientRange, ...]
+    block_prefix: int
+    max_utilisation_percent: int
+    emergency_percent_per_min: int
+    plan_lifetime_s: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,8 +115,9 @@
     services: tuple[Service, ...]
     objective: Objective
     limits: Limits
-    operators_token: str
-    nodes_key: str
+    steering: Steering
+    operators_token: str = field(repr=False)
+    nodes_key: str = field(repr=False)
 
     def service(self, name: str) -> Service | None:
         """Return the service of that name, or None."""
