--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -1,5 +1,6 @@
 """Wire the parts of a node together."""
 
+import math
 import random
 import threading
 import time
@@ -16,9 +17,9 @@
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
+from chervilmill.nodes import Nodes
 from chervilmill.operators import LeavingMarks, NodeStatus, OperatorsApp, Route, status_routes
 from chervilmill.platform import (
-    ConfigurationWatch,
     Directory,
     HeldConfiguration,
     HttpPlatform,
@@ -58,22 +59,24 @@
         self.metrics.in_flight.set_function(lambda: self.in_flight.count)
         platform = HttpPlatform(settings.platform.address, settings.platform.timeout_ms / 1000)
         self._platform = platform
-        self.directory = Directory(platform)
+        self.directory = Directory()
         self.configuration = HeldConfiguration()
-        self._configuration_watch = ConfigurationWatch(platform, self.configuration)
+        self.nodes = Nodes(settings, platform, self.configuration, self.directory, self.metrics)
         self._orders = OrderLedger(platform)
         self._view = _NodeView(self.directory, settings.node.name)
         self._callers = self._callers_server()
         self._operators = self._operators_server()
         self._stop_asked = threading.Event()
+        self._is_serving = False
 
     def start(self) -> None:
         """Begin to serve callers and operators, or raise OSError."""
-        self.directory.start()
-        self._configuration_watch.start()
+        self.nodes.start()
         self._orders.start()
         self._operators.start()
-        self._callers.start()
+        if self.nodes.wait_until_ready(self._stop_asked):
+            self._callers.start()
+            self._is_serving = True
         log_event("node started", callers=str(self.settings.node.callers))
 
     def ask_stop(self) -> None:
@@ -85,22 +88,27 @@
         self._stop_asked.wait()
         started_s = time.monotonic()
         self._view.is_leaving = True
+        self.nodes.leave()
         log_event("node leaving", in_flight=self.in_flight.count)
-        time.sleep(self.settings.limits.lookup_lifetime_s)
-        self._callers.refuse_keep_alive()
-        self.in_flight.wait_until_idle()
-        self._callers.stop()
+        if self._is_serving:
+            self._end_serving()
         self._orders.stop(ORDERS_STOP_TIMEOUT_S)
         self._operators.stop()
-        self.directory.stop()
-        self._configuration_watch.stop()
+        self.nodes.stop()
         elapsed_s = time.monotonic() - started_s
         self.metrics.drain.labels("entry").observe(elapsed_s)
         log_event("node stopped", drain_s=round(elapsed_s, 3))
 
+    def _end_serving(self) -> None:
+        time.sleep(self.settings.limits.lookup_lifetime_s)
+        self._callers.refuse_keep_alive()
+        self.in_flight.wait_until_idle()
+        self._callers.stop()
+
     def status(self) -> NodeStatus:
         """Return what an operator sees of this node."""
         node, services = self.settings.node, self.settings.services
+        freshness = self.nodes.freshness()
         return NodeStatus(
             node=node.name,
             region=node.region,
@@ -110,6 +118,9 @@
             revision=self.configuration.snapshot().revision,
             entry_vms=tuple(vm.name for vm in self.directory.entry_vms()),
             targets={item.name: len(self.directory.targets(item.name)) for item in services},
+            nodes_present=self.nodes.present(),
+            configuration_age_s=None if math.isinf(freshness.age_s) else freshness.age_s,
+            is_stale=freshness.is_stale,
         )
 
     def _operator_routes(self) -> tuple[Route, ...]:
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -52,6 +52,22 @@
             buckets=DRAIN_BUCKETS_S,
             registry=self.registry,
         )
+        self.node_refusals = Counter(
+            "chervilmill_node_refusals",
+            "Links to other entry VMs and messages on them that were refused, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.nodes_present = Gauge(
+            "chervilmill_nodes_present",
+            "Entry VMs that are not dead, as this node knows them",
+            registry=self.registry,
+        )
+        self.configuration_age = Gauge(
+            "chervilmill_configuration_age_seconds",
+            "Time since the store last confirmed the configuration in force here",
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "chervilmill_in_flight", "Requests in flight at this node", registry=self.registry
         )
--- a/src/chervilmill/nodes/_configuration.py
+++ b/src/chervilmill/nodes/_configuration.py
@@ -51,6 +51,12 @@
         self._confirmed_s = float("-inf")
         self.hash = 0
         self.is_whole = False
+        self.is_told = False
+
+    @property
+    def revision(self) -> int:
+        """Return the highest version held."""
+        return max(self._versions.values(), default=0)
 
     def confirm(self, now: float) -> None:
         """Note that the store has just confirmed the configuration held."""
@@ -93,6 +99,7 @@
     def receive_end(self) -> None:
         """Note that a peer has sent all it holds."""
         self.is_whole = True
+        self.is_told = True
 
     def receive_notice(self, peer: str, notice: ConfigurationNotice, now: float) -> None:
         """Fetch announced objects, each from one peer at a time."""
--- a/src/chervilmill/nodes/_machine.py
+++ b/src/chervilmill/nodes/_machine.py
@@ -1,16 +1,16 @@
 """Join the state machines of one node behind four inputs: time, links and messages."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from chervilmill.nodes import _messages as messages
 from chervilmill.nodes._actions import Action, Outbox
 from chervilmill.nodes._configuration import ConfigurationSpread
 from chervilmill.nodes._membership import Membership
-from chervilmill.nodes._messages import Heartbeat, Member, Message
+from chervilmill.nodes._messages import Heartbeat, Member, Message, VmChanges
 from chervilmill.nodes._vms import VmSpread
-from chervilmill.platform import HeldConfiguration
+from chervilmill.platform import HeldConfiguration, Vm, VmRole, WatchResult
 
 HEARTBEAT_INTERVAL_S = 0.7
 TICK_S = 0.2
@@ -28,6 +28,7 @@
         self.membership = Membership(own, self.outbox, rng)
         self.configuration = ConfigurationSpread(held, self.outbox)
         self.vms = VmSpread(self.outbox)
+        self._settings_seeds: tuple[str, ...] = ()
         self._heartbeat_s: dict[str, float] = {}
         self._handlers: dict[type[Any], Callable[[str, Any, float], None]] = {
             Heartbeat: self._receive_heartbeat,
@@ -38,10 +39,26 @@
             messages.ConfigurationGet: lambda p, m, _: self.configuration.receive_get(p, m),
             messages.ConfigurationObjects: lambda p, m, _: self.configuration.receive_objects(p, m),
             messages.ConfigurationEnd: lambda _p, _m, _n: self.configuration.receive_end(),
-            messages.VmChanges: self.vms.receive,
+            messages.VmChanges: self._receive_list,
             messages.VmsPull: lambda p, _m, _n: self.vms.receive_pull(p),
         }
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Take the node addresses of the settings, written as `IP:port`."""
+        self._settings_seeds = tuple(seeds)
+        self.membership.hint(self._settings_seeds, None)
+
+    def read_list(self, vms: Iterable[Vm], now: float) -> None:
+        """Take a reading of the platform's list of VMs."""
+        self.vms.read(vms, now)
+        self._hint()
+
+    def read_configuration(self, seen: WatchResult, now: float) -> None:
+        """Take what a watch of the store saw; only a store that is not behind confirms."""
+        self.configuration.offer(seen.changed, "")
+        if seen.version >= self.configuration.revision:
+            self.configuration.confirm(now)
+
     def linked(self, peer: Member, now: float) -> None:
         """Take notice of a link whose handshake is done."""
         self.outbox.links.add(peer.name)
@@ -84,6 +101,16 @@
         """Return the actions that the last inputs led to."""
         return self.outbox.take()
 
+    def _receive_list(self, peer: str, changes: VmChanges, now: float) -> None:
+        self.vms.receive(peer, changes, now)
+        self._hint()
+
+    def _hint(self) -> None:
+        entries = [vm for vm in self.vms.current() if vm.role is VmRole.ENTRY]
+        addresses = {str(vm.nodes) for vm in entries if vm.nodes is not None}
+        names = [vm.name for vm in entries]
+        self.membership.hint(addresses.union(self._settings_seeds), names)
+
     def _send_heartbeats(self, now: float) -> None:
         due = [p for p, sent_s in self._heartbeat_s.items() if now - sent_s >= HEARTBEAT_INTERVAL_S]
         if not due:
--- a/src/chervilmill/nodes/_membership.py
+++ b/src/chervilmill/nodes/_membership.py
@@ -70,6 +70,11 @@
         self._seeds = tuple(sorted(set(seeds) - {self.own.nodes}))
         self._listed = None if listed is None else frozenset(listed)
 
+    @property
+    def has_seeds(self) -> bool:
+        """Return whether any other node is known by its address."""
+        return bool(self._seeds)
+
     def linked(self, peer: Member, now: float) -> None:
         """Learn that a link to a member is up."""
         self._linked_s[peer.name] = now
--- /dev/null
+++ b/src/chervilmill/nodes/_readers.py
@@ -0,0 +1,93 @@
+"""Read the platform on behalf of all nodes: its list of VMs and its configuration."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from chervilmill.nodes._transport import Transport
+from chervilmill.nodes._vms import read_interval_s
+from chervilmill.platform import CONFIGURATION_KIND, ObjectStore, PlatformError, VmList, WatchResult
+
+WATCH_TIMEOUT_S = 5.0
+RETRY_INTERVAL_S = 0.5
+RELAY_CHECK_S = 0.5
+
+
+class ListReader:
+    """Read the list of VMs in a thread, more rarely the more nodes there are."""
+
+    def __init__(
+        self,
+        vm_list: VmList,
+        transport: Transport,
+        count_nodes: Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self._vm_list = vm_list
+        self._transport = transport
+        self._count_nodes = count_nodes
+        self._rng = rng
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="VM list", daemon=True)
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop after the present call."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._read()
+            interval_s = read_interval_s(self._count_nodes())
+            self._stopped.wait(interval_s * (0.75 + 0.5 * self._rng.random()))
+
+    def _read(self) -> None:
+        try:
+            vms = self._vm_list.vms()
+        except PlatformError:
+            return
+        self._transport.call(lambda machine, now: machine.read_list(vms, now))
+
+
+class ConfigurationReader:
+    """Watch the configuration in a thread while this node is a relay of its failure domain."""
+
+    def __init__(
+        self, store: ObjectStore, transport: Transport, is_relay: Callable[[], bool]
+    ) -> None:
+        self._store = store
+        self._transport = transport
+        self._is_relay = is_relay
+        self._after = 0
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="configuration", daemon=True)
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop after the present call."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            if not self._is_relay():
+                self._after = 0
+                self._stopped.wait(RELAY_CHECK_S)
+                continue
+            try:
+                seen = self._store.watch(CONFIGURATION_KIND, self._after, WATCH_TIMEOUT_S)
+            except PlatformError:
+                self._stopped.wait(RETRY_INTERVAL_S)
+                continue
+            self._pass_on(seen)
+
+    def _pass_on(self, seen: WatchResult) -> None:
+        self._after = max(self._after, seen.version)
+        self._transport.call(lambda machine, now: machine.read_configuration(seen, now))
+        if not seen.changed and seen.version < self._after:
+            self._stopped.wait(RETRY_INTERVAL_S)
--- /dev/null
+++ b/src/chervilmill/nodes/_service.py
@@ -0,0 +1,160 @@
+"""Run a node among its peers: the machine, its transport and its reading of the platform."""
+
+import random
+import threading
+import time
+from dataclasses import dataclass
+
+from chervilmill.addresses import parse_address
+from chervilmill.metrics import Metrics
+from chervilmill.nodes._handshake import LinkRefusal
+from chervilmill.nodes._machine import NodeMachine
+from chervilmill.nodes._messages import Member, MemberState
+from chervilmill.nodes._overlay import is_relay
+from chervilmill.nodes._readers import ConfigurationReader, ListReader
+from chervilmill.nodes._transport import Transport
+from chervilmill.platform import (
+    Directory,
+    EntryMembers,
+    HeldConfiguration,
+    HttpPlatform,
+    Vm,
+    VmRole,
+    VmState,
+)
+from chervilmill.settings import Node, Settings
+
+JOIN_PATIENCE_S = 2.0
+READY_CHECK_S = 0.02
+STALE_AFTER_S = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Freshness:
+    """Tell how old the configuration may be; `age_s` is infinite before the first confirmation."""
+
+    age_s: float
+    is_stale: bool
+
+
+class Nodes:
+    """Act together with the other entry VMs on behalf of this one."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: HttpPlatform,
+        configuration: HeldConfiguration,
+        directory: Directory,
+        metrics: Metrics,
+    ) -> None:
+        rng = random.Random()
+        self._directory = directory
+        self._own = _own_member(settings.node)
+        self._machine = NodeMachine(self._own, configuration, rng)
+        self._machine.set_seeds(str(seed) for seed in settings.node.seeds)
+        self._metrics = metrics
+        self._transport = Transport(
+            settings.node.nodes,
+            settings.nodes_key,
+            self._machine,
+            self._count_refusal,
+            self._publish,
+        )
+        self._list_reader = ListReader(platform, self._transport, lambda: self._present, rng)
+        self._configuration_reader = ConfigurationReader(
+            platform, self._transport, lambda: self._is_relay
+        )
+        self._present = 1
+        self._is_relay = True
+        self._published = (-1, -1)
+        self._started_s = 0.0
+        configuration.subscribe(directory.receive_configuration)
+        directory.on_leaving(self._spread_leaving)
+        metrics.configuration_age.set_function(lambda: self.freshness().age_s)
+        metrics.nodes_present.set_function(lambda: self._present)
+
+    def start(self) -> None:
+        """Begin to listen to peers and to read the platform, or raise OSError."""
+        self._started_s = time.monotonic()
+        self._transport.start()
+        self._list_reader.start()
+        self._configuration_reader.start()
+
+    def wait_until_ready(self, give_up: threading.Event) -> bool:
+        """Wait until VMs and configuration are known, and return False if told to give up."""
+        while not give_up.is_set():
+            if self._is_ready():
+                return True
+            give_up.wait(READY_CHECK_S)
+        return False
+
+    def freshness(self) -> Freshness:
+        """Return how old the configuration may be."""
+        age_s = self._machine.configuration.age_s(time.monotonic())
+        return Freshness(age_s, age_s > STALE_AFTER_S)
+
+    def present(self) -> int:
+        """Return the number of entry VMs that are not dead, this one included."""
+        return self._present
+
+    def leave(self) -> None:
+        """Tell the peers that this node leaves."""
+        self._transport.call(lambda machine, now: machine.membership.leave(now))
+
+    def stop(self) -> None:
+        """Tell the peers that this node ends, and end its links."""
+        self._list_reader.stop()
+        self._configuration_reader.stop()
+        self._transport.call(lambda machine, now: machine.membership.left(now))
+        self._transport.stop()
+
+    def _is_ready(self) -> bool:
+        machine = self._machine
+        if not (machine.vms.is_known and machine.configuration.is_whole):
+            return False
+        if not machine.membership.has_seeds or machine.configuration.is_told:
+            return True
+        return time.monotonic() - self._started_s > JOIN_PATIENCE_S
+
+    def _spread_leaving(self, name: str) -> None:
+        self._transport.call(lambda machine, now: machine.vms.report_leaving(name, now))
+
+    def _count_refusal(self, refusal: LinkRefusal) -> None:
+        self._metrics.node_refusals.labels(refusal.value).inc()
+
+    def _publish(self, machine: NodeMachine) -> None:
+        """Hand what has changed to the threads that read it; runs in the transport's thread."""
+        members = machine.membership.members
+        generations = (members.generation, machine.vms.generation)
+        before, self._published = self._published, generations
+        if generations[0] != before[0]:
+            present = {member.name: member for member in members.present()}
+            self._present = len(present)
+            self._is_relay = is_relay(machine.membership.own, present)
+            dead = frozenset(_vm(member) for member in members.lost())
+            alive = tuple(_vm(member) for member in present.values())
+            self._directory.receive_members(EntryMembers(alive, dead))
+        if generations[1] != before[1]:
+            self._directory.receive_list(machine.vms.current())
+
+
+def _own_member(node: Node) -> Member:
+    # Wall-clock seconds exceed every incarnation of an earlier process of this name.
+    incarnation = int(time.time())
+    place = (node.region, node.failure_domain)
+    addresses = (str(node.nodes), str(node.callers))
+    return Member(node.name, *place, *addresses, incarnation, MemberState.LIVE)
+
+
+def _vm(member: Member) -> Vm:
+    return Vm(
+        name=member.name,
+        role=VmRole.ENTRY,
+        state=VmState.LEAVING if member.state is MemberState.LEAVING else VmState.LIVE,
+        service="",
+        region=member.region,
+        failure_domain=member.failure_domain,
+        address=parse_address(member.callers),
+        nodes=parse_address(member.nodes),
+    )
--- a/src/chervilmill/nodes/_transport.py
+++ b/src/chervilmill/nodes/_transport.py
@@ -57,12 +57,18 @@
     """Drive a NodeMachine with real links and a real clock."""
 
     def __init__(
-        self, address: Address, key: str, machine: NodeMachine, count_refusal: CountRefusal
+        self,
+        address: Address,
+        key: str,
+        machine: NodeMachine,
+        count_refusal: CountRefusal,
+        on_change: Callable[[NodeMachine], None],
     ) -> None:
         self._address = address
         self._machine = machine
         self._handshake = Handshake(key)
         self._count_refusal = count_refusal
+        self._on_change = on_change
         self._links: dict[str, list[_Link]] = {}
         self._dialling: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -125,6 +131,7 @@
     def _change(self, change: Callable[[NodeMachine, float], None]) -> None:
         try:
             change(self._machine, time.monotonic())
+            self._on_change(self._machine)
         except Exception as exc:
             log_problem("node machine failed", step="change", peer="", error=repr(exc))
         self._act()
--- a/src/chervilmill/nodes/_vms.py
+++ b/src/chervilmill/nodes/_vms.py
@@ -14,15 +14,17 @@
 from chervilmill.platform import Vm, VmRole, VmState
 
 LIST_LAG_S = 10.0
+SIGN_LIFETIME_S = 600.0
 REMEMBER_REMOVED_S = 60.0
 ASK_AGAIN_S = 1.0
 ENTRIES_PER_MESSAGE = 100
 LEAST_READ_INTERVAL_S = 0.5
 BASE_READS_PER_S = 5.0
 NODES_PER_READ_PER_S = 20.0
+SIGNED = "leaving_by_sign"
 REMOVED = "removed"
 
-_RANKS = {VmState.LIVE.value: 0, VmState.LEAVING.value: 1, REMOVED: 2}
+_RANKS = {VmState.LIVE.value: 0, SIGNED: 1, VmState.LEAVING.value: 2, REMOVED: 3}
 
 
 class VmSpread:
@@ -65,6 +67,15 @@
         self.is_known = self.is_known or bool(news)
         self._spread(news, peer)
 
+    def report_leaving(self, name: str, now: float) -> None:
+        """Tell peers that a VM itself gave a sign of leaving, which outlives readings of live."""
+        held = self._entries.get(name)
+        if held is None or held.state != VmState.LIVE.value:
+            return
+        signed = replace(held, state=SIGNED, stamp=held.stamp + 1)
+        self._keep(signed, now)
+        self._spread([signed], "")
+
     def receive_pull(self, peer: str) -> None:
         """Send the whole list to a peer."""
         entries = list(self._entries.values())
@@ -91,7 +102,9 @@
         if replace(entry, stamp=held.stamp) == held:
             return False
         is_onward = entry.address == held.address and _rank(entry) > _rank(held)
-        return is_onward or now - self._changed_s[entry.name] > LIST_LAG_S
+        is_signed = held.state == SIGNED and entry.address == held.address
+        patience_s = SIGN_LIFETIME_S if is_signed else LIST_LAG_S
+        return is_onward or now - self._changed_s[entry.name] > patience_s
 
     def _stamped(self, entry: VmEntry) -> VmEntry:
         held = self._entries.get(entry.name)
@@ -146,7 +159,7 @@
     return Vm(
         name=entry.name,
         role=VmRole(entry.role),
-        state=VmState(entry.state),
+        state=VmState.LEAVING if entry.state == SIGNED else VmState(entry.state),
         service=entry.service,
         region=entry.region,
         failure_domain=entry.failure_domain,
--- a/src/chervilmill/operators/_status.py
+++ b/src/chervilmill/operators/_status.py
@@ -8,7 +8,10 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeStatus:
-    """Hold what an operator sees of one node."""
+    """Hold what an operator sees of one node.
+
+    `configuration_age_s` is None before the store confirmed the configuration for the first time.
+    """
 
     node: str
     region: str
@@ -18,6 +21,9 @@
     revision: int
     entry_vms: tuple[str, ...]
     targets: dict[str, int]
+    nodes_present: int = 1
+    configuration_age_s: float | None = None
+    is_stale: bool = False
 
 
 def status_routes(status: Callable[[], NodeStatus]) -> tuple[Route, ...]:
--- a/src/chervilmill/platform/__init__.py
+++ b/src/chervilmill/platform/__init__.py
@@ -6,11 +6,10 @@
     EMPTY_CONFIGURATION,
     Configuration,
     ConfigurationSnapshot,
-    ConfigurationWatch,
     HeldConfiguration,
     merge_objects,
 )
-from chervilmill.platform._directory import Directory
+from chervilmill.platform._directory import LEAVING_PREFIX, Directory, EntryMembers
 from chervilmill.platform._errors import (
     PlatformError,
     StoreUnavailableError,
@@ -43,8 +42,9 @@
     "EMPTY_CONFIGURATION",
     "Configuration",
     "ConfigurationSnapshot",
-    "ConfigurationWatch",
     "Directory",
+    "EntryMembers",
+    "LEAVING_PREFIX",
     "FencedObject",
     "FencedOffError",
     "FencedValue",
--- a/src/chervilmill/platform/_configuration.py
+++ b/src/chervilmill/platform/_configuration.py
@@ -10,12 +10,9 @@
 from types import MappingProxyType
 from typing import Protocol
 
-from chervilmill.platform._errors import PlatformError
-from chervilmill.platform._model import ObjectStore, StoredObject
+from chervilmill.platform._model import StoredObject
 
 CONFIGURATION_KIND = "configuration"
-WATCH_TIMEOUT_S = 20.0
-RETRY_INTERVAL_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,31 +90,3 @@
             for listener in self._listeners:
                 listener(merged)
             return True
-
-
-class ConfigurationWatch:
-    """Feed a HeldConfiguration from a watch of the store."""
-
-    def __init__(self, store: ObjectStore, held: HeldConfiguration) -> None:
-        self._store = store
-        self._held = held
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="configuration", daemon=True)
-
-    def start(self) -> None:
-        """Begin to watch."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop watching after the present call."""
-        self._stopped.set()
-
-    def _run(self) -> None:
-        while not self._stopped.is_set():
-            after = self._held.snapshot().revision
-            try:
-                seen = self._store.watch(CONFIGURATION_KIND, after, WATCH_TIMEOUT_S)
-            except PlatformError:
-                self._stopped.wait(RETRY_INTERVAL_S)
-                continue
-            self._held.receive(seen.changed)
--- a/src/chervilmill/platform/_directory.py
+++ b/src/chervilmill/platform/_directory.py
@@ -1,53 +1,119 @@
-"""Keep the last known list of VMs."""
+"""Know which VMs take new work, from the first sign of each source.
 
+Three sources tell about a VM: the platform's list, the `leaving/NAME` objects of the configuration
+and, for entry VMs, the membership between nodes. A VM takes no new work once any of them says that
+it is leaving or gone, so a source that lags or is down does not hold the others back.
+"""
+
+import json
 import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+from chervilmill.platform._configuration import ConfigurationSnapshot
+from chervilmill.platform._model import Vm, VmRole, VmState
+
+LEAVING_PREFIX = "leaving/"
+
+LeavingListener = Callable[[str], None]
 
-from chervilmill.platform._errors import PlatformError
-from chervilmill.platform._model import Vm, VmList, VmRole, VmState
 
-REFRESH_INTERVAL_S = 0.5
+@dataclass(frozen=True, slots=True)
+class EntryMembers:
+    """Hold what the nodes know of each other: members with their state, and the dead by name."""
+
+    present: tuple[Vm, ...]
+    dead: frozenset[Vm]
+
+
+NO_MEMBERS = EntryMembers((), frozenset())
 
 
 class Directory:
-    """Refresh the list of VMs in a thread and keep the last one while the platform is down."""
-
-    def __init__(self, vm_list: VmList) -> None:
-        self._vm_list = vm_list
-        self._vms: tuple[Vm, ...] = ()
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="directory", daemon=True)
-
-    def start(self) -> None:
-        """Read the list once and go on refreshing it."""
-        self.refresh()
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop refreshing."""
-        self._stopped.set()
-
-    def refresh(self) -> bool:
-        """Read the list now and return whether the platform answered."""
-        try:
-            self._vms = self._vm_list.vms()
-        except PlatformError:
-            return False
-        return True
+    """Join the sources into the VMs that take new work."""
+
+    def __init__(self) -> None:
+        self._listed: tuple[Vm, ...] = ()
+        self._marked: frozenset[str] = frozenset()
+        self._members = NO_MEMBERS
+        self._entry_vms: tuple[Vm, ...] = ()
+        self._targets: dict[str, tuple[Vm, ...]] = {}
+        self._leaving_listeners: list[LeavingListener] = []
+        self._lock = threading.Lock()
 
     def entry_vms(self) -> tuple[Vm, ...]:
         """Return the live entry VMs."""
-        return tuple(vm for vm in self._vms if _is_live(vm, VmRole.ENTRY))
+        return self._entry_vms
 
     def targets(self, service: str) -> tuple[Vm, ...]:
         """Return the live targets of a service."""
-        return tuple(
-            vm for vm in self._vms if vm.service == service and _is_live(vm, VmRole.TARGET)
+        return self._targets.get(service, ())
+
+    def listed(self) -> tuple[Vm, ...]:
+        """Return every VM of the platform's list, also those that leave."""
+        return self._listed
+
+    def receive_list(self, vms: Iterable[Vm]) -> None:
+        """Take the newest known list of the platform."""
+        with self._lock:
+            self._listed = tuple(vms)
+            self._join()
+
+    def receive_configuration(self, snapshot: ConfigurationSnapshot) -> None:
+        """Take the marks that operators set on VMs that are to leave."""
+        marked = frozenset(
+            stored.name.removeprefix(LEAVING_PREFIX)
+            for stored in snapshot.under(LEAVING_PREFIX)
+            if _is_mark(stored.value)
         )
+        with self._lock:
+            self._marked = marked
+            self._join()
+
+    def receive_members(self, members: EntryMembers) -> None:
+        """Take what the nodes know of each other."""
+        with self._lock:
+            self._members = members
+            self._join()
 
-    def _run(self) -> None:
-        while not self._stopped.wait(REFRESH_INTERVAL_S):
-            self.refresh()
+    def report_leaving(self, name: str) -> None:
+        """Take a target's own sign that it leaves, at once here and then at the other nodes."""
+        with self._lock:
+            self._listed = tuple(
+                replace(vm, state=VmState.LEAVING) if vm.name == name else vm for vm in self._listed
+            )
+            self._join()
+        for listener in self._leaving_listeners:
+            listener(name)
+
+    def on_leaving(self, listener: LeavingListener) -> None:
+        """Call a listener with the name of each VM that gave a sign of its own."""
+        self._leaving_listeners.append(listener)
+
+    def _join(self) -> None:
+        live = [vm for vm in self._listed if vm.state is VmState.LIVE]
+        targets: dict[str, list[Vm]] = {}
+        for vm in live:
+            if vm.role is VmRole.TARGET and vm.name not in self._marked:
+                targets.setdefault(vm.service, []).append(vm)
+        self._targets = {service: tuple(vms) for service, vms in targets.items()}
+        listed = {vm.name: vm for vm in self._listed if vm.role is VmRole.ENTRY}
+        entries = {name: vm for name, vm in listed.items() if vm not in self._members.dead}
+        for member in self._members.present:
+            known = entries.get(member.name)
+            is_leaving = known is not None and known.state is VmState.LEAVING
+            if known is None or not (is_leaving and known.address == member.address):
+                entries[member.name] = member
+        self._entry_vms = tuple(
+            entries[name]
+            for name in sorted(entries)
+            if entries[name].state is VmState.LIVE and name not in self._marked
+        )
 
 
-def _is_live(vm: Vm, role: VmRole) -> bool:
-    return vm.role is role and vm.state is VmState.LIVE
+def _is_mark(value: bytes) -> bool:
+    try:
+        raw = json.loads(value)
+    except ValueError:
+        return False
+    return isinstance(raw, dict) and raw.get("leaving") is True
--- a/src/chervilmill/settings/_check.py
+++ b/src/chervilmill/settings/_check.py
@@ -66,6 +66,7 @@
         callers=reader.address("callers"),
         operators=reader.address("operators"),
         nodes=reader.address("nodes"),
+        seeds=reader.addresses("seeds"),
     )
     reader.finish()
     return node
--- a/src/chervilmill/settings/_model.py
+++ b/src/chervilmill/settings/_model.py
@@ -8,7 +8,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Node:
-    """Describe this entry VM: its place and the addresses it listens on."""
+    """Describe this entry VM: its place and the addresses it listens on.
+
+    `seeds` are node addresses of other entry VMs to try while the platform's list is not known.
+    """
 
     name: str
     region: str
@@ -16,6 +19,7 @@
     callers: Address
     operators: Address
     nodes: Address
+    seeds: tuple[Address, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilmill/settings/_reader.py
+++ b/src/chervilmill/settings/_reader.py
@@ -104,6 +104,17 @@
             self._report(key, value, "an address as IP:port")
             return _UNSET_ADDRESS
 
+    def addresses(self, key: str) -> tuple[Address, ...]:
+        """Return a list of addresses, which may be left out."""
+        value = self._take(key)
+        if value is None:
+            return ()
+        try:
+            return tuple(parse_address(item) for item in value)
+        except (AttributeError, TypeError, ValueError):
+            self._report(key, value, "a list of IP:port")
+            return ()
+
     def one_of(self, key: str, allowed: tuple[str, ...]) -> str:
         """Return one of the allowed strings."""
         value = self._take(key)
