--- a/tests/nodes/test_three_processes.py
+++ b/tests/nodes/test_three_processes.py
@@ -66,10 +66,9 @@
         def is_reached() -> bool:
             if any(self.entries(name) != names for name in names):
                 return False
-            wanted = revision is None or all(
+            return revision is None or all(
                 self.status(name).get("revision") == revision for name in names
             )
-            return wanted
 
         return retry_until(is_reached, TIMEOUT_S, interval_s=0.1)
 
