Divide caps among nodes and spread loads over two levels

A divider counts what a holder may still use, so a rise waits for the acknowledged or expired fall of another.

--- a/src/chervilmill/nodes/_codec.py
+++ b/src/chervilmill/nodes/_codec.py
@@ -37,6 +37,15 @@
     11: messages.ConfigurationEnd,
     12: messages.VmChanges,
     13: messages.VmsPull,
+    14: messages.NodeRequest,
+    15: messages.HeadRequest,
+    16: messages.GrantToNode,
+    17: messages.GrantToHead,
+    18: messages.LoadReport,
+    19: messages.LoadSummary,
+    20: messages.News,
+    21: messages.NodeAskAgain,
+    22: messages.HeadAskAgain,
 }
 _NUMBERS = {cls: number for number, cls in _TYPES.items()}
 
--- /dev/null
+++ b/src/chervilmill/nodes/_heads.py
@@ -0,0 +1,63 @@
+"""Choose the head of each failure domain and the root of all, from the membership alone.
+
+Heads and the root save messages; nothing depends on there being one of each. Two nodes that take
+themselves for the head of one failure domain each divide what they were granted themselves.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import lru_cache
+
+import xxhash
+
+from chervilmill.nodes._messages import Member, MemberState
+
+CACHED_NAMES = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class Roles:
+    """Name the head of this node's failure domain, the root, and whom this node serves."""
+
+    head: str
+    root: str
+    served_nodes: frozenset[str]
+    served_heads: frozenset[str]
+
+    def peers(self, own_name: str) -> frozenset[str]:
+        """Return the nodes to which this node keeps a link for its roles."""
+        upward = {self.head} | ({self.root} if self.head == own_name else set())
+        return frozenset(upward - {own_name, ""})
+
+    def served(self, own_name: str) -> frozenset[str]:
+        """Return the other nodes that report to this one."""
+        return (self.served_nodes | self.served_heads) - {own_name}
+
+
+NO_ROLES = Roles("", "", frozenset(), frozenset())
+
+
+@lru_cache(CACHED_NAMES)
+def _rank(name: str) -> tuple[int, str]:
+    return (xxhash.xxh64_intdigest(name.encode(), seed=99), name)
+
+
+def choose_roles(own: Member, members: Iterable[Member]) -> Roles:
+    """Return the roles that follow from the members; one that leaves has none."""
+    staying = [m for m in members if m.state is MemberState.LIVE]
+    heads: dict[str, str] = {}
+    for member in staying:
+        head = heads.get(member.failure_domain)
+        if head is None or _rank(member.name) < _rank(head):
+            heads[member.failure_domain] = member.name
+    if not heads:
+        return NO_ROLES
+    root = min(heads.values(), key=_rank)
+    head = heads.get(own.failure_domain, "")
+    domain = (m.name for m in staying if m.failure_domain == own.failure_domain)
+    return Roles(
+        head=head,
+        root=root,
+        served_nodes=frozenset(domain) if head == own.name else frozenset(),
+        served_heads=frozenset(heads.values()) if root == own.name else frozenset(),
+    )
--- a/src/chervilmill/nodes/_machine.py
+++ b/src/chervilmill/nodes/_machine.py
@@ -6,13 +6,17 @@
 
 from chervilmill.nodes import _messages as messages
 from chervilmill.nodes._actions import Action, Outbox
+from chervilmill.nodes._allotments import NO_CAPS, Allotments, AllotterEpoch, Caps, nobody
 from chervilmill.nodes._configuration import ConfigurationSpread
+from chervilmill.nodes._heads import NO_ROLES, choose_roles
 from chervilmill.nodes._membership import Membership
-from chervilmill.nodes._messages import Heartbeat, Member, Message, VmChanges
+from chervilmill.nodes._messages import Heartbeat, Member, MembersPull, Message, VmChanges
+from chervilmill.nodes._news import LoadSpread, NewsSpread
 from chervilmill.nodes._vms import VmSpread
 from chervilmill.platform import HeldConfiguration, Vm, VmRole, WatchResult
 
-HEARTBEAT_INTERVAL_S = 0.7
+HEARTBEAT_INTERVAL_S = 0.8
+ROLE_HEARTBEAT_INTERVAL_S = 10.0
 TICK_S = 0.2
 MAX_AGE_MS = 2**31
 
@@ -23,17 +27,30 @@
     `now` is a monotonic clock reading in seconds. After any input `take` returns the actions.
     """
 
-    def __init__(self, own: Member, held: HeldConfiguration, rng: random.Random) -> None:
+    def __init__(
+        self,
+        own: Member,
+        held: HeldConfiguration,
+        rng: random.Random,
+        caps: Caps = NO_CAPS,
+        allotter_epoch: AllotterEpoch = nobody,
+    ) -> None:
         self.outbox = Outbox()
         self.membership = Membership(own, self.outbox, rng)
         self.configuration = ConfigurationSpread(held, self.outbox)
         self.vms = VmSpread(self.outbox)
+        self.loads = LoadSpread(own.name, own.failure_domain, self.outbox, self._near_peers)
+        self.news = NewsSpread(self.outbox)
+        life = f"{own.name}/{rng.getrandbits(32):08x}"
+        self.allotments = Allotments(life, caps, self.outbox, allotter_epoch)
+        self.roles = NO_ROLES
+        self._roles_generation = -1
         self._settings_seeds: tuple[str, ...] = ()
         self._heartbeat_s: dict[str, float] = {}
         self._handlers: dict[type[Any], Callable[[str, Any, float], None]] = {
             Heartbeat: self._receive_heartbeat,
             messages.Rumours: self.membership.receive_rumours,
-            messages.MembersPull: lambda p, m, _: self.membership.receive_pull(p, m),
+            messages.MembersPull: self._receive_members_pull,
             messages.ConfigurationNotice: self.configuration.receive_notice,
             messages.ConfigurationPull: lambda p, m, _: self.configuration.receive_pull(p, m),
             messages.ConfigurationGet: lambda p, m, _: self.configuration.receive_get(p, m),
@@ -41,6 +58,15 @@
             messages.ConfigurationEnd: lambda _p, _m, _n: self.configuration.receive_end(),
             messages.VmChanges: self._receive_list,
             messages.VmsPull: lambda p, _m, _n: self.vms.receive_pull(p),
+            messages.NodeRequest: self.allotments.receive_node_request,
+            messages.HeadRequest: self.allotments.receive_head_request,
+            messages.GrantToNode: lambda _, m, n: self.allotments.receive_node_grant(m, n),
+            messages.GrantToHead: lambda _, m, n: self.allotments.receive_head_grant(m, n),
+            messages.NodeAskAgain: lambda _p, m, _n: self.allotments.receive_ask_again(m),
+            messages.HeadAskAgain: lambda _p, m, _n: self.allotments.receive_ask_again(m),
+            messages.LoadReport: self.loads.receive_report,
+            messages.LoadSummary: self.loads.receive_summary,
+            messages.News: self.news.receive,
         }
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
@@ -84,8 +110,11 @@
     def tick(self, now: float) -> None:
         """Do what has become due; call it every TICK_S."""
         self.membership.tick(now)
+        self._choose_roles()
         self.configuration.tick(now)
         self.vms.tick(now)
+        self.allotments.tick(now)
+        self.loads.tick(now)
         self._send_heartbeats(now)
 
     @property
@@ -101,6 +130,28 @@
         """Return the actions that the last inputs led to."""
         return self.outbox.take()
 
+    def _choose_roles(self) -> None:
+        members = self.membership.members
+        if self._roles_generation == members.generation:
+            return
+        self._roles_generation = members.generation
+        own = self.membership.own
+        self.roles = choose_roles(own, members.present())
+        self.allotments.set_roles(self.roles)
+        self.loads.set_roles(self.roles)
+        self.membership.keep(self.roles.peers(own.name))
+
+    def _near_peers(self) -> list[str]:
+        domain = self.membership.own.failure_domain
+        watched = filter(self.membership.is_watched, sorted(self.outbox.links))
+        held = (self.membership.members.get(name) for name in watched)
+        return [m.name for m in held if m is not None and m.failure_domain == domain]
+
+    def _receive_members_pull(self, peer: str, pull: MembersPull, now: float) -> None:
+        self.membership.receive_pull(peer, pull)
+        if not pull.bucket_hashes:
+            self.news.tell_newcomer(peer, now)
+
     def _receive_list(self, peer: str, changes: VmChanges, now: float) -> None:
         self.vms.receive(peer, changes, now)
         self._hint()
@@ -112,7 +163,11 @@
         self.membership.hint(addresses.union(self._settings_seeds), names)
 
     def _send_heartbeats(self, now: float) -> None:
-        due = [p for p, sent_s in self._heartbeat_s.items() if now - sent_s >= HEARTBEAT_INTERVAL_S]
+        due = [
+            p
+            for p, s in self._heartbeat_s.items()
+            if now - s > self._heartbeat_interval_s(p) - TICK_S / 2
+        ]
         if not due:
             return
         age_ms = min(self.configuration.age_s(now) * 1000, MAX_AGE_MS)
@@ -121,6 +176,14 @@
             self._heartbeat_s[peer] = now
             self.outbox.send(peer, heartbeat)
 
+    def _heartbeat_interval_s(self, peer: str) -> float:
+        """Return how often a peer hears from this node; reports stand in between head and node."""
+        own_name = self.membership.own.name
+        is_role_only = peer in self.roles.peers(own_name) or peer in self.roles.served(own_name)
+        if is_role_only and not self.membership.is_watched(peer):
+            return ROLE_HEARTBEAT_INTERVAL_S
+        return HEARTBEAT_INTERVAL_S
+
     def _receive_heartbeat(self, peer: str, heartbeat: Heartbeat, now: float) -> None:
         self.membership.receive_hash(peer, heartbeat.members_hash, now)
         age_s = heartbeat.age_ms / 1000
--- a/src/chervilmill/nodes/_membership.py
+++ b/src/chervilmill/nodes/_membership.py
@@ -23,7 +23,7 @@
 from chervilmill.nodes._rumours import RumourQueue
 from chervilmill.nodes._suspicions import Suspicions
 
-SILENCE_S = 2.2
+SILENCE_S = 2.6
 PAUSE_S = 1.0
 DIAL_INTERVAL_S = 1.0
 DIAL_PATIENCE_S = 0.5
@@ -51,6 +51,7 @@
         self._seeds: tuple[str, ...] = ()
         self._listed: frozenset[str] | None = None
         self._wanted: frozenset[str] = frozenset()
+        self._kept: frozenset[str] = frozenset()
         self._wanted_key = (-1, -1)
         self._heard_s: dict[str, float] = {}
         self._linked_s: dict[str, float] = {}
@@ -70,6 +71,14 @@
         self._seeds = tuple(sorted(set(seeds) - {self.own.nodes}))
         self._listed = None if listed is None else frozenset(listed)
 
+    def keep(self, peers: frozenset[str]) -> None:
+        """Have links to further peers, whose silence is not watched."""
+        self._kept = peers
+
+    def is_watched(self, peer: str) -> bool:
+        """Return whether a peer is a neighbour, to which heartbeats are due."""
+        return peer in self._wanted
+
     @property
     def has_seeds(self) -> bool:
         """Return whether any other node is known by its address."""
@@ -235,8 +244,9 @@
             self._dialled_s.pop(peer, None)
 
     def _dial_wanted(self, now: float) -> None:
-        for peer in sorted(self._wanted - self._outbox.links):
-            first_s = self._heard_s[peer] + (DIAL_PATIENCE_S if peer < self.own.name else 0.0)
+        for peer in sorted((self._wanted | self._kept) - self._outbox.links):
+            is_patient = peer in self._wanted and peer < self.own.name
+            first_s = self._heard_s.get(peer, now) + (DIAL_PATIENCE_S if is_patient else 0.0)
             again_s = self._dialled_s.get(peer, float("-inf")) + DIAL_INTERVAL_S
             member = self.members.get(peer)
             if member is not None and now >= max(first_s, again_s):
@@ -287,7 +297,7 @@
 
     def _close_unwanted(self, now: float) -> None:
         for peer, linked_s in list(self._linked_s.items()):
-            if peer in self._wanted:
+            if peer in self._wanted or peer in self._kept:
                 self._linked_s[peer] = now
             elif now - linked_s > UNWANTED_S:
                 self._outbox.close(peer)
--- a/src/chervilmill/nodes/_messages.py
+++ b/src/chervilmill/nodes/_messages.py
@@ -183,6 +183,131 @@
     """Ask for the whole list of VMs."""
 
 
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Tell how much of one cap a holder wants, and the most that may be in use under it now."""
+
+    resource: str
+    wanted: int
+    held: int
+
+
+@dataclass(frozen=True, slots=True)
+class ShareRequest:
+    """Ask a divider for units; `applied` is the number of the last request whose answer is used.
+
+    A holder that has sent this uses no grant older than `applied` any more, but for `held`.
+    """
+
+    number: int
+    applied: int
+    needs: tuple[Need, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedUnits:
+    """Give units of one cap."""
+
+    resource: str
+    units: int
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Answer a request; the lifetime counts from when the holder sent that request.
+
+    So a grant that was long on its way, or whose sender was paused, is void when it arrives.
+    """
+
+    epoch: int
+    number: int
+    lifetime_ms: int
+    granted: tuple[GrantedUnits, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRequest:
+    """Ask the head of a failure domain; `life` names one process of the sending node."""
+
+    life: str
+    request: ShareRequest
+
+
+@dataclass(frozen=True, slots=True)
+class HeadRequest:
+    """Ask the root on behalf of a failure domain."""
+
+    life: str
+    request: ShareRequest
+
+
+@dataclass(frozen=True, slots=True)
+class GrantToNode:
+    """Answer a NodeRequest."""
+
+    grant: Grant
+
+
+@dataclass(frozen=True, slots=True)
+class GrantToHead:
+    """Answer a HeadRequest."""
+
+    grant: Grant
+
+
+@dataclass(frozen=True, slots=True)
+class NodeAskAgain:
+    """Tell a node that another request would now change its share."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeadAskAgain:
+    """Tell a head that another request would now change its share."""
+
+
+@dataclass(frozen=True, slots=True)
+class DomainLoad:
+    """Sum up the entry VMs of one failure domain; one node reports itself as a sum of one."""
+
+    failure_domain: str
+    nodes: int
+    in_flight: int
+    requests_per_s: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Tell the head or the root the loads below the sender."""
+
+    load: DomainLoad
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSummary:
+    """Tell every node the load of each failure domain; a higher sequence is newer."""
+
+    sequence: int
+    loads: tuple[DomainLoad, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NewsItem:
+    """Carry one piece of news; of the same topic and key the higher sequence is newer."""
+
+    topic: str
+    key: str
+    sequence: int
+    lifetime_ms: int
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """Carry news to every node."""
+
+    items: tuple[NewsItem, ...]
+
+
 Message = (
     Challenge
     | Hello
@@ -197,4 +322,13 @@
     | ConfigurationEnd
     | VmChanges
     | VmsPull
+    | NodeRequest
+    | HeadRequest
+    | GrantToNode
+    | GrantToHead
+    | NodeAskAgain
+    | HeadAskAgain
+    | LoadReport
+    | LoadSummary
+    | News
 )
