Refuse bad input of callers with a reason and a counter

Cause: negative and signed lengths, doubled headers, dot segments, the targets' own paths, control characters and bodies of a GET went on to targets; a body that broke off ended in status 500; a node that left took new requests as long as they came. A leaving node refuses new work once look-ups have expired and waits for all connections to close.

--- a/src/chervilmill/callers/_app.py
+++ b/src/chervilmill/callers/_app.py
@@ -21,7 +21,7 @@
 
 
 class CallersApp:
-    """Answer look-ups and forward requests."""
+    """Answer look-ups and forward requests; `refuses_new` is set once this node leaves."""
 
     def __init__(
         self,
@@ -36,6 +36,7 @@
         self._forwarder = forwarder
         self._in_flight = in_flight
         self._metrics = metrics
+        self.refuses_new = False
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request of a caller."""
@@ -65,10 +66,13 @@
 
     def _forward(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         started_s = time.monotonic()
-        req = read_request(environ, self._settings.limits.default_deadline_ms)
+        req = read_request(environ, self._settings.limits)
         if self._settings.service(req.service) is None:
             detail = f"service {req.service} is not in the settings"
             raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
+        if self.refuses_new:
+            detail = "this entry VM is leaving; look up another one"
+            raise Refusal(RefusalReason.ENTRY_LEAVING, Ran.NOT_RUN, detail, retry_after_ms=0)
         answer = self._forwarder.forward(req)
         headers = [item for item in answer.headers if item[0].lower() not in _HOP_HEADERS]
         start_response(_status_line(answer.status), headers)
--- a/src/chervilmill/callers/_forward.py
+++ b/src/chervilmill/callers/_forward.py
@@ -5,14 +5,21 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
-from typing import IO, Protocol
+from typing import Protocol
 
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
 from chervilmill.platform import Vm
 from chervilmill.reasons import Ran, RefusalReason
 from chervilmill.requests import RequestKind, TargetChoice
-from chervilmill.targets import Answer, TargetError, TargetRequest, Targets, TargetUnreachableError
+from chervilmill.targets import (
+    Answer,
+    Body,
+    TargetError,
+    TargetRequest,
+    Targets,
+    TargetUnreachableError,
+)
 
 
 class ServiceTargets(Protocol):
@@ -30,7 +37,7 @@
 class WholeBody:
     """Read a body of a stated length, or fail where it ends early."""
 
-    def __init__(self, body: IO[bytes], length: int) -> None:
+    def __init__(self, body: Body, length: int) -> None:
         self._body = body
         self._remaining = length
 
--- a/src/chervilmill/callers/_request.py
+++ b/src/chervilmill/callers/_request.py
@@ -4,17 +4,23 @@
 import time
 import uuid
 from dataclasses import dataclass
-from typing import IO
+from urllib.parse import unquote
 
+from chervilmill.callers._checked_body import CheckedBody
 from chervilmill.callers._refusal import Refusal
 from chervilmill.http import Environ
 from chervilmill.reasons import Ran, RefusalReason
 from chervilmill.requests import RequestKind, kind_of
+from chervilmill.settings import Limits
 
 MAX_ID_LENGTH = 128
 MAX_DEADLINE_MS = 3_600_000
 _SERVICE_PATH = re.compile(r"/s/([A-Za-z0-9_.-]{1,64})(/.*)?")
 _ID = re.compile(rf"[A-Za-z0-9._:-]{{1,{MAX_ID_LENGTH}}}")
+_TARGET_URI = re.compile(r"[!-~]*")
+_HEADER_VALUE = re.compile(r"[\t -~\x80-\xff]*")
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,18}")
+_TARGETS_OWN_SEGMENT = "-"
 _FORWARDED = ("CONTENT_TYPE", "HTTP_ACCEPT", "HTTP_ACCEPT_LANGUAGE", "HTTP_AUTHORIZATION")
 
 
@@ -31,12 +37,12 @@
     idempotency_key: str | None
     deadline_s: float
     length: int
-    body: IO[bytes]
+    body: CheckedBody
 
 
-def read_request(environ: Environ, default_deadline_ms: int) -> CallerRequest:
+def read_request(environ: Environ, limits: Limits) -> CallerRequest:
     """Return the request of a WSGI environment, or raise Refusal."""
-    match = _SERVICE_PATH.fullmatch(environ["PATH_INFO"])
+    match = _SERVICE_PATH.fullmatch(environ["REQUEST_URI"].partition("?")[0])
     if match is None:
         raise _bad(RefusalReason.UNKNOWN_PATH, "paths are /lookup and /s/SERVICE/PATH")
     method = environ["REQUEST_METHOD"]
@@ -47,18 +53,19 @@
     if kind is RequestKind.ORDER and key is None:
         detail = "a POST needs the header Idempotency-Key"
         raise _bad(RefusalReason.IDEMPOTENCY_KEY_REQUIRED, detail)
-    deadline_ms = _deadline_ms(environ, default_deadline_ms)
+    deadline_ms = _deadline_ms(environ, limits.default_deadline_ms)
+    length = _length(environ, kind, limits.max_body_bytes)
     return CallerRequest(
         request_id=request_id_of(environ),
         service=match[1],
         kind=kind,
         method=method,
-        path=_target_path(match[2], environ["QUERY_STRING"]),
+        path=_target_path(match[2] or "/", environ["QUERY_STRING"]),
         headers=_forwarded_headers(environ, key),
         idempotency_key=key,
         deadline_s=time.monotonic() + deadline_ms / 1000,
-        length=_length(environ),
-        body=environ["wsgi.input"],
+        length=length,
+        body=CheckedBody(environ["wsgi.input"], length),
     )
 
 
@@ -68,8 +75,17 @@
     return given if _ID.fullmatch(given) else uuid.uuid4().hex
 
 
-def _target_path(path: str | None, query: str) -> str:
-    return (path or "/") + (f"?{query}" if query else "")
+def _target_path(path: str, query: str) -> str:
+    """Return the path for the target as the caller wrote it, or raise Refusal."""
+    segments = [segment for segment in unquote(path).split("/") if segment]
+    if segments[:1] == [_TARGETS_OWN_SEGMENT]:
+        raise _bad(RefusalReason.UNKNOWN_PATH, "paths under /-/ belong to the target itself")
+    if "." in segments or ".." in segments:
+        raise _bad(RefusalReason.BAD_REQUEST, "path has a dot segment")
+    uri = path + (f"?{query}" if query else "")
+    if not _TARGET_URI.fullmatch(uri):
+        raise _bad(RefusalReason.BAD_REQUEST, "path or query is not percent-encoded")
+    return uri
 
 
 def _identifier(environ: Environ, name: str) -> str | None:
@@ -87,15 +103,27 @@
     text = environ.get("HTTP_X_DEADLINE_MS")
     if text is None:
         return default_ms
-    if not text.isdecimal() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    if not _WHOLE_NUMBER.fullmatch(text) or not 0 < int(text) <= MAX_DEADLINE_MS:
         raise _bad(RefusalReason.BAD_REQUEST, f"X-Deadline-Ms is not within 1 to {MAX_DEADLINE_MS}")
     return int(text)
 
 
-def _length(environ: Environ) -> int:
+def _length(environ: Environ, kind: RequestKind, max_bytes: int) -> int:
     if "HTTP_TRANSFER_ENCODING" in environ:
         raise _bad(RefusalReason.LENGTH_REQUIRED, "a body needs Content-Length")
-    return int(environ.get("CONTENT_LENGTH") or 0)
+    text = environ.get("CONTENT_LENGTH")
+    if text is None and kind is RequestKind.UPLOAD:
+        raise _bad(RefusalReason.LENGTH_REQUIRED, "a PUT needs Content-Length")
+    if text is None:
+        return 0
+    if not _WHOLE_NUMBER.fullmatch(text):
+        raise _bad(RefusalReason.BAD_REQUEST, "Content-Length is not a whole number")
+    length = int(text)
+    if length > max_bytes:
+        raise _bad(RefusalReason.BODY_TOO_LARGE, f"a body has at most {max_bytes} bytes")
+    if length and kind is RequestKind.IDEMPOTENT:
+        raise _bad(RefusalReason.BAD_REQUEST, "a GET or HEAD has no body")
+    return length
 
 
 def _forwarded_headers(environ: Environ, key: str | None) -> tuple[tuple[str, str], ...]:
@@ -104,6 +132,9 @@
         for name in _FORWARDED
         if environ.get(name)
     ]
+    for name, value in headers:
+        if not _HEADER_VALUE.fullmatch(value):
+            raise _bad(RefusalReason.BAD_REQUEST, f"{name} has a control character")
     if key is not None:
         headers.append(("Idempotency-Key", key))
     return tuple(headers)
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -21,6 +21,8 @@
 from chervilmill.targets import HttpTargets
 
 OPERATOR_THREADS = 4
+IDLE_CLOSE_S = 1
+CLOSE_TIMEOUT_S = 5.0
 
 
 class _NodeView:
@@ -75,8 +77,10 @@
         self._view.is_leaving = True
         log_event("node leaving", in_flight=self.in_flight.count)
         time.sleep(self.settings.limits.lookup_lifetime_s)
+        self._callers_app.refuses_new = True
         self._callers.refuse_keep_alive()
         self.in_flight.wait_until_idle()
+        self._callers.drain(IDLE_CLOSE_S, CLOSE_TIMEOUT_S)
         self._callers.stop()
         self._operators.stop()
         self.directory.stop()
@@ -117,10 +121,10 @@
         forwarder = Forwarder(
             self.directory, HttpTargets(connections), TwoRandomChoices(), random.Random()
         )
-        app = CallersApp(settings, lookups, forwarder, self.in_flight, self.metrics)
+        self._callers_app = CallersApp(settings, lookups, forwarder, self.in_flight, self.metrics)
         return HttpServer(
             settings.node.callers,
-            app,
+            self._callers_app,
             threads=settings.limits.request_threads,
             max_header_bytes=settings.limits.max_header_bytes,
             io_timeout_s=settings.limits.idle_timeout_s,
--- a/src/chervilmill/http/__init__.py
+++ b/src/chervilmill/http/__init__.py
@@ -2,17 +2,20 @@
 
 from chervilmill.http._connection import EarlyRefusal, EarlyRefusals
 from chervilmill.http._exchange import (
+    SOCKET_KEY,
     Environ,
     Exchange,
     StartResponse,
     WsgiApp,
     close_connection,
     exchange_of,
+    reset_connection,
 )
 from chervilmill.http._pace import ReadPace
 from chervilmill.http._server import HttpServer
 
 __all__ = [
+    "SOCKET_KEY",
     "EarlyRefusal",
     "EarlyRefusals",
     "Environ",
@@ -23,4 +26,5 @@
     "WsgiApp",
     "close_connection",
     "exchange_of",
+    "reset_connection",
 ]
--- a/src/chervilmill/http/_connection.py
+++ b/src/chervilmill/http/_connection.py
@@ -2,6 +2,7 @@
 
 import _pyio  # type: ignore[import-not-found]
 import socket
+import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -131,6 +132,7 @@
         self.pace = ReadPace(server.io_timeout_s, server.least_bytes_per_s)
         self.rfile = _PacedReader(sock, self.pace, self.rbufsize)
         self.lingers = False
+        self.resets = False
         self.present_request: Request | None = None
         server.opened.add(self)
 
@@ -155,10 +157,18 @@
     def close(self) -> None:
         """Close the connection, first letting the peer read an answer to an unread request."""
         self.server.opened.discard(self)
+        if self.resets:
+            self._reset()
+            return
         if self.lingers:
             self._drain_input()
         super().close()
 
+    def _reset(self) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.rfile.close()
+        self.socket.close()
+
     def _drain_input(self) -> None:
         """Discard what the peer still sends, since closing before that could lose the answer."""
         deadline_s = time.monotonic() + LINGER_S
--- a/src/chervilmill/http/_exchange.py
+++ b/src/chervilmill/http/_exchange.py
@@ -11,6 +11,7 @@
 WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
 
 EXCHANGE_KEY = "chervilmill.exchange"
+SOCKET_KEY = "chervilmill.socket"
 
 
 class Exchange:
@@ -40,6 +41,11 @@
         self._req.conn.cut()
         raise BrokenPipeError(errno.EPIPE, "connection dropped")
 
+    def reset_connection(self) -> None:
+        """Have the connection end in a reset, which no reader takes for the answer's end."""
+        self._req.close_connection = True
+        self._req.conn.resets = True
+
     def write(self, data: bytes) -> None:
         """Write bytes to the connection as they are."""
         self._req.conn.wfile.write(data)
@@ -54,3 +60,8 @@
 def close_connection(environ: Environ) -> None:
     """Have the caller's connection closed after the present answer."""
     exchange_of(environ).close_connection()
+
+
+def reset_connection(environ: Environ) -> None:
+    """Have the caller's connection end in a reset, which no reader takes for the answer's end."""
+    exchange_of(environ).reset_connection()
--- a/src/chervilmill/http/_server.py
+++ b/src/chervilmill/http/_server.py
@@ -11,7 +11,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.http._connection import Connection, EarlyRefusals
-from chervilmill.http._exchange import EXCHANGE_KEY, Environ, Exchange, WsgiApp
+from chervilmill.http._exchange import EXCHANGE_KEY, SOCKET_KEY, Environ, Exchange, WsgiApp
 from chervilmill.logs import log_problem
 
 STOP_TIMEOUT_S = 1
@@ -23,6 +23,7 @@
     def get_environ(self) -> Environ:  # type: ignore[override]
         environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[EXCHANGE_KEY] = Exchange(self.req)
+        environ[SOCKET_KEY] = self.req.conn.socket
         return environ
 
     def respond(self) -> None:
@@ -122,15 +123,17 @@
         """Close each connection after its present answer."""
         self._server.keep_alive_conn_limit = 0
 
-    def drain(self, idle_s: int) -> None:
-        """Answer every connection once more and return when none is open.
+    def drain(self, idle_s: int, timeout_s: float) -> bool:
+        """Answer every connection once more and return whether all were closed in time.
 
         A connection that sends no request for `idle_s` is closed.
         """
         self.refuse_keep_alive()
         self._server.timeout = idle_s
-        while self._server.opened:
+        deadline_s = time.monotonic() + timeout_s
+        while self._server.opened and time.monotonic() < deadline_s:
             time.sleep(DRAIN_POLL_S)
+        return not self._server.opened
 
     def stop(self) -> None:
         """Close the listener and all idle connections."""
--- a/src/chervilmill/targets/__init__.py
+++ b/src/chervilmill/targets/__init__.py
@@ -2,6 +2,7 @@
 
 from chervilmill.targets._client import (
     Answer,
+    Body,
     HttpTargets,
     TargetAnswer,
     TargetRequest,
@@ -20,6 +21,7 @@
     "AnswerCrossedError",
     "AnswerLostError",
     "AnswerShortError",
+    "Body",
     "HttpTargets",
     "TargetAnswer",
     "TargetError",
