--- a/src/chervilmill/daemon/_main.py
+++ b/src/chervilmill/daemon/_main.py
@@ -29,12 +29,12 @@
         for problem in group.exceptions:
             print(problem, file=sys.stderr)
         return ExitCode.WRONG_SETTINGS
-    set_up_logs(settings.node.name)
     return _run(settings)
 
 
 def _run(settings: Settings) -> int:
     daemon = Daemon(settings)
+    set_up_logs(settings.node.name, lambda: daemon.configuration.snapshot().revision)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda _number, _frame: daemon.ask_stop())
     try:
--- a/src/chervilmill/logs.py
+++ b/src/chervilmill/logs.py
@@ -4,35 +4,44 @@
 import logging
 import sys
 import time
+from collections.abc import Callable
 
 from absl import logging as absl_logging
 
 _FIELDS_KEY = "chervilmill_fields"
 
+RevisionSource = Callable[[], int]
+
 
 class _JsonFormatter(logging.Formatter):
-    def __init__(self, node: str) -> None:
+    def __init__(self, node: str, revision: RevisionSource | None) -> None:
         super().__init__()
         self._node = node
+        self._revision = revision
 
     def format(self, record: logging.LogRecord) -> str:
-        line = {
+        line: dict[str, object] = {
             "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
             + f".{int(record.msecs):03d}Z",
             "level": record.levelname.lower(),
             "node": self._node,
             "event": record.getMessage(),
         }
+        if self._revision is not None:
+            line["revision"] = self._revision()
         line.update(getattr(record, _FIELDS_KEY, {}))
         if record.exc_info:
             line["error"] = self.formatException(record.exc_info)
         return json.dumps(line, default=str)
 
 
-def set_up_logs(node: str) -> None:
-    """Send every log line of this process to standard error as one JSON object."""
+def set_up_logs(node: str, revision: RevisionSource | None = None) -> None:
+    """Send every log line of this process to standard error as one JSON object.
+
+    Each line names the node and the revision of the configuration that it decided on.
+    """
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(_JsonFormatter(node))
+    handler.setFormatter(_JsonFormatter(node, revision))
     root = logging.getLogger()
     for old in list(root.handlers):
         root.removeHandler(old)
