Bound the connections that a node holds

Cause: connections without a request were not bounded, so that callers could use up all descriptors. Change: a connection over limits.max_connections is answered 503 with a reason and closed. Conclusion: every hold that a caller has on a node is bounded by a setting.

--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -144,6 +144,6 @@
             io_timeout_s=settings.limits.idle_timeout_s,
             least_bytes_per_s=settings.limits.least_bytes_per_s,
             keep_alive_s=settings.limits.keep_alive_s,
-            kept_connections=settings.limits.kept_connections,
+            max_connections=settings.limits.max_connections,
             early_refusals=EarlyRefusalCounter(self.metrics),
         )
--- a/src/chervilmill/http/_connection.py
+++ b/src/chervilmill/http/_connection.py
@@ -145,6 +145,16 @@
             self.lingers = True
         return is_kept
 
+    def refuse(self, status: str, detail: str) -> None:
+        """Answer a connection that has not sent anything yet, and close it."""
+        try:
+            Request(self.server, self).simple_response(status, detail)
+        except OSError:
+            return
+        finally:
+            self.lingers = False
+            self.close()
+
     def cut(self) -> None:
         """End both directions at once, with no answer or an unfinished one."""
         self.lingers = False
--- a/src/chervilmill/http/_server.py
+++ b/src/chervilmill/http/_server.py
@@ -42,12 +42,16 @@
     ConnectionClass = Connection
     io_timeout_s: float
     least_bytes_per_s: int
+    max_connections: int
     early_refusals: EarlyRefusals | None
     opened: set[Connection]
     _connections: Any
 
     def process_conn(self, conn: Any) -> None:
         """Give a connection to a thread once it has sent something."""
+        if conn.last_used is None and len(self.opened) > self.max_connections:
+            conn.refuse("503 Service Unavailable", "too many connections")
+            return
         if conn.last_used is None:
             self._connections.put(conn)
             return
@@ -65,7 +69,8 @@
     """Run a WSGI application on an address in threads of its own.
 
     A request has `io_timeout_s` to begin and must then arrive at `least_bytes_per_s`; an answer
-    must be taken at a similar pace. A connection without a request is kept for `keep_alive_s`.
+    must be taken at a similar pace. A connection without a request is kept for `keep_alive_s`, one
+    over `max_connections` is refused.
     `early_refusals` answers requests that are too malformed for the application.
     """
 
@@ -79,7 +84,7 @@
         io_timeout_s: float = 10,
         least_bytes_per_s: int = 1024,
         keep_alive_s: int = 60,
-        kept_connections: int = 1_000,
+        max_connections: int = 1_000,
         early_refusals: EarlyRefusals | None = None,
         before_stop: Callable[[], None] | None = None,
     ) -> None:
@@ -94,7 +99,8 @@
         )
         self._server.gateway = _Gateway
         self._server.max_request_header_size = max_header_bytes
-        self._server.keep_alive_conn_limit = kept_connections
+        self._server.keep_alive_conn_limit = max_connections
+        self._server.max_connections = max_connections
         self._server.io_timeout_s = io_timeout_s
         self._server.least_bytes_per_s = least_bytes_per_s
         self._server.early_refusals = early_refusals
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -36,6 +36,7 @@
     ORDER_RECORDS_FULL = "order_records_full"
     ORDER_RECORDS_UNAVAILABLE = "order_records_unavailable"
     TARGET_FAILED = "target_failed"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
     UNKNOWN_PATH = "unknown_path"
     UNKNOWN_SERVICE = "unknown_service"
 
@@ -73,6 +74,7 @@
     RefusalReason.ORDER_RECORDS_FULL: 503,
     RefusalReason.ORDER_RECORDS_UNAVAILABLE: 503,
     RefusalReason.TARGET_FAILED: 502,
+    RefusalReason.TOO_MANY_CONNECTIONS: 503,
     RefusalReason.UNKNOWN_PATH: 404,
     RefusalReason.UNKNOWN_SERVICE: 404,
 }
--- a/src/chervilmill/settings/_check.py
+++ b/src/chervilmill/settings/_check.py
@@ -25,7 +25,7 @@
 DEFAULT_IDLE_TIMEOUT_S = 10
 DEFAULT_LEAST_BYTES_PER_S = 1024
 DEFAULT_KEEP_ALIVE_S = 300
-DEFAULT_KEPT_CONNECTIONS = 4_000
+DEFAULT_MAX_CONNECTIONS = 4_000
 DEFAULT_PLATFORM_TIMEOUT_MS = 1_000
 DEFAULT_REQUESTS_PER_S = 100
 DEFAULT_REQUESTS_PER_SLOT_PER_S = 10
@@ -134,7 +134,7 @@
         idle_timeout_s=reader.whole("idle_timeout_s", 1, 3_600, DEFAULT_IDLE_TIMEOUT_S),
         least_bytes_per_s=reader.whole("least_bytes_per_s", 1, 1024**2, DEFAULT_LEAST_BYTES_PER_S),
         keep_alive_s=reader.whole("keep_alive_s", 1, 86_400, DEFAULT_KEEP_ALIVE_S),
-        kept_connections=reader.whole("kept_connections", 0, 1_000_000, DEFAULT_KEPT_CONNECTIONS),
+        max_connections=reader.whole("max_connections", 1, 1_000_000, DEFAULT_MAX_CONNECTIONS),
     )
     reader.finish()
     return limits
--- a/src/chervilmill/settings/_model.py
+++ b/src/chervilmill/settings/_model.py
@@ -78,7 +78,7 @@
     idle_timeout_s: int
     least_bytes_per_s: int
     keep_alive_s: int
-    kept_connections: int
+    max_connections: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilmill/standins/target_server.py
+++ b/src/chervilmill/standins/target_server.py
@@ -10,7 +10,7 @@
 __all__ = ["AnswerFault", "TargetMode", "TargetServer", "TargetState", "target_server"]
 
 THREADS = 48
-KEPT_CONNECTIONS = 1_000
+MAX_CONNECTIONS = 1_000
 
 
 class TargetServer:
@@ -61,7 +61,7 @@
 
     def _new_server(self) -> HttpServer:
         return HttpServer(
-            self._address, self._app, threads=THREADS, kept_connections=KEPT_CONNECTIONS
+            self._address, self._app, threads=THREADS, max_connections=MAX_CONNECTIONS
         )
 
 
