--- /dev/null
+++ b/bench/capacity/_platform_client.py
@@ -0,0 +1,101 @@
+"""Measure what a node costs itself and the platform while no caller asks anything."""
+
+import time
+from collections.abc import Iterator
+
+from bench._rows import Figure
+from bench.capacity._fit import Quantity, figures_of
+from bench.capacity._probe import Probe, other_targets
+from bench.capacity._target import NODES, VMS
+
+SETTLE_S = 2.0
+WINDOW_S = 6.0
+NODE_SIZES = (6, 12, 18)
+VM_SIZES = (100, 400, 1600)
+ROLE = "platform_client"
+
+READS = Quantity(
+    ROLE,
+    "reads",
+    "reads and watches of the store",
+    "nodes",
+    NODE_SIZES,
+    NODES,
+    "calls/s",
+    "refresh of the VM list and watch of the configuration",
+)
+WRITES = Quantity(
+    ROLE,
+    "writes",
+    "writes of the store without orders",
+    "nodes",
+    NODE_SIZES,
+    NODES,
+    "calls/s",
+    "leases and status",
+)
+CPU = Quantity(
+    ROLE,
+    "cpu",
+    "processor time of an idle node",
+    "VMs in the list",
+    VM_SIZES,
+    VMS,
+    "% of a core",
+    "refresh of the VM list",
+    scale=100.0,
+)
+BYTES = Quantity(
+    ROLE,
+    "bytes",
+    "bytes between an idle node and the platform",
+    "VMs in the list",
+    VM_SIZES,
+    VMS,
+    "KB/s",
+    "refresh of the VM list",
+    scale=0.001,
+)
+MEMORY = Quantity(
+    ROLE,
+    "memory",
+    "memory of an idle node",
+    "VMs in the list",
+    VM_SIZES,
+    VMS,
+    "MB",
+    "one record for each VM",
+    scale=1e-6,
+)
+QUANTITIES = (READS, WRITES, CPU, BYTES, MEMORY)
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the slopes by the number of nodes, then by the length of the VM list."""
+    calls = [_calls(nodes) for nodes in NODE_SIZES]
+    yield from figures_of(READS, [reads for reads, _ in calls])
+    yield from figures_of(WRITES, [writes for _, writes in calls])
+    costs = [_costs(vms) for vms in VM_SIZES]
+    yield from figures_of(CPU, [cpu for cpu, _, _ in costs])
+    yield from figures_of(BYTES, [sent for _, sent, _ in costs])
+    yield from figures_of(MEMORY, [memory for _, _, memory in costs])
+
+
+def _calls(nodes: int) -> tuple[float, float]:
+    with Probe(nodes) as probe:
+        time.sleep(SETTLE_S)
+        before = probe.platform.calls.copy()
+        time.sleep(WINDOW_S)
+        made = probe.platform.calls - before
+    return (made["read"] + made["watch"]) / WINDOW_S, made["write"] / WINDOW_S
+
+
+def _costs(vms: int) -> tuple[float, float, float]:
+    with Probe(1, other_targets(vms - 1)) as probe:
+        (process,) = probe.processes
+        time.sleep(SETTLE_S)
+        cpu_s, sent = process.cpu_s(), probe.platform.bytes
+        time.sleep(WINDOW_S)
+        cpu = (process.cpu_s() - cpu_s) / WINDOW_S
+        rate = (probe.platform.bytes - sent) / WINDOW_S
+        return cpu, rate, float(process.memory_bytes())
