--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -3,18 +3,26 @@
 import random
 import threading
 import time
-from typing import Any
 
-from chervilmill.callers import CallersApp, Forwarder, InFlight, Lookups
+from chervilmill.callers import (
+    Attempts,
+    CallersApp,
+    EarlyRefusalCounter,
+    Forwarder,
+    InFlight,
+    Lookups,
+    Orders,
+)
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
-from chervilmill.operators import OperatorsApp
+from chervilmill.operators import LeavingMarks, NodeStatus, OperatorsApp, Route, status_routes
 from chervilmill.platform import (
     ConfigurationWatch,
     Directory,
     HeldConfiguration,
     HttpPlatform,
+    OrderLedger,
     Vm,
 )
 from chervilmill.requests import TwoRandomChoices
@@ -22,6 +30,7 @@
 from chervilmill.targets import HttpTargets
 
 OPERATOR_THREADS = 4
+ORDERS_STOP_TIMEOUT_S = 10.0
 
 
 class _NodeView:
@@ -48,22 +57,21 @@
         self.in_flight = InFlight()
         self.metrics.in_flight.set_function(lambda: self.in_flight.count)
         platform = HttpPlatform(settings.platform.address, settings.platform.timeout_ms / 1000)
+        self._platform = platform
         self.directory = Directory(platform)
         self.configuration = HeldConfiguration()
         self._configuration_watch = ConfigurationWatch(platform, self.configuration)
+        self._orders = OrderLedger(platform)
         self._view = _NodeView(self.directory, settings.node.name)
         self._callers = self._callers_server()
-        self._operators = HttpServer(
-            settings.node.operators,
-            OperatorsApp(settings.operators_token, self.metrics, self.status),
-            threads=OPERATOR_THREADS,
-        )
+        self._operators = self._operators_server()
         self._stop_asked = threading.Event()
 
     def start(self) -> None:
         """Begin to serve callers and operators, or raise OSError."""
         self.directory.start()
         self._configuration_watch.start()
+        self._orders.start()
         self._operators.start()
         self._callers.start()
         log_event("node started", callers=str(self.settings.node.callers))
@@ -82,6 +90,7 @@
         self._callers.refuse_keep_alive()
         self.in_flight.wait_until_idle()
         self._callers.stop()
+        self._orders.stop(ORDERS_STOP_TIMEOUT_S)
         self._operators.stop()
         self.directory.stop()
         self._configuration_watch.stop()
@@ -89,29 +98,48 @@
         self.metrics.drain.labels("entry").observe(elapsed_s)
         log_event("node stopped", drain_s=round(elapsed_s, 3))
 
-    def status(self) -> dict[str, Any]:
+    def status(self) -> NodeStatus:
         """Return what an operator sees of this node."""
-        return {
-            "node": self.settings.node.name,
-            "is_leaving": self._view.is_leaving,
-            "in_flight": self.in_flight.count,
-            "revision": self.configuration.snapshot().revision,
-            "entry_vms": [vm.name for vm in self.directory.entry_vms()],
-        }
+        node, services = self.settings.node, self.settings.services
+        return NodeStatus(
+            node=node.name,
+            region=node.region,
+            failure_domain=node.failure_domain,
+            is_leaving=self._view.is_leaving,
+            in_flight=self.in_flight.count,
+            revision=self.configuration.snapshot().revision,
+            entry_vms=tuple(vm.name for vm in self.directory.entry_vms()),
+            targets={item.name: len(self.directory.targets(item.name)) for item in services},
+        )
+
+    def _operator_routes(self) -> tuple[Route, ...]:
+        return (*status_routes(self.status), *LeavingMarks(self._platform).routes())
+
+    def _operators_server(self) -> HttpServer:
+        settings = self.settings
+        return HttpServer(
+            settings.node.operators,
+            OperatorsApp(settings.operators_token, self.metrics, self._operator_routes()),
+            threads=OPERATOR_THREADS,
+        )
 
     def _callers_server(self) -> HttpServer:
         settings = self.settings
         lookups = Lookups(self._view, settings.node.region, settings.limits.lookup_lifetime_s)
         connections = max(service.connections_per_target for service in settings.services)
-        forwarder = Forwarder(
+        attempts = Attempts(
             self.directory, HttpTargets(connections), TwoRandomChoices(), random.Random()
         )
+        forwarder = Forwarder(attempts, Orders(self._orders, attempts))
         app = CallersApp(settings, lookups, forwarder, self.in_flight, self.metrics)
         return HttpServer(
             settings.node.callers,
             app,
             threads=settings.limits.request_threads,
             max_header_bytes=settings.limits.max_header_bytes,
-            max_body_bytes=settings.limits.max_body_bytes,
-            idle_timeout_s=settings.limits.idle_timeout_s,
+            io_timeout_s=settings.limits.idle_timeout_s,
+            least_bytes_per_s=settings.limits.least_bytes_per_s,
+            keep_alive_s=settings.limits.keep_alive_s,
+            kept_connections=settings.limits.kept_connections,
+            early_refusals=EarlyRefusalCounter(self.metrics),
         )
