Carry shifts out under a lease and confirm plans by one conditional update

A confirmed plan needs an executor that never moves more than its cap, whoever runs it. The executor is a pure state machine: it counts each step until a minute after it was seen in force at every node, assumes after a take-over that its predecessor used the whole cap, and repeats a write whose reply was lost before it does anything else.

10,000 seeded interleavings of three nodes with lapsed leases, lost and late writes, stale nodes, pauses and replaced plans keep the cap in the store and at every node. Three planted faults are caught.

--- /dev/null
+++ b/src/chervilmill/steering/_confirmed.py
@@ -0,0 +1,93 @@
+"""Hold the confirmed plan of each service in one object, so that confirms are ordered."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any
+
+from chervilmill.platform import ConfigurationSnapshot
+from chervilmill.steering._inputs import PlanInput
+from chervilmill.steering._plan import Plan
+from chervilmill.steering._shares import ShareMap
+
+CONFIRMED_NAME = "plans/confirmed"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmedPlan:
+    """Hold what is needed to carry a plan out."""
+
+    plan_id: str
+    service: str
+    intent: str
+    intent_version: int
+    plan_revision: int
+    is_emergency: bool
+    percent_per_min: int
+    places: tuple[str, ...]
+    goal: ShareMap
+    admitted: Mapping[str, float]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the JSON form."""
+        return {
+            "plan": self.plan_id,
+            "service": self.service,
+            "intent": self.intent,
+            "intent_version": self.intent_version,
+            "plan_revision": self.plan_revision,
+            "is_emergency": self.is_emergency,
+            "percent_per_min": self.percent_per_min,
+            "places": list(self.places),
+            "goal": self.goal.to_lists(),
+            "admitted": dict(self.admitted),
+        }
+
+
+def confirmed_plan(plan: Plan, given: PlanInput) -> ConfirmedPlan:
+    """Return what a confirm of a plan records."""
+    return ConfirmedPlan(
+        plan_id=plan.plan_id,
+        service=plan.service,
+        intent=plan.intent,
+        intent_version=given.stated.version,
+        plan_revision=plan.revision,
+        is_emergency=plan.is_emergency,
+        percent_per_min=given.percent_per_min,
+        places=given.topology.names,
+        goal=plan.goal,
+        admitted=MappingProxyType({r.region: round(1 - r.share, 4) for r in plan.refused}),
+    )
+
+
+def encode_confirmed(plans: Mapping[str, ConfirmedPlan]) -> bytes:
+    """Return the stored form of the confirmed plans by service."""
+    fields = {service: plans[service].to_json() for service in sorted(plans)}
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_confirmed(value: bytes) -> dict[str, ConfirmedPlan]:
+    """Return the confirmed plans of a stored form, or raise ValueError, KeyError or TypeError."""
+    return {str(service): _plan_of(raw) for service, raw in json.loads(value).items()}
+
+
+def confirmed_plans(snapshot: ConfigurationSnapshot) -> dict[str, ConfirmedPlan]:
+    """Return the confirmed plans of a configuration by service."""
+    stored = snapshot.objects.get(CONFIRMED_NAME)
+    return {} if stored is None else decode_confirmed(stored.value)
+
+
+def _plan_of(raw: dict[str, Any]) -> ConfirmedPlan:
+    return ConfirmedPlan(
+        plan_id=str(raw["plan"]),
+        service=str(raw["service"]),
+        intent=str(raw["intent"]),
+        intent_version=int(raw["intent_version"]),
+        plan_revision=int(raw["plan_revision"]),
+        is_emergency=bool(raw["is_emergency"]),
+        percent_per_min=int(raw["percent_per_min"]),
+        places=tuple(str(name) for name in raw["places"]),
+        goal=ShareMap.from_lists(raw["goal"]),
+        admitted=MappingProxyType({str(k): float(v) for k, v in raw["admitted"].items()}),
+    )
--- /dev/null
+++ b/src/chervilmill/steering/_order.py
@@ -0,0 +1,38 @@
+"""Turn a confirmed plan into the state that begins its shift."""
+
+from chervilmill.steering._blocks import BlockTable
+from chervilmill.steering._confirmed import ConfirmedPlan
+from chervilmill.steering._hashing import HASH_SPAN, seed_of
+from chervilmill.steering._shares import ShareMap, changes
+from chervilmill.steering._state import Phase, ShiftState
+from chervilmill.steering._steps import block_cap, shift_steps
+
+
+def first_state(plan: ConfirmedPlan, present: ShiftState | None, blocks: BlockTable) -> ShiftState:
+    """Return the state in which a plan has begun and nothing has moved.
+
+    The base is the map in force, also where an earlier shift is on its way; the steps are counted
+    from there.
+    """
+    base = ShareMap.at_home(plan.goal.homes) if present is None else present.in_force()
+    block_count = len(blocks.known_homes())
+    cap = block_cap(block_count, plan.percent_per_min)
+    steps = shift_steps(blocks, seed_of(plan.service), changes(base, plan.goal), cap)
+    return ShiftState(
+        plan_id=plan.plan_id,
+        intent=plan.intent,
+        intent_version=plan.intent_version,
+        plan_revision=plan.plan_revision,
+        places=plan.places,
+        base=base,
+        goal=plan.goal,
+        fraction=0 if steps else HASH_SPAN,
+        steps=steps,
+        block_count=block_count,
+        cap_blocks_per_min=cap.blocks_per_min,
+        phase=Phase.MOVING if steps else Phase.DONE,
+        reason="",
+        sequence=1 if present is None else present.sequence + 1,
+        is_settled=False,
+        admitted=plan.admitted,
+    )
--- a/src/chervilmill/steering/_planner.py
+++ b/src/chervilmill/steering/_planner.py
@@ -41,8 +41,8 @@
     cap = block_cap(len(given.blocks.keys()), given.percent_per_min)
     seed = seed_of(given.service.name)
     steps = shift_steps(given.blocks, seed, changes(given.base, goal), cap)
-    projection = Projection(given, given.base, goal)
-    before = projection.step(0, START)
+    projection = Projection(given, goal, _served(given, solution))
+    before = Projection(given, given.base, given.demand).step(0, START)
     shown = tuple(projection.step(number, step) for number, step in enumerate(steps, 1))
     refusals = [
         *_refusals_of_solution(given, solution),
@@ -138,7 +138,7 @@
     for index, place in enumerate(before.places):
         most = max((step.places[index].requests_per_s for step in steps), default=0.0)
         allowed = max(place.limit_requests_per_s, place.requests_per_s)
-        if most > allowed + LEAST_LOAD and not given.stated.intent.is_emergency:
+        if most > allowed + LEAST_LOAD:
             detail = f"{place.place} would take {most:.1f} of {allowed:.1f} requests/s"
             yield PlanRefusal(RefusalCause.PLACE_OVERLOADED, detail)
     for index, link in enumerate(before.links):
@@ -155,6 +155,14 @@
         yield PlanRefusal(RefusalCause.DOMAIN_LOSS_NOT_SURVIVED, detail)
 
 
+def _served(given: PlanInput, solution: CapacitySolution) -> Array:
+    """Return the demand by home place that finds room."""
+    demand = given.topology.by_region(given.demand)
+    parts = 1 - np.divide(solution.shed, demand, out=np.zeros_like(demand), where=demand > 0)
+    served: Array = given.demand * parts[given.topology.region_of_place]
+    return served
+
+
 def _refused(given: PlanInput, solution: CapacitySolution) -> tuple[Refused, ...]:
     demand = given.topology.by_region(given.demand)
     return tuple(
--- a/src/chervilmill/steering/_projection.py
+++ b/src/chervilmill/steering/_projection.py
@@ -18,10 +18,13 @@
 class Projection:
     """Tell the state at each fraction of a shift; loads change in proportion to the fraction."""
 
-    def __init__(self, given: PlanInput, base: ShareMap, goal: ShareMap) -> None:
+    def __init__(self, given: PlanInput, goal: ShareMap, served: Array) -> None:
+        """Take the demand that is served, by home place; the rest is refused at entry VMs."""
+        base = given.base
         self._given = given
-        self._base = flows(given.topology, base, given.demand)
-        self._goal = flows(given.topology, goal, given.demand)
+        self._served = served
+        self._base = flows(given.topology, base, served)
+        self._goal = flows(given.topology, goal, served)
         self._gain = np.maximum(self._goal.sum(axis=0) - self._base.sum(axis=0), 0.0)
         self._moving = self._moving_requests(base, goal)
 
@@ -60,7 +63,7 @@
     def _moving_requests(self, base: ShareMap, goal: ShareMap) -> float:
         places = len(self._given.topology.places)
         difference = np.abs(goal.shares(places) - base.shares(places)).sum(axis=1) / 2
-        return float((difference * self._given.demand).sum())
+        return float((difference * self._served).sum())
 
     def _connections(self, part: float) -> int:
         """Return how many connections targets have to accept anew."""
--- /dev/null
+++ b/tests/steering/test_shift_race.py
@@ -0,0 +1,320 @@
+"""Interleave executors of one shift with stale nodes, lost and late writes, and pauses.
+
+Every node applies what it has heard of, at once. Neither in the store nor at any node may more
+blocks move within a minute than the cap allows.
+"""
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+import numpy as np
+import pytest
+
+from chervilmill.platform import FencedObject, FencedOffError, Lease, PlatformError, decode_fenced
+from chervilmill.settings import Service
+from chervilmill.steering import BlockTable, Place, ShareMap, Topology
+from chervilmill.steering._confirmed import ConfirmedPlan
+from chervilmill.steering._executor import Evidence, Executor
+from chervilmill.steering._hashing import HASH_SPAN, seed_of
+from chervilmill.steering._runner import ShiftTask
+from chervilmill.steering._state import ShiftState, decode_state
+from tests.platform.test_lease import FaultyStore
+
+CASES = 8
+SEEDS_PER_CASE = 1_250
+ACTIONS = 50
+NODES = 3
+BLOCKS = 16
+PERCENT_PER_MIN = 25
+CAP_BLOCKS = BLOCKS * PERCENT_PER_MIN // 100
+WINDOW_S = 60.0
+LEASE_S = 9.0
+TIME_STEPS_S = (1.0, 2.5, 2.5, 2.5, 2.5, 2.5, 2.5, 2.5, 2.5, 2.5, 12.0)
+MAX_NESTING = 2
+SERVICE = Service("souhrny", 6, 400, True, 1, 6, BLOCKS, 10, 100)
+
+
+class World:
+    """Give two places in two regions and a few blocks, all of whose homes are the first."""
+
+    place_names = ("a", "b")
+
+    def __init__(self) -> None:
+        starts = np.arange(BLOCKS, dtype=np.uint32) * 1024
+        self.planning_blocks = BlockTable(starts, np.zeros(BLOCKS, np.uint8))
+        self._topology = Topology([Place("a", "a", "ra", 99.0), Place("b", "b", "rb", 99.0)], [])
+        positions = self.planning_blocks.positions(seed_of(SERVICE.name))
+        self.positions = [int(position) for position in positions]
+
+    def topology(self, _service: Service) -> Topology:
+        return self._topology
+
+    def demand(self, _service: Service) -> np.ndarray:
+        return np.array([float(BLOCKS), 0.0])
+
+    def region_of(self, place: int) -> str:
+        return ("ra", "rb")[place]
+
+
+WORLD = World()
+PLACES_AT_HOME = tuple(0 for _ in range(BLOCKS))
+
+
+def goal_map(share: float) -> ShareMap:
+    cut = round(HASH_SPAN * share)
+    pairs = [[cut, 1], [HASH_SPAN, 0]] if 0 < cut < HASH_SPAN else [[HASH_SPAN, int(share)]]
+    return ShareMap.from_lists([pairs, [[HASH_SPAN, 1]]])
+
+
+def plan_for(number: int, share: float) -> ConfirmedPlan:
+    goal = goal_map(share)
+    return ConfirmedPlan(
+        f"plan-{number}", SERVICE.name, "i", 1, 1, False, PERCENT_PER_MIN, ("a", "b"), goal, {}
+    )
+
+
+class PlacesByState:
+    """Work out the place of each block under a state, once for each distinct state."""
+
+    def __init__(self) -> None:
+        self._known: dict[bytes, tuple[tuple[int, ...], ShiftState]] = {}
+
+    def of(self, body: bytes) -> tuple[tuple[int, ...], ShiftState]:
+        if body not in self._known:
+            state = decode_state(body)
+            shares = state.in_force()
+            places = tuple(shares.place_of(0, position) for position in WORLD.positions)
+            self._known[body] = places, state
+        return self._known[body]
+
+
+@dataclass
+class Track:
+    """Follow the blocks that moved over time at one observer."""
+
+    places: tuple[int, ...] = PLACES_AT_HOME
+    moves: deque[tuple[float, int]] = field(default_factory=deque)
+    most_in_a_minute: int = 0
+    most_on_link: int = 0
+
+    def see(self, now_s: float, places: tuple[int, ...]) -> None:
+        moved = sum(one != other for one, other in zip(self.places, places, strict=True))
+        self.places = places
+        self.most_on_link = max(self.most_on_link, sum(places))
+        if moved:
+            self.moves.append((now_s, moved))
+        while self.moves and now_s - self.moves[0][0] > WINDOW_S:
+            self.moves.popleft()
+        self.most_in_a_minute = max(self.most_in_a_minute, sum(m for _, m in self.moves))
+
+
+@dataclass
+class Node:
+    """Apply states as they arrive and, at times, execute the shift."""
+
+    name: str
+    lease: Lease
+    clock_rate: float
+    diligence: float
+    track: Track = field(default_factory=Track)
+    version: int = 0
+    task: ShiftTask | None = None
+    task_epoch: int = 0
+    is_acting: bool = False
+
+
+class Race:
+    """Run one seeded interleaving."""
+
+    def __init__(self, seed: int, executor: type[Executor], places: PlacesByState) -> None:
+        self.rng = random.Random(seed)
+        self.now_s = 1_000.0
+        self.executor = executor
+        self.places = places
+        self.store = FaultyStore(self.rng, self.interrupt)
+        self.store_track = Track()
+        self.seen = 0
+        self.sequences: list[int] = []
+        self.plan = plan_for(0, self.rng.uniform(0.3, 1.0))
+        self.link_limit = round(BLOCKS * 1.0)
+        self.capacity = 99.0
+        self.nodes = [self._node(f"node-{index}") for index in range(NODES)]
+        self.depth = 0
+        self.steps_written = 0
+
+    def run(self) -> None:
+        for number in range(1, ACTIONS + 1):
+            self.now_s += self.rng.choice(TIME_STEPS_S)
+            if self.rng.random() < 0.02:
+                self.plan = plan_for(number, self.rng.uniform(0.0, 1.0))
+            if self.rng.random() < 0.03:
+                self.capacity = self.rng.choice((0.0, 5.0, 99.0, 99.0))
+            self.spread(0.8)
+            self.act(self.next_to_act())
+
+    def next_to_act(self) -> Node:
+        holders = [node for node in self.nodes if node.lease.is_held]
+        if holders and self.rng.random() < 0.8:
+            return holders[0]
+        return self.rng.choice(self.nodes)
+
+    def interrupt(self) -> None:
+        """Let time pass, late writes land and others act in the middle of a call."""
+        self.now_s += self.rng.choice((0.0, 0.0, 0.0, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 2.0))
+        self.store.land_late_write()
+        self.observe_store()
+        if self.rng.random() < 0.2:
+            self.spread(0.4)
+        if self.depth < MAX_NESTING and self.rng.random() < 0.06:
+            self.depth += 1
+            self.act(self.rng.choice(self.nodes))
+            self.depth -= 1
+
+    def act(self, node: Node) -> None:
+        """Let a node step, unless it is within a step already: it has one thread for shifts."""
+        if node.is_acting:
+            return
+        node.is_acting = True
+        try:
+            self._act(node)
+        finally:
+            node.is_acting = False
+
+    def _act(self, node: Node) -> None:
+        if self.rng.random() < 0.03:
+            node.lease.release()
+            return
+        if self.rng.random() < 0.02:
+            node.task = None
+        if not node.lease.step():
+            return
+        try:
+            if node.task is None or node.task_epoch != node.lease.epoch:
+                governed = FencedObject(self.store, "configuration", "steering/souhrny", node.lease)
+                node.task = ShiftTask(SERVICE, WORLD, governed)
+                node.task._executor = self.executor(node.task._state)
+                node.task_epoch = node.lease.epoch
+            node.task.step(self.now_s * node.clock_rate, self.plan, Source(self, node))
+        except FencedOffError:
+            node.task = None
+        except PlatformError:
+            return
+        finally:
+            self.observe_store()
+
+    def spread(self, probability: float) -> None:
+        """Let some nodes hear of the newest state."""
+        self.observe_store()
+        if not self.store.written:
+            return
+        for node in self.nodes:
+            if self.rng.random() < probability * node.diligence:
+                self._apply(node)
+
+    def observe_store(self) -> None:
+        for stored in self.store.written[self.seen :]:
+            if stored.kind != "configuration":
+                continue
+            body = decode_fenced(stored).body
+            if body:
+                places, state = self.places.of(body)
+                self.store_track.see(self.now_s, places)
+                self.sequences.append(state.sequence)
+        self.seen = len(self.store.written)
+
+    def newest(self):
+        return self.store.inner.get("configuration", "steering/souhrny")
+
+    def _apply(self, node: Node) -> None:
+        stored = self.newest()
+        if stored is None or stored.version <= node.version:
+            return
+        node.version = stored.version
+        body = decode_fenced(stored).body
+        if body:
+            node.track.see(self.now_s, self.places.of(body)[0])
+
+    def _node(self, name: str) -> Node:
+        rate = self.rng.uniform(0.995, 1.005)
+        clock = lambda: self.now_s * rate  # noqa: E731 - a clock for one node
+        diligence = 0.08 if self.rng.random() < 0.08 else 1.0
+        return Node(name, Lease(self.store, "steering", name, LEASE_S, clock), rate, diligence)
+
+    @property
+    def most_in_a_minute(self) -> int:
+        tracks = [self.store_track, *(node.track for node in self.nodes)]
+        return max(track.most_in_a_minute for track in tracks)
+
+
+class Source:
+    """Give evidence that is true at the time of asking, but at times old."""
+
+    def __init__(self, race: Race, node: Node) -> None:
+        self._race = race
+        self._node = node
+
+    def evidence(self, _service: Service, version: int) -> Evidence:
+        race = self._race
+        age_s = race.rng.choice((0.5,) * 30 + (30.0,))
+        return Evidence(
+            measured_at_s=race.now_s * self._node.clock_rate - age_s,
+            is_in_force=all(node.version >= version for node in race.nodes),
+            is_warm=race.rng.random() < 0.97,
+            capacities=np.array([99.0, race.capacity]),
+        )
+
+
+@pytest.mark.parametrize("case", range(CASES))
+def test_no_minute_moves_more_than_the_cap(case: int) -> None:
+    moved = fenced = full = 0
+    places = PlacesByState()
+    for seed in range(case * SEEDS_PER_CASE, (case + 1) * SEEDS_PER_CASE):
+        race = Race(seed, Executor, places)
+        race.run()
+        assert race.most_in_a_minute <= CAP_BLOCKS, f"seed {seed}"
+        assert race.sequences == sorted(race.sequences), f"seed {seed}"
+        moved += bool(race.store_track.most_in_a_minute)
+        full += race.most_in_a_minute == CAP_BLOCKS
+        fenced += len({node.lease.epoch for node in race.nodes}) > 1
+    assert moved > SEEDS_PER_CASE // 2
+    assert full > SEEDS_PER_CASE // 20
+    assert fenced > SEEDS_PER_CASE // 2
+
+
+class ForgetfulExecutor(Executor):
+    """Assume after a take-over that nothing has moved, as a planted fault."""
+
+    def __init__(self, _taken_over: ShiftState | None) -> None:
+        super().__init__(None)
+
+
+class HastyExecutor(Executor):
+    """Advance before the former step is in force, as a planted fault."""
+
+    def _observe(self, now_s: float, evidence: Evidence) -> None:
+        super()._observe(now_s, Evidence(now_s, True, True, evidence.capacities))
+
+
+class TrustingExecutor(Executor):
+    """Take a write whose reply was lost for one that was not applied, as a planted fault."""
+
+    def sending(self, write) -> None:
+        moved = list(self._moved)
+        super().sending(write)
+        self._unsure, self._moved = None, moved
+
+    def sent(self) -> None:
+        return
+
+
+@pytest.mark.parametrize("broken", [ForgetfulExecutor, HastyExecutor, TrustingExecutor])
+def test_the_check_catches_broken_executors(broken: type[Executor]) -> None:
+    places = PlacesByState()
+
+    def is_caught(seed: int) -> bool:
+        race = Race(seed, broken, places)
+        race.run()
+        return race.most_in_a_minute > CAP_BLOCKS
+
+    assert any(is_caught(seed) for seed in range(2_000))
