--- a/src/chervilmill/settings/_steering.py
+++ b/src/chervilmill/settings/_steering.py
@@ -64,7 +64,7 @@
         reader.reject("network", repr(text), "an IP network as ADDRESS/PREFIX")
     if isinstance(network, IPv6Network) and network.prefixlen > 64:
         reader.reject("network", repr(text), "an IPv6 network of 64 bits or shorter")
-    return ClientRange(network=network, region=reader.text("region"))
+    return ClientRange(network=network, region=reader.name("region"))
 
 
 def _overlap(one: IPv4Network | IPv6Network, other: IPv4Network | IPv6Network) -> bool:
--- a/src/chervilmill/steering/_intents.py
+++ b/src/chervilmill/steering/_intents.py
@@ -13,7 +13,6 @@
 DEFAULT_PRIORITY = 50
 DEFAULT_PERCENT_PER_MIN = 10
 MAX_MBIT_PER_S = 10_000_000
-MAX_NAME_LENGTH = 64
 WHOLE_PERCENT = 100
 
 
@@ -120,8 +119,8 @@
 
 def _read(reader: Reader) -> Intent:
     return Intent(
-        name=reader.text("name", max_length=MAX_NAME_LENGTH),
-        service=reader.text("service", max_length=MAX_NAME_LENGTH),
+        name=reader.name("name"),
+        service=reader.name("service"),
         shares=_read_shares(reader),
         cap=_read_cap(reader),
         leaving=_read_names(reader, "leaving"),
@@ -155,7 +154,7 @@
     if not reader.raw.get(key):
         reader.known.add(key)
         return ()
-    return reader.texts(key)
+    return reader.names(key)
 
 
 def _check_against_settings(intent: Intent, settings: Settings, reader: Reader) -> None:
