Serve intents, plans, confirms and look-ups by the steering in force

Operators had no way to state where traffic goes, and look-ups knew the node's own region only. The operators' interface now takes intents, shows plans, confirms them and explains placements; any node carries a confirmed plan out under a lease, and look-ups name entry VMs across failure domains near the place that serves the caller's block.

--- a/src/chervilmill/callers/_app.py
+++ b/src/chervilmill/callers/_app.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterable, Iterator
 from http import HTTPStatus
+from urllib.parse import parse_qsl
 
 from prometheus_client import Histogram
 
@@ -40,7 +41,10 @@
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request of a caller."""
         if environ["PATH_INFO"] == "/lookup":
-            return self._look_up(start_response)
+            try:
+                return self._look_up(environ, start_response)
+            except Refusal as refusal:
+                return self._refuse(environ, start_response, refusal)
         self._in_flight.enter()
         try:
             answer = self._forward(environ, start_response)
@@ -52,9 +56,18 @@
             raise
         return answer
 
-    def _look_up(self, start_response: StartResponse) -> Iterable[bytes]:
-        body = self._lookups.answer().body()
-        self._metrics.lookups.labels("").inc()
+    def _look_up(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        query = dict(parse_qsl(environ["QUERY_STRING"]))
+        service = query.get("service", "")
+        if service and self._settings.service(service) is None:
+            detail = f"service {service} is not in the settings"
+            raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
+        try:
+            answer = self._lookups.answer(service, query.get("client") or environ["REMOTE_ADDR"])
+        except ValueError as exc:
+            raise Refusal(RefusalReason.BAD_REQUEST, Ran.NOT_RUN, str(exc)) from exc
+        body = answer.body()
+        self._metrics.lookups.labels(service).inc()
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
--- a/src/chervilmill/callers/_lookup.py
+++ b/src/chervilmill/callers/_lookup.py
@@ -1,11 +1,22 @@
 """Tell callers which entry VMs to use."""
 
 import json
-from collections.abc import Iterable
+import time
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from itertools import islice, zip_longest
+from typing import Protocol, TypeVar
 
 from chervilmill.platform import Vm
+from chervilmill.steering import Whereabouts
+
+MAX_NEAR_ENTRIES = 4
+MAX_ENTRIES = 6
+REFRESH_S = 0.1
+
+T = TypeVar("T")
+
+Clock = Callable[[], float]
 
 
 class EntryVms(Protocol):
@@ -16,6 +27,19 @@
         ...
 
 
+class Steering(Protocol):
+    """Know the place that serves a caller."""
+
+    @property
+    def place_regions(self) -> tuple[tuple[str, str], ...]:
+        """Return the failure domain and region of each place, by index."""
+        ...
+
+    def whereabouts(self, service: str, client_address: str) -> Whereabouts:
+        """Return the place that serves a caller, or raise ValueError for what is no IP address."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class LookupAnswer:
     """Hold the entry VMs for a caller in the order in which to try them."""
@@ -35,26 +59,80 @@
 
 
 class Lookups:
-    """Answer look-ups with entry VMs of the caller's region first."""
+    """Answer look-ups with entry VMs near the place that serves the caller's block.
 
-    def __init__(self, directory: EntryVms, region: str, lifetime_s: int) -> None:
+    The first entry VM is in that place, the next ones are in other failure domains of its region,
+    and the last ones in other regions. Callers of different blocks begin with different VMs.
+    """
+
+    def __init__(
+        self,
+        directory: EntryVms,
+        steering: Steering,
+        lifetime_s: int,
+        clock: Clock = time.monotonic,
+    ) -> None:
         self._directory = directory
-        self._region = region
+        self._steering = steering
         self._lifetime_s = lifetime_s
+        self._clock = clock
+        self._places = steering.place_regions
+        self._groups: dict[int, _Groups] = {}
+        self._vms: tuple[Vm, ...] = ()
+        self._until_s = 0.0
+
+    def answer(self, service: str, client_address: str) -> LookupAnswer:
+        """Return the entry VMs for a caller, or raise ValueError for what is no IP address."""
+        found = self._steering.whereabouts(service, client_address)
+        ordered = self._groups_for(found.place).ordered(key_hash(found.key))
+        return LookupAnswer(tuple(ordered), self._lifetime_s, found.revision)
+
+    def _groups_for(self, place: int) -> "_Groups":
+        """Return the entry VMs by failure domain, nearest to a place first."""
+        now_s = self._clock()
+        if now_s >= self._until_s:
+            self._until_s = now_s + REFRESH_S
+            vms = self._directory.entry_vms()
+            if vms != self._vms:
+                self._vms, self._groups = vms, {}
+        groups = self._groups.get(place)
+        if groups is None:
+            groups = _Groups(self._vms, *self._places[place])
+            self._groups[place] = groups
+        return groups
+
+
+class _Groups:
+    """Hold the entry VMs by failure domain, as seen from a place."""
+
+    def __init__(self, vms: Sequence[Vm], domain: str, region: str) -> None:
+        by_domain: dict[tuple[bool, bool, str], list[Vm]] = {}
+        for vm in sorted(vms, key=lambda item: item.name):
+            key = (vm.region != region, vm.failure_domain != domain, vm.failure_domain)
+            by_domain.setdefault(key, []).append(vm)
+        self._near = [by_domain[key] for key in sorted(by_domain) if not key[0]]
+        self._far = [by_domain[key] for key in sorted(by_domain) if key[0]]
+
+    def ordered(self, turn: int) -> list[Vm]:
+        """Return the entry VMs to name, beginning in each group at a turn."""
+        near = list(islice(_interleaved(self._near, turn), MAX_ENTRIES))
+        far = islice(_interleaved(_turned(self._far, turn), turn), MAX_ENTRIES)
+        return [*near[:MAX_NEAR_ENTRIES], *far, *near[MAX_NEAR_ENTRIES:]][:MAX_ENTRIES]
+
+
+def _interleaved(groups: Sequence[Sequence[Vm]], turn: int) -> Iterator[Vm]:
+    """Yield one VM of each failure domain in turn."""
+    for row in zip_longest(*(_turned(group, turn) for group in groups)):
+        yield from (vm for vm in row if vm is not None)
+
+
+def _turned(items: Sequence[T], turn: int) -> Sequence[T]:
+    if not items:
+        return items
+    first = turn % len(items)
+    return [*items[first:], *items[:first]]
+
 
-    def answer(self) -> LookupAnswer:
-        """Return the entry VMs for a caller near this node."""
-        ordered = tuple(_spread(self._directory.entry_vms(), self._region))
-        return LookupAnswer(ordered, self._lifetime_s, revision=0)
-
-
-def _spread(vms: Iterable[Vm], region: str) -> list[Vm]:
-    """Order VMs by region, then so that neighbours are of different failure domains."""
-    rank_by_domain: dict[str, int] = {}
-    keyed: list[tuple[bool, int, str, Vm]] = []
-    for vm in vms:
-        rank = rank_by_domain.get(vm.failure_domain, 0)
-        rank_by_domain[vm.failure_domain] = rank + 1
-        keyed.append((vm.region != region, rank, vm.name, vm))
-    keyed.sort(key=lambda key: key[:3])
-    return [key[3] for key in keyed]
+def key_hash(key: int) -> int:
+    """Return a number whose low bits differ for neighbouring blocks (Knuth, TAOCP 6.4)."""
+    return (key * 2654435761 % 2**32) >> 16
--- a/src/chervilmill/cli/_commands.py
+++ b/src/chervilmill/cli/_commands.py
@@ -3,7 +3,7 @@
 import argparse
 from typing import Protocol, TypeAlias
 
-from chervilmill.cli import _drain, _settings, _status
+from chervilmill.cli import _drain, _settings, _status, _steering
 
 Commands: TypeAlias = "argparse._SubParsersAction[argparse.ArgumentParser]"
 
@@ -20,4 +20,4 @@
         ...
 
 
-COMMAND_MODULES: tuple[CommandModule, ...] = (_status, _drain, _settings)
+COMMAND_MODULES: tuple[CommandModule, ...] = (_status, _drain, _steering, _settings)
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -16,7 +16,14 @@
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
-from chervilmill.operators import LeavingMarks, NodeStatus, OperatorsApp, Route, status_routes
+from chervilmill.operators import (
+    LeavingMarks,
+    NodeStatus,
+    OperatorsApp,
+    Route,
+    SteeringRoutes,
+    status_routes,
+)
 from chervilmill.platform import (
     ConfigurationWatch,
     Directory,
@@ -27,6 +34,13 @@
 )
 from chervilmill.requests import TwoRandomChoices
 from chervilmill.settings import Settings
+from chervilmill.steering import (
+    LookupVersions,
+    ShiftRunner,
+    SteeringTable,
+    SteeringWorld,
+    VmEvidence,
+)
 from chervilmill.targets import HttpTargets
 
 OPERATOR_THREADS = 4
@@ -63,6 +77,9 @@
         self._configuration_watch = ConfigurationWatch(platform, self.configuration)
         self._orders = OrderLedger(platform)
         self._view = _NodeView(self.directory, settings.node.name)
+        self._world = SteeringWorld(settings, self.directory)
+        self._table = SteeringTable(self._world, settings)
+        self._shifts = self._shift_runner()
         self._callers = self._callers_server()
         self._operators = self._operators_server()
         self._stop_asked = threading.Event()
@@ -71,6 +88,8 @@
         """Begin to serve callers and operators, or raise OSError."""
         self.directory.start()
         self._configuration_watch.start()
+        self.configuration.subscribe(self._table.receive)
+        self._shifts.start()
         self._orders.start()
         self._operators.start()
         self._callers.start()
@@ -90,6 +109,7 @@
         self._callers.refuse_keep_alive()
         self.in_flight.wait_until_idle()
         self._callers.stop()
+        self._shifts.stop()
         self._orders.stop(ORDERS_STOP_TIMEOUT_S)
         self._operators.stop()
         self.directory.stop()
@@ -113,7 +133,26 @@
         )
 
     def _operator_routes(self) -> tuple[Route, ...]:
-        return (*status_routes(self.status), *LeavingMarks(self._platform).routes())
+        steering = SteeringRoutes(
+            self._platform, self.settings, self._world, self._table, self.metrics
+        )
+        return (
+            *status_routes(self.status),
+            *LeavingMarks(self._platform).routes(),
+            *steering.routes(),
+        )
+
+    def _shift_runner(self) -> ShiftRunner:
+        return ShiftRunner(
+            self._platform,
+            self.configuration,
+            self.settings,
+            self._world,
+            VmEvidence(self._world, self.directory, LookupVersions()),
+            time.monotonic,
+            self.metrics.count_shift_wait,
+            self._table.tick,
+        )
 
     def _operators_server(self) -> HttpServer:
         settings = self.settings
@@ -125,7 +164,7 @@
 
     def _callers_server(self) -> HttpServer:
         settings = self.settings
-        lookups = Lookups(self._view, settings.node.region, settings.limits.lookup_lifetime_s)
+        lookups = Lookups(self._view, self._table, settings.limits.lookup_lifetime_s)
         connections = max(service.connections_per_target for service in settings.services)
         attempts = Attempts(
             self.directory, HttpTargets(connections), TwoRandomChoices(), random.Random()
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -25,6 +25,18 @@
             ["service", "reason"],
             registry=self.registry,
         )
+        self.steering_refusals = Counter(
+            "chervilmill_steering_refusals",
+            "Intents, plans and confirms refused, by step and reason",
+            ["step", "reason"],
+            registry=self.registry,
+        )
+        self.shift_waits = Counter(
+            "chervilmill_shift_waits",
+            "Decisions of the executor not to advance a shift, by service and reason",
+            ["service", "reason"],
+            registry=self.registry,
+        )
         self.lookups = Counter(
             "chervilmill_lookups",
             "Look-ups answered, by service",
@@ -60,6 +72,14 @@
         """Count one refused request."""
         self.refusals.labels(service, reason.value).inc()
 
+    def count_steering_refusal(self, step: str, reason: str) -> None:
+        """Count one refused intent, plan or confirm."""
+        self.steering_refusals.labels(step, reason).inc()
+
+    def count_shift_wait(self, service: str, reason: str) -> None:
+        """Count one decision not to advance a shift."""
+        self.shift_waits.labels(service, reason).inc()
+
     def count_retry(self, service: str, reason: RetryReason) -> None:
         """Count one request sent again."""
         self.retries.labels(service, reason.value).inc()
--- a/src/chervilmill/operators/__init__.py
+++ b/src/chervilmill/operators/__init__.py
@@ -15,6 +15,7 @@
     Route,
 )
 from chervilmill.operators._status import NodeStatus, status_routes
+from chervilmill.operators._steering import SteeringRoutes
 
 __all__ = [
     "LEAVING_PREFIX",
@@ -27,6 +28,7 @@
     "OperatorResponse",
     "OperatorsApp",
     "Route",
+    "SteeringRoutes",
     "is_leaving_value",
     "status_routes",
 ]
--- a/src/chervilmill/steering/__init__.py
+++ b/src/chervilmill/steering/__init__.py
@@ -2,6 +2,14 @@
 
 from chervilmill.steering._blocks import Block, BlockTable, ClientNetwork, blocks_of_networks
 from chervilmill.steering._capacity import CapacityProblem, CapacitySolution, Pin, solve
+from chervilmill.steering._confirm import (
+    Confirmer,
+    ConfirmRefusal,
+    ConfirmRefusedError,
+    ConfirmRequest,
+    fresh_configuration,
+)
+from chervilmill.steering._evidence import LookupVersions, VmEvidence
 from chervilmill.steering._inputs import PlanInput
 from chervilmill.steering._intents import (
     INTENT_PREFIX,
@@ -15,34 +23,52 @@
 from chervilmill.steering._loss import LossOutcome, after_loss
 from chervilmill.steering._plan import Plan, PlanRefusal, RefusalCause
 from chervilmill.steering._planner import compute_plan
+from chervilmill.steering._report import shift_reports
+from chervilmill.steering._runner import ShiftRunner
 from chervilmill.steering._shares import ShareMap
+from chervilmill.steering._table import PlaceChoice, Places, SteeringTable, Whereabouts
 from chervilmill.steering._topology import DirectedLink, Place, Topology
+from chervilmill.steering._world import SteeringWorld
 
 __all__ = [
-    "INTENT_PREFIX",
     "Block",
     "BlockTable",
     "Cap",
     "CapacityProblem",
     "CapacitySolution",
     "ClientNetwork",
+    "ConfirmRefusal",
+    "ConfirmRefusedError",
+    "ConfirmRequest",
+    "Confirmer",
     "DirectedLink",
+    "INTENT_PREFIX",
     "Intent",
+    "LookupVersions",
     "LossOutcome",
     "Pin",
     "Place",
+    "PlaceChoice",
+    "Places",
     "Plan",
     "PlanInput",
     "PlanRefusal",
     "RefusalCause",
     "Share",
     "ShareMap",
+    "ShiftRunner",
     "StatedIntent",
+    "SteeringTable",
+    "SteeringWorld",
     "Topology",
+    "VmEvidence",
+    "Whereabouts",
     "after_loss",
     "blocks_of_networks",
     "check_intent",
     "compute_plan",
+    "fresh_configuration",
+    "shift_reports",
     "solve",
     "stated_intents",
 ]
--- a/src/chervilmill/steering/_capacity.py
+++ b/src/chervilmill/steering/_capacity.py
@@ -2,7 +2,7 @@
 
 Two linear programs: the first finds the least utilisation that can be kept when any one failure
 domain is lost, the second moves as few blocks as possible while keeping the part of that headroom
-that the objective asks for. Both work on home regions and failure domains; `_realise` cuts the
+that the objective asks for, and then keeps as much more as these moves allow. Both work on home regions and failure domains; `_realise` cuts the
 result down to places and blocks.
 """
 
@@ -50,7 +50,7 @@
     """Give loads by home region and failure domain, and what could not be met.
 
     `shed` is by home region. `best_level` is the least utilisation that can be kept with any one
-    failure domain lost, `level` the one that this solution keeps. `unmet` is the load by which
+    failure domain lost, `level` the most that this solution may come to. `unmet` is the load by which
     each pin is missed.
     """
 
@@ -70,24 +70,25 @@
     best_level = _Model(problem, total, None).best_level()
     headroom = max(0.0, FULL - best_level)
     level = best_level + headroom * (1 - problem.headroom_part) + SLACK
-    return _Model(problem, total, level).solution(best_level)
+    return _Model(problem, total, level).solution(best_level, level)
 
 
 class _Model:
     """Build and solve one program; loads are fractions of the whole demand.
 
-    With `level` None the level is a variable to be minimised, otherwise it is a limit.
+    The level is a variable, which `most_level` may bound.
     """
 
-    def __init__(self, problem: CapacityProblem, total: float, level: float | None) -> None:
+    def __init__(self, problem: CapacityProblem, total: float, most_level: float | None) -> None:
         self._problem = problem
         self._total = total
         self._topology = problem.topology
         self._capacities = problem.capacities / total
         self._links = problem.link_limits / total
-        self._level = level
         self._program = Program()
-        self._t = self._program.variable()
+        self._t, self._fullest = self._program.variables(2)
+        if most_level is not None:
+            self._program.at_most({self._t: 1.0}, most_level)
         regions, domains = len(self._topology.regions), len(self._topology.domains)
         self._x = [self._program.variables(domains) for _ in range(regions)]
         self._shed = self._program.variables(regions)
@@ -105,18 +106,25 @@
         values = self._program.minimise([self._unserved(), self._missed(), {self._t: 1.0}])
         return float(values[self._t])
 
-    def solution(self, best_level: float) -> CapacitySolution:
-        """Return the solution that moves the fewest blocks."""
+    def solution(self, best_level: float, most_level: float) -> CapacitySolution:
+        """Return the solution that moves the fewest blocks, and of these the one with most room."""
         self._count_moves()
-        values = self._program.minimise([self._unserved(), self._missed(), self._moves()])
+        values = self._program.minimise(
+            [
+                self._unserved(),
+                self._missed(),
+                self._moved,
+                {self._t: 1.0},
+                {self._fullest: 1.0},
+            ]
+        )
         loads = np.array([[values[index] for index in row] for row in self._x]) * self._total
         shed = np.array([values[index] for index in self._shed]) * self._total
-        assert self._level is not None
         unmet = [
             float(values[short] + values[excess]) * self._total
             for short, excess in zip(self._short, self._excess, strict=True)
         ]
-        return CapacitySolution(loads, shed, best_level, self._level, tuple(unmet))
+        return CapacitySolution(loads, shed, best_level, most_level, tuple(unmet))
 
     def _require_demand(self) -> None:
         for region, row in enumerate(self._x):
@@ -127,6 +135,7 @@
         for domain, capacity in enumerate(self._capacities):
             load = {row[domain]: 1.0 for row in self._x}
             self._program.at_most(load, float(capacity))
+            self._program.at_most({**load, self._fullest: -float(capacity)}, 0.0)
             self._at_most_level(load, float(capacity))
         for source in range(len(self._x)):
             for sink in range(len(self._x)):
@@ -183,14 +192,8 @@
     def _missed(self) -> dict[int, float]:
         return dict.fromkeys((*self._short, *self._excess), 1.0)
 
-    def _moves(self) -> dict[int, float]:
-        return self._moved
-
     def _at_most_level(self, load: dict[int, float], capacity: float) -> None:
-        if self._level is None:
-            self._program.at_most({**load, self._t: -capacity}, 0.0)
-        else:
-            self._program.at_most(load, self._level * capacity)
+        self._program.at_most({**load, self._t: -capacity}, 0.0)
 
     def _region_load(self, region: int) -> dict[int, float]:
         domains = np.flatnonzero(self._topology.region_of_domain == region)
--- /dev/null
+++ b/src/chervilmill/steering/_evidence.py
@@ -0,0 +1,99 @@
+"""Gather evidence on a shift from the list of VMs and from the other nodes."""
+
+import json
+import time
+from typing import Protocol
+
+import urllib3
+
+from chervilmill.platform import Vm
+from chervilmill.settings import Service
+from chervilmill.steering._executor import Evidence
+from chervilmill.steering._world import SteeringWorld
+
+WARM_S = 5.0
+ASK_TIMEOUT_S = 0.5
+MAX_CONNECTIONS = 32
+
+
+class VmDirectory(Protocol):
+    """Know the live VMs and how old that knowledge is."""
+
+    refreshed_at_s: float
+
+    def entry_vms(self) -> tuple[Vm, ...]:
+        """Return the live entry VMs."""
+        ...
+
+    def targets(self, service: str) -> tuple[Vm, ...]:
+        """Return the live targets of a service."""
+        ...
+
+
+class AppliedVersions(Protocol):
+    """Know which version of a service's steering each node applies."""
+
+    def applied_version(self, vm: Vm, service: str) -> int:
+        """Return the version that an entry VM applies, or 0 where it does not answer."""
+        ...
+
+
+class LookupVersions:
+    """Ask an entry VM for a look-up, whose answer names the version it rests on."""
+
+    def __init__(self) -> None:
+        self._http = urllib3.PoolManager(
+            num_pools=MAX_CONNECTIONS, retries=False, timeout=ASK_TIMEOUT_S
+        )
+
+    def applied_version(self, vm: Vm, service: str) -> int:
+        """Return the version that an entry VM applies, or 0 where it does not answer."""
+        url = f"http://{vm.address}/lookup?service={service}"
+        try:
+            resp = self._http.request("GET", url)
+            return int(json.loads(resp.data)["revision"])
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError):
+            return 0
+
+
+class VmEvidence:
+    """Judge a shift by the VMs of the platform's list and what the nodes among them apply."""
+
+    def __init__(
+        self, world: SteeringWorld, directory: VmDirectory, versions: AppliedVersions
+    ) -> None:
+        self._world = world
+        self._directory = directory
+        self._versions = versions
+        self._applied: dict[tuple[str, str], int] = {}
+        self._first_seen_s: dict[str, float] = {}
+
+    def evidence(self, service: Service, version: int) -> Evidence:
+        """Return the evidence on a version of a service's steering object."""
+        return Evidence(
+            measured_at_s=self._directory.refreshed_at_s,
+            is_in_force=self._is_in_force(service.name, version),
+            is_warm=self._is_warm(service.name),
+            capacities=self._world.topology(service).capacities(),
+        )
+
+    def _is_in_force(self, service: str, version: int) -> bool:
+        """Ask the nodes that were not yet seen to apply the version, up to the first that lags."""
+        vms = self._directory.entry_vms()
+        for vm in vms:
+            key = (vm.name, service)
+            if self._applied.get(key, 0) < version:
+                self._applied[key] = self._versions.applied_version(vm, service)
+            if self._applied[key] < version:
+                return False
+        return bool(vms)
+
+    def _is_warm(self, service: str) -> bool:
+        """Return whether no target is new; those known from the start count as warm."""
+        now_s = time.monotonic()
+        is_first = not self._first_seen_s
+        first_seen_s = -WARM_S if is_first else now_s
+        names = [vm.name for vm in self._directory.targets(service)]
+        for name in names:
+            self._first_seen_s.setdefault(name, first_seen_s)
+        return all(now_s - self._first_seen_s[name] >= WARM_S for name in names)
--- /dev/null
+++ b/src/chervilmill/steering/_report.py
@@ -0,0 +1,44 @@
+"""Report how far the shifts of a configuration have come."""
+
+from typing import Any
+
+from chervilmill.platform import ConfigurationSnapshot
+from chervilmill.steering._confirmed import ConfirmedPlan, confirmed_plans
+from chervilmill.steering._hashing import HASH_SPAN
+from chervilmill.steering._world import StateInForce, states
+
+NOT_BEGUN = "confirmed"
+
+
+def shift_reports(snapshot: ConfigurationSnapshot) -> list[dict[str, Any]]:
+    """Return one report for each service whose plan was ever confirmed, in JSON form."""
+    present = states(snapshot)
+    return [
+        _report(plan, present.get(service))
+        for service, plan in sorted(confirmed_plans(snapshot).items())
+    ]
+
+
+def _report(plan: ConfirmedPlan, present: StateInForce | None) -> dict[str, Any]:
+    report: dict[str, Any] = {
+        "service": plan.service,
+        "intent": plan.intent,
+        "plan": plan.plan_id,
+        "phase": NOT_BEGUN,
+        "reason": "",
+        "fraction": 0.0,
+        "blocks_moved": 0,
+    }
+    if present is None or present.state.plan_id != plan.plan_id:
+        return report
+    state = present.state
+    return report | {
+        "phase": state.phase.value,
+        "reason": state.reason,
+        "fraction": round(state.fraction / HASH_SPAN, 6),
+        "blocks_moved": state.blocks_moved,
+        "blocks_to_move": state.blocks_to_move,
+        "blocks": state.block_count,
+        "cap_blocks_per_min": state.cap_blocks_per_min,
+        "revision": present.version,
+    }
--- a/src/chervilmill/steering/_runner.py
+++ b/src/chervilmill/steering/_runner.py
@@ -57,12 +57,12 @@
         self._course: Course | None = None
         self._course_plan = ""
 
-    def step(self, now_s: float, plan: ConfirmedPlan, source: EvidenceSource) -> None:
-        """Decide and write once, or raise PlatformError."""
+    def step(self, now_s: float, plan: ConfirmedPlan, source: EvidenceSource) -> Action:
+        """Decide, write what was decided and return it, or raise PlatformError."""
         self._state = _decoded(self._governed.read())
         action = self._decide(now_s, plan, source)
         if isinstance(action, Wait):
-            return
+            return action
         self._executor.sending(action)
         try:
             self._governed.write(action.state.encode())
@@ -73,6 +73,7 @@
             raise
         self._executor.sent()
         _log(self._service, action)
+        return action
 
     def _decide(self, now_s: float, plan: ConfirmedPlan, source: EvidenceSource) -> Action:
         state = self._state
@@ -104,7 +105,11 @@
         world: SteeringWorld,
         source: EvidenceSource,
         clock: Clock,
+        count_wait: Callable[[str, str], None],
+        on_tick: Callable[[], None],
     ) -> None:
+        self._on_tick = on_tick
+        self._count_wait = count_wait
         self._store = store
         self._configuration = configuration
         self._settings = settings
@@ -155,7 +160,9 @@
                 name = STEERING_PREFIX + service.name
                 governed = FencedObject(self._store, CONFIGURATION_KIND, name, self._lease)
                 self._tasks[service.name] = ShiftTask(service, self._world, governed)
-            self._tasks[service.name].step(now_s, plan, self._source)
+            action = self._tasks[service.name].step(now_s, plan, self._source)
+            if isinstance(action, Wait):
+                self._count_wait(service.name, action.hold.value)
         except FencedOffError:
             self._tasks.pop(service.name, None)
         except (PlatformError, MalformedStateError) as exc:
@@ -174,6 +181,7 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(TICK_S):
+            self._on_tick()
             self.step()
 
 
--- a/src/chervilmill/steering/_table.py
+++ b/src/chervilmill/steering/_table.py
@@ -89,14 +89,22 @@
         return f"intent {self.state.intent} moved the block from {self.home}"
 
 
+@dataclass(frozen=True, slots=True)
+class Whereabouts:
+    """Give the index of the place that serves a block, the block's key and the revision."""
+
+    place: int
+    key: int
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class _Applied:
-    """Hold what this node applies for one service."""
+    """Hold what this node applies for one service; `version` is that last applied wholly."""
 
     shares: ShareMap
     state: ShiftState | None
     version: int
-    is_reached: bool
 
 
 class SteeringTable:
@@ -114,9 +122,7 @@
         weights = counts / counts.sum()
         self._pacers = {service.name: Pacer(weights) for service in settings.services}
         at_home = ShareMap.at_home(len(world.place_names))
-        self._applied = {
-            service.name: _Applied(at_home, None, 0, True) for service in settings.services
-        }
+        self._applied = {service.name: _Applied(at_home, None, 0) for service in settings.services}
         self._choices: dict[tuple[str, int, int], tuple[PlaceChoice, ...]] = {}
         self._choices_until_s = 0.0
 
@@ -134,10 +140,16 @@
                 if service in self._applied:
                     self._follow(now_s, service, held)
 
+    @property
+    def place_regions(self) -> tuple[tuple[str, str], ...]:
+        """Return the failure domain and region of each place, by index."""
+        names = self._world.place_names
+        return tuple((name, self._world.region_of(index)) for index, name in enumerate(names))
+
     def applied_version(self, service: str) -> int:
-        """Return the version of the steering object that this node wholly applies, or 0."""
+        """Return the version of the steering object that this node last applied wholly, or 0."""
         applied = self._applied.get(service)
-        return 0 if applied is None or not applied.is_reached else applied.version
+        return 0 if applied is None else applied.version
 
     def state(self, service: str) -> ShiftState | None:
         """Return the state of the service's shift."""
@@ -163,6 +175,18 @@
             applied.version,
         )
 
+    def whereabouts(self, service: str, client_address: str) -> Whereabouts:
+        """Return the place that serves a caller, or raise ValueError for what is no IP address.
+
+        An empty service stands for the caller's home.
+        """
+        block = self._world.blocks.find(client_address) or self._unknown(client_address)
+        applied = self._applied.get(service)
+        if applied is None:
+            return Whereabouts(block.home, block.key, 0)
+        place = applied.shares.place_of(block.home, position(block.key, self._seeds[service]))
+        return Whereabouts(place, block.key, applied.version)
+
     def places_for(self, service: str, client_address: str) -> tuple[PlaceChoice, ...]:
         """Return the failure domains to try, in order."""
         block = self._world.blocks.find(client_address) or self._unknown(client_address)
@@ -194,7 +218,8 @@
         pacer = self._pacers[service]
         is_reached = pacer.follow(now_s, held.state.in_force(), cap)
         assert pacer.map is not None
-        self._applied[service] = _Applied(pacer.map, held.state, held.version, is_reached)
+        version = held.version if is_reached else self._applied[service].version
+        self._applied[service] = _Applied(pacer.map, held.state, version)
 
     def _unknown(self, client_address: str) -> Block:
         """Return a block for a caller of no declared network, at home in this node's place."""
--- a/tests/steering/test_blocks.py
+++ b/tests/steering/test_blocks.py
@@ -7,7 +7,7 @@
 import pytest
 import xxhash
 
-from bench._fleet import FleetSize, block_table
+from bench._steering_fleet import FleetSize, block_table
 from chervilmill.steering import BlockTable, ClientNetwork, blocks_of_networks
 from chervilmill.steering._hashing import position, positions, seed_of
 
--- a/tests/steering/test_capacity.py
+++ b/tests/steering/test_capacity.py
@@ -6,7 +6,7 @@
 import numpy as np
 import pytest
 
-from bench._fleet import Fleet, FleetSize, fleet
+from bench._steering_fleet import Fleet, FleetSize, fleet
 from chervilmill.steering import CapacityProblem, CapacitySolution, Pin, ShareMap, after_loss, solve
 from chervilmill.steering._loads import flows, link_loads
 from chervilmill.steering._realise import realise
--- a/tests/steering/test_shares.py
+++ b/tests/steering/test_shares.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bench._fleet import FleetSize, block_table
+from bench._steering_fleet import FleetSize, block_table
 from chervilmill.steering._hashing import HASH_SPAN
 from chervilmill.steering._shares import Segment, ShareMap, changes, interpolate
 from chervilmill.steering._steps import STEPS_PER_MIN, BlockCap, block_cap, shift_steps
