--- a/src/chervilmill/steering/_capacity.py
+++ b/src/chervilmill/steering/_capacity.py
@@ -2,8 +2,8 @@
 
 Two linear programs: the first finds the least utilisation that can be kept when any one failure
 domain is lost, the second moves as few blocks as possible while keeping the part of that headroom
-that the objective asks for, and then keeps as much more as these moves allow. Both work on home regions and failure domains; `_realise` cuts the
-result down to places and blocks.
+that the objective asks for, and then keeps as much more as these moves allow. Both work on home
+regions and failure domains; `_realise` cuts the result down to places and blocks.
 """
 
 from dataclasses import dataclass
@@ -50,8 +50,8 @@
     """Give loads by home region and failure domain, and what could not be met.
 
     `shed` is by home region. `best_level` is the least utilisation that can be kept with any one
-    failure domain lost, `level` the most that this solution may come to. `unmet` is the load by which
-    each pin is missed.
+    failure domain lost, `level` the most that this solution may come to. `unmet` is the load by
+    which each pin is missed.
     """
 
     loads: Array
