--- a/src/chervilmill/callers/_app.py
+++ b/src/chervilmill/callers/_app.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterable, Iterator
 from http import HTTPStatus
+from urllib.parse import parse_qsl
 
 from prometheus_client import Histogram
 
@@ -21,7 +22,7 @@
 
 
 class CallersApp:
-    """Answer look-ups and forward requests."""
+    """Answer look-ups and forward requests; `refuses_new` is set once this node leaves."""
 
     def __init__(
         self,
@@ -36,11 +37,15 @@
         self._forwarder = forwarder
         self._in_flight = in_flight
         self._metrics = metrics
+        self.refuses_new = False
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request of a caller."""
         if environ["PATH_INFO"] == "/lookup":
-            return self._look_up(start_response)
+            try:
+                return self._look_up(environ, start_response)
+            except Refusal as refusal:
+                return self._refuse(environ, start_response, refusal)
         self._in_flight.enter()
         try:
             answer = self._forward(environ, start_response)
@@ -52,9 +57,18 @@
             raise
         return answer
 
-    def _look_up(self, start_response: StartResponse) -> Iterable[bytes]:
-        body = self._lookups.answer().body()
-        self._metrics.lookups.labels("").inc()
+    def _look_up(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        query = dict(parse_qsl(environ["QUERY_STRING"]))
+        service = query.get("service", "")
+        if service and self._settings.service(service) is None:
+            detail = f"service {service} is not in the settings"
+            raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
+        try:
+            answer = self._lookups.answer(service, query.get("client") or environ["REMOTE_ADDR"])
+        except ValueError as exc:
+            raise Refusal(RefusalReason.BAD_REQUEST, Ran.NOT_RUN, str(exc)) from exc
+        body = answer.body()
+        self._metrics.lookups.labels(service).inc()
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
@@ -65,10 +79,13 @@
 
     def _forward(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         started_s = time.monotonic()
-        req = read_request(environ, self._settings.limits.default_deadline_ms)
+        req = read_request(environ, self._settings.limits)
         if self._settings.service(req.service) is None:
             detail = f"service {req.service} is not in the settings"
             raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
+        if self.refuses_new:
+            detail = "this entry VM is leaving; look up another one"
+            raise Refusal(RefusalReason.ENTRY_LEAVING, Ran.NOT_RUN, detail, retry_after_ms=0)
         answer = self._forwarder.forward(req)
         headers = [item for item in answer.headers if item[0].lower() not in _HOP_HEADERS]
         start_response(_status_line(answer.status), headers)
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -18,7 +18,14 @@
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
 from chervilmill.nodes import Nodes
-from chervilmill.operators import LeavingMarks, NodeStatus, OperatorsApp, Route, status_routes
+from chervilmill.operators import (
+    LeavingMarks,
+    NodeStatus,
+    OperatorsApp,
+    Route,
+    SteeringRoutes,
+    status_routes,
+)
 from chervilmill.platform import (
     Directory,
     HeldConfiguration,
@@ -28,9 +35,18 @@
 )
 from chervilmill.requests import TwoRandomChoices
 from chervilmill.settings import Settings
+from chervilmill.steering import (
+    LookupVersions,
+    ShiftRunner,
+    SteeringTable,
+    SteeringWorld,
+    VmEvidence,
+)
 from chervilmill.targets import HttpTargets
 
 OPERATOR_THREADS = 4
+IDLE_CLOSE_S = 1
+CLOSE_TIMEOUT_S = 5.0
 ORDERS_STOP_TIMEOUT_S = 10.0
 
 
@@ -71,6 +87,9 @@
         )
         self._orders = OrderLedger(platform)
         self._view = _NodeView(self.directory, settings.node.name)
+        self._world = SteeringWorld(settings, self.directory)
+        self._table = SteeringTable(self._world, settings)
+        self._shifts = self._shift_runner()
         self._callers = self._callers_server()
         self._operators = self._operators_server()
         self._stop_asked = threading.Event()
@@ -79,6 +98,8 @@
     def start(self) -> None:
         """Begin to serve callers and operators, or raise OSError."""
         self.nodes.start()
+        self.configuration.subscribe(self._table.receive)
+        self._shifts.start()
         self._orders.start()
         self._operators.start()
         if self.nodes.wait_until_ready(self._stop_asked):
@@ -99,6 +120,7 @@
         log_event("node leaving", in_flight=self.in_flight.count)
         if self._is_serving:
             self._end_serving()
+        self._shifts.stop()
         self._orders.stop(ORDERS_STOP_TIMEOUT_S)
         self._operators.stop()
         self.nodes.stop()
@@ -108,8 +130,10 @@
 
     def _end_serving(self) -> None:
         time.sleep(self.settings.limits.lookup_lifetime_s)
+        self._callers_app.refuses_new = True
         self._callers.refuse_keep_alive()
         self.in_flight.wait_until_idle()
+        self._callers.drain(IDLE_CLOSE_S, CLOSE_TIMEOUT_S)
         self._callers.stop()
 
     def status(self) -> NodeStatus:
@@ -131,7 +155,26 @@
         )
 
     def _operator_routes(self) -> tuple[Route, ...]:
-        return (*status_routes(self.status), *LeavingMarks(self._platform).routes())
+        steering = SteeringRoutes(
+            self._platform, self.settings, self._world, self._table, self.metrics
+        )
+        return (
+            *status_routes(self.status),
+            *LeavingMarks(self._platform).routes(),
+            *steering.routes(),
+        )
+
+    def _shift_runner(self) -> ShiftRunner:
+        return ShiftRunner(
+            self._platform,
+            self.configuration,
+            self.settings,
+            self._world,
+            VmEvidence(self._world, self.directory, LookupVersions()),
+            time.monotonic,
+            self.metrics.count_shift_wait,
+            self._table.tick,
+        )
 
     def _operators_server(self) -> HttpServer:
         settings = self.settings
@@ -143,21 +186,21 @@
 
     def _callers_server(self) -> HttpServer:
         settings = self.settings
-        lookups = Lookups(self._view, settings.node.region, settings.limits.lookup_lifetime_s)
+        lookups = Lookups(self._view, self._table, settings.limits.lookup_lifetime_s)
         connections = max(service.connections_per_target for service in settings.services)
         attempts = Attempts(
             self.directory, HttpTargets(connections), TwoRandomChoices(), random.Random()
         )
         forwarder = Forwarder(attempts, Orders(self._orders, attempts))
-        app = CallersApp(settings, lookups, forwarder, self.in_flight, self.metrics)
+        self._callers_app = CallersApp(settings, lookups, forwarder, self.in_flight, self.metrics)
         return HttpServer(
             settings.node.callers,
-            app,
+            self._callers_app,
             threads=settings.limits.request_threads,
             max_header_bytes=settings.limits.max_header_bytes,
             io_timeout_s=settings.limits.idle_timeout_s,
             least_bytes_per_s=settings.limits.least_bytes_per_s,
             keep_alive_s=settings.limits.keep_alive_s,
-            kept_connections=settings.limits.kept_connections,
+            max_connections=settings.limits.max_connections,
             early_refusals=EarlyRefusalCounter(self.metrics),
         )
--- a/src/chervilmill/platform/_directory.py
+++ b/src/chervilmill/platform/_directory.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import math
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
@@ -30,9 +31,14 @@
 
 
 class Directory:
-    """Join the sources into the VMs that take new work."""
+    """Join the sources into the VMs that take new work.
+
+    `refreshed_at_s` is the monotonic time at which the last reading of the platform's list that
+    was answered at this node was begun.
+    """
 
     def __init__(self) -> None:
+        self.refreshed_at_s = -math.inf
         self._listed: tuple[Vm, ...] = ()
         self._marked: frozenset[str] = frozenset()
         self._members = NO_MEMBERS
--- a/src/chervilmill/standins/target_app.py
+++ b/src/chervilmill/standins/target_app.py
@@ -7,7 +7,7 @@
 import json
 import time
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
+from typing import Any, Protocol
 
 from chervilmill.http import Environ, StartResponse, close_connection, exchange_of
 from chervilmill.standins.target_state import AnswerFault, TargetState
@@ -19,12 +19,27 @@
 Headers = list[tuple[str, str]]
 
 
+class RunListener(Protocol):
+    """Hear of each run of a request."""
+
+    def started(self, request_id: str, method: str, key: str | None) -> None:
+        """Hear that a request is about to run; an order's body is whole by then."""
+        ...
+
+    def ended(self, request_id: str) -> None:
+        """Hear that a request has run and its answer has ended."""
+        ...
+
+
 class TargetApp:
-    """Answer as a target of a service; `crash` takes the whole target away for a time."""
+    """Answer as a target of a service; `crash` takes the whole target away."""
 
-    def __init__(self, state: TargetState, crash: Callable[[], None]) -> None:
+    def __init__(
+        self, state: TargetState, crash: Callable[[], None], listener: RunListener | None = None
+    ) -> None:
         self.state = state
         self._crash = crash
+        self._listener = listener
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request."""
@@ -33,7 +48,8 @@
         path = environ["PATH_INFO"]
         if path.startswith(("/_", "/-/")):
             return self._control(environ, start_response, path)
-        return Run(self.state, self._crash, environ, start_response).answer()
+        run = Run(self.state, self._crash, self._listener, environ, start_response)
+        return run.answer()
 
     def _control(
         self, environ: Environ, start_response: StartResponse, path: str
@@ -82,11 +98,13 @@
         self,
         state: TargetState,
         crash: Callable[[], None],
+        listener: RunListener | None,
         environ: Environ,
         start_response: StartResponse,
     ) -> None:
         self._state = state
         self._crash = crash
+        self._listener = listener
         self._environ = environ
         self._start_response = start_response
         self._exchange = exchange_of(environ)
@@ -94,7 +112,8 @@
         self._path = environ["PATH_INFO"]
         self._fault: AnswerFault | None = None
         self._crossed_id = ""
-        self._runs = False
+        self._has_slot = False
+        self._is_told = False
 
     def answer(self) -> Iterable[bytes]:
         """Run the request, or shed it where no slot becomes free."""
@@ -142,15 +161,27 @@
         state.running_ids.add(self._id)
         self._crossed_id, state.last_request_id = state.last_request_id, self._id
         self._fault = state.faults.popleft() if state.faults else None
-        self._runs = True
+        self._has_slot = True
 
     def _leave(self) -> None:
         state = self._state
         with state.lock:
-            if self._runs:
+            if self._has_slot:
                 state.in_flight -= 1
                 state.running_ids.discard(self._id)
-            self._runs = False
+            self._has_slot = False
+        if self._listener is not None and self._is_told:
+            self._listener.ended(self._id)
+        self._is_told = False
+
+    def _begin(self, method: str) -> None:
+        """Read an order's body, so that a short one never runs, and tell the listener."""
+        if method == "POST":
+            _body(self._environ)
+        if self._listener is not None:
+            key = self._environ.get("HTTP_IDEMPOTENCY_KEY")
+            self._listener.started(self._id, method, key)
+            self._is_told = True
 
     def _wait(self, duration_s: float) -> bool:
         """Wait, and return early and True once the request is cancelled."""
@@ -165,10 +196,11 @@
 
     def _answer_in_slot(self) -> Iterator[bytes]:
         state = self._state
+        method = self._environ["REQUEST_METHOD"]
+        self._begin(method)
         if state.crash_path and self._path.startswith(state.crash_path):
             self._crash()
             self._exchange.drop()
-        method = self._environ["REQUEST_METHOD"]
         late_s = state.late_s if self._fault is AnswerFault.LATE else 0.0
         value = None
         if method == "PUT":
@@ -201,7 +233,6 @@
         return [body]
 
     def _run_order(self) -> dict[str, Any]:
-        _body(self._environ)
         key = self._environ.get("HTTP_IDEMPOTENCY_KEY", "")
         with self._state.lock:
             self._state.orders_run[key] += 1
