--- a/src/chervilmill/nodes/_machine.py
+++ b/src/chervilmill/nodes/_machine.py
@@ -38,7 +38,7 @@
         self.outbox = Outbox()
         self.membership = Membership(own, self.outbox, rng)
         self.configuration = ConfigurationSpread(held, self.outbox)
-        self.vms = VmSpread(self.outbox)
+        self.vms = VmSpread(own.region, self.outbox)
         self.loads = LoadSpread(own.name, own.failure_domain, self.outbox, self._near_peers)
         self.news = NewsSpread(self.outbox)
         life = f"{own.name}/{rng.getrandbits(32):08x}"
@@ -158,9 +158,8 @@
 
     def _hint(self) -> None:
         entries = [vm for vm in self.vms.current() if vm.role is VmRole.ENTRY]
-        addresses = {str(vm.nodes) for vm in entries if vm.nodes is not None}
-        names = [vm.name for vm in entries]
-        self.membership.hint(addresses.union(self._settings_seeds), names)
+        listed = {vm.name: str(vm.nodes) for vm in entries if vm.nodes is not None}
+        self.membership.hint(self._settings_seeds, listed)
 
     def _send_heartbeats(self, now: float) -> None:
         due = [
--- a/src/chervilmill/nodes/_membership.py
+++ b/src/chervilmill/nodes/_membership.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from chervilmill.nodes._actions import Outbox
@@ -49,7 +49,7 @@
         self._rumours = RumourQueue(outbox)
         self._suspicions = Suspicions(own.name)
         self._seeds: tuple[str, ...] = ()
-        self._listed: frozenset[str] | None = None
+        self._listed: Mapping[str, str] | None = None
         self._wanted: frozenset[str] = frozenset()
         self._kept: frozenset[str] = frozenset()
         self._wanted_key = (-1, -1)
@@ -63,13 +63,14 @@
         self._is_joining = True
         self._ticked_s: float | None = None
         self._seeds_dialled_s = float("-inf")
-        self._lost_probed_s = 0.0
+        self._probe_lost_due_s = 0.0
         self._refuted_s = float("-inf")
 
-    def hint(self, seeds: Iterable[str], listed: Iterable[str] | None) -> None:
-        """Take node addresses to try, and the names in the platform's list if that is known."""
-        self._seeds = tuple(sorted(set(seeds) - {self.own.nodes}))
-        self._listed = None if listed is None else frozenset(listed)
+    def hint(self, seeds: Iterable[str], listed: Mapping[str, str] | None) -> None:
+        """Take node addresses to try, and those of the platform's list by name if it is known."""
+        self._listed = listed
+        others = {address for name, address in (listed or {}).items() if name != self.own.name}
+        self._seeds = tuple(sorted(others.union(seeds) - {self.own.nodes}))
 
     def keep(self, peers: frozenset[str]) -> None:
         """Have links to further peers, whose silence is not watched."""
@@ -251,7 +252,11 @@
             member = self.members.get(peer)
             if member is not None and now >= max(first_s, again_s):
                 self._dialled_s[peer] = now
-                self._outbox.dial(peer, member.nodes)
+                self._outbox.dial(peer, self._address(member))
+
+    def _address(self, member: Member) -> str:
+        """Return the address at which the platform's list shows a member here, or its own."""
+        return (self._listed or {}).get(member.name, member.nodes)
 
     def _dial_seeds(self, now: float) -> None:
         if self._outbox.links or now - self._seeds_dialled_s < DIAL_INTERVAL_S:
@@ -263,12 +268,12 @@
 
     def _probe_lost(self, now: float) -> None:
         """Try one member that is thought dead, or a listed VM that never joined."""
-        present = {member.nodes for member in self.members.present()}
-        interval_s = max(PROBE_LOST_S, len(present) / PROBES_LOST_PER_S)
-        if now - self._lost_probed_s < interval_s:
+        if now < self._probe_lost_due_s:
             return
-        self._lost_probed_s = now - self._rng.random() * interval_s / 4
-        known = {member.nodes for member in self.members.lost()}
+        present = {self._address(member) for member in self.members.present()}
+        interval_s = max(PROBE_LOST_S, len(present) / PROBES_LOST_PER_S)
+        self._probe_lost_due_s = now + interval_s * (0.75 + 0.5 * self._rng.random())
+        known = {self._address(member) for member in self.members.lost()}
         candidates = sorted((known | set(self._seeds)) - present - {self.own.nodes})
         if candidates:
             self._outbox.dial("", self._rng.choice(candidates))
--- a/src/chervilmill/nodes/_messages.py
+++ b/src/chervilmill/nodes/_messages.py
@@ -159,7 +159,10 @@
 
 @dataclass(frozen=True, slots=True)
 class VmEntry:
-    """Tell what the platform's list says of one VM; a higher `stamp` is newer news."""
+    """Tell what the platform's list says of one VM; a higher `stamp` is newer news.
+
+    `seen_from` is the region whose reading gave the addresses.
+    """
 
     name: str
     role: str
@@ -169,6 +172,7 @@
     failure_domain: str
     address: str
     nodes: str
+    seen_from: str
     stamp: int
 
 
--- a/src/chervilmill/nodes/_service.py
+++ b/src/chervilmill/nodes/_service.py
@@ -179,7 +179,7 @@
             present = {member.name: member for member in members.present()}
             self._present = len(present)
             self._is_relay = is_relay(machine.membership.own, present)
-            dead = frozenset(_vm(member) for member in members.lost())
+            dead = frozenset(member.name for member in members.lost())
             alive = tuple(_vm(member) for member in present.values())
             self._directory.receive_members(EntryMembers(alive, dead))
         if generations[1] != before[1]:
--- a/src/chervilmill/nodes/_vms.py
+++ b/src/chervilmill/nodes/_vms.py
@@ -2,7 +2,8 @@
 
 Each node reads the list more rarely the more nodes there are, so the store's calls stay nearly
 flat; the first node that sees a change tells the others. The list goes from live to leaving to
-removed, so a reading that lags does not take back what a peer has just told.
+removed, so a reading that lags does not take back what a peer has just told. A VM may have another
+address in each region, so a region takes the others' word for the state of a VM only.
 """
 
 from collections.abc import Iterable
@@ -30,7 +31,8 @@
 class VmSpread:
     """Hold the newest known list of VMs."""
 
-    def __init__(self, outbox: Outbox) -> None:
+    def __init__(self, region: str, outbox: Outbox) -> None:
+        self._region = region
         self._outbox = outbox
         self._entries: dict[str, VmEntry] = {}
         self._changed_s: dict[str, float] = {}
@@ -47,23 +49,23 @@
         """Take a reading of the platform's list and tell peers what is new in it."""
         is_first = not self.is_known
         self.is_known = True
-        listed = {vm.name: _entry(vm) for vm in vms}
+        listed = {vm.name: _entry(vm, self._region) for vm in vms}
         for name, held in self._entries.items():
             if name not in listed and held.state != REMOVED:
                 listed[name] = replace(held, state=REMOVED)
         news = [entry for entry in listed.values() if self._overrides(entry, now)]
-        stamped = [self._stamped(entry) for entry in news]
-        for entry in stamped:
-            self._keep(entry, now)
+        told = [self._stamped(entry) for entry in news if not self._is_address_of_here(entry)]
+        for entry in news:
+            self._keep(self._stamped(entry), now)
         self._forget(now)
         if not is_first:
-            self._spread(stamped, "")
+            self._spread(told, "")
 
     def receive(self, peer: str, changes: VmChanges, now: float) -> None:
         """Merge what a peer tells and pass on what is news."""
         news = [entry for entry in changes.entries if self._is_newer(entry)]
         for entry in news:
-            self._keep(entry, now)
+            self._keep(self._as_seen_here(entry), now)
         self.is_known = self.is_known or bool(news)
         self._spread(news, peer)
 
@@ -99,12 +101,27 @@
         held = self._entries.get(entry.name)
         if held is None:
             return True
-        if replace(entry, stamp=held.stamp) == held:
+        if entry.address != held.address:
+            return True
+        if _rank(entry) == _rank(held):
             return False
-        is_onward = entry.address == held.address and _rank(entry) > _rank(held)
-        is_signed = held.state == SIGNED and entry.address == held.address
-        patience_s = SIGN_LIFETIME_S if is_signed else LIST_LAG_S
-        return is_onward or now - self._changed_s[entry.name] > patience_s
+        patience_s = SIGN_LIFETIME_S if held.state == SIGNED else LIST_LAG_S
+        is_late = now - self._changed_s[entry.name] > patience_s
+        return _rank(entry) > _rank(held) or is_late
+
+    def _is_address_of_here(self, entry: VmEntry) -> bool:
+        """Return whether a reading only gives this region's address of a VM known from another."""
+        held = self._entries.get(entry.name)
+        is_foreign = held is not None and held.seen_from != self._region
+        return is_foreign and held is not None and held.state == entry.state
+
+    def _as_seen_here(self, entry: VmEntry) -> VmEntry:
+        """Return what to keep of a peer's news: its state alone if it is of another region."""
+        held = self._entries.get(entry.name)
+        if held is None or entry.seen_from == self._region:
+            return entry
+        is_new_life = _rank(entry) < _rank(held)
+        return replace(held, state=held.state if is_new_life else entry.state, stamp=entry.stamp)
 
     def _stamped(self, entry: VmEntry) -> VmEntry:
         held = self._entries.get(entry.name)
@@ -141,7 +158,7 @@
     return _RANKS[entry.state]
 
 
-def _entry(vm: Vm) -> VmEntry:
+def _entry(vm: Vm, region: str) -> VmEntry:
     return VmEntry(
         name=vm.name,
         role=vm.role.value,
@@ -151,6 +168,7 @@
         failure_domain=vm.failure_domain,
         address=str(vm.address),
         nodes="" if vm.nodes is None else str(vm.nodes),
+        seen_from=region,
         stamp=1,
     )
 
--- a/src/chervilmill/platform/_directory.py
+++ b/src/chervilmill/platform/_directory.py
@@ -8,7 +8,7 @@
 import json
 import math
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from chervilmill.platform._configuration import ConfigurationSnapshot
@@ -24,7 +24,7 @@
     """Hold what the nodes know of each other: members with their state, and the dead by name."""
 
     present: tuple[Vm, ...]
-    dead: frozenset[Vm]
+    dead: frozenset[str]
 
 
 NO_MEMBERS = EntryMembers((), frozenset())
@@ -42,6 +42,7 @@
         self._listed: tuple[Vm, ...] = ()
         self._marked: frozenset[str] = frozenset()
         self._members = NO_MEMBERS
+        self._listed_at_death: dict[str, Vm] = {}
         self._entry_vms: tuple[Vm, ...] = ()
         self._targets: dict[str, tuple[Vm, ...]] = {}
         self._leaving_listeners: list[LeavingListener] = []
@@ -103,19 +104,35 @@
             if vm.role is VmRole.TARGET and vm.name not in self._marked:
                 targets.setdefault(vm.service, []).append(vm)
         self._targets = {service: tuple(vms) for service, vms in targets.items()}
+        self._entry_vms = self._live_entry_vms()
+
+    def _live_entry_vms(self) -> tuple[Vm, ...]:
+        """Return the members and listed entry VMs that no source calls leaving or dead."""
+        members = {vm.name: vm for vm in self._members.present}
         listed = {vm.name: vm for vm in self._listed if vm.role is VmRole.ENTRY}
-        entries = {name: vm for name, vm in listed.items() if vm not in self._members.dead}
-        for member in self._members.present:
-            known = entries.get(member.name)
-            is_leaving = known is not None and known.state is VmState.LEAVING
-            if known is None or not (is_leaving and known.address == member.address):
-                entries[member.name] = member
-        self._entry_vms = tuple(
-            entries[name]
-            for name in sorted(entries)
-            if entries[name].state is VmState.LIVE and name not in self._marked
+        self._note_listed_dead(listed)
+        leaving = {vm.name for vm in (*members.values(), *listed.values()) if _is_leaving(vm)}
+        dead = {name for name, vm in self._listed_at_death.items() if listed.get(name) == vm}
+        unlisted_dead = self._members.dead - listed.keys()
+        # The list shows the address at which this region reaches a VM, a member only its own.
+        named = {**members, **listed}
+        return tuple(
+            named[name]
+            for name in sorted(named.keys() - leaving - dead - unlisted_dead - self._marked)
         )
 
+    def _note_listed_dead(self, listed: Mapping[str, Vm]) -> None:
+        """Remember how the list shows a dead entry VM; once it shows another, that is a new one."""
+        dead = self._members.dead
+        noted = self._listed_at_death
+        first = {name: listed[name] for name in dead & listed.keys() if name not in noted}
+        kept = {name: vm for name, vm in noted.items() if name in dead}
+        self._listed_at_death = {**kept, **first}
+
+
+def _is_leaving(vm: Vm) -> bool:
+    return vm.state is VmState.LEAVING
+
 
 def _is_mark(value: bytes) -> bool:
     try:
--- a/tests/nodes/test_vms.py
+++ b/tests/nodes/test_vms.py
@@ -17,11 +17,11 @@
 MOVED = replace(LIVE, address=Address("10.0.0.2", 80))
 
 
-def pair() -> tuple[VmSpread, VmSpread, Outbox]:
+def pair(region: str = "praha") -> tuple[VmSpread, VmSpread, Outbox]:
     """Return two nodes that have both read that the target is live."""
     outbox = Outbox()
     outbox.links.add("peer")
-    first, second = VmSpread(outbox), VmSpread(Outbox())
+    first, second = VmSpread("praha", outbox), VmSpread(region, Outbox())
     first.read((LIVE,), 0.0)
     second.read((LIVE,), 0.0)
     return first, second, outbox
@@ -46,8 +46,9 @@
     first.read(reading, 20.0)
     assert pass_on(outbox, second, 20.1) == 1
     assert second.current() == expected
-    second.read((LIVE,), 21.0)
-    assert second.current() == expected
+    if reading != (MOVED,):
+        second.read((LIVE,), 21.0)
+        assert second.current() == expected
     second.read((LIVE,), 20.2 + LIST_LAG_S)
     assert second.current() == (LIVE,)
 
@@ -59,7 +60,30 @@
     second.read((LIVE,), 20.0 + SIGN_LIFETIME_S)
     assert second.current() == (LEAVING,)
     second.read((MOVED,), 60.0)
-    assert second.current() == (MOVED,) or second.current() == (LEAVING,)
+    assert second.current() == (MOVED,)
+
+
+def test_other_region_takes_the_state_but_not_the_address() -> None:
+    first, _, outbox = pair()
+    second = VmSpread("brno", Outbox())
+    second.read((MOVED,), 0.0)
+    first.read((LEAVING,), 20.0)
+    pass_on(outbox, second, 20.1)
+    assert second.current() == (replace(MOVED, state=VmState.LEAVING),)
+    second.read((MOVED,), 21.0)
+    assert second.current() == (replace(MOVED, state=VmState.LEAVING),)
+
+
+def test_own_address_of_a_vm_known_from_another_region_is_kept_and_not_told() -> None:
+    first, _, outbox = pair()
+    there = Outbox()
+    there.links.add("first")
+    second = VmSpread("brno", there)
+    first.receive_pull("peer")
+    pass_on(outbox, second, 1.0)
+    second.read((MOVED,), 2.0)
+    assert second.current() == (MOVED,)
+    assert pass_on(there, first, 2.1) == 0
 
 
 def test_unchanged_reading_tells_nothing() -> None:
@@ -70,7 +94,7 @@
 
 def test_newcomer_takes_the_list_of_a_peer() -> None:
     first, _, outbox = pair()
-    newcomer = VmSpread(Outbox())
+    newcomer = VmSpread("praha", Outbox())
     first.receive_pull("peer")
     assert pass_on(outbox, newcomer, 1.0) == 1
     assert newcomer.is_known
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -62,7 +62,7 @@
 
 
 def die(known: Directory) -> None:
-    known.receive_members(EntryMembers((OTHER,), frozenset({ENTRY})))
+    known.receive_members(EntryMembers((OTHER,), frozenset({"entry-1"})))
 
 
 def tell_leaving(known: Directory) -> None:
@@ -102,11 +102,27 @@
 def test_new_entry_vm_under_a_dead_name_is_named() -> None:
     known = directory()
     moved = replace(ENTRY, address=Address("10.0.1.9", 80))
-    known.receive_members(EntryMembers((OTHER,), frozenset({ENTRY})))
+    known.receive_members(EntryMembers((OTHER,), frozenset({"entry-1"})))
     known.receive_list((moved, OTHER))
     assert known.entry_vms() == (moved, OTHER)
 
 
+def test_address_of_the_list_is_named_where_it_differs_from_the_members_own() -> None:
+    known = directory()
+    elsewhere = replace(OTHER, address=Address("10.9.0.2", 80))
+    known.receive_list((ENTRY, elsewhere))
+    assert known.entry_vms() == (ENTRY, elsewhere)
+    known.receive_members(EntryMembers((ENTRY,), frozenset({"entry-2"})))
+    assert known.entry_vms() == (ENTRY,)
+
+
+def test_list_that_comes_after_a_death_does_not_bring_the_dead_back() -> None:
+    known = Directory()
+    known.receive_members(EntryMembers((OTHER,), frozenset({"entry-1"})))
+    known.receive_list((ENTRY, OTHER))
+    assert known.entry_vms() == (OTHER,)
+
+
 def test_own_sign_is_told_to_the_other_nodes() -> None:
     known, told = directory(), []
     known.on_leaving(told.append)
