Keep the links of heads open and measure the nodes

Cause: a head closed the links of its nodes every 10 s because only the dialling side wanted them, found by feeding one real node what a head gets at 800. A newcomer whose first answer was lost took over 3 s; the end of an answer could overtake its pages.

--- a/bench/nodes_network.py
+++ b/bench/nodes_network.py
@@ -46,6 +46,7 @@
         self.loss = loss
         self.nodes: dict[str, Node] = {}
         self.cut_off_regions: set[str] = set()
+        self.dialled = 0
         self.cut_off_links: set[frozenset[str]] = set()
         self._paused_until_s: dict[str, float] = {}
         self.caps = caps
@@ -161,6 +162,7 @@
             self.act(peer)
 
     def _dial(self, node: Node, action: Dial) -> None:
+        self.dialled += 1
         name = self._by_address.get(action.address, "")
         peer = self.nodes.get(name)
         if peer is None or not peer.is_running or self._is_cut(node, peer) or peer is node:
--- /dev/null
+++ b/bench/nodes_one.py
@@ -0,0 +1,44 @@
+"""Run the machine and the transport of one node that knows the members of a fleet of 800.
+
+Arguments: address, name of the member, shared key.
+"""
+
+import random
+import signal
+import sys
+
+from bench.nodes_network import member
+from chervilmill.addresses import parse_address
+from chervilmill.nodes._allotments import Caps
+from chervilmill.nodes._machine import NodeMachine
+from chervilmill.nodes._transport import Transport
+from chervilmill.platform import HeldConfiguration
+
+NODES = 800
+REGIONS = 6
+DOMAINS_PER_REGION = 3
+LINKS = 30
+
+
+def main() -> None:
+    """Run until killed; dialled peers do not exist, so only fed links are open."""
+    address, name, key = sys.argv[1:4]
+    members = [member(index, REGIONS, DOMAINS_PER_REGION) for index in range(NODES)]
+    own = next(item for item in members if item.name == name)
+    caps = Caps({f"link/{index}": 4_000_000 for index in range(LINKS)}, NODES)
+    machine = NodeMachine(own, HeldConfiguration(), random.Random(1), caps)
+    for other in members:
+        machine.membership.members.merge(other, 0.0)
+    transport = Transport(
+        parse_address(address),
+        key,
+        machine,
+        count_refusal=lambda _: None,
+        on_change=lambda _: None,
+    )
+    transport.start()
+    signal.pause()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/chervilmill/nodes/_configuration.py
+++ b/src/chervilmill/nodes/_configuration.py
@@ -53,6 +53,7 @@
         self.hash = 0
         self.is_whole = False
         self.is_told = False
+        self._told_objects: int | None = None
 
     @property
     def revision(self) -> int:
@@ -77,6 +78,7 @@
         for stored in news:
             self._note(stored)
         self._held.receive(news)
+        self._check_told()
         small = [stored for stored in news if len(stored.value) <= PUSHED_BYTES]
         large = [stored for stored in news if len(stored.value) > PUSHED_BYTES]
         if small:
@@ -98,10 +100,15 @@
         """Merge the objects that a peer sent."""
         self.offer([_stored(item) for item in message.objects], peer)
 
-    def receive_end(self) -> None:
-        """Note that a peer has sent all it holds."""
-        self.is_whole = True
-        self.is_told = True
+    def receive_end(self, end: ConfigurationEnd) -> None:
+        """Note how many objects make up what a peer holds."""
+        self._told_objects = end.objects
+        self._check_told()
+
+    def _check_told(self) -> None:
+        if self._told_objects is not None and len(self._versions) >= self._told_objects:
+            self.is_whole = True
+            self.is_told = True
 
     def receive_notice(self, peer: str, notice: ConfigurationNotice, now: float) -> None:
         """Fetch announced objects, each from one peer at a time."""
@@ -126,7 +133,7 @@
         for page in _pages(self._held.snapshot().objects.values(), theirs):
             self._outbox.send(peer, ConfigurationObjects(page))
         if self.is_whole:
-            self._outbox.send(peer, ConfigurationEnd())
+            self._outbox.send(peer, ConfigurationEnd(len(self._versions)))
         if any(self._is_news(name, version) for name, version in theirs.items()):
             self._pull(peer)
 
--- a/src/chervilmill/nodes/_machine.py
+++ b/src/chervilmill/nodes/_machine.py
@@ -16,7 +16,7 @@
 from chervilmill.platform import HeldConfiguration, Vm, VmRole, WatchResult
 
 HEARTBEAT_INTERVAL_S = 0.8
-ROLE_HEARTBEAT_INTERVAL_S = 10.0
+ROLE_HEARTBEAT_INTERVAL_S = 30.0
 TICK_S = 0.2
 MAX_AGE_MS = 2**31
 
@@ -45,6 +45,7 @@
         self.allotments = Allotments(life, caps, self.outbox, allotter_epoch)
         self.roles = NO_ROLES
         self._roles_generation = -1
+        self._role_peers: frozenset[str] = frozenset()
         self._settings_seeds: tuple[str, ...] = ()
         self._heartbeat_s: dict[str, float] = {}
         self._handlers: dict[type[Any], Callable[[str, Any, float], None]] = {
@@ -55,7 +56,7 @@
             messages.ConfigurationPull: lambda p, m, _: self.configuration.receive_pull(p, m),
             messages.ConfigurationGet: lambda p, m, _: self.configuration.receive_get(p, m),
             messages.ConfigurationObjects: lambda p, m, _: self.configuration.receive_objects(p, m),
-            messages.ConfigurationEnd: lambda _p, _m, _n: self.configuration.receive_end(),
+            messages.ConfigurationEnd: lambda _p, m, _n: self.configuration.receive_end(m),
             messages.VmChanges: self._receive_list,
             messages.VmsPull: lambda p, _m, _n: self.vms.receive_pull(p),
             messages.NodeRequest: self.allotments.receive_node_request,
@@ -139,7 +140,9 @@
         self.roles = choose_roles(own, members.present())
         self.allotments.set_roles(self.roles)
         self.loads.set_roles(self.roles)
-        self.membership.keep(self.roles.peers(own.name))
+        dialled, accepted = self.roles.peers(own.name), self.roles.served(own.name)
+        self._role_peers = dialled | accepted
+        self.membership.keep(dialled, accepted)
 
     def _near_peers(self) -> list[str]:
         domain = self.membership.own.failure_domain
@@ -180,9 +183,7 @@
 
     def _heartbeat_interval_s(self, peer: str) -> float:
         """Return how often a peer hears from this node; reports stand in between head and node."""
-        own_name = self.membership.own.name
-        is_role_only = peer in self.roles.peers(own_name) or peer in self.roles.served(own_name)
-        if is_role_only and not self.membership.is_watched(peer):
+        if peer in self._role_peers and not self.membership.is_watched(peer):
             return ROLE_HEARTBEAT_INTERVAL_S
         return HEARTBEAT_INTERVAL_S
 
--- a/src/chervilmill/nodes/_membership.py
+++ b/src/chervilmill/nodes/_membership.py
@@ -35,6 +35,9 @@
 PROBES_LOST_PER_S = 20.0
 SETTLED_S = 2.0
 PULL_INTERVAL_S = 5.0
+JOINING_S = 5.0
+JOINING_PULL_INTERVAL_S = 0.5
+FIRST_PULLS = 2
 MEMBERS_PER_MESSAGE = 100
 
 
@@ -52,6 +55,7 @@
         self._listed: Mapping[str, str] | None = None
         self._wanted: frozenset[str] = frozenset()
         self._kept: frozenset[str] = frozenset()
+        self._accepted: frozenset[str] = frozenset()
         self._wanted_key = (-1, -1)
         self._heard_s: dict[str, float] = {}
         self._linked_s: dict[str, float] = {}
@@ -60,7 +64,7 @@
         self._differs_s: dict[str, float] = {}
         self._pulled_s = float("-inf")
         self._changed_s = 0.0
-        self._is_joining = True
+        self._joined_s = float("-inf")
         self._ticked_s: float | None = None
         self._seeds_dialled_s = float("-inf")
         self._probe_lost_due_s = 0.0
@@ -72,9 +76,10 @@
         others = {address for name, address in (listed or {}).items() if name != self.own.name}
         self._seeds = tuple(sorted(others.union(seeds) - {self.own.nodes}))
 
-    def keep(self, peers: frozenset[str]) -> None:
-        """Have links to further peers, whose silence is not watched."""
-        self._kept = peers
+    def keep(self, dialled: frozenset[str], accepted: frozenset[str]) -> None:
+        """Have links to further peers, and leave those of others open; none is watched."""
+        self._kept = dialled
+        self._accepted = accepted
 
     def is_watched(self, peer: str) -> bool:
         """Return whether a peer is a neighbour, to which heartbeats are due."""
@@ -93,8 +98,9 @@
         held = self.members.get(peer.name)
         if held is not None and held != peer:
             self._outbox.send(peer.name, Rumours((), statuses([held]), ()))
-        if self._is_joining:
-            self._is_joining = False
+        if now - self._joined_s > JOINING_S and len(self._linked_s) == 1:
+            self._joined_s = now
+        if now - self._joined_s < JOINING_S and len(self._linked_s) <= FIRST_PULLS:
             self._outbox.send(peer.name, MembersPull(()))
 
     def unlinked(self, peer: str) -> None:
@@ -133,7 +139,10 @@
             self._differs_s.pop(peer, None)
             return
         since_s = max(self._differs_s.setdefault(peer, now), self._changed_s)
-        if now - since_s >= SETTLED_S and now - self._pulled_s >= PULL_INTERVAL_S:
+        is_new = now - self._joined_s < JOINING_S
+        settled_s = JOINING_PULL_INTERVAL_S if is_new else SETTLED_S
+        interval_s = JOINING_PULL_INTERVAL_S if is_new else PULL_INTERVAL_S
+        if now - since_s >= settled_s and now - self._pulled_s >= interval_s:
             self._pulled_s = now
             self._outbox.send(peer, MembersPull(self.members.bucket_hashes))
 
@@ -302,7 +311,7 @@
 
     def _close_unwanted(self, now: float) -> None:
         for peer, linked_s in list(self._linked_s.items()):
-            if peer in self._wanted or peer in self._kept:
+            if peer in self._wanted or peer in self._kept or peer in self._accepted:
                 self._linked_s[peer] = now
             elif now - linked_s > UNWANTED_S:
                 self._outbox.close(peer)
--- a/src/chervilmill/nodes/_messages.py
+++ b/src/chervilmill/nodes/_messages.py
@@ -154,7 +154,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationEnd:
-    """Tell that everything asked for was sent, by a node that once held all of the store's."""
+    """Tell how many objects a node holds that once held all of the store's."""
+
+    objects: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilmill/nodes/_news.py
+++ b/src/chervilmill/nodes/_news.py
@@ -13,9 +13,9 @@
 from chervilmill.nodes._heads import NO_ROLES, Roles
 from chervilmill.nodes._messages import DomainLoad, LoadReport, LoadSummary, News, NewsItem
 
-REPORT_INTERVAL_S = 5.0
+REPORT_INTERVAL_S = 10.0
 SUMMARY_INTERVAL_S = 10.0
-LOAD_LIFETIME_S = 25.0
+LOAD_LIFETIME_S = 35.0
 MAX_ITEMS = 1024
 MAX_VALUE_BYTES = 512
 MAX_LIFETIME_MS = 24 * 3600 * 1000
--- a/tests/nodes/test_membership.py
+++ b/tests/nodes/test_membership.py
@@ -111,6 +111,14 @@
     assert network.run(30.0, lambda: all_agree(network))
 
 
+def test_links_stay_open_at_rest() -> None:
+    network = running_network(60, seed=8)
+    network.run(20.0)
+    dialled = network.dialled
+    network.run(60.0)
+    assert network.dialled == dialled
+
+
 def test_leaving_and_ended_nodes_are_told_at_once() -> None:
     network = running_network(12, seed=7)
     leaving = network.nodes["entry-2"]
