--- a/src/chervilmill/callers/__init__.py
+++ b/src/chervilmill/callers/__init__.py
@@ -6,15 +6,24 @@
 from chervilmill.callers._in_flight import InFlight
 from chervilmill.callers._lookup import LookupAnswer, Lookups
 from chervilmill.callers._orders import Orders
+from chervilmill.callers._prober import Prober
 from chervilmill.callers._refusal import Refusal
+from chervilmill.callers._retries import Retries
+from chervilmill.callers._services import ServiceParts, build_services
+from chervilmill.callers._watch import CallerWatch
 
 __all__ = [
     "Attempts",
+    "CallerWatch",
     "CallersApp",
     "Forwarder",
     "InFlight",
     "LookupAnswer",
     "Lookups",
     "Orders",
+    "Prober",
     "Refusal",
+    "Retries",
+    "ServiceParts",
+    "build_services",
 ]
--- a/src/chervilmill/callers/_app.py
+++ b/src/chervilmill/callers/_app.py
@@ -1,21 +1,29 @@
 """Serve the callers' HTTP interface."""
 
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 
-from prometheus_client import Histogram
-
-from chervilmill.callers._forward import CallerAnswer, Forwarder
+from chervilmill.callers._delivery import Delivery
+from chervilmill.callers._forward import Forwarder
 from chervilmill.callers._in_flight import InFlight
 from chervilmill.callers._lookup import Lookups
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest, read_request, request_id_of
-from chervilmill.http import Environ, StartResponse, close_connection
+from chervilmill.callers._watch import CallerWatch
+from chervilmill.http import (
+    SOCKET_KEY,
+    Environ,
+    StartResponse,
+    close_connection,
+    reset_connection,
+)
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
 from chervilmill.reasons import Ran, RefusalReason
+from chervilmill.requests import RequestKind
 from chervilmill.settings import Settings
+from chervilmill.targets import CancelReason
 
 _HOP_HEADERS = frozenset({"connection", "keep-alive", "transfer-encoding", "date", "server"})
 
@@ -28,12 +36,14 @@
         settings: Settings,
         lookups: Lookups,
         forwarder: Forwarder,
+        watch: CallerWatch,
         in_flight: InFlight,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
         self._lookups = lookups
         self._forwarder = forwarder
+        self._watch = watch
         self._in_flight = in_flight
         self._metrics = metrics
 
@@ -69,10 +79,20 @@
         if self._settings.service(req.service) is None:
             detail = f"service {req.service} is not in the settings"
             raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
-        answer = self._forwarder.forward(req)
+        watched = self._watch.watch(environ[SOCKET_KEY], req.deadline_s, _canceller(req))
+        try:
+            answer = self._forwarder.forward(req)
+        except BaseException:
+            watched.close()
+            raise
         headers = [item for item in answer.headers if item[0].lower() not in _HOP_HEADERS]
         start_response(_status_line(answer.status), headers)
-        return _Delivery(req, answer, started_s, self._in_flight, self._metrics)
+        delivery = Delivery(req, answer, started_s, self._metrics)
+        if environ["SERVER_PROTOCOL"] == "HTTP/1.0":
+            delivery.on_break(lambda: reset_connection(environ))
+        delivery.on_close(watched.close)
+        delivery.on_close(self._in_flight.leave)
+        return delivery
 
     def _refuse(
         self, environ: Environ, start_response: StartResponse, refusal: Refusal
@@ -103,40 +123,16 @@
         return [body]
 
 
-class _Delivery:
-    """Pass an answer to the caller and account for its end."""
+def _canceller(req: CallerRequest) -> Callable[[CancelReason], None]:
+    """Return what breaks a request off; an order goes on without its caller, to be recorded."""
+    if req.kind is not RequestKind.ORDER:
+        return req.cancellation.cancel
 
-    def __init__(
-        self,
-        req: CallerRequest,
-        answer: CallerAnswer,
-        started_s: float,
-        in_flight: InFlight,
-        metrics: Metrics,
-    ) -> None:
-        self._req = req
-        self._answer = answer
-        self._started_s = started_s
-        self._in_flight = in_flight
-        self._metrics = metrics
+    def cancel_at_deadline(reason: CancelReason) -> None:
+        if reason is CancelReason.DEADLINE:
+            req.cancellation.cancel(reason)
 
-    def __iter__(self) -> Iterator[bytes]:
-        is_first = True
-        for part in self._answer:
-            if is_first:
-                self._observe(self._metrics.first_part)
-                is_first = False
-            yield part
-        self._observe(self._metrics.latency)
-
-    def close(self) -> None:
-        """End the exchange; the server calls this after the last part or a failure."""
-        self._answer.close()
-        self._in_flight.leave()
-
-    def _observe(self, histogram: Histogram) -> None:
-        elapsed_s = time.monotonic() - self._started_s
-        histogram.labels(self._req.service).observe(elapsed_s)
+    return cancel_at_deadline
 
 
 def _status_line(status: int) -> str:
--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -1,163 +1,295 @@
 """Send one attempt of a request to one target."""
 
-import random
-import threading
 import time
-from collections import Counter
-from collections.abc import Callable, Collection, Iterator
-from typing import IO, Protocol
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
+from chervilmill.callers._answers import ForwardedAnswer
+from chervilmill.callers._body import WholeBody
+from chervilmill.callers._places import NoPlace, Wanted
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
+from chervilmill.callers._services import ServiceParts
+from chervilmill.metrics import Metrics
 from chervilmill.platform import Vm
-from chervilmill.reasons import Ran, RefusalReason
-from chervilmill.requests import RequestKind, TargetChoice
+from chervilmill.reasons import DropReason, Ran, RefusalReason
+from chervilmill.requests import (
+    AttemptEnd,
+    Failure,
+    LoadReading,
+    RequestKind,
+    TargetCondition,
+    priority_of,
+)
 from chervilmill.targets import (
     Answer,
+    AnswerCrossedError,
+    AnswerLostError,
+    AnswerShortError,
     Body,
+    Cancellation,
+    CancelReason,
+    ExchangeCancelledError,
     TargetError,
     TargetRequest,
     Targets,
     TargetUnreachableError,
 )
 
+ATTEMPT_HEADER = "X-Attempt"
+LOAD_HEADER = "x-target-load"
+RAN_HEADER = "x-ran"
+STATE_HEADER = "x-target-state"
+STALLED_S = 1.0
+_TRANSIENT = frozenset({502, 503, 504})
 
-class ServiceTargets(Protocol):
-    """Know the targets of a service that take new work."""
-
-    def targets(self, service: str) -> tuple[Vm, ...]:
-        """Return the live targets of a service."""
-        ...
-
-
-class BodyBrokenOffError(OSError):
-    """Report a caller's body that ended before its stated length."""
 
+class AttemptFailure(Exception):  # noqa: N818 - carries the refusal that the caller would get
+    """Report an attempt that got no answer; `target` is None where none was taken."""
 
-class WholeBody:
-    """Read a body of a stated length, or fail where it ends early."""
+    def __init__(
+        self,
+        failure: Failure,
+        refusal: Refusal,
+        target: str | None = None,
+        *,
+        is_crash: bool = False,
+    ) -> None:
+        super().__init__(refusal.detail)
+        self.failure = failure
+        self.refusal = refusal
+        self.target = target
+        self.is_crash = is_crash
 
-    def __init__(self, body: IO[bytes], length: int) -> None:
-        self._body = body
-        self._remaining = length
 
-    def read(self, size: int = -1) -> bytes:
-        """Return up to `size` bytes, and nothing after the stated length."""
-        wanted = self._remaining if size < 0 else min(size, self._remaining)
-        if not wanted:
-            return b""
-        part = self._body.read(wanted)
-        if not part:
-            raise BodyBrokenOffError(f"{self._remaining} bytes of the body are missing")
-        self._remaining -= len(part)
-        return part
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Describe one attempt of a request; `number` counts from 1.
 
+    The name of the target is added to `taken` once it has a place there.
+    """
 
-class ForwardedAnswer:
-    """Hold the answer of a target on its way to the caller."""
+    req: CallerRequest
+    body: Body | None
+    cancellation: Cancellation
+    fingerprint: bytes
+    number: int = 1
+    excluded: tuple[str, ...] = ()
+    taken: list[str] = field(default_factory=list)
 
-    def __init__(self, answer: Answer, target: str, finish: Callable[[], None]) -> None:
-        self._answer = answer
-        self._finish = finish
-        self.target = target
-        self.status = answer.status
-        self.headers = answer.headers
 
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield the parts of the answer as they arrive."""
-        yield from self._answer.chunks()
-
-    def close(self) -> None:
-        """End the exchange with the target."""
-        self._answer.close()
-        self._finish()
+class Attempts:
+    """Choose a target, send it one attempt and judge what comes back."""
 
+    def __init__(
+        self,
+        services: Mapping[str, ServiceParts],
+        targets: Targets,
+        metrics: Metrics,
+    ) -> None:
+        self._services = services
+        self._targets = targets
+        self._metrics = metrics
 
-class AttemptFailure(Exception):  # noqa: N818 - carries the refusal that the caller would get
-    """Report an attempt that got no answer; `target` is None where none was taken."""
+    def send(self, attempt: Attempt) -> ForwardedAnswer:
+        """Return the answer of a target once its first part is there, or raise AttemptFailure."""
+        parts = self._services[attempt.req.service]
+        target = self._take(parts, attempt)
+        attempt.taken.append(target.name)
+        return _Run(self._targets, self._metrics, parts, target, attempt).answer()
 
-    def __init__(self, refusal: Refusal, target: str | None) -> None:
-        super().__init__(refusal.detail)
-        self.refusal = refusal
-        self.target = target
+    def _take(self, parts: ServiceParts, attempt: Attempt) -> Vm:
+        req, places = attempt.req, parts.places
+        left_s = req.deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise _not_run(Failure.REFUSED_BY_DEADLINE, RefusalReason.DEADLINE_EXCEEDED, "deadline")
+        try:
+            only = parts.suspects.only_target(attempt.fingerprint, places)
+        except Refusal as refusal:
+            raise AttemptFailure(Failure.QUARANTINED, refusal) from refusal
+        excluded = () if only is not None else attempt.excluded
+        wanted = Wanted(priority_of(req.kind, left_s), req.deadline_s, excluded, only)
+        try:
+            return places.take(wanted)
+        except NoPlace as exc:
+            if exc.retry_after_s is None and not places.domains():
+                reason, detail = RefusalReason.NO_TARGET, f"service {req.service} has no target"
+            else:
+                reason, detail = RefusalReason.TARGETS_BUSY, "every target is busy"
+            retry_after_ms = int(1000 * (exc.retry_after_s or 1.0))
+            raise _not_run(Failure.NO_TARGET, reason, detail, retry_after_ms) from exc
 
 
-class Attempts:
-    """Choose a target and send it one attempt."""
+class _Run:
+    """Carry out one attempt at a target whose place is taken."""
 
     def __init__(
         self,
-        directory: ServiceTargets,
         targets: Targets,
-        choice: TargetChoice,
-        rng: random.Random,
+        metrics: Metrics,
+        parts: ServiceParts,
+        target: Vm,
+        attempt: Attempt,
     ) -> None:
-        self._directory = directory
         self._targets = targets
-        self._choice = choice
-        self._rng = rng
-        self._in_flight: Counter[str] = Counter()
-        self._lock = threading.Lock()
-
-    def send(
-        self, req: CallerRequest, body: Body | None, excluded: Collection[str]
-    ) -> ForwardedAnswer:
-        """Return the answer of a target that is not excluded, or raise AttemptFailure."""
-        target = self._take_target(req.service, excluded)
+        self._metrics = metrics
+        self._suspects = parts.suspects
+        self._places = parts.places
+        self._target = target
+        self._attempt = attempt
+        self._started_s = time.monotonic()
+        self._first_part_s: float | None = None
+
+    def answer(self) -> ForwardedAnswer:
+        self._suspects.started(self._attempt.fingerprint, self._target.name)
+        answer: Answer | None = None
         try:
-            answer = self._targets.send(target, _target_request(req, body), _timeout_s(req))
-        except TargetUnreachableError as exc:
-            self._release(target)
-            refusal = Refusal(RefusalReason.TARGET_FAILED, Ran.NOT_RUN, str(exc))
-            raise AttemptFailure(refusal, target.name) from exc
-        except TargetError as exc:
-            self._release(target)
-            refusal = Refusal(RefusalReason.TARGET_FAILED, Ran.UNKNOWN, str(exc))
-            raise AttemptFailure(refusal, target.name) from exc
-        except BaseException:
-            self._release(target)
+            answer = self._send()
+            self._learn(answer)
+            self._check(answer)
+            forwarded = ForwardedAnswer(answer, self._target.name, self._finish)
+        except AttemptFailure:
+            raise
+        except BaseException as exc:
+            if answer is not None:
+                answer.close()
+            if isinstance(exc, TargetError):
+                raise self._failure_of(exc) from exc
+            self._end(AttemptEnd.CANCELLED)
             raise
-        return ForwardedAnswer(answer, target.name, lambda: self._release(target))
-
-    def _take_target(self, service: str, excluded: Collection[str]) -> Vm:
-        by_name = {
-            vm.name: vm for vm in self._directory.targets(service) if vm.name not in excluded
-        }
-        with self._lock:
-            name = self._choice.choose(sorted(by_name), self._in_flight, self._rng)
-            if name is None:
-                detail = f"service {service} has no target"
-                refusal = Refusal(RefusalReason.NO_TARGET, Ran.NOT_RUN, detail, retry_after_ms=1000)
-                raise AttemptFailure(refusal, None)
-            self._in_flight[name] += 1
-        return by_name[name]
-
-    def _release(self, target: Vm) -> None:
-        with self._lock:
-            self._in_flight[target.name] -= 1
-
-
-def body_of(req: CallerRequest) -> Body | None:
+        self._first_part_s = time.monotonic() - self._started_s
+        return forwarded
+
+    def _send(self) -> Answer:
+        attempt, req = self._attempt, self._attempt.req
+        target_req = TargetRequest(
+            request_id=req.request_id,
+            method=req.method,
+            path=req.path,
+            headers=(*req.headers, (ATTEMPT_HEADER, str(attempt.number))),
+            body=attempt.body,
+            length=req.length,
+            needs_new_connection=req.kind is RequestKind.ORDER,
+            cancellation=attempt.cancellation,
+        )
+        return self._targets.send(self._target, target_req, req.deadline_s - time.monotonic())
+
+    def _learn(self, answer: Answer) -> None:
+        for name, value in answer.headers:
+            if name.lower() == LOAD_HEADER:
+                self._read_load(value)
+            elif name.lower() == STATE_HEADER:
+                self._read_state(value)
+
+    def _read_load(self, value: str) -> None:
+        in_flight, _, slots = value.partition("/")
+        if in_flight.isdecimal() and slots.isdecimal():
+            self._places.read(self._target.name, LoadReading(int(in_flight), int(slots)))
+
+    def _read_state(self, value: str) -> None:
+        try:
+            condition = TargetCondition(value)
+        except ValueError:
+            return
+        self._places.set_condition(self._target.name, condition)
+
+    def _check(self, answer: Answer) -> None:
+        """Raise AttemptFailure where the answer is a shed, or a failure that may be retried."""
+        is_proved = any(
+            name.lower() == RAN_HEADER and value == Ran.NOT_RUN.value
+            for name, value in answer.headers
+        )
+        if answer.status == 503 and is_proved:
+            self._end(AttemptEnd.SHED)
+            answer.close()
+            raise self._not_answered(
+                Failure.SHED, RefusalReason.TARGETS_BUSY, Ran.NOT_RUN, "the target shed the request"
+            )
+        is_idempotent = self._attempt.req.kind is RequestKind.IDEMPOTENT
+        if is_idempotent and answer.status in _TRANSIENT:
+            self._end(AttemptEnd.FAILED)
+            answer.close()
+            detail = f"the target answered with status {answer.status}"
+            raise self._not_answered(
+                Failure.LOST, RefusalReason.TARGET_FAILED, Ran.UNKNOWN, detail
+            )
+
+    def _failure_of(self, exc: TargetError) -> AttemptFailure:
+        if isinstance(exc, TargetUnreachableError):
+            self._end(AttemptEnd.UNREACHABLE)
+            return self._not_answered(
+                Failure.CONNECT_FAILED, RefusalReason.TARGET_FAILED, Ran.NOT_RUN, str(exc)
+            )
+        if isinstance(exc, ExchangeCancelledError):
+            return self._cancelled(exc)
+        self._count_dropped(exc)
+        if time.monotonic() >= self._attempt.req.deadline_s:
+            return self._deadline_passed()
+        is_crash = self._suspects.broken(
+            self._attempt.fingerprint, self._target, self._places
+        )
+        self._end(AttemptEnd.UNREACHABLE if is_crash else AttemptEnd.FAILED)
+        failure = self._not_answered(
+            Failure.LOST, RefusalReason.TARGET_FAILED, Ran.UNKNOWN, str(exc)
+        )
+        failure.is_crash = is_crash
+        return failure
+
+    def _cancelled(self, exc: ExchangeCancelledError) -> AttemptFailure:
+        if self._attempt.cancellation.reason is CancelReason.DEADLINE:
+            self._metrics.count_dropped(self._attempt.req.service, DropReason.STALLED)
+            return self._deadline_passed()
+        self._end(AttemptEnd.CANCELLED)
+        return self._not_answered(
+            Failure.CANCELLED, RefusalReason.CALLER_GONE, Ran.UNKNOWN, str(exc)
+        )
+
+    def _deadline_passed(self) -> AttemptFailure:
+        is_stalled = time.monotonic() - self._started_s >= STALLED_S
+        self._end(AttemptEnd.FAILED if is_stalled else AttemptEnd.CANCELLED)
+        detail = "the deadline passed before the answer"
+        return self._not_answered(
+            Failure.REFUSED_BY_DEADLINE, RefusalReason.DEADLINE_EXCEEDED, Ran.UNKNOWN, detail
+        )
+
+    def _count_dropped(self, exc: TargetError) -> None:
+        reason = _DROP_REASONS.get(type(exc))
+        if reason is not None:
+            self._metrics.count_dropped(self._attempt.req.service, reason)
+
+    def _not_answered(
+        self, failure: Failure, reason: RefusalReason, ran: Ran, detail: str
+    ) -> AttemptFailure:
+        may_come_back = reason.status in (502, 503)
+        refusal = Refusal(reason, ran, detail, 1000 if may_come_back else None)
+        return AttemptFailure(failure, refusal, self._target.name)
+
+    def _finish(self, end: AttemptEnd) -> None:
+        if end is AttemptEnd.FAILED and self._attempt.cancellation.reason is None:
+            self._metrics.count_dropped(self._attempt.req.service, DropReason.SHORT)
+        self._end(end)
+
+    def _end(self, end: AttemptEnd) -> None:
+        is_answered = end is AttemptEnd.ANSWERED
+        self._suspects.ended(self._attempt.fingerprint, self._target.name, is_answered=is_answered)
+        self._places.end(self._target.name, end, self._first_part_s)
+
+
+_DROP_REASONS: dict[type[TargetError], DropReason] = {
+    AnswerCrossedError: DropReason.CROSSED,
+    AnswerShortError: DropReason.SHORT,
+    AnswerLostError: DropReason.LOST,
+}
+
+
+def body_of(req: CallerRequest) -> WholeBody | None:
     """Return the body of a request as it comes from the caller, or None where it has none."""
     if req.kind is RequestKind.IDEMPOTENT:
         return None
     return WholeBody(req.body, req.length)
 
 
-def _timeout_s(req: CallerRequest) -> float:
-    remaining_s = req.deadline_s - time.monotonic()
-    if remaining_s <= 0:
-        refusal = Refusal(RefusalReason.DEADLINE_EXCEEDED, Ran.NOT_RUN, "deadline passed")
-        raise AttemptFailure(refusal, None)
-    return remaining_s
-
-
-def _target_request(req: CallerRequest, body: Body | None) -> TargetRequest:
-    return TargetRequest(
-        request_id=req.request_id,
-        method=req.method,
-        path=req.path,
-        headers=req.headers,
-        body=body,
-        length=req.length,
-    )
+def _not_run(
+    failure: Failure, reason: RefusalReason, detail: str, retry_after_ms: int | None = None
+) -> AttemptFailure:
+    return AttemptFailure(failure, Refusal(reason, Ran.NOT_RUN, detail, retry_after_ms))
--- /dev/null
+++ b/src/chervilmill/callers/_delivery.py
@@ -0,0 +1,76 @@
+"""Deliver an answer to a caller and account for its end."""
+
+import time
+from collections.abc import Callable, Iterator
+
+from prometheus_client import Histogram
+
+from chervilmill.callers._answers import CallerAnswer
+from chervilmill.callers._request import CallerRequest
+from chervilmill.logs import log_event
+from chervilmill.metrics import Metrics
+from chervilmill.targets import TargetError
+
+
+class Delivery:
+    """Pass the parts of an answer on as they arrive.
+
+    An answer that breaks off raises, so that the server closes the caller's connection before the
+    stated end of the answer.
+    """
+
+    def __init__(
+        self, req: CallerRequest, answer: CallerAnswer, started_s: float, metrics: Metrics
+    ) -> None:
+        self._req = req
+        self._answer = answer
+        self._started_s = started_s
+        self._metrics = metrics
+        self._on_break: list[Callable[[], None]] = []
+        self._on_close: list[Callable[[], None]] = []
+
+    def on_break(self, action: Callable[[], None]) -> None:
+        """Run an action when the answer breaks off."""
+        self._on_break.append(action)
+
+    def on_close(self, action: Callable[[], None]) -> None:
+        """Run an action when the exchange has ended."""
+        self._on_close.append(action)
+
+    def __iter__(self) -> Iterator[bytes]:
+        is_first = True
+        try:
+            for part in self._answer:
+                if is_first:
+                    self._observe(self._metrics.first_part)
+                    is_first = False
+                yield part
+        except TargetError as exc:
+            self._broken(exc)
+            raise
+        self._observe(self._metrics.latency)
+
+    def close(self) -> None:
+        """End the exchange; the server calls this after the last part or a failure."""
+        try:
+            self._answer.close()
+        finally:
+            actions, self._on_close = self._on_close, []
+            for action in actions:
+                action()
+
+    def _broken(self, exc: TargetError) -> None:
+        log_event(
+            "answer broke off",
+            request_id=self._req.request_id,
+            service=self._req.service,
+            step=exc.step,
+            peer=exc.peer,
+            error=exc.message,
+        )
+        for action in self._on_break:
+            action()
+
+    def _observe(self, histogram: Histogram) -> None:
+        elapsed_s = time.monotonic() - self._started_s
+        histogram.labels(self._req.service).observe(elapsed_s)
--- a/src/chervilmill/callers/_orders.py
+++ b/src/chervilmill/callers/_orders.py
@@ -7,12 +7,9 @@
 from itertools import chain
 from typing import Protocol
 
-from chervilmill.callers._attempts import (
-    AttemptFailure,
-    Attempts,
-    ForwardedAnswer,
-    WholeBody,
-)
+from chervilmill.callers._answers import ForwardedAnswer
+from chervilmill.callers._attempts import Attempt, AttemptFailure, Attempts
+from chervilmill.callers._body import WholeBody
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
 from chervilmill.reasons import Ran, RefusalReason
@@ -90,7 +87,7 @@
         if req.length > MAX_ORDER_BYTES:
             detail = f"an order has at most {MAX_ORDER_BYTES} bytes"
             raise Refusal(RefusalReason.BODY_TOO_LARGE, Ran.NOT_RUN, detail)
-        body = _read_whole(WholeBody(req.body, req.length))
+        body = WholeBody(req.body, req.length).read_whole()
         return _Transmission(req, body, self._ledger, self._attempts).run()
 
 
@@ -102,14 +99,15 @@
         self._body = body
         self._ledger = ledger
         self._attempts = attempts
+        self._key = order_key(
+            req.service, req.idempotency_key or "", req.method, req.path, body
+        )
         self._tried: list[str] = []
         self._answer: OrderAnswer | None = None
         self._refusal: Refusal | None = None
 
     def run(self) -> OrderAnswer:
-        req = self._req
-        key = order_key(req.service, req.idempotency_key or "", req.method, req.path, self._body)
-        steps = OrderRun(key, secrets.token_bytes(NONCE_BYTES)).steps()
+        steps = OrderRun(self._key, secrets.token_bytes(NONCE_BYTES)).steps()
         try:
             action = next(steps)
             while True:
@@ -127,8 +125,16 @@
         return self._send()
 
     def _send(self) -> Answered | SendFailure:
+        attempt = Attempt(
+            self._req,
+            io.BytesIO(self._body),
+            self._req.cancellation,
+            self._key.fingerprint,
+            len(self._tried) + 1,
+            tuple(self._tried),
+        )
         try:
-            forwarded = self._attempts.send(self._req, io.BytesIO(self._body), self._tried)
+            forwarded = self._attempts.send(attempt)
         except AttemptFailure as failure:
             return self._failed(failure)
         try:
@@ -228,13 +234,6 @@
 }
 
 
-def _read_whole(body: WholeBody) -> bytes:
-    parts = []
-    while part := body.read():
-        parts.append(part)
-    return b"".join(parts)
-
-
 def _header(headers: tuple[tuple[str, str], ...], name: str) -> str:
     for key, value in headers:
         if key.lower() == name:
--- a/src/chervilmill/callers/_request.py
+++ b/src/chervilmill/callers/_request.py
@@ -3,13 +3,14 @@
 import re
 import time
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import IO
 
 from chervilmill.callers._refusal import Refusal
 from chervilmill.http import Environ
 from chervilmill.reasons import Ran, RefusalReason
 from chervilmill.requests import RequestKind, kind_of
+from chervilmill.targets import Cancellation
 
 MAX_ID_LENGTH = 128
 MAX_DEADLINE_MS = 3_600_000
@@ -32,6 +33,8 @@
     deadline_s: float
     length: int
     body: IO[bytes]
+    is_retry: bool = False
+    cancellation: Cancellation = field(default_factory=Cancellation)
 
 
 def read_request(environ: Environ, default_deadline_ms: int) -> CallerRequest:
@@ -59,6 +62,7 @@
         deadline_s=time.monotonic() + deadline_ms / 1000,
         length=_length(environ),
         body=environ["wsgi.input"],
+        is_retry=environ.get("HTTP_X_ATTEMPT", "1") != "1",
     )
 
 
--- /dev/null
+++ b/src/chervilmill/callers/_retries.py
@@ -0,0 +1,194 @@
+"""Send requests again after failures, and to a second target when they are late."""
+
+import queue
+import random
+import threading
+import time
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+
+from chervilmill.callers._answers import ForwardedAnswer
+from chervilmill.callers._attempts import Attempt, AttemptFailure, Attempts, body_of
+from chervilmill.callers._body import WholeBody
+from chervilmill.callers._request import CallerRequest
+from chervilmill.callers._services import ServiceBudget, ServiceParts
+from chervilmill.callers._watch import CallerWatch
+from chervilmill.logs import log_event
+from chervilmill.metrics import Metrics
+from chervilmill.reasons import RetryReason
+from chervilmill.requests import (
+    FailedAttempt,
+    RequestKind,
+    decide_retry,
+    request_fingerprint,
+)
+from chervilmill.targets import CancelReason
+
+HEDGE_THREADS = 16
+HEDGE_NUMBER = 2
+
+
+class Retries:
+    """Run idempotent requests and uploads with as many attempts as the budget allows."""
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        services: Mapping[str, ServiceParts],
+        watch: CallerWatch,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._attempts = attempts
+        self._services = services
+        self._watch = watch
+        self._metrics = metrics
+        self._rng = rng
+        self._hedges = ThreadPoolExecutor(HEDGE_THREADS, thread_name_prefix="hedge")
+
+    def run(self, req: CallerRequest) -> ForwardedAnswer:
+        """Return the first answer, or raise Refusal."""
+        shared = self._services[req.service].budget
+        with shared.lock:
+            shared.budget.receive(req.is_retry)
+        body = body_of(req)
+        fingerprint = request_fingerprint(req.service, req.method, req.path)
+        tried: list[str] = []
+        number = 1
+        while True:
+            attempt = Attempt(req, body, req.cancellation, fingerprint, number, tuple(tried))
+            try:
+                return self._send(attempt, shared)
+            except AttemptFailure as failure:
+                if failure.target is not None:
+                    tried.append(failure.target)
+                self._pause_or_refuse(attempt, failure, shared, body)
+            number += 1
+
+    def _pause_or_refuse(
+        self,
+        attempt: Attempt,
+        failure: AttemptFailure,
+        shared: ServiceBudget,
+        body: WholeBody | None,
+    ) -> None:
+        req = attempt.req
+        failed = FailedAttempt(
+            kind=req.kind,
+            failure=failure.failure,
+            number=attempt.number,
+            time_left_s=req.deadline_s - time.monotonic(),
+            can_resend=body is None or body.is_untouched,
+        )
+        with shared.lock:
+            retry = decide_retry(failed, shared.budget, self._rng)
+        if retry is None:
+            raise failure.refusal from failure
+        self._metrics.count_retry(req.service, retry.reason)
+        time.sleep(retry.after_s)
+
+    def _send(self, attempt: Attempt, shared: ServiceBudget) -> ForwardedAnswer:
+        started_s = time.monotonic()
+        if attempt.req.kind is RequestKind.IDEMPOTENT and attempt.number == 1:
+            answer = self._send_hedged(attempt, shared)
+        else:
+            answer = self._attempts.send(attempt)
+        with shared.lock:
+            shared.hedge.observe(time.monotonic() - started_s)
+        return answer
+
+    def _send_hedged(self, attempt: Attempt, shared: ServiceBudget) -> ForwardedAnswer:
+        with shared.lock:
+            delay_s = shared.hedge.delay_s()
+        if delay_s is None:
+            return self._attempts.send(attempt)
+        return _Race(self._attempts, attempt, self._may_hedge(attempt, shared)).run(
+            self._watch, self._hedges, delay_s
+        )
+
+    def _may_hedge(self, attempt: Attempt, shared: ServiceBudget) -> Callable[[], bool]:
+        def may_hedge() -> bool:
+            with shared.lock:
+                is_allowed = shared.budget.take()
+            if is_allowed:
+                self._metrics.count_retry(attempt.req.service, RetryReason.HEDGE)
+            return is_allowed
+
+        return may_hedge
+
+
+class _Race:
+    """Run an attempt and, when it is late, a second one; the first answer wins."""
+
+    def __init__(
+        self, attempts: Attempts, attempt: Attempt, may_hedge: Callable[[], bool]
+    ) -> None:
+        self._attempts = attempts
+        self._first = replace(attempt, cancellation=attempt.cancellation.child())
+        self._second = replace(
+            attempt, cancellation=attempt.cancellation.child(), number=HEDGE_NUMBER, taken=[]
+        )
+        self._may_hedge = may_hedge
+        self._result: queue.SimpleQueue[ForwardedAnswer | None] = queue.SimpleQueue()
+        self._lock = threading.Lock()
+        self._is_decided = False
+        self._has_hedge = False
+
+    def run(
+        self, watch: CallerWatch, hedges: ThreadPoolExecutor, delay_s: float
+    ) -> ForwardedAnswer:
+        timer = watch.call_at(time.monotonic() + delay_s, lambda: self._start(hedges))
+        try:
+            answer = self._attempts.send(self._first)
+        except AttemptFailure as failure:
+            if failure.is_crash:
+                self._second.cancellation.cancel(CancelReason.HEDGE_LOST)
+            return self._rescued(failure)
+        finally:
+            timer.close()
+        if self._decide():
+            self._second.cancellation.cancel(CancelReason.HEDGE_LOST)
+            return answer
+        answer.close()
+        return self._rescued(None)
+
+    def _start(self, hedges: ThreadPoolExecutor) -> None:
+        with self._lock:
+            is_sent = bool(self._first.taken)
+            if self._is_decided or not is_sent or not self._may_hedge():
+                return
+            self._has_hedge = True
+        hedges.submit(self._hedge)
+
+    def _hedge(self) -> None:
+        kept: ForwardedAnswer | None = None
+        try:
+            excluded = (*self._second.excluded, *self._first.taken)
+            answer = self._attempts.send(replace(self._second, excluded=excluded))
+            if self._decide():
+                self._first.cancellation.cancel(CancelReason.HEDGE_LOST)
+                kept = answer
+            else:
+                answer.close()
+        except AttemptFailure as failure:
+            log_event("hedge failed", step="hedge", peer=failure.target, error=str(failure))
+        finally:
+            self._result.put(kept)
+
+    def _decide(self) -> bool:
+        with self._lock:
+            is_first = not self._is_decided
+            self._is_decided = True
+            return is_first
+
+    def _rescued(self, failure: AttemptFailure | None) -> ForwardedAnswer:
+        """Return the answer of the hedge, or raise the failure of the first attempt."""
+        with self._lock:
+            has_hedge = self._has_hedge
+            self._is_decided = self._is_decided or not has_hedge
+        answer = self._result.get() if has_hedge else None
+        if answer is not None:
+            return answer
+        assert failure is not None
+        raise failure
--- a/src/chervilmill/http.py
+++ b/src/chervilmill/http.py
@@ -1,5 +1,7 @@
 """Serve WSGI applications with cheroot, closing connections whose body was left unread."""
 
+import socket
+import struct
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -13,6 +15,7 @@
 WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
 
 CLOSE_KEY = "chervilmill.close_connection"
+SOCKET_KEY = "chervilmill.socket"
 STOP_TIMEOUT_S = 1
 
 
@@ -20,6 +23,7 @@
     def get_environ(self) -> Environ:  # type: ignore[override]
         environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[CLOSE_KEY] = self._close_connection
+        environ[SOCKET_KEY] = self.req.conn.socket
         return environ
 
     def _close_connection(self) -> None:
@@ -31,6 +35,13 @@
     environ[CLOSE_KEY]()
 
 
+def reset_connection(environ: Environ) -> None:
+    """Have the caller's connection end in a reset, which no reader takes for the answer's end."""
+    close_connection(environ)
+    sock: socket.socket = environ[SOCKET_KEY]
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 class HttpServer:
     """Run a WSGI application on an address in threads of its own."""
 
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-from chervilmill.reasons import RefusalReason, RetryReason
+from chervilmill.reasons import DropReason, RefusalReason, RetryReason
 
 LATENCY_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
 DRAIN_BUCKETS_S = (0.1, 0.5, 1, 2, 3, 5, 10, 30, 60, 300, 1800)
@@ -25,6 +25,12 @@
             ["service", "reason"],
             registry=self.registry,
         )
+        self.dropped_answers = Counter(
+            "chervilmill_dropped_answers",
+            "Answers of targets that were not given to a caller whole, by service and reason",
+            ["service", "reason"],
+            registry=self.registry,
+        )
         self.lookups = Counter(
             "chervilmill_lookups",
             "Look-ups answered, by service",
@@ -63,3 +69,7 @@
     def count_retry(self, service: str, reason: RetryReason) -> None:
         """Count one request sent again."""
         self.retries.labels(service, reason.value).inc()
+
+    def count_dropped(self, service: str, reason: DropReason) -> None:
+        """Count one answer that was dropped or cut short."""
+        self.dropped_answers.labels(service, reason.value).inc()
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -19,6 +19,7 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    CALLER_GONE = "caller_gone"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ENTRY_LEAVING = "entry_leaving"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
@@ -31,7 +32,9 @@
     ORDER_OUTCOME_UNKNOWN = "order_outcome_unknown"
     ORDER_RECORDS_FULL = "order_records_full"
     ORDER_RECORDS_UNAVAILABLE = "order_records_unavailable"
+    QUARANTINED = "quarantined"
     TARGET_FAILED = "target_failed"
+    TARGETS_BUSY = "targets_busy"
     UNKNOWN_PATH = "unknown_path"
     UNKNOWN_SERVICE = "unknown_service"
 
@@ -47,11 +50,23 @@
     CONNECT_FAILED = "connect_failed"
     TARGET_SHED = "target_shed"
     ANSWER_LOST = "answer_lost"
+    HEDGE = "hedge"
+
+
+class DropReason(Enum):
+    """Say why an answer of a target, or the rest of one, was not given to a caller."""
+
+    CROSSED = "crossed"
+    EXTRA_BYTES = "extra_bytes"
+    LOST = "lost"
+    SHORT = "short"
+    STALLED = "stalled"
 
 
 _STATUS_BY_REASON = {
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.CALLER_GONE: 499,
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.ENTRY_LEAVING: 503,
     RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 428,
@@ -64,7 +79,9 @@
     RefusalReason.ORDER_OUTCOME_UNKNOWN: 409,
     RefusalReason.ORDER_RECORDS_FULL: 503,
     RefusalReason.ORDER_RECORDS_UNAVAILABLE: 503,
+    RefusalReason.QUARANTINED: 503,
     RefusalReason.TARGET_FAILED: 502,
+    RefusalReason.TARGETS_BUSY: 503,
     RefusalReason.UNKNOWN_PATH: 404,
     RefusalReason.UNKNOWN_SERVICE: 404,
 }
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -1,6 +1,14 @@
 """Decide about requests: pure logic without sockets, threads or clocks of its own."""
 
+from chervilmill.requests._admission import (
+    AdmissionQueue,
+    Priority,
+    TooBusy,
+    Waiting,
+    priority_of,
+)
 from chervilmill.requests._choice import TargetChoice, TwoRandomChoices
+from chervilmill.requests._hedge import HedgeDelay
 from chervilmill.requests._kinds import RequestKind, kind_of
 from chervilmill.requests._order_model import MAX_OUTCOME_BYTES, OrderKey, Outcome, order_key
 from chervilmill.requests._order_queue import ShardQueue
@@ -32,16 +40,43 @@
     Send,
     SendFailure,
 )
+from chervilmill.requests._quarantine import (
+    CrashNews,
+    Free,
+    Limited,
+    Quarantine,
+    Quarantined,
+    request_fingerprint,
+)
+from chervilmill.requests._retry import (
+    FailedAttempt,
+    Failure,
+    Retry,
+    RetryBudget,
+    decide_retry,
+)
+from chervilmill.requests._shares import connection_share, home_slots, reachable_targets
+from chervilmill.requests._target_policy import TargetInfo, TargetPolicy
+from chervilmill.requests._target_state import AttemptEnd, LoadReading, TargetCondition
 
 __all__ = [
     "MAX_OUTCOME_BYTES",
+    "AdmissionQueue",
     "Answered",
+    "AttemptEnd",
     "Change",
     "Claim",
     "ClaimReply",
     "Commit",
+    "CrashNews",
+    "FailedAttempt",
+    "Failure",
     "Finish",
+    "Free",
+    "HedgeDelay",
     "HeldShard",
+    "Limited",
+    "LoadReading",
     "OrderAction",
     "OrderEnd",
     "OrderEvent",
@@ -50,9 +85,14 @@
     "OrderRun",
     "OrderState",
     "Outcome",
+    "Priority",
+    "Quarantine",
+    "Quarantined",
     "ReadShard",
     "Release",
     "RequestKind",
+    "Retry",
+    "RetryBudget",
     "Send",
     "SendFailure",
     "ShardQueue",
@@ -61,10 +101,21 @@
     "StoreFailure",
     "StoreReply",
     "TargetChoice",
+    "TargetCondition",
+    "TargetInfo",
+    "TargetPolicy",
+    "TooBusy",
     "TwoRandomChoices",
+    "Waiting",
     "WriteShard",
     "commit_changes",
+    "connection_share",
+    "decide_retry",
+    "home_slots",
     "kind_of",
     "order_key",
+    "priority_of",
+    "reachable_targets",
     "read_stored",
+    "request_fingerprint",
 ]
--- /dev/null
+++ b/src/chervilmill/requests/_target_policy.py
@@ -0,0 +1,206 @@
+"""Choose the targets of one service for one entry VM.
+
+A request goes to a home slot of this node while one is free. Otherwise a few targets are drawn and
+the one with the lowest estimated load is taken, as in power-of-d choices; what the targets' answers
+say of their load is reused, as in Prequal (Wydrowski and others, NSDI 2024).
+"""
+
+import random
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass
+
+from chervilmill.requests._shares import home_slots, reachable_targets
+from chervilmill.requests._target_state import (
+    AttemptEnd,
+    LoadReading,
+    TargetCondition,
+    TargetState,
+)
+
+CHOICES = 4
+FURTHER_CHOICES = 8
+MAX_EJECTED_SHARE = 0.5
+MAX_SLOW_PENALTY = 3.0
+OTHERS_WEIGHT = 0.05
+FAILED_WEIGHT = 0.02
+MAX_FAILED_SHARE = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class TargetInfo:
+    """Describe a target as the node's list has it; `is_near` holds within the node's region."""
+
+    name: str
+    slots: int
+    is_near: bool = True
+
+
+class TargetPolicy:
+    """Hold the knowledge of one entry VM about the targets of one service."""
+
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._states: dict[str, TargetState] = {}
+        self._near: frozenset[str] = frozenset()
+        self._home: dict[str, int] = {}
+        self._home_order: list[str] = []
+        self._reachable: list[str] = []
+        self._listed: tuple[tuple[str, ...], tuple[TargetInfo, ...]] = ((), ())
+        self._expected_others = 0.0
+        self._median_latency_s: float | None = None
+        self._answers = 0
+        self._failed_share = 0.0
+
+    def update(self, targets: Sequence[TargetInfo], entries: Sequence[str], now_s: float) -> None:
+        """Take in the present lists of targets and of entry VMs."""
+        listed = (tuple(entries), tuple(targets))
+        if listed == self._listed:
+            return
+        is_first = not self._states
+        self._listed = listed
+        names = {target.name for target in targets}
+        for gone in [name for name in self._states if name not in names]:
+            if not self._states[gone].in_flight:
+                del self._states[gone]
+        for target in targets:
+            if target.name not in self._states:
+                state = TargetState(target.name, target.slots, now_s, is_cold=not is_first)
+                self._states[target.name] = state
+        self._near = frozenset(target.name for target in targets if target.is_near)
+        near = {target.name: target.slots for target in targets if target.is_near}
+        self._home = home_slots(self._entry, entries, near)
+        self._home_order = sorted(self._home)
+        reachable = {*reachable_targets(self._entry, entries, sorted(names)), *self._home}
+        self._reachable = [target.name for target in targets if target.name in reachable]
+
+    def take(
+        self,
+        now_s: float,
+        rng: random.Random,
+        excluded: Collection[str] = (),
+        only: str | None = None,
+    ) -> str | None:
+        """Return a target with room and count the attempt there, or None where there is none.
+
+        Where `only` is given, no other target is taken.
+        """
+        if only is not None:
+            is_free = only in self._states and self._has_room(only, now_s)
+            name = only if is_free and only not in excluded else None
+        else:
+            name = self._choose(now_s, rng, excluded)
+        if name is not None:
+            self._states[name].start()
+        return name
+
+    def end(
+        self, name: str, end: AttemptEnd, now_s: float, latency_s: float | None = None
+    ) -> None:
+        """Count an attempt that has ended; the latency is that to its first part."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        has_failed = end in (AttemptEnd.FAILED, AttemptEnd.UNREACHABLE)
+        self._failed_share += FAILED_WEIGHT * (has_failed - self._failed_share)
+        state.end(end, now_s, latency_s, may_eject=self._failed_share < MAX_FAILED_SHARE)
+        self._answers += 1
+        if self._answers % 64 == 0:
+            self._refresh_median()
+
+    def read(self, name: str, reading: LoadReading, now_s: float) -> None:
+        """Take in the load that a target stated in an answer or a probe."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        others = max(0, reading.in_flight - state.in_flight)
+        self._expected_others += OTHERS_WEIGHT * (others - self._expected_others)
+        state.read(reading, now_s)
+
+    def probes_due(self, now_s: float) -> list[str]:
+        """Return the targets that could not be reached and shall be probed now."""
+        return [name for name, state in self._states.items() if state.is_probe_due(now_s)]
+
+    def probed(self, name: str, is_reached: bool, now_s: float) -> None:
+        """Take in the end of a probe."""
+        if name in self._states:
+            self._states[name].probed(is_reached, now_s)
+
+    def set_condition(self, name: str, condition: TargetCondition, now_s: float) -> None:
+        """Take in what a target says of itself in an answer or a probe."""
+        if name in self._states:
+            self._states[name].set_condition(condition, now_s)
+
+    def in_flight(self) -> Mapping[str, int]:
+        """Return the attempts in flight by target."""
+        return {name: state.in_flight for name, state in self._states.items()}
+
+    def is_open(self, name: str, now_s: float) -> bool:
+        """Return whether a target may be chosen, were there room."""
+        return name in self._states and self._states[name].is_open(now_s)
+
+    def has_target(self, excluded: Collection[str]) -> bool:
+        """Return whether any target is listed that is neither excluded nor leaving."""
+        return any(
+            name not in excluded and not self._states[name].is_leaving for name in self._reachable
+        )
+
+    def _choose(
+        self, now_s: float, rng: random.Random, excluded: Collection[str]
+    ) -> str | None:
+        home = self._free_home(now_s, excluded)
+        if home:
+            return self._least_loaded(home, now_s, rng)
+        candidates = self._open(now_s, excluded)
+        for choices in (CHOICES, FURTHER_CHOICES):
+            drawn = rng.sample(candidates, min(choices, len(candidates)))
+            with_room = [name for name in drawn if self._has_room(name, now_s)]
+            if with_room:
+                return self._least_loaded(with_room, now_s, rng)
+        return None
+
+    def _has_room(self, name: str, now_s: float) -> bool:
+        home = self._home.get(name, 0)
+        return self._states[name].has_room(now_s, home, self._expected_others)
+
+    def _free_home(self, now_s: float, excluded: Collection[str]) -> list[str]:
+        return [
+            name
+            for name in self._home_order
+            if name not in excluded
+            and self._states[name].in_flight < self._home[name]
+            and self._has_room(name, now_s)
+        ]
+
+    def _open(self, now_s: float, excluded: Collection[str]) -> list[str]:
+        """Return the targets to choose from: near ones, unless none of them is open.
+
+        Where most targets were ejected, ejection is more likely wrong than right and is ignored.
+        """
+        states = self._states
+        listed = [name for name in self._reachable if name not in excluded]
+        near = [name for name in listed if name in self._near]
+        for names in (near, listed):
+            is_open = [name for name in names if states[name].is_open(now_s)]
+            if len(is_open) > MAX_EJECTED_SHARE * len(names):
+                return is_open
+        return [name for name in near or listed if not states[name].is_leaving]
+
+    def _least_loaded(self, names: Sequence[str], now_s: float, rng: random.Random) -> str:
+        return min(names, key=self._scorer(now_s, rng))
+
+    def _scorer(self, now_s: float, rng: random.Random) -> Callable[[str], tuple[float, float]]:
+        def score(name: str) -> tuple[float, float]:
+            state = self._states[name]
+            occupancy = state.occupancy(now_s, self._expected_others)
+            return ((occupancy + 1 / state.slots) * self._slowness(state), rng.random())
+
+        return score
+
+    def _slowness(self, state: TargetState) -> float:
+        if state.latency_s is None or not self._median_latency_s:
+            return 1.0
+        return min(MAX_SLOW_PENALTY, max(1.0, state.latency_s / self._median_latency_s))
+
+    def _refresh_median(self) -> None:
+        known = sorted(s.latency_s for s in self._states.values() if s.latency_s is not None)
+        self._median_latency_s = known[len(known) // 2] if known else None
--- a/src/chervilmill/targets/__init__.py
+++ b/src/chervilmill/targets/__init__.py
@@ -1,20 +1,16 @@
 """Send requests to targets and read their answers."""
 
-from chervilmill.targets._client import (
-    Answer,
-    Body,
-    HttpTargets,
-    TargetAnswer,
-    TargetRequest,
-    Targets,
-)
+from chervilmill.targets._cancellation import Cancellation, CancelReason
+from chervilmill.targets._client import HttpTargets
 from chervilmill.targets._errors import (
     AnswerCrossedError,
     AnswerLostError,
     AnswerShortError,
+    ExchangeCancelledError,
     TargetError,
     TargetUnreachableError,
 )
+from chervilmill.targets._model import Answer, Body, TargetRequest, Targets
 
 __all__ = [
     "Answer",
@@ -22,8 +18,10 @@
     "AnswerLostError",
     "AnswerShortError",
     "Body",
+    "CancelReason",
+    "Cancellation",
+    "ExchangeCancelledError",
     "HttpTargets",
-    "TargetAnswer",
     "TargetError",
     "TargetRequest",
     "TargetUnreachableError",
--- /dev/null
+++ b/src/chervilmill/targets/_answer.py
@@ -0,0 +1,120 @@
+"""Read the answer of a target and settle what becomes of its connection."""
+
+import time
+from collections.abc import Callable, Iterator
+
+import urllib3
+
+from chervilmill.targets._connections import Connection, Connections
+from chervilmill.targets._errors import AnswerShortError, ExchangeCancelledError, TargetError
+from chervilmill.targets._model import TargetRequest
+
+READ_BYTES = 64 * 1024
+
+
+class TargetAnswer:
+    """Implement Answer on one connection.
+
+    The connection is kept only after a whole answer that nothing follows. Any other end closes it,
+    so that a late answer can never be read by a later request.
+    """
+
+    __slots__ = (
+        "_conn",
+        "_connections",
+        "_deadline_s",
+        "_is_closed",
+        "_is_finished",
+        "_on_extra_bytes",
+        "_peer",
+        "_req",
+        "_resp",
+        "_sock",
+    )
+
+    def __init__(
+        self,
+        resp: urllib3.HTTPResponse,
+        conn: Connection,
+        connections: Connections,
+        req: TargetRequest,
+        peer: str,
+        deadline_s: float,
+        on_extra_bytes: Callable[[], None],
+    ) -> None:
+        self._resp = resp
+        self._conn = conn
+        self._sock = conn.socket
+        self._connections = connections
+        self._req = req
+        self._peer = peer
+        self._deadline_s = deadline_s
+        self._on_extra_bytes = on_extra_bytes
+        self._is_finished = False
+        self._is_closed = False
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status code."""
+        return self._resp.status
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers in their order."""
+        return tuple(self._resp.headers.items())
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield parts as they arrive, or raise TargetError where the answer breaks off."""
+        try:
+            yield from self._parts()
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            raise self._error(str(exc)) from exc
+        if self._req.cancellation.reason is not None:
+            raise self._error("cancelled")
+        self._is_finished = True
+
+    def close(self) -> None:
+        """End the exchange; an unfinished answer costs its connection."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        is_left_alone = self._req.cancellation.detach(self._sock)
+        if self._is_finished and is_left_alone and self._may_be_reused():
+            self._connections.give_back(self._conn)
+            return
+        self._resp.close()
+        self._conn.close()
+        self._sock.close()
+
+    def _parts(self) -> Iterator[bytes]:
+        parts: Iterator[bytes]
+        if self._resp.chunked:
+            parts = self._resp.read_chunked(READ_BYTES, decode_content=False)
+        else:
+            parts = iter(lambda: self._resp.read1(READ_BYTES, decode_content=False), b"")
+        while True:
+            self._shrink_timeout()
+            part = next(parts, None)
+            if part is None:
+                return
+            yield part
+
+    def _shrink_timeout(self) -> None:
+        remaining_s = self._deadline_s - time.monotonic()
+        if remaining_s <= 0:
+            raise AnswerShortError("deadline passed", step="read answer", peer=self._peer)
+        if self._sock.fileno() >= 0:
+            self._sock.settimeout(remaining_s)
+
+    def _may_be_reused(self) -> bool:
+        original = self._resp._original_response
+        if getattr(original, "extra_bytes", False):
+            self._on_extra_bytes()
+            return False
+        return self._conn.sock is not None
+
+    def _error(self, message: str) -> TargetError:
+        reason = self._req.cancellation.reason
+        if reason is not None:
+            return ExchangeCancelledError(reason.value, step="read answer", peer=self._peer)
+        return AnswerShortError(message, step="read answer", peer=self._peer)
--- a/src/chervilmill/targets/_client.py
+++ b/src/chervilmill/targets/_client.py
@@ -1,175 +1,187 @@
-"""Exchange requests and answers with targets over pooled HTTP connections.
+"""Exchange requests and answers with targets over kept HTTP connections."""
 
-A connection goes back to its pool only after the whole answer was read. Every other end closes
-it, so that a late answer can never be read by a later request.
-"""
-
-import threading
-from collections.abc import Iterator
-from dataclasses import dataclass
-from typing import Any, Protocol, cast
+import http.client
+import time
+from collections.abc import Callable
+from typing import Any, NoReturn, cast
 
 import urllib3
 
-from chervilmill.addresses import Address
 from chervilmill.platform import Vm
+from chervilmill.requests import TargetCondition
+from chervilmill.targets._answer import TargetAnswer
+from chervilmill.targets._connections import Connection, Connections
 from chervilmill.targets._errors import (
     AnswerCrossedError,
     AnswerLostError,
-    AnswerShortError,
+    ExchangeCancelledError,
     TargetUnreachableError,
 )
+from chervilmill.targets._model import Answer, Body, TargetRequest
 
 REQUEST_ID_HEADER = "X-Request-Id"
-READ_BYTES = 64 * 1024
-
-
-class Body(Protocol):
-    """Read the body of a request."""
-
-    def read(self, size: int = -1) -> bytes:
-        """Return up to `size` bytes, and nothing at the end."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class TargetRequest:
-    """Hold a request as it goes to a target; `body` is read once, `length` bytes of it."""
-
-    request_id: str
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    body: Body | None
-    length: int
-
-
-class Answer(Protocol):
-    """Read an answer of a target."""
-
-    @property
-    def status(self) -> int:
-        """Return the HTTP status code."""
-        ...
-
-    @property
-    def headers(self) -> tuple[tuple[str, str], ...]:
-        """Return the headers in their order."""
-        ...
+DEADLINE_HEADER = "X-Deadline-Ms"
+MAX_CONNECT_S = 0.4
+PROBE_TIMEOUT_S = 1.0
+HEALTH_PATH = "/-/health"
+_NO_BODY_STATUSES = frozenset({204, 304})
 
-    def chunks(self) -> Iterator[bytes]:
-        """Yield parts as they arrive, or raise AnswerShortError where the answer breaks off."""
-        ...
 
-    def close(self) -> None:
-        """End the exchange; an unfinished answer costs its connection."""
-        ...
+class BodyReadError(Exception):
+    """Carry a failure of the caller's body through the library that sends it."""
 
 
-class Targets(Protocol):
-    """Send requests to targets."""
+class _GuardedBody:
+    """Tell a failure to read the body from a failure to send it."""
 
-    def send(self, target: Vm, req: TargetRequest, timeout_s: float) -> Answer:
-        """Send a request and return its answer once the headers are there, or raise TargetError."""
-        ...
-
-
-class TargetAnswer:
-    """Implement Answer on a urllib3 response."""
-
-    __slots__ = ("_finished", "_peer", "_resp")
-
-    def __init__(self, resp: urllib3.BaseHTTPResponse, peer: str) -> None:
-        self._resp = resp
-        self._peer = peer
-        self._finished = False
-
-    @property
-    def status(self) -> int:
-        """Return the HTTP status code."""
-        return self._resp.status
+    __slots__ = ("_body",)
 
-    @property
-    def headers(self) -> tuple[tuple[str, str], ...]:
-        """Return the headers in their order."""
-        return tuple(self._resp.headers.items())
+    def __init__(self, body: Body) -> None:
+        self._body = body
 
-    def chunks(self) -> Iterator[bytes]:
-        """Yield parts as they arrive, or raise AnswerShortError where the answer breaks off."""
+    def read(self, size: int = -1) -> bytes:
         try:
-            yield from self._parts()
-        except urllib3.exceptions.HTTPError as exc:
-            raise AnswerShortError(str(exc), step="read answer", peer=self._peer) from exc
-        self._finished = True
-
-    def close(self) -> None:
-        """End the exchange; an unfinished answer costs its connection."""
-        if self._finished:
-            self._resp.release_conn()
-            return
-        self._resp.close()
-
-    def _parts(self) -> Iterator[bytes]:
-        if isinstance(self._resp, urllib3.HTTPResponse) and self._resp.chunked:
-            yield from self._resp.read_chunked(decode_content=False)
-            return
-        while part := self._resp.read1(READ_BYTES, decode_content=False):
-            yield part
+            return self._body.read(size)
+        except OSError as exc:
+            raise BodyReadError from exc
 
 
 class HttpTargets:
-    """Implement Targets with one connection pool for each target."""
+    """Implement Targets; every exchange has a connection of its own while it lasts."""
 
-    def __init__(self, connections_per_target: int) -> None:
-        self._connections_per_target = connections_per_target
-        self._pools: dict[Address, urllib3.HTTPConnectionPool] = {}
-        self._lock = threading.Lock()
+    def __init__(
+        self, connections_per_target: int, on_extra_bytes: Callable[[], None] = lambda: None
+    ) -> None:
+        self._connections = Connections(connections_per_target, on_extra_bytes)
+        self._on_extra_bytes = on_extra_bytes
 
     def send(self, target: Vm, req: TargetRequest, timeout_s: float) -> Answer:
-        """Send a request and return its answer once the headers are there, or raise TargetError."""
-        pool = self._pool(target.address)
-        headers = urllib3.HTTPHeaderDict(req.headers)
-        headers[REQUEST_ID_HEADER] = req.request_id
-        if req.body is not None:
-            headers["Content-Length"] = str(req.length)
+        """Send a request and return its answer once the headers are there, or raise TargetError.
+
+        An OSError of the body's reader is passed on.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        conn = self._connect(target, req, timeout_s)
+        req.cancellation.attach(conn.socket)
+        sock = conn.socket
         try:
-            resp = pool.urlopen(
-                req.method,
-                req.path,
-                body=cast(Any, req.body),
-                headers=headers,
-                retries=False,
-                redirect=False,
-                timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
-                preload_content=False,
-                decode_content=False,
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-            urllib3.exceptions.EmptyPoolError,
-        ) as exc:
-            raise TargetUnreachableError(str(exc), step="connect", peer=target.name) from exc
-        except urllib3.exceptions.HTTPError as exc:
-            raise AnswerLostError(str(exc), step="read headers", peer=target.name) from exc
-        answer = TargetAnswer(resp, target.name)
-        _check_echo(answer, req, resp.headers.get(REQUEST_ID_HEADER), target)
+            resp = _exchange_headers(conn, req, deadline_s)
+        except BodyReadError as exc:
+            _drop(conn, req)
+            assert isinstance(exc.__cause__, OSError)
+            raise exc.__cause__ from None
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError) as exc:
+            req.cancellation.detach(sock)
+            conn.close()
+            _raise_lost(exc, req, target)
+        except BaseException:
+            _drop(conn, req)
+            raise
+        answer = TargetAnswer(
+            resp, conn, self._connections, req, target.name, deadline_s, self._on_extra_bytes
+        )
+        _check(answer, req, resp, target)
         return answer
 
-    def _pool(self, address: Address) -> urllib3.HTTPConnectionPool:
-        with self._lock:
-            pool = self._pools.get(address)
-            if pool is None:
-                pool = urllib3.HTTPConnectionPool(
-                    address.host, address.port, maxsize=self._connections_per_target, block=False
-                )
-                self._pools[address] = pool
-            return pool
-
-
-def _check_echo(answer: TargetAnswer, req: TargetRequest, echoed: str | None, target: Vm) -> None:
-    if echoed == req.request_id:
-        return
-    answer.close()
-    message = f"answer carries request id {echoed!r} instead of {req.request_id!r}"
-    raise AnswerCrossedError(message, step="read headers", peer=target.name)
+    def is_reachable(self, target: Vm) -> bool:
+        """Return whether a new connection to a target can be made."""
+        conn = Connection(target.address, MAX_CONNECT_S)
+        try:
+            conn.connect()
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        finally:
+            conn.close()
+        return True
+
+    def probe(self, target: Vm) -> TargetCondition | None:
+        """Return what a target states of itself, or None where it does not answer in time."""
+        pool = urllib3.HTTPConnectionPool(target.address.host, target.address.port)
+        timeout = urllib3.Timeout(connect=MAX_CONNECT_S, read=PROBE_TIMEOUT_S)
+        try:
+            resp = pool.request("GET", HEALTH_PATH, timeout=timeout, retries=False)
+            return _condition(resp)
+        except urllib3.exceptions.HTTPError:
+            return None
+        finally:
+            pool.close()
+
+    def _connect(self, target: Vm, req: TargetRequest, timeout_s: float) -> Connection:
+        if not req.needs_new_connection:
+            idle = self._connections.take_idle(target.address)
+            if idle is not None:
+                return idle
+        conn = Connection(target.address, min(timeout_s, MAX_CONNECT_S))
+        try:
+            conn.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            conn.close()
+            raise TargetUnreachableError(str(exc), step="connect", peer=target.name) from exc
+        return conn
+
+
+def _condition(resp: urllib3.BaseHTTPResponse) -> TargetCondition | None:
+    if resp.status == 404:
+        return TargetCondition.LIVE
+    if resp.status != 200:
+        return None
+    try:
+        return TargetCondition(resp.json()["state"])
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def _exchange_headers(
+    conn: Connection, req: TargetRequest, deadline_s: float
+) -> urllib3.HTTPResponse:
+    remaining_s = max(0.001, deadline_s - time.monotonic())
+    conn.timeout = remaining_s
+    headers = urllib3.HTTPHeaderDict(req.headers)
+    headers[REQUEST_ID_HEADER] = req.request_id
+    headers[DEADLINE_HEADER] = str(max(1, int(remaining_s * 1000)))
+    body = None
+    if req.body is not None:
+        headers["Content-Length"] = str(req.length)
+        body = _GuardedBody(req.body)
+    try:
+        conn.request(
+            req.method,
+            req.path,
+            body=cast(Any, body),
+            headers=headers,
+            preload_content=False,
+            decode_content=False,
+        )
+    except (BrokenPipeError, ConnectionResetError):
+        if req.body is None:
+            raise
+    conn.timeout = max(0.001, deadline_s - time.monotonic())
+    return conn.getresponse()
+
+
+def _drop(conn: Connection, req: TargetRequest) -> None:
+    if conn.sock is not None:
+        req.cancellation.detach(conn.socket)
+    conn.close()
+
+
+def _raise_lost(exc: Exception, req: TargetRequest, target: Vm) -> NoReturn:
+    reason = req.cancellation.reason
+    if reason is not None:
+        raise ExchangeCancelledError(reason.value, step="read headers", peer=target.name) from exc
+    raise AnswerLostError(str(exc), step="read headers", peer=target.name) from exc
+
+
+def _check(
+    answer: TargetAnswer, req: TargetRequest, resp: urllib3.HTTPResponse, target: Vm
+) -> None:
+    echoed = resp.headers.get(REQUEST_ID_HEADER)
+    if echoed != req.request_id:
+        answer.close()
+        message = f"answer carries request id {echoed!r} instead of {req.request_id!r}"
+        raise AnswerCrossedError(message, step="read headers", peer=target.name)
+    has_body = req.method != "HEAD" and resp.status not in _NO_BODY_STATUSES
+    if has_body and not resp.chunked and "Content-Length" not in resp.headers:
+        answer.close()
+        message = "answer states neither its length nor its parts"
+        raise AnswerLostError(message, step="read headers", peer=target.name)
--- a/src/chervilmill/targets/_errors.py
+++ b/src/chervilmill/targets/_errors.py
@@ -21,3 +21,7 @@
 
 class AnswerShortError(TargetError):
     """Report an answer that ended before its stated end."""
+
+
+class ExchangeCancelledError(TargetError):
+    """Report an exchange that this node broke off."""
