--- a/bench/fleet/target.py
+++ b/bench/fleet/target.py
@@ -16,7 +16,8 @@
 
 from chervilmill.addresses import parse_address
 from chervilmill.http import Environ, HttpServer, StartResponse, WsgiApp
-from chervilmill.standins.target_server import TargetApp, TargetState
+from chervilmill.standins.target_app import TargetApp
+from chervilmill.standins.target_state import TargetState
 
 THREADS = 48
 CRASH_EXIT_CODE = 70
@@ -76,7 +77,9 @@
     parser.add_argument("--records", type=Path, required=True)
     args = parser.parse_args()
     state = TargetState(args.name, slots=args.slots, part_delay_s=args.part_delay_s)
-    app = Recorder(TargetApp(state), args.records, args.service_time_s)
+    app = Recorder(
+        TargetApp(state, lambda: os._exit(CRASH_EXIT_CODE)), args.records, args.service_time_s
+    )
     server = HttpServer(args.address, app, threads=THREADS)
     server.start()
     stopped = threading.Event()
--- a/src/chervilmill/callers/_answers.py
+++ b/src/chervilmill/callers/_answers.py
@@ -64,4 +64,4 @@
         finish, self._finish = self._finish, None
         if finish is not None:
             self._answer.close()
-            finish(AttemptEnd.FAILED if self.status >= 500 else self._end)
+            finish(self._end)
--- a/src/chervilmill/callers/_app.py
+++ b/src/chervilmill/callers/_app.py
@@ -73,8 +73,8 @@
         if self._settings.service(req.service) is None:
             detail = f"service {req.service} is not in the settings"
             raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
-        exchange = exchange_of(environ)
-        watched = self._watch.watch(exchange.socket, req.deadline_s, _canceller(req))
+        sock = exchange_of(environ).socket
+        watched = self._watch.watch(sock, req.deadline_s, _canceller(req))
         try:
             answer = self._forwarder.forward(req)
         except BaseException:
@@ -83,8 +83,6 @@
         headers = [item for item in answer.headers if item[0].lower() not in _HOP_HEADERS]
         start_response(_status_line(answer.status), headers)
         delivery = Delivery(req, answer, started_s, self._metrics)
-        if environ["SERVER_PROTOCOL"] == "HTTP/1.0":
-            delivery.on_break(exchange.end_in_reset)
         delivery.on_close(watched.close)
         delivery.on_close(self._in_flight.leave)
         return delivery
--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -261,7 +261,10 @@
         return AttemptFailure(failure, refusal, self._target.name)
 
     def _finish(self, end: AttemptEnd) -> None:
-        if end is AttemptEnd.FAILED and self._attempt.cancellation.reason is None:
+        reason = self._attempt.cancellation.reason
+        if reason is CancelReason.DEADLINE:
+            self._metrics.count_dropped(self._attempt.req.service, DropReason.STALLED)
+        elif end is AttemptEnd.FAILED:
             self._metrics.count_dropped(self._attempt.req.service, DropReason.SHORT)
         self._end(end)
 
--- a/src/chervilmill/callers/_delivery.py
+++ b/src/chervilmill/callers/_delivery.py
@@ -26,13 +26,8 @@
         self._answer = answer
         self._started_s = started_s
         self._metrics = metrics
-        self._on_break: list[Callable[[], None]] = []
         self._on_close: list[Callable[[], None]] = []
 
-    def on_break(self, action: Callable[[], None]) -> None:
-        """Run an action when the answer breaks off."""
-        self._on_break.append(action)
-
     def on_close(self, action: Callable[[], None]) -> None:
         """Run an action when the exchange has ended."""
         self._on_close.append(action)
@@ -68,8 +63,6 @@
             peer=exc.peer,
             error=exc.message,
         )
-        for action in self._on_break:
-            action()
 
     def _observe(self, histogram: Histogram) -> None:
         elapsed_s = time.monotonic() - self._started_s
--- a/src/chervilmill/callers/_request.py
+++ b/src/chervilmill/callers/_request.py
@@ -42,6 +42,9 @@
     match = _SERVICE_PATH.fullmatch(environ["PATH_INFO"])
     if match is None:
         raise _bad(RefusalReason.UNKNOWN_PATH, "paths are /lookup and /s/SERVICE/PATH")
+    if environ["SERVER_PROTOCOL"] == "HTTP/1.0":
+        detail = "HTTP/1.0 cannot tell a short answer from a whole one"
+        raise _bad(RefusalReason.HTTP_VERSION, detail)
     method = environ["REQUEST_METHOD"]
     kind = kind_of(method)
     if kind is None:
--- a/src/chervilmill/http/_exchange.py
+++ b/src/chervilmill/http/_exchange.py
@@ -3,7 +3,6 @@
 import errno
 import select
 import socket
-import struct
 from collections.abc import Callable, Iterable
 from typing import Any, NoReturn
 
@@ -11,8 +10,6 @@
 StartResponse = Callable[..., Any]
 WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
 
-_NO_LINGER = struct.pack("ii", 1, 0)
-
 EXCHANGE_KEY = "chervilmill.exchange"
 
 
@@ -34,11 +31,6 @@
         sock: socket.socket = self._req.conn.socket
         return sock
 
-    def end_in_reset(self) -> None:
-        """Have the connection end in a reset, which no reader takes for the end of an answer."""
-        self.close_connection()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-
     def is_peer_gone(self) -> bool:
         """Return whether the peer has ended its side; a peer that half-closes counts as gone."""
         sock = self._req.conn.socket
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -23,6 +23,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ENTRY_LEAVING = "entry_leaving"
     HEADERS_TOO_LARGE = "headers_too_large"
+    HTTP_VERSION = "http_version"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     INTERNAL_ERROR = "internal_error"
     LENGTH_REQUIRED = "length_required"
@@ -74,6 +75,7 @@
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.ENTRY_LEAVING: 503,
     RefusalReason.HEADERS_TOO_LARGE: 431,
+    RefusalReason.HTTP_VERSION: 505,
     RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 428,
     RefusalReason.INTERNAL_ERROR: 500,
     RefusalReason.LENGTH_REQUIRED: 411,
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -7,7 +7,6 @@
     Waiting,
     priority_of,
 )
-from chervilmill.requests._choice import TargetChoice, TwoRandomChoices
 from chervilmill.requests._hedge import HedgeDelay
 from chervilmill.requests._kinds import RequestKind, kind_of
 from chervilmill.requests._order_model import MAX_OUTCOME_BYTES, OrderKey, Outcome, order_key
@@ -100,12 +99,10 @@
     "StoreCall",
     "StoreFailure",
     "StoreReply",
-    "TargetChoice",
     "TargetCondition",
     "TargetInfo",
     "TargetPolicy",
     "TooBusy",
-    "TwoRandomChoices",
     "Waiting",
     "WriteShard",
     "commit_changes",
--- a/src/chervilmill/targets/_answer.py
+++ b/src/chervilmill/targets/_answer.py
@@ -1,5 +1,6 @@
 """Read the answer of a target and settle what becomes of its connection."""
 
+import socket
 import time
 from collections.abc import Callable, Iterator
 
@@ -36,6 +37,7 @@
         self,
         resp: urllib3.HTTPResponse,
         conn: Connection,
+        sock: socket.socket,
         connections: Connections,
         req: TargetRequest,
         peer: str,
@@ -44,7 +46,7 @@
     ) -> None:
         self._resp = resp
         self._conn = conn
-        self._sock = conn.socket
+        self._sock = sock
         self._connections = connections
         self._req = req
         self._peer = peer
--- a/src/chervilmill/targets/_client.py
+++ b/src/chervilmill/targets/_client.py
@@ -78,7 +78,7 @@
             _drop(conn, req)
             raise
         answer = TargetAnswer(
-            resp, conn, self._connections, req, target.name, deadline_s, self._on_extra_bytes
+            resp, conn, sock, self._connections, req, target.name, deadline_s, self._on_extra_bytes
         )
         _check(answer, req, resp, target)
         return answer
--- /dev/null
+++ b/tests/callers/harness.py
@@ -0,0 +1,160 @@
+"""Run the callers' side of one entry VM in this process against target stand-ins."""
+
+import random
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import urllib3
+
+from chervilmill.addresses import Address
+from chervilmill.callers import (
+    Attempts,
+    CallersApp,
+    CallerWatch,
+    Forwarder,
+    InFlight,
+    Lookups,
+    Orders,
+    Prober,
+    Retries,
+    build_services,
+)
+from chervilmill.http import HttpServer
+from chervilmill.metrics import Metrics
+from chervilmill.platform import OrderLedger, Vm
+from chervilmill.reasons import DropReason
+from chervilmill.requests import CrashNews
+from chervilmill.settings import check_settings
+from chervilmill.standins.store import MemoryStore
+from chervilmill.standins.target_server import TargetState, target_server
+from chervilmill.targets import HttpTargets
+from tests.support import entry_vm, free_address, raw_settings, target_vm
+
+SERVICE = "souhrny"
+TIMEOUT_S = 10
+
+
+class FixedDirectory:
+    """Know the VMs that a test lists."""
+
+    def __init__(self, entries: tuple[Vm, ...], targets: list[Vm]) -> None:
+        self._entries = entries
+        self.listed = targets
+
+    def targets(self, service: str) -> tuple[Vm, ...]:
+        return tuple(vm for vm in self.listed if vm.service == service)
+
+    def entry_vms(self) -> tuple[Vm, ...]:
+        return self._entries
+
+
+class Entry:
+    """Hold one running entry VM and a client of it."""
+
+    def __init__(self, targets: list[Vm], store: MemoryStore, name: str = "entry-1") -> None:
+        raw = raw_settings(name, Address("127.0.0.1", 1))
+        raw["node"].update(callers=str(free_address()))
+        raw["node"].update(operators="127.0.0.2:1", nodes="127.0.0.3:1")
+        settings = check_settings(raw)
+        self.metrics = Metrics()
+        self.news: list[CrashNews] = []
+        self.watch = CallerWatch()
+        self.ledger = OrderLedger(store)
+        self.directory = FixedDirectory((entry_vm(raw),), targets)
+        self.client = HttpTargets(
+            33, lambda: self.metrics.count_dropped("", DropReason.EXTRA_BYTES)
+        )
+        self.services = build_services(
+            settings,
+            self.directory,
+            self.client.is_reachable,
+            lambda _service, news: self.news.append(news),
+            random.Random(1),
+        )
+        self.prober = Prober([parts.places for parts in self.services.values()], self.client)
+        attempts = Attempts(self.services, self.client, self.metrics)
+        retries = Retries(attempts, self.services, self.watch, self.metrics, random.Random(2))
+        self.in_flight = InFlight()
+        app = CallersApp(
+            settings,
+            Lookups(self.directory, "praha", 5),
+            Forwarder(retries, Orders(self.ledger, attempts)),
+            self.watch,
+            self.in_flight,
+            self.metrics,
+        )
+        self.server = HttpServer(settings.node.callers, app, threads=24)
+        self.http = urllib3.HTTPConnectionPool(
+            settings.node.callers.host, settings.node.callers.port, timeout=TIMEOUT_S, maxsize=16
+        )
+
+    def start(self) -> None:
+        for part in (self.watch, self.ledger, self.prober, self.server):
+            part.start()
+
+    def stop(self) -> None:
+        self.http.close()
+        self.server.abort()
+        self.prober.stop()
+        self.ledger.stop(0)
+        self.watch.stop()
+
+    def get(self, path: str, **headers: str) -> urllib3.BaseHTTPResponse:
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return self.http.request("GET", f"/s/{SERVICE}{path}", headers=named, retries=False)
+
+    def order(self, key: str, body: bytes = b"{}") -> urllib3.BaseHTTPResponse:
+        headers = {"Idempotency-Key": key}
+        return self.http.request(
+            "POST", f"/s/{SERVICE}/orders", body=body, headers=headers, retries=False
+        )
+
+    def dropped(self, reason: DropReason) -> float:
+        samples = self.metrics.dropped_answers.collect()[0].samples
+        return sum(
+            one.value
+            for one in samples
+            if one.name.endswith("_total") and one.labels["reason"] == reason.value
+        )
+
+    def raw(self, request: bytes) -> socket.socket:
+        sock = socket.create_connection((self.http.host, self.http.port), timeout=TIMEOUT_S)
+        sock.sendall(request)
+        return sock
+
+
+@contextmanager
+def running(
+    targets: int = 1, entries: int = 1, **behaviour: object
+) -> Iterator[tuple[list[Entry], list[TargetState]]]:
+    """Run entry VMs that share targets and a store."""
+    states = [TargetState(f"target-{index}", late_s=3.0) for index in range(targets)]
+    servers = [target_server(free_address(), state) for state in states]
+    for state, server in zip(states, servers, strict=True):
+        state.behave(dict(behaviour))
+        server.start()
+    vms = [
+        target_vm(state.name, server.address, domain=f"praha-{'ab'[index % 2]}")
+        for index, (state, server) in enumerate(zip(states, servers, strict=True))
+    ]
+    store = MemoryStore()
+    started = [Entry(list(vms), store, f"entry-{index}") for index in range(entries)]
+    for entry in started:
+        entry.start()
+    try:
+        yield started, states
+    finally:
+        for entry in started:
+            entry.stop()
+        for server in servers:
+            server.stop()
+
+
+def in_thread(call, *args, **kwargs) -> tuple[threading.Thread, list]:
+    """Call in a thread and collect its result."""
+    results: list = []
+    thread = threading.Thread(target=lambda: results.append(call(*args, **kwargs)))
+    thread.start()
+    return thread, results
