--- a/src/chervilmill/callers/__init__.py
+++ b/src/chervilmill/callers/__init__.py
@@ -6,6 +6,7 @@
 from chervilmill.callers._forward import Forwarder
 from chervilmill.callers._in_flight import InFlight
 from chervilmill.callers._lookup import LookupAnswer, Lookups
+from chervilmill.callers._order_owners import OrderOwners
 from chervilmill.callers._orders import Orders
 from chervilmill.callers._prober import Prober
 from chervilmill.callers._refusal import Refusal
@@ -22,6 +23,7 @@
     "InFlight",
     "LookupAnswer",
     "Lookups",
+    "OrderOwners",
     "Orders",
     "Prober",
     "Refusal",
--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -220,9 +220,9 @@
             )
         if isinstance(exc, ExchangeCancelledError):
             return self._cancelled(exc)
-        self._count_dropped(exc)
         if time.monotonic() >= self._attempt.req.deadline_s:
             return self._deadline_passed()
+        self._count_dropped(exc)
         is_crash = self._suspects.broken(self._attempt.fingerprint, self._target, self._places)
         self._end(AttemptEnd.UNREACHABLE if is_crash else AttemptEnd.FAILED)
         failure = self._not_answered(
@@ -233,7 +233,6 @@
 
     def _cancelled(self, exc: ExchangeCancelledError) -> AttemptFailure:
         if self._attempt.cancellation.reason is CancelReason.DEADLINE:
-            self._metrics.count_dropped(self._attempt.req.service, DropReason.STALLED)
             return self._deadline_passed()
         self._end(AttemptEnd.CANCELLED)
         return self._not_answered(
@@ -241,6 +240,7 @@
         )
 
     def _deadline_passed(self) -> AttemptFailure:
+        self._metrics.count_dropped(self._attempt.req.service, DropReason.STALLED)
         is_stalled = time.monotonic() - self._started_s >= STALLED_S
         self._end(AttemptEnd.FAILED if is_stalled else AttemptEnd.CANCELLED)
         detail = "the deadline passed before the answer"
--- /dev/null
+++ b/src/chervilmill/callers/_order_owners.py
@@ -0,0 +1,126 @@
+"""Pass orders on to the entry VM that records them."""
+
+import io
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from chervilmill.callers._refusal import Refusal
+from chervilmill.callers._request import CallerRequest
+from chervilmill.platform import Vm
+from chervilmill.reasons import Ran, RefusalReason
+from chervilmill.requests import OrderKey, owner_of
+from chervilmill.targets import (
+    Answer,
+    TargetError,
+    TargetRequest,
+    Targets,
+    TargetUnreachableError,
+)
+
+HOP_HEADER = "X-Order-Hop"
+AVOIDED_S = 5.0
+
+
+class EntryVms(Protocol):
+    """Know the entry VMs that take new work."""
+
+    def entry_vms(self) -> tuple[Vm, ...]:
+        """Return the live entry VMs."""
+        ...
+
+
+class PassedOnAnswer:
+    """Hold the answer of another entry VM on its way to the caller."""
+
+    def __init__(self, answer: Answer) -> None:
+        self._answer = answer
+        self.status = answer.status
+        self.headers = answer.headers
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the parts of the answer as they arrive."""
+        yield from self._answer.chunks()
+
+    def close(self) -> None:
+        """End the exchange with the other entry VM."""
+        self._answer.close()
+
+
+class OrderOwners:
+    """Find the owner of an order among the entry VMs of the store's region and reach it.
+
+    An owner that cannot be reached or gives no answer is passed over for some seconds.
+    """
+
+    def __init__(
+        self,
+        entries: EntryVms,
+        peers: Targets,
+        node: str,
+        store_region: str,
+        shards: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._entries = entries
+        self._peers = peers
+        self._node = node
+        self._store_region = store_region
+        self._shards = shards
+        self._clock = clock
+        self._avoided_until_s: dict[str, float] = {}
+        self._lock = threading.Lock()
+
+    def count(self) -> int:
+        """Return the number of entry VMs that own shards."""
+        return max(1, len(self._owners()))
+
+    def pass_on(self, req: CallerRequest, key: OrderKey, body: bytes) -> PassedOnAnswer | None:
+        """Return the answer of the owner, or None where this node is to run the order itself.
+
+        Raise Refusal where the owner may have run it and its answer was lost.
+        """
+        owner = self._owner(key)
+        if owner is None or req.is_hop:
+            return None
+        try:
+            answer = self._peers.send(owner, _passed(req, body), req.deadline_s - self._clock())
+        except TargetUnreachableError:
+            self._avoid(owner)
+            return None
+        except TargetError as exc:
+            self._avoid(owner)
+            raise Refusal(
+                RefusalReason.ORDER_OUTCOME_UNKNOWN, Ran.UNKNOWN, str(exc), retry_after_ms=1000
+            ) from exc
+        return PassedOnAnswer(answer)
+
+    def _owner(self, key: OrderKey) -> Vm | None:
+        by_name = {vm.name: vm for vm in self._owners()}
+        name = owner_of(key.shard_index(self._shards), sorted(by_name))
+        return None if name is None or name == self._node else by_name[name]
+
+    def _owners(self) -> list[Vm]:
+        now_s = self._clock()
+        listed = self._entries.entry_vms()
+        near = [vm for vm in listed if vm.region == self._store_region] or list(listed)
+        with self._lock:
+            avoided = {name for name, until_s in self._avoided_until_s.items() if until_s > now_s}
+        return [vm for vm in near if vm.name not in avoided]
+
+    def _avoid(self, owner: Vm) -> None:
+        with self._lock:
+            self._avoided_until_s[owner.name] = self._clock() + AVOIDED_S
+
+
+def _passed(req: CallerRequest, body: bytes) -> TargetRequest:
+    return TargetRequest(
+        request_id=req.request_id,
+        method=req.method,
+        path=f"/s/{req.service}{req.path}",
+        headers=(*req.headers, (HOP_HEADER, "1")),
+        body=io.BytesIO(body),
+        length=len(body),
+        cancellation=req.cancellation,
+    )
--- a/src/chervilmill/callers/_orders.py
+++ b/src/chervilmill/callers/_orders.py
@@ -7,9 +7,10 @@
 from itertools import chain
 from typing import Protocol
 
-from chervilmill.callers._answers import ForwardedAnswer
+from chervilmill.callers._answers import CallerAnswer, ForwardedAnswer
 from chervilmill.callers._attempts import Attempt, AttemptFailure, Attempts
 from chervilmill.callers._body import WholeBody
+from chervilmill.callers._order_owners import OrderOwners
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
 from chervilmill.reasons import Ran, RefusalReason
@@ -22,6 +23,7 @@
     OrderAction,
     OrderEnd,
     OrderEvent,
+    OrderKey,
     OrderResult,
     OrderRun,
     Outcome,
@@ -49,6 +51,10 @@
         """Record an outcome or give a claim back, in the background."""
         ...
 
+    def share_writes(self, nodes: int) -> None:
+        """Take this node's share of the writes that orders may cost, among so many nodes."""
+        ...
+
 
 class OrderAnswer:
     """Hold the answer of an order: its first part in memory, the rest as it arrives."""
@@ -78,28 +84,36 @@
 class Orders:
     """Run orders against the ledger and the targets."""
 
-    def __init__(self, ledger: Ledger, attempts: Attempts) -> None:
+    def __init__(self, ledger: Ledger, attempts: Attempts, owners: OrderOwners) -> None:
         self._ledger = ledger
         self._attempts = attempts
+        self._owners = owners
 
-    def run(self, req: CallerRequest) -> OrderAnswer:
+    def run(self, req: CallerRequest) -> CallerAnswer:
         """Return the answer of the one run of an order, or raise Refusal."""
         if req.length > MAX_ORDER_BYTES:
             detail = f"an order has at most {MAX_ORDER_BYTES} bytes"
             raise Refusal(RefusalReason.BODY_TOO_LARGE, Ran.NOT_RUN, detail)
         body = WholeBody(req.body, req.length).read_whole()
-        return _Transmission(req, body, self._ledger, self._attempts).run()
+        key = order_key(req.service, req.idempotency_key or "", req.method, req.path, body)
+        self._ledger.share_writes(self._owners.count())
+        passed_on = self._owners.pass_on(req, key, body)
+        if passed_on is not None:
+            return passed_on
+        return _Transmission(req, key, body, self._ledger, self._attempts).run()
 
 
 class _Transmission:
     """Carry out the actions of one OrderRun."""
 
-    def __init__(self, req: CallerRequest, body: bytes, ledger: Ledger, attempts: Attempts) -> None:
+    def __init__(
+        self, req: CallerRequest, key: OrderKey, body: bytes, ledger: Ledger, attempts: Attempts
+    ) -> None:
         self._req = req
+        self._key = key
         self._body = body
         self._ledger = ledger
         self._attempts = attempts
-        self._key = order_key(req.service, req.idempotency_key or "", req.method, req.path, body)
         self._tried: list[str] = []
         self._answer: OrderAnswer | None = None
         self._refusal: Refusal | None = None
--- a/src/chervilmill/callers/_request.py
+++ b/src/chervilmill/callers/_request.py
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """Hold a request of a caller; `deadline_s` is a reading of the monotonic clock."""
+    """Hold a request of a caller; `deadline_s` is a reading of the monotonic clock.
+
+    A request `is_hop` where another entry VM passed it on.
+    """
 
     request_id: str
     service: str
@@ -34,6 +37,7 @@
     length: int
     body: IO[bytes]
     is_retry: bool = False
+    is_hop: bool = False
     cancellation: Cancellation = field(default_factory=Cancellation)
 
 
@@ -66,6 +70,7 @@
         length=_length(environ),
         body=environ["wsgi.input"],
         is_retry=environ.get("HTTP_X_ATTEMPT", "1") != "1",
+        is_hop="HTTP_X_ORDER_HOP" in environ,
     )
 
 
--- a/src/chervilmill/callers/_suspects.py
+++ b/src/chervilmill/callers/_suspects.py
@@ -10,6 +10,8 @@
 from chervilmill.reasons import Ran, RefusalReason
 from chervilmill.requests import CrashNews, Limited, Quarantine, Quarantined
 
+CHECK_PAUSES_S = (0.0, 0.01, 0.04)
+
 NewsListener = Callable[[CrashNews], None]
 Reachable = Callable[[Vm], bool]
 
@@ -54,7 +56,7 @@
 
     def broken(self, fingerprint: bytes, target: Vm, places: Places) -> bool:
         """Take in an exchange that broke off and return whether the target crashed."""
-        if self._is_reachable(target):
+        if not self._is_down(target):
             return False
         domains = places.domains() | {target.name: target.failure_domain}
         with self._lock:
@@ -64,6 +66,14 @@
             self._on_news(one)
         return True
 
+    def _is_down(self, target: Vm) -> bool:
+        """Return whether a target went away; its listener may outlast its connections a little."""
+        for pause_s in CHECK_PAUSES_S:
+            time.sleep(pause_s)
+            if not self._is_reachable(target):
+                return True
+        return False
+
     def receive(self, news: CrashNews, places: Places) -> None:
         """Take in the news of another entry VM."""
         with self._lock:
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -12,6 +12,7 @@
     Forwarder,
     InFlight,
     Lookups,
+    OrderOwners,
     Orders,
     Prober,
     Retries,
@@ -159,7 +160,15 @@
     def _forwarder(self) -> Forwarder:
         attempts = Attempts(self._services, self._targets, self.metrics)
         retries = Retries(attempts, self._services, self._watch, self.metrics, random.Random())
-        return Forwarder(retries, Orders(self._orders, attempts))
+        settings = self.settings
+        owners = OrderOwners(
+            self.directory,
+            self._targets,
+            settings.node.name,
+            settings.platform.region,
+            self._orders.shards,
+        )
+        return Forwarder(retries, Orders(self._orders, attempts, owners))
 
     def _count_extra_bytes(self) -> None:
         self.metrics.count_dropped("", DropReason.EXTRA_BYTES)
--- a/src/chervilmill/platform/_order_ledger.py
+++ b/src/chervilmill/platform/_order_ledger.py
@@ -30,12 +30,14 @@
     StoreCall,
     StoreFailure,
     StoreReply,
+    WritePace,
     commit_changes,
     read_stored,
 )
 
 ORDERS_KIND = "orders"
-SHARDS = 256
+SHARDS = 64
+WRITES_PER_S = 240.0
 WRITERS = 8
 RECORD_DELAY_S = 0.2
 RETRY_DELAY_S = 1.0
@@ -47,10 +49,16 @@
     """Claim orders and record their outcomes."""
 
     def __init__(
-        self, store: ObjectStore, *, shards: int = SHARDS, clock: Callable[[], float] = time.time
+        self,
+        store: ObjectStore,
+        *,
+        shards: int = SHARDS,
+        writes_per_s: float = WRITES_PER_S,
+        clock: Callable[[], float] = time.time,
     ) -> None:
         self._store = store
         self._clock = clock
+        self._pace = WritePace(writes_per_s)
         self._queues = [ShardQueue() for _ in range(shards)]
         self._held_bytes = 0
         self._due: queue.SimpleQueue[int | None] = queue.SimpleQueue()
@@ -66,6 +74,16 @@
             threading.Thread(target=self._schedule_records, name="orders-records", daemon=True)
         )
 
+    @property
+    def shards(self) -> int:
+        """Return the number of shards."""
+        return len(self._queues)
+
+    def share_writes(self, nodes: int) -> None:
+        """Take this node's share of the writes that orders may cost, among so many nodes."""
+        with self._lock:
+            self._pace.set_rate(WRITES_PER_S / nodes)
+
     def start(self) -> None:
         """Begin to write."""
         for thread in self._threads:
@@ -135,6 +153,9 @@
 
     def _write_due(self) -> None:
         while (index := self._due.get()) is not None:
+            with self._lock:
+                pause_s = self._pace.take(time.monotonic())
+            time.sleep(pause_s)
             self._write(self._queues[index])
             with self._lock:
                 self._scheduled.discard(index)
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -39,6 +39,7 @@
     Send,
     SendFailure,
 )
+from chervilmill.requests._owners import owner_of
 from chervilmill.requests._quarantine import (
     CrashNews,
     Free,
@@ -57,6 +58,7 @@
 from chervilmill.requests._shares import connection_share, home_slots, reachable_targets
 from chervilmill.requests._target_policy import TargetInfo, TargetPolicy
 from chervilmill.requests._target_state import AttemptEnd, LoadReading, TargetCondition
+from chervilmill.requests._write_pace import WritePace
 
 __all__ = [
     "MAX_OUTCOME_BYTES",
@@ -104,6 +106,7 @@
     "TargetPolicy",
     "TooBusy",
     "Waiting",
+    "WritePace",
     "WriteShard",
     "commit_changes",
     "connection_share",
@@ -111,6 +114,7 @@
     "home_slots",
     "kind_of",
     "order_key",
+    "owner_of",
     "priority_of",
     "reachable_targets",
     "read_stored",
--- a/src/chervilmill/requests/_target_policy.py
+++ b/src/chervilmill/requests/_target_policy.py
@@ -85,7 +85,7 @@
         Where `only` is given, no other target is taken.
         """
         if only is not None:
-            is_free = only in self._states and self._has_room(only, now_s)
+            is_free = self.is_open(only, now_s) and self._has_room(only, now_s)
             name = only if is_free and only not in excluded else None
         else:
             name = self._choose(now_s, rng, excluded)
@@ -164,22 +164,21 @@
             for name in self._home_order
             if name not in excluded
             and self._states[name].in_flight < self._home[name]
+            and self._states[name].is_open(now_s)
             and self._has_room(name, now_s)
         ]
 
     def _open(self, now_s: float, excluded: Collection[str]) -> list[str]:
-        """Return the targets to choose from: near ones, unless none of them is open.
+        """Return the targets to choose from: near ones, unless none of them takes work.
 
         Where most targets were ejected, ejection is more likely wrong than right and is ignored.
         """
         states = self._states
         listed = [name for name in self._reachable if name not in excluded]
-        near = [name for name in listed if name in self._near]
-        for names in (near, listed):
-            is_open = [name for name in names if states[name].is_open(now_s)]
-            if len(is_open) > MAX_EJECTED_SHARE * len(names):
-                return is_open
-        return [name for name in near or listed if not states[name].is_leaving]
+        working = [name for name in listed if not states[name].is_out_of_work]
+        names = [name for name in working if name in self._near] or working
+        is_open = [name for name in names if states[name].is_open(now_s)]
+        return is_open if len(is_open) >= (1 - MAX_EJECTED_SHARE) * len(names) else names
 
     def _least_loaded(self, names: Sequence[str], now_s: float, rng: random.Random) -> str:
         return min(names, key=self._scorer(now_s, rng))
--- a/src/chervilmill/requests/_target_state.py
+++ b/src/chervilmill/requests/_target_state.py
@@ -120,21 +120,25 @@
             limit = min(limit, self._ramp(now_s))
         return max(1.0, limit)
 
+    @property
+    def is_out_of_work(self) -> bool:
+        """Return whether the target left or could not be reached when it was tried last."""
+        return self.is_leaving or self.needs_probe
+
     def is_ejected(self, now_s: float) -> bool:
         """Return whether failures keep the target out; what was unreachable waits for a probe."""
         return self.needs_probe or now_s < self.ejected_until_s
 
     def is_open(self, now_s: float) -> bool:
         """Return whether the target may be chosen at all."""
-        is_kept_out = self.is_ejected(now_s) or now_s < self.avoid_until_s
-        return not is_kept_out and not self.is_leaving
+        return not self.is_ejected(now_s) and not self.is_leaving
 
     def has_room(self, now_s: float, home: int, expected_others: float) -> bool:
         """Return whether one more request of this node fits.
 
         Beyond the home slots, the others' requests count too.
         """
-        if not self.is_open(now_s) or self.in_flight + 1 > self.allowed(now_s):
+        if now_s < self.avoid_until_s or self.in_flight + 1 > self.allowed(now_s):
             return False
         if self.in_flight < home:
             return True
--- /dev/null
+++ b/src/chervilmill/requests/_write_pace.py
@@ -0,0 +1,23 @@
+"""Pace the writes of one node, so that what waits is grouped."""
+
+BURST_S = 0.1
+
+
+class WritePace:
+    """Hand out the times of writes at a rate, with a small burst; times are in seconds."""
+
+    __slots__ = ("_burst_s", "_interval_s", "_next_s")
+
+    def __init__(self, writes_per_s: float) -> None:
+        self._next_s = float("-inf")
+        self.set_rate(writes_per_s)
+
+    def set_rate(self, writes_per_s: float) -> None:
+        """Hand out further writes at another rate."""
+        self._interval_s = 1.0 / writes_per_s
+        self._burst_s = max(BURST_S, self._interval_s)
+
+    def take(self, now_s: float) -> float:
+        """Return how long to wait before the next write, and count it."""
+        self._next_s = max(self._next_s + self._interval_s, now_s - self._burst_s)
+        return max(0.0, self._next_s - now_s)
--- a/src/chervilmill/settings/_check.py
+++ b/src/chervilmill/settings/_check.py
@@ -75,6 +75,7 @@
     platform = Platform(
         address=reader.address("address"),
         timeout_ms=reader.whole("timeout_ms", 10, 60_000, DEFAULT_PLATFORM_TIMEOUT_MS),
+        region=reader.text("region", default=""),
     )
     reader.finish()
     return platform
--- a/src/chervilmill/settings/_model.py
+++ b/src/chervilmill/settings/_model.py
@@ -20,10 +20,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Platform:
-    """Say where the platform's object API is and how long one call may take."""
+    """Say where the platform's object API is and how long one call may take.
+
+    `region` is the region that the store stands in, or empty where that is not known.
+    """
 
     address: Address
     timeout_ms: int
+    region: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilmill/settings/_reader.py
+++ b/src/chervilmill/settings/_reader.py
@@ -59,9 +59,11 @@
         self._report(key, value, f"1 to {MAX_NAME_LENGTH} characters of A-Z a-z 0-9 _ . -")
         return ""
 
-    def text(self, key: str) -> str:
-        """Return a string of 1 to 200 characters."""
+    def text(self, key: str, default: str | None = None) -> str:
+        """Return a string of 1 to 200 characters, or the default where there is none."""
         value = self._take(key)
+        if value is None and default is not None:
+            return default
         if isinstance(value, str) and 1 <= len(value) <= MAX_TEXT_LENGTH:
             return value
         self._report(key, value, f"a string of 1 to {MAX_TEXT_LENGTH} characters")
--- a/src/chervilmill/settings/_together.py
+++ b/src/chervilmill/settings/_together.py
@@ -15,6 +15,7 @@
     _check_names("services", (service.name for service in settings.services), top)
     _check_failure_domains(settings.regions, top)
     _check_place(settings, top)
+    _check_store_region(settings, top)
     _check_links(settings, top)
     _check_addresses(settings, top)
 
@@ -47,6 +48,13 @@
         top.reject("node.failure_domain", shown(node.failure_domain), allowed)
 
 
+def _check_store_region(settings: Settings, top: Reader) -> None:
+    names = [region.name for region in settings.regions]
+    name = settings.platform.region
+    if name and name not in names:
+        top.reject("platform.region", shown(name), _one_of(names))
+
+
 def _check_links(settings: Settings, top: Reader) -> None:
     names = [region.name for region in settings.regions]
     seen: set[frozenset[str]] = set()
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -16,6 +16,7 @@
     Forwarder,
     InFlight,
     Lookups,
+    OrderOwners,
     Orders,
     Prober,
     Retries,
@@ -39,7 +40,7 @@
 class FixedDirectory:
     """Know the VMs that a test lists."""
 
-    def __init__(self, entries: tuple[Vm, ...], targets: list[Vm]) -> None:
+    def __init__(self, entries: list[Vm], targets: list[Vm]) -> None:
         self._entries = entries
         self.listed = targets
 
@@ -47,13 +48,15 @@
         return tuple(vm for vm in self.listed if vm.service == service)
 
     def entry_vms(self) -> tuple[Vm, ...]:
-        return self._entries
+        return tuple(self._entries)
 
 
 class Entry:
     """Hold one running entry VM and a client of it."""
 
-    def __init__(self, targets: list[Vm], store: MemoryStore, name: str = "entry-1") -> None:
+    def __init__(
+        self, entries: list[Vm], targets: list[Vm], store: MemoryStore, name: str = "entry-1"
+    ) -> None:
         raw = raw_settings(name, Address("127.0.0.1", 1))
         raw["node"].update(callers=str(free_address()))
         raw["node"].update(operators="127.0.0.2:1", nodes="127.0.0.3:1")
@@ -62,7 +65,8 @@
         self.news: list[CrashNews] = []
         self.watch = CallerWatch()
         self.ledger = OrderLedger(store)
-        self.directory = FixedDirectory((entry_vm(raw),), targets)
+        self.directory = FixedDirectory(entries, targets)
+        entries.append(entry_vm(raw))
         self.client = HttpTargets(
             33, lambda: self.metrics.count_dropped("", DropReason.EXTRA_BYTES)
         )
@@ -76,11 +80,12 @@
         self.prober = Prober([parts.places for parts in self.services.values()], self.client)
         attempts = Attempts(self.services, self.client, self.metrics)
         retries = Retries(attempts, self.services, self.watch, self.metrics, random.Random(2))
+        owners = OrderOwners(self.directory, self.client, name, "praha", self.ledger.shards)
         self.in_flight = InFlight()
         app = CallersApp(
             settings,
             Lookups(self.directory, "praha", 5),
-            Forwarder(retries, Orders(self.ledger, attempts)),
+            Forwarder(retries, Orders(self.ledger, attempts, owners)),
             self.watch,
             self.in_flight,
             self.metrics,
@@ -140,7 +145,8 @@
         for index, (state, server) in enumerate(zip(states, servers, strict=True))
     ]
     store = MemoryStore()
-    started = [Entry(list(vms), store, f"entry-{index}") for index in range(entries)]
+    listed: list[Vm] = []
+    started = [Entry(listed, list(vms), store, f"entry-{index}") for index in range(entries)]
     for entry in started:
         entry.start()
     try:
--- /dev/null
+++ b/tests/callers/test_quarantine.py
@@ -0,0 +1,41 @@
+"""Lose at most two targets to a request that crashes them, and refuse no other."""
+
+from tests.callers.harness import Entry, in_thread, running
+
+
+def crash(entry: Entry, path: str = "/crash/1") -> str:
+    """Send a request that crashes its target and return the reason of its refusal."""
+    resp = entry.get(path, X_Deadline_Ms="3000")
+    return resp.json()["reason"]
+
+
+def test_crash_request_takes_two_targets_and_is_then_refused() -> None:
+    with running(targets=6, crash_away_s=5.0) as ([entry], states):
+        reasons = [crash(entry) for _ in range(8)]
+        assert sum(state.crashes for state in states) == 2
+        assert reasons[-1] == "quarantined"
+        assert entry.get("/digest").status == 200
+
+
+def test_news_keep_other_entry_vms_from_losing_more() -> None:
+    with running(targets=6, entries=2, crash_away_s=5.0) as (entries, states):
+        crash(entries[0])
+        for news in entries[0].news:
+            suspects = entries[1].services["souhrny"].suspects
+            suspects.receive(news, entries[1].services["souhrny"].places)
+        reasons = [crash(entries[index % 2]) for index in range(8)]
+        assert sum(state.crashes for state in states) == 2
+        assert reasons[-1] == "quarantined"
+
+
+def test_request_that_ran_beside_it_is_answered() -> None:
+    with running(targets=6, crash_away_s=5.0, work_s=0.3) as ([entry], states):
+        beside = [in_thread(entry.get, f"/digest/{number}") for number in range(30)]
+        crash(entry)
+        crash(entry)
+        for thread, results in beside:
+            thread.join()
+            assert results[0].status == 200 or results[0].json()["reason"] != "quarantined"
+        assert sum(state.crashes for state in states) <= 2
+        for number in range(30):
+            assert entry.get(f"/digest/{number}").status == 200
--- /dev/null
+++ b/tests/requests/test_admission.py
@@ -0,0 +1,68 @@
+"""Let requests wait for a place by priority and deadline, or refuse them at once."""
+
+import pytest
+
+from chervilmill.requests import AdmissionQueue, Priority, RequestKind, Waiting, priority_of
+
+
+def order_of(queue: AdmissionQueue, now_s: float) -> list[Waiting]:
+    order = []
+    while (waiting := queue.next(now_s)) is not None:
+        queue.leave(waiting)
+        order.append(waiting)
+    return order
+
+
+@pytest.mark.parametrize(
+    ("kind", "time_left_s", "expected"),
+    [
+        (RequestKind.ORDER, 60.0, Priority.ORDER),
+        (RequestKind.IDEMPOTENT, 1.0, Priority.NEAR_DEADLINE),
+        (RequestKind.IDEMPOTENT, 30.0, Priority.NORMAL),
+        (RequestKind.UPLOAD, 1.0, Priority.BULK),
+    ],
+)
+def test_priorities(kind: RequestKind, time_left_s: float, expected: Priority) -> None:
+    assert priority_of(kind, time_left_s) is expected
+
+
+def test_orders_and_near_deadlines_go_first() -> None:
+    queue = AdmissionQueue()
+    for _ in range(50):
+        queue.free(0.0)
+    waiting = [
+        Waiting(priority, 0.0, 10.0)
+        for priority in (Priority.BULK, Priority.NORMAL, Priority.ORDER, Priority.NEAR_DEADLINE)
+    ]
+    for one in waiting:
+        assert queue.join(one, 0.0) is None
+    assert [one.priority for one in order_of(queue, 0.0)] == sorted(Priority)
+
+
+def test_bulk_that_waited_long_goes_before_new_requests() -> None:
+    queue = AdmissionQueue()
+    for _ in range(50):
+        queue.free(0.0)
+    bulk, fresh = Waiting(Priority.BULK, 0.0, 60.0), Waiting(Priority.ORDER, 0.4, 60.0)
+    assert queue.join(bulk, 0.0) is None
+    assert queue.join(fresh, 0.4) is None
+    assert order_of(queue, 0.4)[0] is bulk
+
+
+def test_request_that_cannot_be_reached_in_time_is_refused_with_a_time() -> None:
+    queue = AdmissionQueue()
+    for _ in range(10):
+        queue.free(0.0)
+    joined = 0
+    while (refusal := queue.join(Waiting(Priority.NORMAL, 0.0, 60.0), 0.0)) is None:
+        joined += 1
+    assert joined == 2
+    assert refusal.retry_after_s == pytest.approx(0.2)
+    assert queue.join(Waiting(Priority.ORDER, 0.0, 60.0), 0.0) is None
+
+
+def test_request_past_its_wait_is_not_taken() -> None:
+    queue = AdmissionQueue()
+    assert queue.join(Waiting(Priority.NORMAL, 0.0, 60.0), 0.0) is None
+    assert queue.next(0.05) is not None
+    assert queue.next(0.5) is None
