Rest a connection before it is used again

A second answer that a target wrote just after the first could arrive between the check of the idle connection and its next request, which then failed as crossed. The connection idle longest is now reused, and none before 5 ms.

--- a/src/chervilmill/callers/_app.py
+++ b/src/chervilmill/callers/_app.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
+from urllib.parse import parse_qsl
 
 from chervilmill.callers._delivery import Delivery
 from chervilmill.callers._forward import Forwarder
@@ -23,7 +24,7 @@
 
 
 class CallersApp:
-    """Answer look-ups and forward requests."""
+    """Answer look-ups and forward requests; `refuses_new` is set once this node leaves."""
 
     def __init__(
         self,
@@ -40,11 +41,15 @@
         self._watch = watch
         self._in_flight = in_flight
         self._metrics = metrics
+        self.refuses_new = False
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request of a caller."""
         if environ["PATH_INFO"] == "/lookup":
-            return self._look_up(start_response)
+            try:
+                return self._look_up(environ, start_response)
+            except Refusal as refusal:
+                return self._refuse(environ, start_response, refusal)
         self._in_flight.enter()
         try:
             answer = self._forward(environ, start_response)
@@ -56,9 +61,18 @@
             raise
         return answer
 
-    def _look_up(self, start_response: StartResponse) -> Iterable[bytes]:
-        body = self._lookups.answer().body()
-        self._metrics.lookups.labels("").inc()
+    def _look_up(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        query = dict(parse_qsl(environ["QUERY_STRING"]))
+        service = query.get("service", "")
+        if service and self._settings.service(service) is None:
+            detail = f"service {service} is not in the settings"
+            raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
+        try:
+            answer = self._lookups.answer(service, query.get("client") or environ["REMOTE_ADDR"])
+        except ValueError as exc:
+            raise Refusal(RefusalReason.BAD_REQUEST, Ran.NOT_RUN, str(exc)) from exc
+        body = answer.body()
+        self._metrics.lookups.labels(service).inc()
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(body))),
@@ -69,10 +83,13 @@
 
     def _forward(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         started_s = time.monotonic()
-        req = read_request(environ, self._settings.limits.default_deadline_ms)
+        req = read_request(environ, self._settings.limits)
         if self._settings.service(req.service) is None:
             detail = f"service {req.service} is not in the settings"
             raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
+        if self.refuses_new:
+            detail = "this entry VM is leaving; look up another one"
+            raise Refusal(RefusalReason.ENTRY_LEAVING, Ran.NOT_RUN, detail, retry_after_ms=0)
         sock = exchange_of(environ).socket
         watched = self._watch.watch(sock, req.deadline_s, _canceller(req))
         try:
@@ -117,8 +134,12 @@
 
 
 def _canceller(req: CallerRequest) -> Callable[[CancelReason], None]:
-    """Return what breaks a request off; an order goes on without its caller, to be recorded."""
-    if req.kind is not RequestKind.ORDER:
+    """Return what breaks a request off.
+
+    An order goes on without its caller, to be recorded, and so does an upload whose body is whole;
+    where it is not, reading the body tells.
+    """
+    if req.kind is RequestKind.IDEMPOTENT:
         return req.cancellation.cancel
 
     def cancel_at_deadline(reason: CancelReason) -> None:
--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from chervilmill.callers._answers import ForwardedAnswer
-from chervilmill.callers._body import WholeBody
+from chervilmill.callers._checked_body import CheckedBody
 from chervilmill.callers._places import NoPlace, Wanted
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
@@ -281,11 +281,9 @@
 }
 
 
-def body_of(req: CallerRequest) -> WholeBody | None:
+def body_of(req: CallerRequest) -> CheckedBody | None:
     """Return the body of a request as it comes from the caller, or None where it has none."""
-    if req.kind is RequestKind.IDEMPOTENT:
-        return None
-    return WholeBody(req.body, req.length)
+    return None if req.kind is RequestKind.IDEMPOTENT else req.body
 
 
 def _not_run(
--- a/src/chervilmill/callers/_orders.py
+++ b/src/chervilmill/callers/_orders.py
@@ -9,7 +9,6 @@
 
 from chervilmill.callers._answers import CallerAnswer, ForwardedAnswer
 from chervilmill.callers._attempts import Attempt, AttemptFailure, Attempts
-from chervilmill.callers._body import WholeBody
 from chervilmill.callers._order_owners import OrderOwners
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
@@ -94,7 +93,7 @@
         if req.length > MAX_ORDER_BYTES:
             detail = f"an order has at most {MAX_ORDER_BYTES} bytes"
             raise Refusal(RefusalReason.BODY_TOO_LARGE, Ran.NOT_RUN, detail)
-        body = WholeBody(req.body, req.length).read_whole()
+        body = req.body.read_whole()
         key = order_key(req.service, req.idempotency_key or "", req.method, req.path, body)
         self._ledger.share_writes(self._owners.count())
         passed_on = self._owners.pass_on(req, key, body)
--- a/src/chervilmill/callers/_retries.py
+++ b/src/chervilmill/callers/_retries.py
@@ -10,7 +10,7 @@
 
 from chervilmill.callers._answers import ForwardedAnswer
 from chervilmill.callers._attempts import Attempt, AttemptFailure, Attempts, body_of
-from chervilmill.callers._body import WholeBody
+from chervilmill.callers._checked_body import CheckedBody
 from chervilmill.callers._request import CallerRequest
 from chervilmill.callers._services import ServiceBudget, ServiceParts
 from chervilmill.callers._watch import CallerWatch
@@ -71,7 +71,7 @@
         attempt: Attempt,
         failure: AttemptFailure,
         shared: ServiceBudget,
-        body: WholeBody | None,
+        body: CheckedBody | None,
     ) -> None:
         req = attempt.req
         failed = FailedAttempt(
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -21,7 +21,14 @@
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event, log_problem
 from chervilmill.metrics import Metrics
-from chervilmill.operators import LeavingMarks, NodeStatus, OperatorsApp, Route, status_routes
+from chervilmill.operators import (
+    LeavingMarks,
+    NodeStatus,
+    OperatorsApp,
+    Route,
+    SteeringRoutes,
+    status_routes,
+)
 from chervilmill.platform import (
     ConfigurationWatch,
     Directory,
@@ -33,9 +40,18 @@
 from chervilmill.reasons import DropReason
 from chervilmill.requests import CrashNews
 from chervilmill.settings import Settings
+from chervilmill.steering import (
+    LookupVersions,
+    ShiftRunner,
+    SteeringTable,
+    SteeringWorld,
+    VmEvidence,
+)
 from chervilmill.targets import HttpTargets
 
 OPERATOR_THREADS = 4
+IDLE_CLOSE_S = 1
+CLOSE_TIMEOUT_S = 5.0
 ORDERS_STOP_TIMEOUT_S = 10.0
 
 
@@ -75,6 +91,9 @@
         )
         self._prober = Prober([parts.places for parts in self._services.values()], self._targets)
         self._view = _NodeView(self.directory, settings.node.name)
+        self._world = SteeringWorld(settings, self.directory)
+        self._table = SteeringTable(self._world, settings)
+        self._shifts = self._shift_runner()
         self._callers = self._callers_server()
         self._operators = self._operators_server()
         self._stop_asked = threading.Event()
@@ -83,6 +102,8 @@
         """Begin to serve callers and operators, or raise OSError."""
         self.directory.start()
         self._configuration_watch.start()
+        self.configuration.subscribe(self._table.receive)
+        self._shifts.start()
         self._orders.start()
         self._watch.start()
         self._prober.start()
@@ -101,9 +122,12 @@
         self._view.is_leaving = True
         log_event("node leaving", in_flight=self.in_flight.count)
         time.sleep(self.settings.limits.lookup_lifetime_s)
+        self._callers_app.refuses_new = True
         self._callers.refuse_keep_alive()
         self.in_flight.wait_until_idle()
+        self._callers.drain(IDLE_CLOSE_S, CLOSE_TIMEOUT_S)
         self._callers.stop()
+        self._shifts.stop()
         self._orders.stop(ORDERS_STOP_TIMEOUT_S)
         self._prober.stop()
         self._watch.stop()
@@ -129,7 +153,26 @@
         )
 
     def _operator_routes(self) -> tuple[Route, ...]:
-        return (*status_routes(self.status), *LeavingMarks(self._platform).routes())
+        steering = SteeringRoutes(
+            self._platform, self.settings, self._world, self._table, self.metrics
+        )
+        return (
+            *status_routes(self.status),
+            *LeavingMarks(self._platform).routes(),
+            *steering.routes(),
+        )
+
+    def _shift_runner(self) -> ShiftRunner:
+        return ShiftRunner(
+            self._platform,
+            self.configuration,
+            self.settings,
+            self._world,
+            VmEvidence(self._world, self.directory, LookupVersions()),
+            time.monotonic,
+            self.metrics.count_shift_wait,
+            self._table.tick,
+        )
 
     def _operators_server(self) -> HttpServer:
         settings = self.settings
@@ -141,19 +184,19 @@
 
     def _callers_server(self) -> HttpServer:
         settings = self.settings
-        lookups = Lookups(self._view, settings.node.region, settings.limits.lookup_lifetime_s)
-        app = CallersApp(
+        lookups = Lookups(self._view, self._table, settings.limits.lookup_lifetime_s)
+        self._callers_app = CallersApp(
             settings, lookups, self._forwarder(), self._watch, self.in_flight, self.metrics
         )
         return HttpServer(
             settings.node.callers,
-            app,
+            self._callers_app,
             threads=settings.limits.request_threads,
             max_header_bytes=settings.limits.max_header_bytes,
             io_timeout_s=settings.limits.idle_timeout_s,
             least_bytes_per_s=settings.limits.least_bytes_per_s,
             keep_alive_s=settings.limits.keep_alive_s,
-            kept_connections=settings.limits.kept_connections,
+            max_connections=settings.limits.max_connections,
             early_refusals=EarlyRefusalCounter(self.metrics),
         )
 
--- a/src/chervilmill/http/_server.py
+++ b/src/chervilmill/http/_server.py
@@ -11,7 +11,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.http._connection import Connection, EarlyRefusals
-from chervilmill.http._exchange import EXCHANGE_KEY, Environ, Exchange, WsgiApp
+from chervilmill.http._exchange import EXCHANGE_KEY, SOCKET_KEY, Environ, Exchange, WsgiApp
 from chervilmill.logs import log_problem
 
 STOP_TIMEOUT_S = 1
@@ -23,6 +23,7 @@
     def get_environ(self) -> Environ:  # type: ignore[override]
         environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[EXCHANGE_KEY] = Exchange(self.req)
+        environ[SOCKET_KEY] = self.req.conn.socket
         return environ
 
     def respond(self) -> None:
@@ -41,12 +42,16 @@
     ConnectionClass = Connection
     io_timeout_s: float
     least_bytes_per_s: int
+    max_connections: int
     early_refusals: EarlyRefusals | None
     opened: set[Connection]
     _connections: Any
 
     def process_conn(self, conn: Any) -> None:
         """Give a connection to a thread once it has sent something."""
+        if conn.last_used is None and len(self.opened) > self.max_connections:
+            conn.refuse("503 Service Unavailable", "too many connections")
+            return
         if conn.last_used is None:
             self._connections.put(conn)
             return
@@ -64,7 +69,8 @@
     """Run a WSGI application on an address in threads of its own.
 
     A request has `io_timeout_s` to begin and must then arrive at `least_bytes_per_s`; an answer
-    must be taken at a similar pace. A connection without a request is kept for `keep_alive_s`.
+    must be taken at a similar pace. A connection without a request is kept for `keep_alive_s`, one
+    over `max_connections` is refused.
     `early_refusals` answers requests that are too malformed for the application.
     """
 
@@ -78,7 +84,7 @@
         io_timeout_s: float = 10,
         least_bytes_per_s: int = 1024,
         keep_alive_s: int = 60,
-        kept_connections: int = 1_000,
+        max_connections: int = 1_000,
         early_refusals: EarlyRefusals | None = None,
         before_stop: Callable[[], None] | None = None,
     ) -> None:
@@ -93,7 +99,8 @@
         )
         self._server.gateway = _Gateway
         self._server.max_request_header_size = max_header_bytes
-        self._server.keep_alive_conn_limit = kept_connections
+        self._server.keep_alive_conn_limit = max_connections
+        self._server.max_connections = max_connections
         self._server.io_timeout_s = io_timeout_s
         self._server.least_bytes_per_s = least_bytes_per_s
         self._server.early_refusals = early_refusals
@@ -122,15 +129,17 @@
         """Close each connection after its present answer."""
         self._server.keep_alive_conn_limit = 0
 
-    def drain(self, idle_s: int) -> None:
-        """Answer every connection once more and return when none is open.
+    def drain(self, idle_s: int, timeout_s: float) -> bool:
+        """Answer every connection once more and return whether all were closed in time.
 
         A connection that sends no request for `idle_s` is closed.
         """
         self.refuse_keep_alive()
         self._server.timeout = idle_s
-        while self._server.opened:
+        deadline_s = time.monotonic() + timeout_s
+        while self._server.opened and time.monotonic() < deadline_s:
             time.sleep(DRAIN_POLL_S)
+        return not self._server.opened
 
     def stop(self) -> None:
         """Close the listener and all idle connections."""
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -40,6 +40,7 @@
     QUARANTINED = "quarantined"
     TARGET_FAILED = "target_failed"
     TARGETS_BUSY = "targets_busy"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
     UNKNOWN_PATH = "unknown_path"
     UNKNOWN_SERVICE = "unknown_service"
 
@@ -92,6 +93,7 @@
     RefusalReason.QUARANTINED: 503,
     RefusalReason.TARGET_FAILED: 502,
     RefusalReason.TARGETS_BUSY: 503,
+    RefusalReason.TOO_MANY_CONNECTIONS: 503,
     RefusalReason.UNKNOWN_PATH: 404,
     RefusalReason.UNKNOWN_SERVICE: 404,
 }
--- a/src/chervilmill/targets/_connections.py
+++ b/src/chervilmill/targets/_connections.py
@@ -14,6 +14,7 @@
 from chervilmill.addresses import Address
 
 MAX_IDLE_S = 30.0
+MIN_IDLE_S = 0.005
 SEND_BYTES = 64 * 1024
 
 
@@ -72,7 +73,10 @@
 
 
 class Connections:
-    """Hold the idle connections to each target, newest first."""
+    """Hold the idle connections to each target and reuse the one that was idle longest.
+
+    A connection rests before its next use, so that bytes which follow an answer are seen by then.
+    """
 
     def __init__(self, max_idle_per_target: int, on_extra_bytes: Callable[[], None]) -> None:
         self._max_idle = max_idle_per_target
@@ -104,4 +108,6 @@
     def _pop(self, address: Address) -> Connection | None:
         with self._lock:
             idle = self._idle[address]
-            return idle.pop() if idle else None
+            if not idle or time.monotonic() - idle[0].idle_since_s < MIN_IDLE_S:
+                return None
+            return idle.popleft()
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
+from types import SimpleNamespace
 
 import urllib3
 
@@ -84,7 +85,7 @@
         self.in_flight = InFlight()
         app = CallersApp(
             settings,
-            Lookups(self.directory, "praha", 5),
+            Lookups(self.directory, SimpleNamespace(place_regions=()), 5),
             Forwarder(retries, Orders(self.ledger, attempts, owners)),
             self.watch,
             self.in_flight,
