--- a/bench/fleet/_processes.py
+++ b/bench/fleet/_processes.py
@@ -72,3 +72,9 @@
     def memory_bytes(self) -> int:
         """Return the resident memory."""
         return int(Path(f"/proc/{self._popen.pid}/statm").read_text().split()[1]) * _PAGE_BYTES
+
+    def peak_memory_bytes(self) -> int:
+        """Return the most resident memory so far."""
+        lines = Path(f"/proc/{self._popen.pid}/status").read_text().splitlines()
+        peak = next(line for line in lines if line.startswith("VmHWM:"))
+        return int(peak.split()[1]) * 1024
--- a/src/chervilmill/steering/_blocks.py
+++ b/src/chervilmill/steering/_blocks.py
@@ -1,13 +1,14 @@
 """Hold the client blocks and their home places in flat arrays."""
 
 import ipaddress
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 import numpy as np
 from numpy.typing import NDArray
 
-from chervilmill.steering._hashing import folded, position, positions
+from chervilmill.steering._hashing import folded, positions
 
 NO_HOME = 255
 MAX_PLACES = 254
@@ -32,6 +33,14 @@
     home: int
 
 
+@dataclass(frozen=True, slots=True)
+class BlockChunk:
+    """Hold the hash keys and homes of some blocks."""
+
+    keys: NDArray[np.uint32]
+    homes: NDArray[np.uint8]
+
+
 class BlockTable:
     """Find the block of an address by binary search.
 
@@ -76,28 +85,29 @@
             return self._find_v4(int(ip))
         return self._find_v6(int(ip) >> _V6_PREFIX_BITS)
 
-    def keys(self) -> NDArray[np.uint32]:
-        """Return the hash keys of all blocks that have a home, IPv4 first."""
-        v4: NDArray[np.uint32] = self.starts[self.homes != NO_HOME]
-        if not len(self.starts_v6):
-            return v4
-        v6 = self.starts_v6[self.homes_v6 != NO_HOME]
-        return np.concatenate([v4, (v6 ^ (v6 >> np.uint64(32))).astype(np.uint32)])
-
-    def known_homes(self) -> NDArray[np.uint8]:
-        """Return the homes of all blocks that have one, in the order of `keys`."""
-        v4: NDArray[np.uint8] = self.homes[self.homes != NO_HOME]
-        if not len(self.homes_v6):
-            return v4
-        return np.concatenate([v4, self.homes_v6[self.homes_v6 != NO_HOME]])
-
-    def positions(self, seed: int) -> NDArray[np.uint32]:
-        """Return the positions of all blocks that have a home, in the order of `keys`."""
-        return positions(self.keys(), seed)
+    @property
+    def known_count(self) -> int:
+        """Return the number of blocks that have a home."""
+        known = np.count_nonzero(self.homes != NO_HOME)
+        return int(known + np.count_nonzero(self.homes_v6 != NO_HOME))
+
+    def chunks(self, size: int) -> Iterator[BlockChunk]:
+        """Yield the blocks that have a home, IPv4 first, at most `size` at a time."""
+        for begin in range(0, len(self.starts), size):
+            homes = self.homes[begin : begin + size]
+            known = homes != NO_HOME
+            yield BlockChunk(self.starts[begin : begin + size][known], homes[known])
+        for begin in range(0, len(self.starts_v6), size):
+            homes, prefixes = self.homes_v6[begin : begin + size], self.starts_v6[begin:][:size]
+            known = homes != NO_HOME
+            keys = (prefixes ^ (prefixes >> np.uint64(32))).astype(np.uint32)
+            yield BlockChunk(keys[known], homes[known])
 
     def blocks_per_home(self, place_count: int) -> NDArray[np.int64]:
         """Return how many blocks each place is home to."""
-        return np.bincount(self.known_homes(), minlength=place_count)
+        counts = np.bincount(self.homes, minlength=NO_HOME + 1)
+        counts += np.bincount(self.homes_v6, minlength=NO_HOME + 1)
+        return counts[:place_count]
 
     def _find_v4(self, number: int) -> Block | None:
         index = int(self.starts.searchsorted(np.uint32(number), side="right")) - 1
@@ -121,47 +131,57 @@
     The blocks of a network are spread over its home places by their hash.
     """
     ordered = sorted(networks, key=lambda item: int(item.network.network_address))
-    v4 = [item for item in ordered if item.network.version == 4]
-    v6 = [item for item in ordered if item.network.version == 6]
-    starts, homes = _expanded(v4, 32)
-    starts_v6, homes_v6 = _expanded(v6, _V6_PREFIX_BITS)
-    return BlockTable(starts.astype(np.uint32), homes, starts_v6, homes_v6)
+    v4 = [_range_of(item, 32) for item in ordered if item.network.version == 4]
+    v6 = [_range_of(item, _V6_PREFIX_BITS) for item in ordered if item.network.version == 6]
+    starts, homes = _expanded(v4, 1 << 32, np.dtype(np.uint32))
+    starts_v6, homes_v6 = _expanded(v6, 1 << _V6_PREFIX_BITS, np.dtype(np.uint64))
+    return BlockTable(starts, homes, starts_v6, homes_v6)
+
+
+@dataclass(frozen=True, slots=True)
+class _Range:
+    """Hold the blocks of one network: first start, size and number, and the home places."""
+
+    first: int
+    size: int
+    count: int
+    homes: tuple[int, ...]
+
+    @property
+    def end(self) -> int:
+        return self.first + self.size * self.count
+
+
+def _range_of(item: ClientNetwork, bits: int) -> _Range:
+    prefix = max(item.block_prefix, item.network.prefixlen)
+    first = int(item.network.network_address) >> (item.network.max_prefixlen - bits)
+    return _Range(first, 1 << (bits - prefix), 1 << (prefix - item.network.prefixlen), item.homes)
 
 
 def _expanded(
-    networks: Sequence[ClientNetwork], bits: int
-) -> tuple[NDArray[np.uint64], NDArray[np.uint8]]:
-    starts: list[NDArray[np.uint64]] = []
-    homes: list[NDArray[np.uint8]] = []
-    for index, item in enumerate(networks):
-        first = int(item.network.network_address) >> (item.network.max_prefixlen - bits)
-        count = 1 << max(0, item.block_prefix - item.network.prefixlen)
-        size = 1 << (bits - max(item.block_prefix, item.network.prefixlen))
-        own = np.uint64(first) + np.arange(count, dtype=np.uint64) * np.uint64(size)
-        starts.append(own)
-        homes.append(_spread(own, item.homes))
-        end = first + count * size
-        following = networks[index + 1].network if index + 1 < len(networks) else None
-        next_first = (
-            1 << bits
-            if following is None
-            else int(following.network_address) >> (following.max_prefixlen - bits)
-        )
-        if end < next_first:
-            starts.append(np.array([end], np.uint64))
-            homes.append(np.array([NO_HOME], np.uint8))
-    if not starts:
-        return np.empty(0, np.uint64), np.empty(0, np.uint8)
-    return np.concatenate(starts), np.concatenate(homes)
-
-
-def _spread(starts: NDArray[np.uint64], homes: tuple[int, ...]) -> NDArray[np.uint8]:
-    keys = (starts ^ (starts >> np.uint64(32))).astype(np.uint32)
-    ranks = positions(keys, 0) % np.uint32(len(homes))
+    ranges: Sequence[_Range], end: int, dtype: np.dtype[Any]
+) -> tuple[NDArray[Any], NDArray[np.uint8]]:
+    """Return the starts and homes of all blocks, with a block without home for each gap."""
+    gaps = [following.first for following in ranges[1:]] + [end]
+    total = sum(item.count + (item.end < gap) for item, gap in zip(ranges, gaps, strict=False))
+    starts = np.empty(total, dtype)
+    homes = np.empty(total, np.uint8)
+    at = 0
+    for item, gap in zip(ranges, gaps, strict=False):
+        own = starts[at : at + item.count]
+        own[:] = np.arange(item.count, dtype=dtype)
+        own *= dtype.type(item.size)
+        own += dtype.type(item.first)
+        homes[at : at + item.count] = _spread(own, item.homes)
+        at += item.count
+        if item.end < gap:
+            starts[at], homes[at] = item.end, NO_HOME
+            at += 1
+    return starts, homes
+
+
+def _spread(starts: NDArray[Any], homes: tuple[int, ...]) -> NDArray[np.uint8]:
+    keys = starts if starts.dtype == np.uint32 else (starts ^ (starts >> np.uint64(32)))
+    ranks = positions(keys.astype(np.uint32, copy=False), 0) % np.uint32(len(homes))
     spread: NDArray[np.uint8] = np.array(homes, np.uint8)[ranks]
     return spread
-
-
-def position_of(block: Block, seed: int) -> int:
-    """Return the position of a block for a service's seed."""
-    return position(block.key, seed)
--- a/src/chervilmill/steering/_order.py
+++ b/src/chervilmill/steering/_order.py
@@ -15,7 +15,7 @@
     from there.
     """
     base = ShareMap.at_home(plan.goal.homes) if present is None else present.in_force()
-    block_count = len(blocks.known_homes())
+    block_count = blocks.known_count
     cap = block_cap(block_count, plan.percent_per_min)
     steps = shift_steps(blocks, seed_of(plan.service), changes(base, plan.goal), cap)
     return ShiftState(
--- a/src/chervilmill/steering/_planner.py
+++ b/src/chervilmill/steering/_planner.py
@@ -38,7 +38,7 @@
         solution.level,
         _closed_places(given),
     )
-    cap = block_cap(len(given.blocks.keys()), given.percent_per_min)
+    cap = block_cap(given.blocks.known_count, given.percent_per_min)
     seed = seed_of(given.service.name)
     steps = shift_steps(given.blocks, seed, changes(given.base, goal), cap)
     projection = Projection(given, goal, _served(given, solution))
@@ -56,7 +56,7 @@
         service=given.service.name,
         revision=given.revision,
         is_emergency=given.stated.intent.is_emergency,
-        block_count=len(given.blocks.keys()),
+        block_count=given.blocks.known_count,
         cap=cap,
         before=before,
         steps=shown,
--- a/src/chervilmill/steering/_steps.py
+++ b/src/chervilmill/steering/_steps.py
@@ -12,7 +12,7 @@
 
 STEPS_PER_MIN = 12
 STEP_INTERVAL_S = 5.0
-CHUNK_BLOCKS = 262_144
+CHUNK_BLOCKS = 65_536
 PERCENT = 100
 
 
@@ -72,10 +72,9 @@
 
 
 def _hashed_chunks(blocks: BlockTable, seed: int) -> Iterator[NDArray[np.uint64]]:
-    keys, homes = blocks.keys(), blocks.known_homes()
-    for begin in range(0, len(keys), CHUNK_BLOCKS):
-        hashes = positions(keys[begin : begin + CHUNK_BLOCKS], seed).astype(np.uint64)
-        yield (homes[begin : begin + CHUNK_BLOCKS].astype(np.uint64) << np.uint64(32)) + hashes
+    for chunk in blocks.chunks(CHUNK_BLOCKS):
+        hashes = positions(chunk.keys, seed).astype(np.uint64)
+        yield (chunk.homes.astype(np.uint64) << np.uint64(32)) + hashes
 
 
 def _fractions_of_chunk(
--- a/src/chervilmill/steering/_table.py
+++ b/src/chervilmill/steering/_table.py
@@ -118,9 +118,7 @@
         self._snapshot_states: Mapping[str, StateInForce] = {}
         self._own_home = world.place_names.index(settings.node.failure_domain)
         self._seeds = {service.name: seed_of(service.name) for service in settings.services}
-        counts = world.planning_blocks.blocks_per_home(len(world.place_names))
-        weights = counts / counts.sum()
-        self._pacers = {service.name: Pacer(weights) for service in settings.services}
+        self._pacers = {service.name: Pacer(world.home_weights) for service in settings.services}
         at_home = ShareMap.at_home(len(world.place_names))
         self._applied = {service.name: _Applied(at_home, None, 0) for service in settings.services}
         self._choices: dict[tuple[str, int, int], tuple[PlaceChoice, ...]] = {}
