Shed by priority in an emergency and admit what finds room

A plan for a lost region only said how much it could not place. It now carries the share of requests that each home region keeps, and where that serves more, services of lower priority yield shared links; both go into the confirmed object in one update, and the emergency begins only once every node admits less for the others. Shares are rounded down: rounded to nearest, a shift paused at its last step because a place was over its limit by less than 0.01 %.

Targets were held for new when a second service was looked at first; they are now tracked for each service with the executor's clock.

--- a/bench/steering.py
+++ b/bench/steering.py
@@ -3,8 +3,6 @@
 import time
 from collections.abc import Iterator
 
-import numpy as np
-
 from bench._rows import Figure
 from bench._steering_fleet import Fleet, FleetSize, block_table, fleet
 from chervilmill.settings import Service
@@ -90,7 +88,6 @@
 
 def _input(world: Fleet, blocks: BlockTable, base: ShareMap, leaving: tuple[str, ...]) -> PlanInput:
     intent = Intent("bench", SERVICE.name, (), Cap(PERCENT_PER_MIN, 10**7), leaving, (), 50)
-    regions = len(world.topology.regions)
     return PlanInput(
         stated=StatedIntent(intent, 1),
         service=SERVICE,
@@ -98,7 +95,7 @@
         demand=world.demand,
         base=base,
         is_shifting=False,
-        other_link_mbit=np.zeros((regions, regions)),
+        others=(),
         blocks=blocks,
         revision=1,
         headroom_part=1.0,
--- a/src/chervilmill/cli/_plan_text.py
+++ b/src/chervilmill/cli/_plan_text.py
@@ -92,7 +92,12 @@
     for refused in plan["refused"]:
         yield (
             f"will be refused: {refused['requests_per_s']:.1f} requests/s of {refused['region']} "
-            f"({refused['share'] * PERCENT:.0f} %)"
+            f"({refused['admitted'] * PERCENT:.0f} % admitted)"
+        )
+    for item in plan["yields"]:
+        yield (
+            f"{item['service']} yields {item['link']}: {item['refused_mbit_per_s']:.1f} Mbit/s "
+            f"will be refused ({item['admitted'] * PERCENT:.0f} % admitted)"
         )
     for refusal in plan["refusals"]:
         yield f"MAY NOT BE CONFIRMED ({refusal['cause']}): {refusal['detail']}"
--- a/src/chervilmill/steering/_confirm.py
+++ b/src/chervilmill/steering/_confirm.py
@@ -57,10 +57,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedIntent:
-    """Hold a plan with the record that a confirm writes."""
+    """Hold a plan with what a confirm records of it, and of services that yield to it."""
 
     plan: Plan
     record: ConfirmedPlan
+    yielding: tuple[ConfirmedPlan, ...] = ()
 
 
 class IntentPlanner(Protocol):
@@ -99,7 +100,8 @@
                 if record.plan_id == request.plan_id:
                     return record
             planned = self._checked(snapshot, request)
-            plans[planned.record.service] = planned.record
+            for record in (planned.record, *planned.yielding):
+                plans[record.service] = record
             try:
                 self._write(snapshot, encode_confirmed(plans))
             except (VersionConflictError, WriteUnsureError):
--- a/src/chervilmill/steering/_confirmed.py
+++ b/src/chervilmill/steering/_confirmed.py
@@ -1,14 +1,15 @@
 """Hold the confirmed plan of each service in one object, so that confirms are ordered."""
 
 import json
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
 from types import MappingProxyType
 from typing import Any
 
 from chervilmill.platform import ConfigurationSnapshot
 from chervilmill.steering._inputs import PlanInput
 from chervilmill.steering._plan import Plan
+from chervilmill.steering._priorities import Yield
 from chervilmill.steering._shares import ShareMap
 
 CONFIRMED_NAME = "plans/confirmed"
@@ -16,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfirmedPlan:
-    """Hold what is needed to carry a plan out."""
+    """Hold what is needed to carry a plan out.
+
+    `waits_for` names the services whose plans have to be carried out before this one begins.
+    """
 
     plan_id: str
     service: str
@@ -28,6 +32,7 @@
     places: tuple[str, ...]
     goal: ShareMap
     admitted: Mapping[str, float]
+    waits_for: tuple[str, ...] = ()
 
     def to_json(self) -> dict[str, Any]:
         """Return the JSON form."""
@@ -42,6 +47,7 @@
             "places": list(self.places),
             "goal": self.goal.to_lists(),
             "admitted": dict(self.admitted),
+            "waits_for": list(self.waits_for),
         }
 
 
@@ -57,7 +63,29 @@
         percent_per_min=given.percent_per_min,
         places=given.topology.names,
         goal=plan.goal,
-        admitted=MappingProxyType({r.region: round(1 - r.share, 4) for r in plan.refused}),
+        admitted=MappingProxyType({r.region: r.admitted for r in plan.refused}),
+        waits_for=tuple(sorted({item.service for item in plan.yields})),
+    )
+
+
+def yielding_plan(
+    plan: ConfirmedPlan,
+    service: str,
+    present: ShareMap,
+    given_up: Iterable[Yield],
+    admitted: Mapping[str, float],
+) -> ConfirmedPlan:
+    """Return the plan by which another service admits less over some links and moves nothing."""
+    reduced = dict(admitted)
+    for item in given_up:
+        reduced[item.key] = reduced.get(item.key, 1.0) * item.admitted
+    return replace(
+        plan,
+        plan_id=f"{plan.plan_id}/{service}",
+        service=service,
+        goal=present,
+        admitted=MappingProxyType(reduced),
+        waits_for=(),
     )
 
 
@@ -90,4 +118,5 @@
         places=tuple(str(name) for name in raw["places"]),
         goal=ShareMap.from_lists(raw["goal"]),
         admitted=MappingProxyType({str(k): float(v) for k, v in raw["admitted"].items()}),
+        waits_for=tuple(str(name) for name in raw["waits_for"]),
     )
--- a/src/chervilmill/steering/_evidence.py
+++ b/src/chervilmill/steering/_evidence.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 import urllib3
@@ -16,6 +17,9 @@
 MAX_CONNECTIONS = 32
 
 
+Clock = Callable[[], float]
+
+
 class VmDirectory(Protocol):
     """Know the live VMs and how old that knowledge is."""
 
@@ -60,13 +64,18 @@
     """Judge a shift by the VMs of the platform's list and what the nodes among them apply."""
 
     def __init__(
-        self, world: SteeringWorld, directory: VmDirectory, versions: AppliedVersions
+        self,
+        world: SteeringWorld,
+        directory: VmDirectory,
+        versions: AppliedVersions,
+        clock: Clock = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._world = world
         self._directory = directory
         self._versions = versions
         self._applied: dict[tuple[str, str], int] = {}
-        self._first_seen_s: dict[str, float] = {}
+        self._first_seen_s: dict[str, dict[str, float]] = {}
 
     def evidence(self, service: Service, version: int) -> Evidence:
         """Return the evidence on a version of a service's steering object."""
@@ -90,10 +99,14 @@
 
     def _is_warm(self, service: str) -> bool:
         """Return whether no target is new; those known from the start count as warm."""
-        now_s = time.monotonic()
-        is_first = not self._first_seen_s
-        first_seen_s = -WARM_S if is_first else now_s
+        now_s = self._clock()
+        known = self._first_seen_s.get(service)
         names = [vm.name for vm in self._directory.targets(service)]
+        if known is None:
+            self._first_seen_s[service] = dict.fromkeys(names, now_s - WARM_S)
+            return True
+        for gone in known.keys() - set(names):
+            del known[gone]
         for name in names:
-            self._first_seen_s.setdefault(name, first_seen_s)
-        return all(now_s - self._first_seen_s[name] >= WARM_S for name in names)
+            known.setdefault(name, now_s)
+        return all(now_s - known[name] >= WARM_S for name in names)
--- a/src/chervilmill/steering/_executor.py
+++ b/src/chervilmill/steering/_executor.py
@@ -17,13 +17,14 @@
 WINDOW_S = 60.0
 CLOCK_DRIFT = 0.02
 MAX_MEASUREMENT_AGE_S = 10.0
-LEAST_LOAD = 1e-6
+LEAST_LOAD = 1e-3
 
 
 class Hold(Enum):
     """Say why a shift does not advance now."""
 
     CAP = "cap"
+    LOWER_PRIORITY_FIRST = "lower_priority_first"
     MEASUREMENTS_LAG = "measurements_lag"
     NOT_IN_FORCE = "not_in_force"
     PLACE_OVERLOADED = "place_overloaded"
--- a/src/chervilmill/steering/_inputs.py
+++ b/src/chervilmill/steering/_inputs.py
@@ -1,6 +1,8 @@
 """Gather what a plan is computed from."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+import numpy as np
 
 from chervilmill.settings import Service
 from chervilmill.steering._blocks import BlockTable
@@ -9,14 +11,27 @@
 from chervilmill.steering._topology import Array, Topology
 
 
+@dataclass(frozen=True, slots=True)
+class OtherService:
+    """Describe another service that shares the links.
+
+    `link_mbit` is what it takes of each link, by source and sink region, now or once its shift is
+    done. A service whose shift is under way is not asked to yield.
+    """
+
+    name: str
+    priority: int
+    is_shifting: bool
+    link_mbit: Array
+
+
 @dataclass(frozen=True, slots=True)
 class PlanInput:
     """Hold everything that a plan depends on.
 
     `topology` has the limits of places for this service. `demand` is requests a second by home
-    place, `other_link_mbit` what other services take of each link, by source and sink region, now
-    or once their shifts are done. `base` is the map in force. `revision` is the newest version
-    among the objects that the plan rests on.
+    place. `base` is the map in force. `revision` is the newest version among the objects that the
+    plan rests on.
     """
 
     stated: StatedIntent
@@ -25,7 +40,7 @@
     demand: Array
     base: ShareMap
     is_shifting: bool
-    other_link_mbit: Array
+    others: tuple[OtherService, ...]
     blocks: BlockTable
     revision: int
     headroom_part: float
@@ -38,3 +53,22 @@
         if intent.is_emergency:
             return max(self.emergency_percent_per_min, intent.cap.percent_of_blocks_per_min)
         return intent.cap.percent_of_blocks_per_min
+
+    @property
+    def other_link_mbit(self) -> Array:
+        """Return what other services take of each link, by source and sink region."""
+        regions = len(self.topology.regions)
+        total: Array = sum((item.link_mbit for item in self.others), np.zeros((regions, regions)))
+        return total
+
+    @property
+    def yielding(self) -> tuple[OtherService, ...]:
+        """Return the services that may be asked to yield, those of higher priority first."""
+        own = self.stated.intent.priority
+        lower = [item for item in self.others if item.priority < own and not item.is_shifting]
+        return tuple(sorted(lower, key=lambda item: (-item.priority, item.name)))
+
+    def without(self, services: tuple[OtherService, ...]) -> "PlanInput":
+        """Return the input as if some other services took nothing of the links."""
+        names = {item.name for item in services}
+        return replace(self, others=tuple(o for o in self.others if o.name not in names))
--- a/src/chervilmill/steering/_plan.py
+++ b/src/chervilmill/steering/_plan.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from chervilmill.steering._priorities import Yield
 from chervilmill.steering._shares import ShareMap
 from chervilmill.steering._steps import BlockCap, ShiftStep
 
@@ -76,11 +77,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """Give the load of a home region that will be refused for want of capacity."""
+    """Give the load of a home region that will be refused for want of capacity.
+
+    `admitted` is the share of its requests that finds room.
+    """
 
     region: str
     requests_per_s: float
-    share: float
+    admitted: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +112,7 @@
     steps: tuple[PlanStep, ...]
     best_headroom: float
     refused: tuple[Refused, ...]
+    yields: tuple[Yield, ...]
     refusals: tuple[PlanRefusal, ...]
     undo: tuple[UndoShare, ...]
     base: ShareMap
@@ -145,9 +150,18 @@
             "steps": [_step_json(step) for step in self.steps],
             "best_headroom": self.best_headroom,
             "refused": [
-                {"region": r.region, "requests_per_s": r.requests_per_s, "share": r.share}
+                {"region": r.region, "requests_per_s": r.requests_per_s, "admitted": r.admitted}
                 for r in self.refused
             ],
+            "yields": [
+                {
+                    "service": y.service,
+                    "link": y.key,
+                    "admitted": y.admitted,
+                    "refused_mbit_per_s": y.refused_mbit_per_s,
+                }
+                for y in self.yields
+            ],
             "refusals": [{"cause": r.cause.value, "detail": r.detail} for r in self.refusals],
             "undo": {
                 "while_moving": "the steps are taken back in reverse order under the same cap",
--- a/src/chervilmill/steering/_planner.py
+++ b/src/chervilmill/steering/_planner.py
@@ -1,6 +1,7 @@
 """Compute plans: the same input gives the same plan, byte for byte."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 import numpy as np
 
@@ -16,6 +17,7 @@
     Refused,
     UndoShare,
 )
+from chervilmill.steering._priorities import rounded_down, yields
 from chervilmill.steering._projection import Projection
 from chervilmill.steering._realise import realise
 from chervilmill.steering._shares import changes
@@ -29,7 +31,7 @@
 
 def compute_plan(given: PlanInput) -> Plan:
     """Return the plan for an intent, with the reasons for which it may not be confirmed."""
-    solution = solve(_capacity_problem(given))
+    solution, given = _solved(given)
     goal = realise(
         given.topology,
         given.base,
@@ -41,7 +43,10 @@
     cap = block_cap(given.blocks.known_count, given.percent_per_min)
     seed = seed_of(given.service.name)
     steps = shift_steps(given.blocks, seed, changes(given.base, goal), cap)
-    projection = Projection(given, goal, _served(given, solution))
+    served = _served(given, solution)
+    kbit = given.service.kbit_per_request
+    given_up = yields(given, link_loads(given.topology, flows(given.topology, goal, served), kbit))
+    projection = Projection(given, goal, served, given_up)
     before = Projection(given, given.base, given.demand).step(0, START)
     shown = tuple(projection.step(number, step) for number, step in enumerate(steps, 1))
     refusals = [
@@ -62,6 +67,7 @@
         steps=shown,
         best_headroom=round(max(0.0, 1 - solution.best_level), 3),
         refused=_refused(given, solution),
+        yields=given_up,
         refusals=tuple(refusals),
         undo=_undo(given),
         base=given.base,
@@ -70,7 +76,22 @@
     )
 
 
-def _capacity_problem(given: PlanInput) -> CapacityProblem:
+def _solved(given: PlanInput) -> tuple[CapacitySolution, PlanInput]:
+    """Return the solution, and the input that it holds for.
+
+    Only an emergency has services of lower priority yield, and only where that serves more.
+    """
+    solution = solve(_capacity_problem(given, given))
+    kept = replace(given, others=tuple(replace(o, is_shifting=True) for o in given.others))
+    if not given.stated.intent.is_emergency or solution.shed.sum() <= LEAST_LOAD:
+        return solution, kept
+    with_yields = solve(_capacity_problem(given, given.without(given.yielding)))
+    if with_yields.shed.sum() >= solution.shed.sum() - LEAST_LOAD:
+        return solution, kept
+    return with_yields, given
+
+
+def _capacity_problem(given: PlanInput, links: PlanInput) -> CapacityProblem:
     topology = given.topology
     closed = list(_closed_places(given))
     present = flows(topology, given.base, given.demand)
@@ -83,7 +104,7 @@
         demand=topology.by_region(given.demand),
         keepable=np.array([topology.by_domain(row) for row in keepable]),
         capacities=topology.by_domain(capacities),
-        link_limits=_link_limits(given, present),
+        link_limits=_link_limits(links, present),
         pins=tuple(_pins(given)),
         headroom_part=given.headroom_part,
     )
@@ -166,7 +187,7 @@
 def _refused(given: PlanInput, solution: CapacitySolution) -> tuple[Refused, ...]:
     demand = given.topology.by_region(given.demand)
     return tuple(
-        Refused(region, round(float(shed), 3), round(float(shed / wanted), 4))
+        Refused(region, round(float(shed), 3), rounded_down(1 - float(shed / wanted)))
         for region, shed, wanted in zip(given.topology.regions, solution.shed, demand, strict=True)
         if shed > LEAST_LOAD
     )
--- a/src/chervilmill/steering/_projection.py
+++ b/src/chervilmill/steering/_projection.py
@@ -7,6 +7,7 @@
 from chervilmill.steering._loads import KBIT_PER_MBIT, flows, link_loads
 from chervilmill.steering._loss import after_loss
 from chervilmill.steering._plan import LinkLoad, Loss, PlaceLoad, PlanStep
+from chervilmill.steering._priorities import Yield
 from chervilmill.steering._shares import ShareMap
 from chervilmill.steering._steps import STEP_INTERVAL_S, ShiftStep
 from chervilmill.steering._topology import Array
@@ -18,8 +19,15 @@
 class Projection:
     """Tell the state at each fraction of a shift; loads change in proportion to the fraction."""
 
-    def __init__(self, given: PlanInput, goal: ShareMap, served: Array) -> None:
+    def __init__(
+        self, given: PlanInput, goal: ShareMap, served: Array, given_up: tuple[Yield, ...] = ()
+    ) -> None:
         """Take the demand that is served, by home place; the rest is refused at entry VMs."""
+        self._other_mbit = given.other_link_mbit
+        regions = given.topology.regions
+        for item in given_up:
+            at = regions.index(item.source), regions.index(item.sink)
+            self._other_mbit[at] -= item.refused_mbit_per_s
         base = given.base
         self._given = given
         self._served = served
@@ -38,7 +46,7 @@
         own = link_loads(
             self._given.topology, self._flows(fraction), self._given.service.kbit_per_request
         )
-        return own + self._given.other_link_mbit
+        return own + self._other_mbit
 
     def step(self, number: int, step: ShiftStep) -> PlanStep:
         """Return the state after a step; number 0 is the state before the first."""
--- a/src/chervilmill/steering/_runner.py
+++ b/src/chervilmill/steering/_runner.py
@@ -18,7 +18,7 @@
 )
 from chervilmill.settings import Service, Settings
 from chervilmill.steering._confirmed import ConfirmedPlan, confirmed_plans
-from chervilmill.steering._executor import Action, Course, Evidence, Executor, Wait, Write
+from chervilmill.steering._executor import Action, Course, Evidence, Executor, Hold, Wait, Write
 from chervilmill.steering._loads import flows
 from chervilmill.steering._order import first_state
 from chervilmill.steering._state import (
@@ -155,6 +155,9 @@
         service = self._settings.service(plan.service)
         if service is None or plan.places != self._world.place_names:
             return
+        if not self._have_yielded(plan):
+            self._count_wait(service.name, Hold.LOWER_PRIORITY_FIRST.value)
+            return
         try:
             if service.name not in self._tasks:
                 name = STEERING_PREFIX + service.name
@@ -168,6 +171,19 @@
         except (PlatformError, MalformedStateError) as exc:
             log_problem("shift waits", step="write steering", peer=service.name, error=str(exc))
 
+    def _have_yielded(self, plan: ConfirmedPlan) -> bool:
+        """Return whether the services that a plan waits for admit less at every node."""
+        snapshot = self._configuration.snapshot()
+        present, confirmed = states(snapshot), confirmed_plans(snapshot)
+        for name in plan.waits_for:
+            other = self._settings.service(name)
+            held = present.get(name)
+            if other is None or held is None or held.state.plan_id != confirmed[name].plan_id:
+                return False
+            if not self._source.evidence(other, held.version).is_in_force:
+                return False
+        return True
+
     def _unfinished(self) -> list[ConfirmedPlan]:
         snapshot = self._configuration.snapshot()
         present = states(snapshot)
--- a/src/chervilmill/steering/_state.py
+++ b/src/chervilmill/steering/_state.py
@@ -8,10 +8,12 @@
 from typing import Any
 
 from chervilmill.steering._hashing import HASH_SPAN
+from chervilmill.steering._priorities import link_key
 from chervilmill.steering._shares import ShareMap, interpolate
 from chervilmill.steering._steps import ShiftStep
 
 STEERING_PREFIX = "steering/"
+WHOLE = 1.0
 
 
 class Phase(Enum):
@@ -38,7 +40,8 @@
     """Give the map in force as a fraction of HASH_SPAN between two maps.
 
     `sequence` rises with every write. `places` names the places that the maps refer to by index.
-    `admitted` holds, by home region, the share of requests that find room where it is below 1.
+    `admitted` holds the share of requests that find room where it is below 1, by home region or by
+    link (see `admitted_share`).
     `is_settled` is set once a minute has passed since the last step.
     """
 
@@ -96,6 +99,11 @@
         return json.dumps(fields, separators=(",", ":")).encode()
 
 
+def admitted_share(admitted: Mapping[str, float], home: str, place: str) -> float:
+    """Return the share of requests that find room, by the regions of their home and place."""
+    return admitted.get(home, WHOLE) * admitted.get(link_key(home, place), WHOLE)
+
+
 def decode_state(body: bytes) -> ShiftState:
     """Return the state of a stored form, or raise MalformedStateError."""
     try:
--- a/src/chervilmill/steering/_table.py
+++ b/src/chervilmill/steering/_table.py
@@ -16,13 +16,13 @@
 from chervilmill.steering._loads import KBIT_PER_MBIT, flows, link_loads
 from chervilmill.steering._pacing import Pacer
 from chervilmill.steering._shares import ShareMap
-from chervilmill.steering._state import ShiftState
+from chervilmill.steering._state import ShiftState, admitted_share
 from chervilmill.steering._topology import Topology
 from chervilmill.steering._world import StateInForce, SteeringWorld, states
 
 UNKNOWN_V4_BITS = 24
 SPILL_REFRESH_S = 1.0
-WHOLE = 1.0
+FIRST_WEIGHT = 1.0
 
 Clock = Callable[[], float]
 
@@ -207,7 +207,12 @@
         if state is None or not state.admitted:
             return True
         block = self._world.blocks.find(client_address) or self._unknown(client_address)
-        return draw < state.admitted.get(self._world.region_of(block.home), WHOLE)
+        place = self._applied[service].shares.place_of(
+            block.home, position(block.key, self._seeds[service])
+        )
+        return draw < admitted_share(
+            state.admitted, self._world.region_of(block.home), self._world.region_of(place)
+        )
 
     def _follow(self, now_s: float, service: str, held: StateInForce) -> None:
         if held.state.places != self._world.place_names:
@@ -251,7 +256,7 @@
 
         others = sorted((i for i in range(len(topology.places)) if i != place), key=rank)
         first = topology.places[place]
-        choices = [PlaceChoice(first.name, first.region, WHOLE)]
+        choices = [PlaceChoice(first.name, first.region, FIRST_WEIGHT)]
         for other in others:
             if unused[other] > 0:
                 chosen = topology.places[other]
--- a/src/chervilmill/steering/_world.py
+++ b/src/chervilmill/steering/_world.py
@@ -1,5 +1,6 @@
 """Build topologies, demands and plan inputs from settings, targets and configuration."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from ipaddress import ip_network
 from typing import Protocol
@@ -16,11 +17,18 @@
 from chervilmill.settings import Service, Settings
 from chervilmill.steering._blocks import BlockTable, ClientNetwork, blocks_of_networks
 from chervilmill.steering._confirm import PlannedIntent
-from chervilmill.steering._confirmed import CONFIRMED_NAME, confirmed_plan, confirmed_plans
-from chervilmill.steering._inputs import PlanInput
-from chervilmill.steering._intents import StatedIntent, stated_intents
+from chervilmill.steering._confirmed import (
+    CONFIRMED_NAME,
+    ConfirmedPlan,
+    confirmed_plan,
+    confirmed_plans,
+    yielding_plan,
+)
+from chervilmill.steering._inputs import OtherService, PlanInput
+from chervilmill.steering._intents import DEFAULT_PRIORITY, StatedIntent, stated_intents
 from chervilmill.steering._loads import flows, link_loads
 from chervilmill.steering._planner import compute_plan
+from chervilmill.steering._priorities import Yield
 from chervilmill.steering._shares import ShareMap
 from chervilmill.steering._state import (
     STEERING_PREFIX,
@@ -128,9 +136,8 @@
             topology=self.topology(service),
             demand=self.demand(service),
             base=self.map_in_force(state),
-            is_shifting=confirmed is not None
-            and (state is None or state.plan_id != confirmed.plan_id or not state.phase.is_final),
-            other_link_mbit=self._other_links(snapshot, service),
+            is_shifting=_is_shifting(present, confirmed),
+            others=tuple(self._others(snapshot, service)),
             blocks=self.planning_blocks,
             revision=max(stated.version, version),
             headroom_part=self._settings.objective.headroom_percent / PERCENT,
@@ -143,23 +150,50 @@
         if given is None:
             return None
         plan = compute_plan(given)
-        return PlannedIntent(plan, confirmed_plan(plan, given))
+        record = confirmed_plan(plan, given)
+        present = states(snapshot)
+        yielding = tuple(
+            self._yielding(record, service, plan.yields, present.get(service))
+            for service in record.waits_for
+        )
+        return PlannedIntent(plan, record, yielding)
+
+    def _yielding(
+        self,
+        record: ConfirmedPlan,
+        service: str,
+        given_up: tuple[Yield, ...],
+        present: StateInForce | None,
+    ) -> ConfirmedPlan:
+        state = None if present is None else present.state
+        own = [item for item in given_up if item.service == service]
+        admitted = {} if state is None else state.admitted
+        return yielding_plan(record, service, self.map_in_force(state), own, admitted)
 
-    def _other_links(self, snapshot: ConfigurationSnapshot, service: Service) -> Array:
-        """Return what other services take of links, now or once their plans are carried out."""
-        total = np.zeros((len(self._settings.regions), len(self._settings.regions)))
+    def _others(self, snapshot: ConfigurationSnapshot, service: Service) -> Iterator[OtherService]:
+        """Yield what other services take of links, now or once their plans are carried out."""
         present, confirmed = states(snapshot), confirmed_plans(snapshot)
+        priorities = {
+            item.intent.service: item.intent.priority
+            for item in stated_intents(snapshot, self._settings)
+        }
         for other in self._settings.services:
             if other.name == service.name:
                 continue
             state = present.get(other.name)
             maps = [self.map_in_force(None if state is None else state.state)]
-            if state is not None and not state.state.phase.is_final:
+            plan = confirmed.get(other.name)
+            is_shifting = _is_shifting(state, plan)
+            if state is not None and is_shifting:
                 maps.extend([state.state.base, state.state.goal])
-            if other.name in confirmed and confirmed[other.name].places == self.place_names:
-                maps.append(confirmed[other.name].goal)
-            total += self._greatest_links(other, maps)
-        return total
+            if plan is not None and plan.places == self.place_names:
+                maps.append(plan.goal)
+            yield OtherService(
+                name=other.name,
+                priority=priorities.get(other.name, DEFAULT_PRIORITY),
+                is_shifting=is_shifting,
+                link_mbit=self._greatest_links(other, maps),
+            )
 
     def _greatest_links(self, service: Service, maps: list[ShareMap]) -> Array:
         topology = Topology([Place(n, n, r, 0.0) for n, r in self._regions.items()], self._links())
@@ -202,6 +236,15 @@
         )
 
 
+def _is_shifting(present: StateInForce | None, plan: ConfirmedPlan | None) -> bool:
+    """Return whether a confirmed plan is not yet carried out."""
+    if plan is None:
+        return False
+    if present is None or present.state.plan_id != plan.plan_id:
+        return True
+    return not present.state.phase.is_final
+
+
 def _block_prefix(version: int, v4_prefix: int) -> int:
     return v4_prefix if version == 4 else 0
 
--- a/tests/steering/test_whole_shift.py
+++ b/tests/steering/test_whole_shift.py
@@ -6,6 +6,7 @@
 
 from chervilmill.steering._executor import MAX_MEASUREMENT_AGE_S
 from tests.steering.support import Console, Node, steering_node
+from tests.support import free_address, target_vm
 
 CAP = {"percent_of_blocks_per_min": 20, "mbit_per_s": 500}
 MOVE = {"name": "to-brno", "service": "souhrny", "shares": {"brno": 45}, "cap": CAP}
@@ -117,6 +118,25 @@
     assert moved[0] - moved[-1] > 0 == moved[-1]
 
 
+def test_shift_waits_for_new_targets_to_warm(node: Node, console: Console) -> None:
+    console.state(**MOVE)
+    confirm(console, "to-brno")
+    for _ in range(12):
+        node.tick()
+    vms = node.directory.by_service["souhrny"]
+    vms.append(target_vm("new", free_address(), "souhrny", "brno-a"))
+    node.tick()
+    node.tick()
+    state = node.table.state("souhrny")
+    assert state is not None
+    assert (state.phase.value, state.reason) == ("paused", "targets_cold")
+    for _ in range(10):
+        node.tick()
+    later = node.table.state("souhrny")
+    assert later is not None
+    assert later.blocks_moved > state.blocks_moved
+
+
 def test_every_fault_of_an_intent_is_reported_at_once(console: Console) -> None:
     code, text = console.state(
         name="x", service="none", shares={"brno": 70, "mars": 50}, leaving=["brno"], colour=1
