Give the addresses of one test's settings distinct ports

A run failed once because two ports drawn one after the other were the same, which the settings refuse. The sockets are now held open together while their ports are drawn.

--- a/tests/support.py
+++ b/tests/support.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+from contextlib import ExitStack
 from pathlib import Path
 
 import json5
@@ -17,16 +18,23 @@
 
 def free_address() -> Address:
     """Return a loopback address whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", sock.getsockname()[1])
+    return free_addresses(1)[0]
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Return distinct loopback addresses whose ports are free now."""
+    with ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [Address("127.0.0.1", sock.getsockname()[1]) for sock in socks]
 
 
 def raw_settings(name: str, platform: Address, **node: str) -> dict:
     """Return decoded settings of an entry VM on free loopback ports."""
     raw = json5.loads((ROOT / "examples" / "souhrny.jsonc").read_text())
-    raw["node"].update(name=name, callers=str(free_address()), operators=str(free_address()))
-    raw["node"].update(nodes=str(free_address()), **node)
+    callers, operators, nodes = map(str, free_addresses(3))
+    raw["node"].update(name=name, callers=callers, operators=operators, nodes=nodes, **node)
     raw["platform"]["address"] = str(platform)
     raw["limits"]["lookup_lifetime_s"] = 1
     raw["operators_token"] = TOKEN
