Bound slow readers and ask for a body only once it is wanted

Cause: a caller that takes an answer a few bytes at a time held a thread for as long as it liked, and a refused upload with Expect: 100-continue was asked to send its body all the same. Change: writes are paced as reads are; 100 Continue goes out with the first read of the body. Conclusion: a thread is bounded by the bytes that move, in both directions.

--- a/src/chervilmill/http/__init__.py
+++ b/src/chervilmill/http/__init__.py
@@ -11,7 +11,7 @@
     exchange_of,
     reset_connection,
 )
-from chervilmill.http._pace import ReadPace
+from chervilmill.http._pace import Pace
 from chervilmill.http._server import HttpServer
 
 __all__ = [
@@ -21,7 +21,7 @@
     "Environ",
     "Exchange",
     "HttpServer",
-    "ReadPace",
+    "Pace",
     "StartResponse",
     "WsgiApp",
     "close_connection",
--- a/src/chervilmill/http/_connection.py
+++ b/src/chervilmill/http/_connection.py
@@ -6,12 +6,12 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Literal
 
-from cheroot.makefile import StreamReader
+from cheroot.makefile import StreamReader, StreamWriter
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 
-from chervilmill.http._pace import ReadPace
+from chervilmill.http._pace import Pace
 
 LINGER_S = 2.0
 LINGER_BYTES = 256 * 1024**2
@@ -42,37 +42,55 @@
 
 
 class _PacedSocketIO(socket.SocketIO):
-    def __init__(self, sock: socket.socket, pace: ReadPace) -> None:
-        super().__init__(sock, "r")
+    def __init__(self, sock: socket.socket, mode: Literal["r", "w"], pace: Pace) -> None:
+        super().__init__(sock, mode)
         self._paced_sock = sock
         self._pace = pace
 
     def readinto(self, buffer: Any) -> int | None:
+        return self._paced(super().readinto, buffer)
+
+    def write(self, data: Any) -> int | None:
+        return self._paced(super().write, data)
+
+    def _paced(self, transfer: Callable[[Any], int | None], data: Any) -> int:
         allowed_s = self._pace.allowed_s
         if allowed_s <= 0:
             raise TimeoutError("timed out")
-        write_timeout_s = self._paced_sock.gettimeout()
-        started_s = time.monotonic()
-        received = 0
         self._paced_sock.settimeout(allowed_s)
+        started_s = time.monotonic()
+        size = 0
         try:
-            received = super().readinto(buffer) or 0
+            size = transfer(data) or 0
         finally:
-            self._pace.note(time.monotonic() - started_s, received)
-            self._paced_sock.settimeout(write_timeout_s)
-        return received
+            self._pace.note(time.monotonic() - started_s, size)
+        return size
 
 
 class _PacedReader(StreamReader):
-    def __init__(self, sock: socket.socket, pace: ReadPace, buffer_bytes: int) -> None:
-        _pyio.BufferedReader.__init__(self, _PacedSocketIO(sock, pace), buffer_bytes)
+    def __init__(self, sock: socket.socket, pace: Pace, buffer_bytes: int) -> None:
+        _pyio.BufferedReader.__init__(self, _PacedSocketIO(sock, "r", pace), buffer_bytes)
         self.bytes_read = 0
 
 
+class _PacedWriter(StreamWriter):
+    def __init__(self, sock: socket.socket, pace: Pace, buffer_bytes: int) -> None:
+        _pyio.BufferedWriter.__init__(self, _PacedSocketIO(sock, "w", pace), buffer_bytes)
+        self.bytes_written = 0
+
+
 class _StrictHeaders(dict[bytes, bytes]):
-    """Refuse a second value of a header that may have one only, and folded lines."""
+    """Refuse a second value of a header that may have one only, and folded lines.
+
+    `Expect` is kept apart, since cheroot would ask for a body before anyone wants to read it.
+    """
+
+    expects_continue = False
 
     def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name == b"Expect":
+            self.expects_continue = value.lower() == b"100-continue"
+            return
         if name in self and name in SINGLE_HEADERS:
             raise ValueError(f"header {name.decode('latin-1')} is given twice")
         super().__setitem__(name, value)
@@ -98,6 +116,12 @@
         self.inheaders = _StrictHeaders()
         conn.present_request = self
 
+    def ask_for_body(self) -> None:
+        """Tell a peer that waits for it to send the body, once somebody reads it."""
+        if self.inheaders.expects_continue:
+            self.inheaders.expects_continue = False
+            self.conn.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     @property
     def has_unread_body(self) -> bool:
         """Return whether the peer may still be sending a body that nobody reads."""
@@ -122,15 +146,16 @@
 
 
 class Connection(HTTPConnection):
-    """Read at a bounded pace and linger where a body is left unread."""
+    """Read and write at a bounded pace, and linger where a body is left unread."""
 
     RequestHandlerClass = Request
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = None) -> None:
         super().__init__(server, sock)
-        sock.settimeout(server.io_timeout_s)
-        self.pace = ReadPace(server.io_timeout_s, server.least_bytes_per_s)
-        self.rfile = _PacedReader(sock, self.pace, self.rbufsize)
+        self._read_pace = Pace(server.io_timeout_s, server.least_bytes_per_s)
+        self._write_pace = Pace(server.io_timeout_s, server.least_bytes_per_s)
+        self.rfile = _PacedReader(sock, self._read_pace, self.rbufsize)
+        self.wfile = _PacedWriter(sock, self._write_pace, self.wbufsize)
         self.lingers = False
         self.resets = False
         self.present_request: Request | None = None
@@ -138,7 +163,8 @@
 
     def communicate(self) -> bool:
         """Answer one request and return whether the connection stays open."""
-        self.pace.restart()
+        self._read_pace.restart()
+        self._write_pace.restart()
         is_kept: bool = super().communicate()  # type: ignore[no-untyped-call]
         req = self.present_request
         if not is_kept and req is not None and req.ready and req.has_unread_body:
--- a/src/chervilmill/http/_server.py
+++ b/src/chervilmill/http/_server.py
@@ -19,11 +19,28 @@
 ACCEPT_QUEUE_LENGTH = 512
 
 
+class _Input:
+    """Read a request's body, asking the peer for it first where the peer waits for that."""
+
+    __slots__ = ("_body", "_req")
+
+    def __init__(self, body: Any, req: Any) -> None:
+        self._body = body
+        self._req = req
+
+    def read(self, size: int | None = None) -> bytes:
+        """Return up to `size` bytes of the body."""
+        self._req.ask_for_body()
+        part: bytes = self._body.read(size)
+        return part
+
+
 class _Gateway(wsgi.Gateway_10):
     def get_environ(self) -> Environ:  # type: ignore[override]
         environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
         environ[EXCHANGE_KEY] = Exchange(self.req)
         environ[SOCKET_KEY] = self.req.conn.socket
+        environ["wsgi.input"] = _Input(environ["wsgi.input"], self.req)
         return environ
 
     def respond(self) -> None:
