Demonstrate a shift from intent to its last step

Cause: the demonstration had no commands of steering to show. Change: it states an intent, shows the plan, confirms it, follows the steps against the cap as it grows with time, and asks two entry VMs for the place of 128 callers.

--- a/src/chervilmill/standins/demo/_site.py
+++ b/src/chervilmill/standins/demo/_site.py
@@ -15,6 +15,7 @@
 
 SERVICE = "souhrny"
 REGIONS = {"praha": ("praha-a", "praha-b"), "brno": ("brno-a", "brno-b")}
+CLIENT_NETWORKS = {"praha": "10.1.0.0/16", "brno": "10.2.0.0/16"}
 TARGETS_PER_DOMAIN = 3
 ENTRY_DOMAINS = ("praha-a", "praha-b", "brno-a")
 LOOKUP_LIFETIME_S = 1
@@ -66,6 +67,18 @@
             for vm in self.targets
         }
 
+    def operators(self, vm: Vm, path: str) -> dict[str, Any]:
+        """Return what an entry VM's operators' interface answers to a path."""
+        headers = {"Authorization": f"Bearer {SECRET}"}
+        url = f"http://{self._operators[vm.name]}{path}"
+        return dict(self.http.request("GET", url, headers=headers).json())
+
+    def write_file(self, name: str, value: object) -> Path:
+        """Write a JSON file into the folder of the demonstration."""
+        file = self._folder / name
+        file.write_text(json.dumps(value))
+        return file
+
     def command(self, vm: Vm, *arguments: str) -> dict[str, Any]:
         """Run the command line against an entry VM and return its JSON, or raise RuntimeError."""
         options = ["--json", "--settings", str(self._settings_file(vm))]
@@ -118,10 +131,19 @@
                     "reports_load": True,
                     "connect_cost_ms": 1,
                     "probe_cost_ms": 6,
+                    "requests_per_s": 300,
+                    "requests_per_slot_per_s": 10,
+                    "kbit_per_request": 60,
                 }
             ],
             "objective": {"latency_percent": 70, "headroom_percent": 30},
             "limits": {"lookup_lifetime_s": LOOKUP_LIFETIME_S},
+            "steering": {
+                "clients": [
+                    {"network": network, "region": region}
+                    for region, network in CLIENT_NETWORKS.items()
+                ]
+            },
             "operators_token": SECRET,
             "nodes_key": SECRET,
         }
