Show headroom in the metrics and the status

Cause: headroom is one of the three measures of the users, and no gauge showed it. Change: the unused part of each failure domain's capacity, and of the fullest place after the worst loss, under the steering in force, the planned demand and the live targets. Conclusion: operators see the margin that plans are judged by, also between plans.

--- a/src/chervilmill/cli/_status.py
+++ b/src/chervilmill/cli/_status.py
@@ -31,3 +31,13 @@
     yield f"entry VMs  {', '.join(status['entry_vms']) or 'none'}"
     for service, count in sorted(status["targets"].items()):
         yield f"targets    {service}: {count}"
+    for service, headroom in sorted(status["headroom"].items()):
+        yield f"headroom   {service}: {_headroom_text(headroom)}"
+
+
+def _headroom_text(headroom: dict[str, Any]) -> str:
+    least = min(headroom["by_place"].values(), default=0.0)
+    return (
+        f"{least:.0%} in the fullest failure domain, {headroom['after_domain_loss']:.0%} with one "
+        f"failure domain lost, {headroom['after_region_loss']:.0%} with one region lost"
+    )
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -35,11 +35,13 @@
 from chervilmill.requests import TwoRandomChoices
 from chervilmill.settings import Settings
 from chervilmill.steering import (
+    Headroom,
     LookupVersions,
     ShiftRunner,
     SteeringTable,
     SteeringWorld,
     VmEvidence,
+    headroom,
 )
 from chervilmill.targets import HttpTargets
 
@@ -134,8 +136,22 @@
             revision=self.configuration.snapshot().revision,
             entry_vms=tuple(vm.name for vm in self.directory.entry_vms()),
             targets={item.name: len(self.directory.targets(item.name)) for item in services},
+            headroom=self._headroom(),
         )
 
+    def _headroom(self) -> dict[str, Headroom]:
+        snapshot = self.configuration.snapshot()
+        services = self.settings.services
+        return {item.name: headroom(self._world, snapshot, item) for item in services}
+
+    def _refresh_metrics(self) -> None:
+        for service, found in self._headroom().items():
+            for place, part in found.by_place.items():
+                self.metrics.headroom.labels(service, place).set(part)
+            after_loss = self.metrics.headroom_after_loss
+            after_loss.labels(service, "failure_domain").set(found.after_domain_loss)
+            after_loss.labels(service, "region").set(found.after_region_loss)
+
     def _operator_routes(self) -> tuple[Route, ...]:
         steering = SteeringRoutes(
             self._platform, self.settings, self._world, self._table, self.metrics
@@ -162,7 +178,12 @@
         settings = self.settings
         return HttpServer(
             settings.node.operators,
-            OperatorsApp(settings.operators_token, self.metrics, self._operator_routes()),
+            OperatorsApp(
+                settings.operators_token,
+                self.metrics,
+                self._operator_routes(),
+                self._refresh_metrics,
+            ),
             threads=OPERATOR_THREADS,
         )
 
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -64,6 +64,18 @@
             buckets=DRAIN_BUCKETS_S,
             registry=self.registry,
         )
+        self.headroom = Gauge(
+            "chervilmill_headroom_ratio",
+            "Unused part of a failure domain's capacity, by service",
+            ["service", "failure_domain"],
+            registry=self.registry,
+        )
+        self.headroom_after_loss = Gauge(
+            "chervilmill_headroom_after_loss_ratio",
+            "Unused part of the fullest place after the worst loss, by service and what is lost",
+            ["service", "lost"],
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "chervilmill_in_flight", "Requests in flight at this node", registry=self.registry
         )
--- a/src/chervilmill/operators/_app.py
+++ b/src/chervilmill/operators/_app.py
@@ -1,6 +1,6 @@
 """Serve the operators' HTTP interface."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
@@ -12,16 +12,27 @@
 
 
 class OperatorsApp:
-    """Serve metrics to any scraper and everything else to operators with the token."""
-
-    def __init__(self, token: str, metrics: Metrics, routes: Iterable[Route]) -> None:
+    """Serve metrics to any scraper and everything else to operators with the token.
+
+    `refresh` brings those metrics up to date that are worked out at each scrape.
+    """
+
+    def __init__(
+        self,
+        token: str,
+        metrics: Metrics,
+        routes: Iterable[Route],
+        refresh: Callable[[], None] = lambda: None,
+    ) -> None:
         self._metrics = metrics
+        self._refresh = refresh
         self._router = Router(token, routes)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one request of an operator or a scraper."""
         if environ["PATH_INFO"] != METRICS_PATH:
             return self._router(environ, start_response)
+        self._refresh()
         text = generate_latest(self._metrics.registry)
         headers = [("Content-Type", CONTENT_TYPE_LATEST), ("Content-Length", str(len(text)))]
         start_response("200 OK", headers)
--- a/src/chervilmill/operators/_status.py
+++ b/src/chervilmill/operators/_status.py
@@ -4,11 +4,12 @@
 from dataclasses import asdict, dataclass
 
 from chervilmill.operators._router import OperatorRequest, OperatorResponse, Route
+from chervilmill.steering import Headroom
 
 
 @dataclass(frozen=True, slots=True)
 class NodeStatus:
-    """Hold what an operator sees of one node."""
+    """Hold what an operator sees of one node; targets and headroom are by service."""
 
     node: str
     region: str
@@ -18,6 +19,7 @@
     revision: int
     entry_vms: tuple[str, ...]
     targets: dict[str, int]
+    headroom: dict[str, Headroom]
 
 
 def status_routes(status: Callable[[], NodeStatus]) -> tuple[Route, ...]:
--- a/src/chervilmill/steering/__init__.py
+++ b/src/chervilmill/steering/__init__.py
@@ -10,6 +10,7 @@
     fresh_configuration,
 )
 from chervilmill.steering._evidence import LookupVersions, VmEvidence
+from chervilmill.steering._headroom import Headroom, headroom
 from chervilmill.steering._inputs import PlanInput
 from chervilmill.steering._intents import (
     INTENT_PREFIX,
@@ -42,6 +43,7 @@
     "ConfirmRequest",
     "Confirmer",
     "DirectedLink",
+    "Headroom",
     "INTENT_PREFIX",
     "Intent",
     "LookupVersions",
@@ -68,6 +70,7 @@
     "check_intent",
     "compute_plan",
     "fresh_configuration",
+    "headroom",
     "shift_reports",
     "solve",
     "stated_intents",
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -10,9 +10,13 @@
 from chervilmill.metrics import Metrics
 from chervilmill.operators import LeavingMarks, NodeStatus, OperatorsApp, status_routes
 from chervilmill.standins.store import MemoryStore
+from chervilmill.steering import Headroom
 from tests.support import ROOT, TOKEN, free_address, raw_settings, target_vm
 
-STATUS = NodeStatus("entry-1", "praha", "praha-a", False, 2, 7, ("entry-1",), {"souhrny": 3})
+HEADROOM = {"souhrny": Headroom({"praha-a": 0.5, "praha-b": 0.25}, 0.2, 0.0)}
+STATUS = NodeStatus(
+    "entry-1", "praha", "praha-a", False, 2, 7, ("entry-1",), {"souhrny": 3}, HEADROOM
+)
 
 
 class Node:
@@ -41,7 +45,9 @@
 
 def test_status_as_text_and_json(node: Node, capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["status", *node.options]) == 0
-    assert "entry-1 (praha, praha-a), live" in capsys.readouterr().out
+    text = capsys.readouterr().out
+    assert "entry-1 (praha, praha-a), live" in text
+    assert "souhrny: 25% in the fullest failure domain, 20% with one failure" in text
     assert main(["status", "--json", *node.options]) == 0
     assert json.loads(capsys.readouterr().out)["in_flight"] == 2
 
--- a/tests/operators/test_router.py
+++ b/tests/operators/test_router.py
@@ -19,10 +19,14 @@
 )
 from chervilmill.platform import VersionConflictError
 from chervilmill.standins.store import MemoryStore
+from chervilmill.steering import Headroom
 from tests.support import free_address, target_vm
 
 TOKEN = "an-operators-token"
-STATUS = NodeStatus("entry-1", "praha", "praha-a", False, 2, 7, ("entry-1",), {"souhrny": 3})
+HEADROOM = {"souhrny": Headroom({"praha-a": 0.5, "praha-b": 0.25}, 0.2, 0.0)}
+STATUS = NodeStatus(
+    "entry-1", "praha", "praha-a", False, 2, 7, ("entry-1",), {"souhrny": 3}, HEADROOM
+)
 
 
 def failing(_req) -> OperatorResponse:
