--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -8,14 +8,19 @@
 from chervilmill.callers import (
     Attempts,
     CallersApp,
+    CallerWatch,
     EarlyRefusalCounter,
     Forwarder,
     InFlight,
     Lookups,
+    OrderOwners,
     Orders,
+    Prober,
+    Retries,
+    build_services,
 )
 from chervilmill.http import HttpServer
-from chervilmill.logs import log_event
+from chervilmill.logs import log_event, log_problem
 from chervilmill.metrics import Metrics
 from chervilmill.nodes import Nodes
 from chervilmill.operators import (
@@ -33,14 +38,17 @@
     OrderLedger,
     Vm,
 )
-from chervilmill.requests import TwoRandomChoices
+from chervilmill.reasons import DropReason
+from chervilmill.requests import CrashNews
 from chervilmill.settings import Settings
 from chervilmill.steering import (
+    Headroom,
     LookupVersions,
     ShiftRunner,
     SteeringTable,
     SteeringWorld,
     VmEvidence,
+    headroom,
 )
 from chervilmill.targets import HttpTargets
 
@@ -86,6 +94,12 @@
             lambda: self.in_flight.count,
         )
         self._orders = OrderLedger(platform)
+        self._watch = CallerWatch()
+        self._targets = HttpTargets(_connections(settings), self._count_extra_bytes)
+        self._services = build_services(
+            settings, self.directory, self._targets.is_reachable, self._on_crash, random.Random()
+        )
+        self._prober = Prober([parts.places for parts in self._services.values()], self._targets)
         self._view = _NodeView(self.directory, settings.node.name)
         self._world = SteeringWorld(settings, self.directory)
         self._table = SteeringTable(self._world, settings)
@@ -101,6 +115,8 @@
         self.configuration.subscribe(self._table.receive)
         self._shifts.start()
         self._orders.start()
+        self._watch.start()
+        self._prober.start()
         self._operators.start()
         if self.nodes.wait_until_ready(self._stop_asked):
             self._callers.start()
@@ -120,6 +136,8 @@
         log_event("node leaving", in_flight=self.in_flight.count)
         if self._is_serving:
             self._end_serving()
+        self._prober.stop()
+        self._watch.stop()
         self._shifts.stop()
         self._orders.stop(ORDERS_STOP_TIMEOUT_S)
         self._operators.stop()
@@ -152,8 +170,22 @@
             nodes_present=self.nodes.present(),
             configuration_age_s=None if math.isinf(freshness.age_s) else freshness.age_s,
             is_stale=freshness.is_stale,
+            headroom=self._headroom(),
         )
 
+    def _headroom(self) -> dict[str, Headroom]:
+        snapshot = self.configuration.snapshot()
+        services = self.settings.services
+        return {item.name: headroom(self._world, snapshot, item) for item in services}
+
+    def _refresh_metrics(self) -> None:
+        for service, found in self._headroom().items():
+            for place, part in found.by_place.items():
+                self.metrics.headroom.labels(service, place).set(part)
+            after_loss = self.metrics.headroom_after_loss
+            after_loss.labels(service, "failure_domain").set(found.after_domain_loss)
+            after_loss.labels(service, "region").set(found.after_region_loss)
+
     def _operator_routes(self) -> tuple[Route, ...]:
         steering = SteeringRoutes(
             self._platform, self.settings, self._world, self._table, self.metrics
@@ -180,19 +212,21 @@
         settings = self.settings
         return HttpServer(
             settings.node.operators,
-            OperatorsApp(settings.operators_token, self.metrics, self._operator_routes()),
+            OperatorsApp(
+                settings.operators_token,
+                self.metrics,
+                self._operator_routes(),
+                self._refresh_metrics,
+            ),
             threads=OPERATOR_THREADS,
         )
 
     def _callers_server(self) -> HttpServer:
         settings = self.settings
         lookups = Lookups(self._view, self._table, settings.limits.lookup_lifetime_s)
-        connections = max(service.connections_per_target for service in settings.services)
-        attempts = Attempts(
-            self.directory, HttpTargets(connections), TwoRandomChoices(), random.Random()
+        self._callers_app = CallersApp(
+            settings, lookups, self._forwarder(), self._watch, self.in_flight, self.metrics
         )
-        forwarder = Forwarder(attempts, Orders(self._orders, attempts))
-        self._callers_app = CallersApp(settings, lookups, forwarder, self.in_flight, self.metrics)
         return HttpServer(
             settings.node.callers,
             self._callers_app,
@@ -204,3 +238,32 @@
             max_connections=settings.limits.max_connections,
             early_refusals=EarlyRefusalCounter(self.metrics),
         )
+
+    def _forwarder(self) -> Forwarder:
+        attempts = Attempts(self._services, self._targets, self.metrics)
+        retries = Retries(attempts, self._services, self._watch, self.metrics, random.Random())
+        settings = self.settings
+        owners = OrderOwners(
+            self.directory,
+            self._targets,
+            settings.node.name,
+            settings.platform.region,
+            self._orders.shards,
+        )
+        return Forwarder(retries, Orders(self._orders, attempts, owners))
+
+    def _count_extra_bytes(self) -> None:
+        self.metrics.count_dropped("", DropReason.EXTRA_BYTES)
+
+    def _on_crash(self, service: str, news: CrashNews) -> None:
+        log_problem(
+            "request crashed a target",
+            service=service,
+            fingerprint=news.fingerprint.hex(),
+            crashes=news.crashes,
+            limited_to=news.limited_to,
+        )
+
+
+def _connections(settings: Settings) -> int:
+    return max(service.connections_per_target for service in settings.services)
--- a/src/chervilmill/operators/_status.py
+++ b/src/chervilmill/operators/_status.py
@@ -4,11 +4,12 @@
 from dataclasses import asdict, dataclass
 
 from chervilmill.operators._router import OperatorRequest, OperatorResponse, Route
+from chervilmill.steering import Headroom
 
 
 @dataclass(frozen=True, slots=True)
 class NodeStatus:
-    """Hold what an operator sees of one node.
+    """Hold what an operator sees of one node; targets and headroom are by service.
 
     `configuration_age_s` is None before the store confirmed the configuration for the first time.
     """
@@ -21,6 +22,7 @@
     revision: int
     entry_vms: tuple[str, ...]
     targets: dict[str, int]
+    headroom: dict[str, Headroom]
     nodes_present: int = 1
     configuration_age_s: float | None = None
     is_stale: bool = False
--- a/tests/test_metrics_page.py
+++ b/tests/test_metrics_page.py
@@ -5,7 +5,7 @@
 import pytest
 
 from chervilmill.metrics import Metrics
-from chervilmill.reasons import RefusalReason, RetryReason
+from chervilmill.reasons import DropReason, RefusalReason, RetryReason
 from tests.support import ROOT
 
 PAGE = (ROOT / "docs" / "operators" / "metrics.md").read_text()
@@ -30,6 +30,7 @@
         ("Metrics", shown_metrics()),
         ("Refusal reasons", {reason.value for reason in RefusalReason}),
         ("Retry reasons", {reason.value for reason in RetryReason}),
+        ("Drop reasons", {reason.value for reason in DropReason}),
     ],
 )
 def test_page_names_exactly_what_exists(title: str, names: set[str]) -> None:
