--- a/bench/faults/_run.py
+++ b/bench/faults/_run.py
@@ -114,7 +114,7 @@
     while not stopped.wait(STATUS_INTERVAL_S):
         asked_s = time.monotonic()
         status = fleet.status(entry)
-        if status is not None:
+        if status is not None and status["revision"] is not None:
             trace.revisions.append(RevisionSeen(entry, asked_s, int(status["revision"])))
 
 
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -207,11 +207,17 @@
             "callers": str(vm.address),
             "operators": str(replace(vm.address, port=addresses.OPERATORS_PORT)),
             "nodes": str(vm.nodes),
+            "seeds": self._seeds(name, vm.region),
         }
         raw["platform"]["address"] = str(self._platform_address(vm.region))
         raw["limits"]["lookup_lifetime_s"] = LOOKUP_LIFETIME_S
         (self.directory / f"{name}.jsonc").write_text(json.dumps(raw))
 
+    def _seeds(self, name: str, region: str) -> list[str]:
+        """Return the node addresses of the other entry VMs as a region reaches them."""
+        others = (vm for vm in self.entries.values() if vm.name != name)
+        return [str(self._seen_from(region, vm).nodes) for vm in others]
+
     def _platform_address(self, region: str) -> Address:
         host = PLATFORM_HOST + self.shape.regions.index(region)
         return addresses.address(host, addresses.PLATFORM_PORT)
--- a/bench/nodes_network.py
+++ b/bench/nodes_network.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from chervilmill.nodes._actions import Close, Dial, Send
-from chervilmill.nodes._allotments import NO_CAPS, Caps
+from chervilmill.nodes._allotments import NO_CAPS, QUIET_S, Caps
 from chervilmill.nodes._codec import encode
 from chervilmill.nodes._machine import TICK_S, NodeMachine
 from chervilmill.nodes._messages import Member, MemberState, Message
@@ -233,7 +233,7 @@
     domains_per_region: int = 2,
     caps: Caps = NO_CAPS,
 ) -> Network:
-    """Return a network of nodes that know each other already, after forty quiet seconds."""
+    """Return a network of nodes that know each other already, and divide the caps if there are."""
     network = Network(seed, 0.0, caps)
     members = [member(index, regions, domains_per_region) for index in range(count)]
     for own in members:
@@ -242,7 +242,7 @@
             node.machine.membership.members.merge(other, 0.0)
         node.machine.configuration.confirm(0.0)
         node.machine.vms.read((), 0.0)
-    network.run(35.0)
+    network.run(QUIET_S + 5.0 if caps is not NO_CAPS else 10.0)
     network.loss = loss
     network.run(5.0)
     network.reset_counts()
--- a/src/chervilmill/cli/_status.py
+++ b/src/chervilmill/cli/_status.py
@@ -27,7 +27,8 @@
     state = "leaving" if status["is_leaving"] else "live"
     yield f"node       {status['node']} ({status['region']}, {status['failure_domain']}), {state}"
     yield f"in flight  {status['in_flight']}"
-    yield f"revision   {status['revision']}"
+    revision = status["revision"]
+    yield f"revision   {'none yet' if revision is None else revision}"
     yield f"entry VMs  {', '.join(status['entry_vms']) or 'none'}"
     for service, count in sorted(status["targets"].items()):
         yield f"targets    {service}: {count}"
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -164,7 +164,7 @@
             failure_domain=node.failure_domain,
             is_leaving=self._view.is_leaving,
             in_flight=self.in_flight.count,
-            revision=self.configuration.snapshot().revision,
+            revision=self.configuration.snapshot().revision if self._is_serving else None,
             entry_vms=tuple(vm.name for vm in self.directory.entry_vms()),
             targets={item.name: len(self.directory.targets(item.name)) for item in services},
             nodes_present=self.nodes.present(),
--- a/src/chervilmill/nodes/_allotments.py
+++ b/src/chervilmill/nodes/_allotments.py
@@ -24,7 +24,7 @@
 from chervilmill.nodes._requester import Requester
 from chervilmill.nodes._shares import NO_UNITS
 
-LIFETIME_S = 25.0
+LIFETIME_S = 40.0
 HEAD_MARGIN_S = 0.3
 CHECK_INTERVAL_S = 0.6
 QUIET_S = LIFETIME_S * (1 + DRIFT_FRACTION)
--- a/src/chervilmill/nodes/_divider.py
+++ b/src/chervilmill/nodes/_divider.py
@@ -13,6 +13,7 @@
 
 DRIFT_FRACTION = 0.1
 REMEMBER_S = 30.0
+NOTICED_FRACTION = 0.01
 
 
 @dataclass(slots=True)
@@ -34,9 +35,9 @@
         """Return the most that this holder may be using of a cap."""
         return max((item.units.get(resource, 0) for item in self.counted), default=0)
 
-    def lacks(self, resource: str, level: int) -> bool:
-        """Return whether this holder has less than its fair share of a cap."""
-        return self.most(resource) < min(self.wanted.get(resource, 0), level)
+    def lacking(self, resource: str, level: int) -> int:
+        """Return how much less than its fair share of a cap this holder has."""
+        return max(0, min(self.wanted.get(resource, 0), level) - self.most(resource))
 
 
 class Divider:
@@ -87,17 +88,21 @@
         """Return the holders whose next request would change what they have.
 
         Those below their fair share are named while there are free units, and those above it
-        while somebody waits.
+        while somebody waits. Differences under 1% of the pool are left to the regular requests.
         """
         in_use = self.in_use(now)
         names: set[str] = set()
         for resource, size in pool.items():
             wants = [h.wanted.get(resource, 0) for h in self._holders.values()]
             level = _fair_level(wants, size)
-            is_free = size > in_use.get(resource, 0)
-            below = [n for n, h in self._holders.items() if h.lacks(resource, level)]
-            above = [n for n, h in self._holders.items() if h.most(resource) > level]
-            names.update(below if is_free else above if below else ())
+            least = size * NOTICED_FRACTION
+            lacking = {n: h.lacking(resource, level) for n, h in self._holders.items()}
+            if sum(lacking.values()) <= least:
+                continue
+            if size - in_use.get(resource, 0) > least:
+                names.update(n for n, units in lacking.items() if units)
+            else:
+                names.update(n for n, h in self._holders.items() if h.most(resource) > level)
         return sorted(names)
 
     def wanted(self) -> dict[str, int]:
--- a/src/chervilmill/nodes/_requester.py
+++ b/src/chervilmill/nodes/_requester.py
@@ -5,7 +5,7 @@
 from chervilmill.nodes._messages import Grant, ShareRequest
 from chervilmill.nodes._shares import ShareHolder
 
-REQUEST_INTERVAL_S = 10.0
+REQUEST_INTERVAL_S = 15.0
 FIRST_RETRY_S = 0.6
 CHANGED_INTERVAL_S = 0.4
 
--- a/src/chervilmill/operators/_status.py
+++ b/src/chervilmill/operators/_status.py
@@ -11,6 +11,7 @@
 class NodeStatus:
     """Hold what an operator sees of one node; targets and headroom are by service.
 
+    `revision` is None while the node holds no configuration and answers no callers.
     `configuration_age_s` is None before the store confirmed the configuration for the first time.
     """
 
@@ -19,7 +20,7 @@
     failure_domain: str
     is_leaving: bool
     in_flight: int
-    revision: int
+    revision: int | None
     entry_vms: tuple[str, ...]
     targets: dict[str, int]
     headroom: dict[str, Headroom]
