Serve each request where steering places its caller

Cause: steering acted on look-ups only. An entry VM used any target of its region, also those of a failure domain that a shift had emptied, and other regions without regard to their room. Change: SteeredRequests limits a request to the failure domains of its caller's place; another region is open to the part of the requests that its unused capacity and link allow, drawn by request id. An order that is passed on carries its caller's address, signed with the nodes' key. Figures: of 4,000 requests 25% and 10% may leave the region at weights 0.25 and 0.1. Conclusion: shares hold for requests, not only for the entry VMs that callers are told of.

--- a/src/chervilmill/callers/__init__.py
+++ b/src/chervilmill/callers/__init__.py
@@ -12,6 +12,7 @@
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._retries import Retries
 from chervilmill.callers._services import ServiceParts, build_services
+from chervilmill.callers._steered import SteeredRequests
 from chervilmill.callers._watch import CallerWatch
 
 __all__ = [
@@ -28,6 +29,7 @@
     "Prober",
     "Refusal",
     "Retries",
+    "SteeredRequests",
     "ServiceParts",
     "build_services",
 ]
--- a/src/chervilmill/callers/_app.py
+++ b/src/chervilmill/callers/_app.py
@@ -83,7 +83,7 @@
 
     def _forward(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         started_s = time.monotonic()
-        req = read_request(environ, self._settings.limits)
+        req = read_request(environ, self._settings.limits, self._settings.nodes_key)
         if self._settings.service(req.service) is None:
             detail = f"service {req.service} is not in the settings"
             raise Refusal(RefusalReason.UNKNOWN_SERVICE, Ran.NOT_RUN, detail)
--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -10,11 +10,13 @@
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
 from chervilmill.callers._services import ServiceParts
+from chervilmill.callers._steered import SteeredRequests
 from chervilmill.metrics import Metrics
 from chervilmill.platform import Vm
 from chervilmill.reasons import DropReason, Ran, RefusalReason
 from chervilmill.requests import (
     AttemptEnd,
+    Domains,
     Failure,
     LoadReading,
     RequestKind,
@@ -86,10 +88,12 @@
         services: Mapping[str, ServiceParts],
         targets: Targets,
         metrics: Metrics,
+        steered: SteeredRequests | None = None,
     ) -> None:
         self._services = services
         self._targets = targets
         self._metrics = metrics
+        self._steered = steered
 
     def send(self, attempt: Attempt) -> ForwardedAnswer:
         """Return the answer of a target once its first part is there, or raise AttemptFailure."""
@@ -107,8 +111,9 @@
             only = parts.suspects.only_target(attempt.fingerprint, places)
         except Refusal as refusal:
             raise AttemptFailure(Failure.QUARANTINED, refusal) from refusal
+        domains = self._domains(req)
         excluded = () if only is not None else attempt.excluded
-        wanted = Wanted(priority_of(req.kind, left_s), req.deadline_s, excluded, only)
+        wanted = Wanted(priority_of(req.kind, left_s), req.deadline_s, excluded, only, domains)
         try:
             return places.take(wanted)
         except NoPlace as exc:
@@ -119,6 +124,14 @@
             retry_after_ms = int(1000 * (exc.retry_after_s or 1.0))
             raise _not_run(Failure.NO_TARGET, reason, detail, retry_after_ms) from exc
 
+    def _domains(self, req: CallerRequest) -> Domains | None:
+        if self._steered is None:
+            return None
+        try:
+            return self._steered.domains(req)
+        except Refusal as refusal:
+            raise AttemptFailure(Failure.NO_TARGET, refusal) from refusal
+
 
 class _Run:
     """Carry out one attempt at a target whose place is taken."""
--- a/src/chervilmill/callers/_order_owners.py
+++ b/src/chervilmill/callers/_order_owners.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
+from chervilmill.callers._hops import hop_headers
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
 from chervilmill.platform import Vm
@@ -19,7 +20,6 @@
     TargetUnreachableError,
 )
 
-HOP_HEADER = "X-Order-Hop"
 AVOIDED_S = 5.0
 
 
@@ -59,6 +59,7 @@
         entries: EntryVms,
         peers: Targets,
         node: str,
+        nodes_key: str,
         store_region: str,
         shards: int,
         clock: Callable[[], float] = time.monotonic,
@@ -66,6 +67,7 @@
         self._entries = entries
         self._peers = peers
         self._node = node
+        self._nodes_key = nodes_key
         self._store_region = store_region
         self._shards = shards
         self._clock = clock
@@ -85,7 +87,9 @@
         if owner is None or req.is_hop:
             return None
         try:
-            answer = self._peers.send(owner, _passed(req, body), req.deadline_s - self._clock())
+            answer = self._peers.send(
+                owner, _passed(req, body, self._nodes_key), req.deadline_s - self._clock()
+            )
         except TargetUnreachableError:
             self._avoid(owner)
             return None
@@ -114,12 +118,12 @@
             self._avoided_until_s[owner.name] = self._clock() + AVOIDED_S
 
 
-def _passed(req: CallerRequest, body: bytes) -> TargetRequest:
+def _passed(req: CallerRequest, body: bytes, nodes_key: str) -> TargetRequest:
     return TargetRequest(
         request_id=req.request_id,
         method=req.method,
         path=f"/s/{req.service}{req.path}",
-        headers=(*req.headers, (HOP_HEADER, "1")),
+        headers=(*req.headers, *hop_headers(nodes_key, req.request_id, req.client)),
         body=io.BytesIO(body),
         length=len(body),
         cancellation=req.cancellation,
--- a/src/chervilmill/callers/_places.py
+++ b/src/chervilmill/callers/_places.py
@@ -11,6 +11,7 @@
 from chervilmill.requests import (
     AdmissionQueue,
     AttemptEnd,
+    Domains,
     LoadReading,
     Priority,
     TargetCondition,
@@ -37,12 +38,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
-    """Describe the place that a request wants; `only` names the one target it may run at."""
+    """Describe the place that a request wants; `only` names the one target it may run at.
+
+    `domains` is None where steering does not limit the request.
+    """
 
     priority: Priority
     deadline_s: float
     excluded: Collection[str] = ()
     only: str | None = None
+    domains: Domains | None = None
 
 
 class NoPlace(Exception):  # noqa: N818 - an answer to a request for a place
@@ -155,7 +160,7 @@
     def _take(self, wanted: Wanted, now_s: float) -> str | None:
         if wanted.only is not None and wanted.only not in self._by_name:
             return None
-        return self._policy.take(now_s, self._rng, wanted.excluded, wanted.only)
+        return self._policy.take(now_s, self._rng, wanted.excluded, wanted.only, wanted.domains)
 
     def _join(self, wanted: Wanted, now_s: float) -> _Waiter:
         waiting = Waiting(wanted.priority, now_s, wanted.deadline_s)
@@ -184,7 +189,7 @@
                 self._queue.leave(waiting)
                 waiter.target = self._by_name[name]
                 waiter.ready.set()
-            elif waiter.wanted.only is None:
+            elif waiter.wanted.only is None and waiter.wanted.domains is None:
                 return
             else:
                 skipped.append(waiting)
@@ -195,7 +200,10 @@
         self._refreshed_s = now_s
         targets = self._directory.targets(self.service)
         entries = [vm.name for vm in self._directory.entry_vms() if vm.region == self._region]
-        infos = [TargetInfo(vm.name, self._slots, vm.region == self._region) for vm in targets]
+        infos = [
+            TargetInfo(vm.name, self._slots, vm.region == self._region, vm.failure_domain)
+            for vm in targets
+        ]
         self._by_name.update({vm.name: vm for vm in targets})
         for gone in self._by_name.keys() - {vm.name for vm in targets}:
             del self._by_name[gone]
--- a/src/chervilmill/callers/_request.py
+++ b/src/chervilmill/callers/_request.py
@@ -7,6 +7,7 @@
 from urllib.parse import unquote
 
 from chervilmill.callers._checked_body import CheckedBody
+from chervilmill.callers._hops import client_of_hop
 from chervilmill.callers._refusal import Refusal
 from chervilmill.http import Environ
 from chervilmill.reasons import Ran, RefusalReason
@@ -29,7 +30,8 @@
 class CallerRequest:
     """Hold a request of a caller; `deadline_s` is a reading of the monotonic clock.
 
-    A request `is_hop` where another entry VM passed it on.
+    A request `is_hop` where another entry VM passed it on; `client` is then the address that this
+    VM saw, else the peer's.
     """
 
     request_id: str
@@ -44,10 +46,11 @@
     body: CheckedBody
     is_retry: bool = False
     is_hop: bool = False
+    client: str = ""
     cancellation: Cancellation = field(default_factory=Cancellation)
 
 
-def read_request(environ: Environ, limits: Limits) -> CallerRequest:
+def read_request(environ: Environ, limits: Limits, nodes_key: str) -> CallerRequest:
     """Return the request of a WSGI environment, or raise Refusal."""
     match = _SERVICE_PATH.fullmatch(environ["REQUEST_URI"].partition("?")[0])
     if match is None:
@@ -65,8 +68,10 @@
         raise _bad(RefusalReason.IDEMPOTENCY_KEY_REQUIRED, detail)
     deadline_ms = _deadline_ms(environ, limits.default_deadline_ms)
     length = _length(environ, kind, limits.max_body_bytes)
+    request_id = request_id_of(environ)
+    hop_client = client_of_hop(environ, nodes_key, request_id)
     return CallerRequest(
-        request_id=request_id_of(environ),
+        request_id=request_id,
         service=match[1],
         kind=kind,
         method=method,
@@ -77,7 +82,8 @@
         length=length,
         body=CheckedBody(environ["wsgi.input"], length),
         is_retry=environ.get("HTTP_X_ATTEMPT", "1") != "1",
-        is_hop="HTTP_X_ORDER_HOP" in environ,
+        is_hop=hop_client is not None,
+        client=hop_client or environ["REMOTE_ADDR"],
     )
 
 
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -17,6 +17,7 @@
     Orders,
     Prober,
     Retries,
+    SteeredRequests,
     build_services,
 )
 from chervilmill.http import HttpServer
@@ -240,13 +241,16 @@
         )
 
     def _forwarder(self) -> Forwarder:
-        attempts = Attempts(self._services, self._targets, self.metrics)
+        attempts = Attempts(
+            self._services, self._targets, self.metrics, SteeredRequests(self._table)
+        )
         retries = Retries(attempts, self._services, self._watch, self.metrics, random.Random())
         settings = self.settings
         owners = OrderOwners(
             self.directory,
             self._targets,
             settings.node.name,
+            settings.nodes_key,
             settings.platform.region,
             self._orders.shards,
         )
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -27,6 +27,7 @@
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
     INTERNAL_ERROR = "internal_error"
     LENGTH_REQUIRED = "length_required"
+    NO_HEADROOM = "no_headroom"
     NO_TARGET = "no_target"
     REQUEST_SHORT = "request_short"
     REQUEST_TOO_SLOW = "request_too_slow"
@@ -80,6 +81,7 @@
     RefusalReason.IDEMPOTENCY_KEY_REQUIRED: 428,
     RefusalReason.INTERNAL_ERROR: 500,
     RefusalReason.LENGTH_REQUIRED: 411,
+    RefusalReason.NO_HEADROOM: 503,
     RefusalReason.NO_TARGET: 503,
     RefusalReason.REQUEST_SHORT: 400,
     RefusalReason.REQUEST_TOO_SLOW: 408,
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -56,7 +56,7 @@
     decide_retry,
 )
 from chervilmill.requests._shares import connection_share, home_slots, reachable_targets
-from chervilmill.requests._target_policy import TargetInfo, TargetPolicy
+from chervilmill.requests._target_policy import Domains, TargetInfo, TargetPolicy
 from chervilmill.requests._target_state import AttemptEnd, LoadReading, TargetCondition
 from chervilmill.requests._write_pace import WritePace
 
@@ -71,6 +71,7 @@
     "Commit",
     "CrashNews",
     "FailedAttempt",
+    "Domains",
     "Failure",
     "Finish",
     "Free",
--- a/src/chervilmill/requests/_target_policy.py
+++ b/src/chervilmill/requests/_target_policy.py
@@ -33,6 +33,15 @@
     name: str
     slots: int
     is_near: bool = True
+    failure_domain: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Domains:
+    """Hold the failure domains where a request may run, and the one to try first, if any."""
+
+    allowed: frozenset[str]
+    first: str | None = None
 
 
 class TargetPolicy:
@@ -45,6 +54,7 @@
         self._home: dict[str, int] = {}
         self._home_order: list[str] = []
         self._reachable: list[str] = []
+        self._domains: dict[str, str] = {}
         self._listed: tuple[tuple[str, ...], tuple[TargetInfo, ...]] = ((), ())
         self._expected_others = 0.0
         self._median_latency_s: float | None = None
@@ -66,6 +76,7 @@
             if target.name not in self._states:
                 state = TargetState(target.name, target.slots, now_s, is_cold=not is_first)
                 self._states[target.name] = state
+        self._domains = {target.name: target.failure_domain for target in targets}
         self._near = frozenset(target.name for target in targets if target.is_near)
         near = {target.name: target.slots for target in targets if target.is_near}
         self._home = home_slots(self._entry, entries, near)
@@ -79,16 +90,18 @@
         rng: random.Random,
         excluded: Collection[str] = (),
         only: str | None = None,
+        domains: Domains | None = None,
     ) -> str | None:
         """Return a target with room and count the attempt there, or None where there is none.
 
-        Where `only` is given, no other target is taken.
+        Where `only` is given, no other target is taken. Without `domains`, near targets are taken,
+        and others where no near one takes work.
         """
         if only is not None:
             is_free = self.is_open(only, now_s) and self._has_room(only, now_s)
             name = only if is_free and only not in excluded else None
         else:
-            name = self._choose(now_s, rng, excluded)
+            name = self._choose(now_s, rng, excluded, domains)
         if name is not None:
             self._states[name].start()
         return name
@@ -142,11 +155,34 @@
             name not in excluded and not self._states[name].is_leaving for name in self._reachable
         )
 
-    def _choose(self, now_s: float, rng: random.Random, excluded: Collection[str]) -> str | None:
-        home = self._free_home(now_s, excluded)
+    def _choose(
+        self,
+        now_s: float,
+        rng: random.Random,
+        excluded: Collection[str],
+        domains: Domains | None,
+    ) -> str | None:
+        if domains is None:
+            return self._choose_among(now_s, rng, self._near_or_all(excluded))
+        allowed = [
+            name
+            for name in self._reachable
+            if name not in excluded and self._domains[name] in domains.allowed
+        ]
+        first = [name for name in allowed if self._domains[name] == domains.first]
+        name = self._choose_among(now_s, rng, first) if first else None
+        return name or self._choose_among(now_s, rng, allowed)
+
+    def _choose_among(
+        self,
+        now_s: float,
+        rng: random.Random,
+        names: Collection[str],
+    ) -> str | None:
+        home = self._free_home(now_s, names)
         if home:
             return self._least_loaded(home, now_s, rng)
-        candidates = self._open(now_s, excluded)
+        candidates = self._open(now_s, names)
         for choices in (CHOICES, FURTHER_CHOICES):
             drawn = rng.sample(candidates, min(choices, len(candidates)))
             with_room = [name for name in drawn if self._has_room(name, now_s)]
@@ -158,27 +194,30 @@
         home = self._home.get(name, 0)
         return self._states[name].has_room(now_s, home, self._expected_others)
 
-    def _free_home(self, now_s: float, excluded: Collection[str]) -> list[str]:
+    def _free_home(self, now_s: float, names: Collection[str]) -> list[str]:
         return [
             name
             for name in self._home_order
-            if name not in excluded
+            if name in names
             and self._states[name].in_flight < self._home[name]
             and self._states[name].is_open(now_s)
             and self._has_room(name, now_s)
         ]
 
-    def _open(self, now_s: float, excluded: Collection[str]) -> list[str]:
-        """Return the targets to choose from: near ones, unless none of them takes work.
+    def _near_or_all(self, excluded: Collection[str]) -> list[str]:
+        """Return the near targets, or all where none of the near ones takes work."""
+        listed = [name for name in self._reachable if name not in excluded]
+        working = [name for name in listed if not self._states[name].is_out_of_work]
+        return [name for name in working if name in self._near] or working
+
+    def _open(self, now_s: float, names: Collection[str]) -> list[str]:
+        """Return the targets to choose from.
 
         Where most targets were ejected, ejection is more likely wrong than right and is ignored.
         """
-        states = self._states
-        listed = [name for name in self._reachable if name not in excluded]
-        working = [name for name in listed if not states[name].is_out_of_work]
-        names = [name for name in working if name in self._near] or working
-        is_open = [name for name in names if states[name].is_open(now_s)]
-        return is_open if len(is_open) >= (1 - MAX_EJECTED_SHARE) * len(names) else names
+        working = [name for name in names if not self._states[name].is_out_of_work]
+        is_open = [name for name in working if self._states[name].is_open(now_s)]
+        return is_open if len(is_open) >= (1 - MAX_EJECTED_SHARE) * len(working) else working
 
     def _least_loaded(self, names: Sequence[str], now_s: float, rng: random.Random) -> str:
         return min(names, key=self._scorer(now_s, rng))
--- a/src/chervilmill/steering/_table.py
+++ b/src/chervilmill/steering/_table.py
@@ -144,6 +144,10 @@
         names = self._world.place_names
         return tuple((name, self._world.region_of(index)) for index, name in enumerate(names))
 
+    def is_steered(self, service: str) -> bool:
+        """Return whether a shift of the service was ever carried out."""
+        return self._applied[service].state is not None
+
     def applied_version(self, service: str) -> int:
         """Return the version of the steering object that this node last applied wholly, or 0."""
         applied = self._applied.get(service)
@@ -264,7 +268,10 @@
         return tuple(choices)
 
     def _unused(self, service: Service, topology: Topology, home: int) -> list[float]:
-        """Return the part of each place that is unused and reachable from a home."""
+        """Return the part of each place that is unused and reachable from a home.
+
+        A place that the shift in force leaves without any block takes nothing from others either.
+        """
         shares = self._applied[service.name].shares
         own = flows(topology, shares, self._world.demand(service))
         limits = topology.capacities()
@@ -274,4 +281,8 @@
         reachable = np.maximum(slack * KBIT_PER_MBIT / kbit, 0.0)[topology.region_of_place[home]]
         bounded = np.minimum(free, reachable[topology.region_of_place])
         parts = np.divide(bounded, limits, out=np.zeros_like(bounded), where=limits > 0)
+        state = self._applied[service.name].state
+        if state is not None:
+            wanted = state.goal.shares(len(topology.places)).sum(axis=0)
+            parts[wanted == 0] = 0.0
         return [float(part) for part in parts]
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -81,7 +81,14 @@
         self.prober = Prober([parts.places for parts in self.services.values()], self.client)
         attempts = Attempts(self.services, self.client, self.metrics)
         retries = Retries(attempts, self.services, self.watch, self.metrics, random.Random(2))
-        owners = OrderOwners(self.directory, self.client, name, "praha", self.ledger.shards)
+        owners = OrderOwners(
+            self.directory,
+            self.client,
+            name,
+            settings.nodes_key,
+            "praha",
+            self.ledger.shards,
+        )
         self.in_flight = InFlight()
         app = CallersApp(
             settings,
--- /dev/null
+++ b/tests/callers/test_steered.py
@@ -0,0 +1,135 @@
+"""Limit requests to the failure domains of their callers' places."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from chervilmill.callers import Refusal, SteeredRequests
+from chervilmill.reasons import Ran, RefusalReason
+from chervilmill.requests import AttemptEnd, Domains, TargetInfo, TargetPolicy
+from chervilmill.steering import PlaceChoice
+from tests.callers.harness import SERVICE, running
+
+REGIONS = (("praha-a", "praha"), ("praha-b", "praha"), ("brno-a", "brno"), ("brno-b", "brno"))
+REQUESTS = 4000
+
+
+class FixedSteering:
+    """Give every caller the same places."""
+
+    place_regions = REGIONS
+
+    def __init__(self, *, is_steered: bool, admitted: float = 1.0, **weights: float) -> None:
+        regions = dict(REGIONS)
+        named = {name.replace("_", "-"): weight for name, weight in weights.items()}
+        self._choices = tuple(
+            PlaceChoice(name, regions[name], weight) for name, weight in named.items()
+        )
+        self._is_steered = is_steered
+        self._admitted = admitted
+
+    def is_steered(self, service: str) -> bool:
+        return self._is_steered
+
+    def places_for(self, service: str, client_address: str) -> tuple[PlaceChoice, ...]:
+        return self._choices
+
+    def admits(self, service: str, client_address: str, draw: float) -> bool:
+        return draw < self._admitted
+
+
+def request(number: int) -> SimpleNamespace:
+    return SimpleNamespace(request_id=f"request-{number}", service=SERVICE, client="10.0.0.1")
+
+
+@pytest.mark.parametrize(
+    ("is_steered", "weights", "first", "near"),
+    [
+        (False, {"praha_a": 1.0}, None, {"praha-a", "praha-b"}),
+        (True, {"praha_a": 1.0, "praha_b": 0.2}, "praha-a", {"praha-a", "praha-b"}),
+        (True, {"praha_b": 1.0}, "praha-b", {"praha-b"}),
+        (True, {"brno_a": 1.0, "brno_b": 0.5}, "brno-a", {"brno-a", "brno-b"}),
+    ],
+    ids=["never steered", "both domains", "the other domain leaves", "steered to another region"],
+)
+def test_domains_of_a_request(is_steered, weights, first, near) -> None:
+    steered = SteeredRequests(FixedSteering(is_steered=is_steered, **weights))
+    assert steered.domains(request(1)) == Domains(frozenset(near), first)
+
+
+def test_no_more_requests_may_leave_the_region_than_is_unused_elsewhere() -> None:
+    steering = FixedSteering(is_steered=True, praha_a=1.0, brno_a=0.25, brno_b=0.1)
+    steered = SteeredRequests(steering)
+    found = [steered.domains(request(number)).allowed for number in range(REQUESTS)]
+    assert sum("brno-a" in allowed for allowed in found) / REQUESTS == pytest.approx(0.25, abs=0.03)
+    assert sum("brno-b" in allowed for allowed in found) / REQUESTS == pytest.approx(0.1, abs=0.03)
+    assert found == [steered.domains(request(number)).allowed for number in range(REQUESTS)]
+
+
+def test_requests_beyond_what_is_admitted_are_refused_as_not_run() -> None:
+    steered = SteeredRequests(FixedSteering(is_steered=True, admitted=0.0, praha_a=1.0))
+    with pytest.raises(Refusal) as caught:
+        steered.domains(request(1))
+    assert (caught.value.reason, caught.value.ran) == (RefusalReason.NO_HEADROOM, Ran.NOT_RUN)
+    assert caught.value.retry_after_ms
+
+
+def policy() -> TargetPolicy:
+    made = TargetPolicy("entry-0")
+    infos = [TargetInfo(domain, 2, region == "praha", domain) for domain, region in REGIONS]
+    made.update(infos, ["entry-0"], 0.0)
+    return made
+
+
+@pytest.mark.parametrize(
+    ("domains", "expected"),
+    [
+        (None, ["praha-a", "praha-a", "praha-b", "praha-b", None]),
+        (Domains(frozenset({"praha-b"})), ["praha-b", "praha-b", None]),
+        (Domains(frozenset({"brno-a"})), ["brno-a", "brno-a", None]),
+        (
+            Domains(frozenset({"praha-a", "praha-b"}), "praha-b"),
+            ["praha-b", "praha-b", "praha-a", "praha-a", None],
+        ),
+        (Domains(frozenset()), [None]),
+    ],
+    ids=["unlimited", "one near", "one far", "one first", "nowhere"],
+)
+def test_targets_of_limited_requests(domains, expected) -> None:
+    chosen = policy()
+    rng = random.Random(1)
+    taken = [chosen.take(1.0, rng, domains=domains) for _ in expected]
+    ordered = taken if domains and domains.first else sorted(taken, key=str)
+    assert ordered == (expected if domains and domains.first else sorted(expected, key=str))
+
+
+def test_a_place_that_comes_free_goes_to_a_request_that_may_use_it() -> None:
+    chosen = policy()
+    rng = random.Random(1)
+    only_b = Domains(frozenset({"praha-b"}))
+    assert [chosen.take(1.0, rng, domains=only_b) for _ in range(3)][2] is None
+    chosen.end("praha-b", AttemptEnd.ANSWERED, 1.5, 0.1)
+    assert chosen.take(2.0, rng, domains=only_b) == "praha-b"
+
+
+@pytest.mark.parametrize("value", ["1", "", "\xe9", "0" * 64])
+def test_caller_cannot_pass_for_another_entry_vm(value: str) -> None:
+    with running(entries=2) as (entries, [state]):
+        for number in range(16):
+            resp = entries[0].http.request(
+                "POST",
+                f"/s/{SERVICE}/orders",
+                body=b"{}",
+                headers={
+                    "Idempotency-Key": f"key-{number}",
+                    "X-Order-Hop": value,
+                    "X-Order-Client": "10.0.0.1",
+                },
+                retries=False,
+            )
+            assert resp.status == 200
+        assert all(
+            sum(waiting.held is not None for waiting in entry.ledger._queues) for entry in entries
+        )
+        assert state.orders_run.total() == 16
