--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -4,11 +4,11 @@
 `<!-- end -->` marks and leaves everything else alone.
 """
 
-import re
 import sys
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
+from bench._page import fill, markdown
 from bench._report import load
 from bench._rows import Row, Verdict
 from bench.capacity import QUANTITIES
@@ -20,14 +20,13 @@
 FLEET_SIZES = (12, 50, 200, 800)
 FLEET_DRIVER = "nodes"
 WHOLE_FROM = 100
-_BLOCK = re.compile(r"(<!-- table (\S+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
 Rows = Mapping[str, Row]
 
 
 def render(page: str, rows: Rows) -> str:
     """Return a page whose marked tables are made from rows, or raise KeyError."""
-    return _BLOCK.sub(lambda match: match[1] + _table(match[2], rows) + match[3], page)
+    return fill(page, lambda name: _table(name, rows))
 
 
 def load_rows(path: Path = ROWS) -> Rows:
@@ -53,7 +52,7 @@
     if not quantities:
         raise KeyError("the page names a role that has no quantity")
     head = ("what", "by", "measured at", "slope", "fit", "at the target", "budget", "fits")
-    lines = [_line(head), _line(["---"] * len(head))]
+    lines = []
     for item in quantities:
         target = rows[f"{item.key}.at_target"]
         cells = (
@@ -66,21 +65,21 @@
             _budget(target),
             _fits(target),
         )
-        lines.append(_line(cells))
-    return "\n".join(lines) + "\n"
+        lines.append(cells)
+    return markdown(head, lines)
 
 
 def _store_table(rows: Rows) -> str:
     items = [item for item in QUANTITIES if item.driver == FLEET_DRIVER and "calls" in item.unit]
     head = ("calls of the store", *(f"{size} nodes" for size in FLEET_SIZES), "budget")
-    lines = [_line(head), _line(["---"] * len(head))]
+    lines = []
     for item in items:
         slope = rows[f"{item.key}.slope"].figure.value
         fixed = rows[f"{item.key}.fixed"].figure.value
         calls = [max(0.0, fixed + slope * size) for size in FLEET_SIZES]
         cells = (item.what, *(f"{count:,.0f}/s" for count in calls))
-        lines.append(_line((*cells, _budget(rows[f"{item.key}.at_target"]))))
-    return "\n".join(lines) + "\n"
+        lines.append((*cells, _budget(rows[f"{item.key}.at_target"])))
+    return markdown(head, lines)
 
 
 def _over_table(rows: Rows) -> str:
@@ -93,11 +92,11 @@
     ]
     if not over:
         return "Every row with a budget fits.\n"
-    lines = [_line(("what", "at the target", "budget", "times the budget")), _line(["---"] * 4)]
+    lines = []
     for ratio, item, row in sorted(over, key=lambda entry: -entry[0]):
         value = f"{_number(row.figure.value)} {item.unit}"
-        lines.append(_line((f"{item.role}: {item.what}", value, _budget(row), f"{ratio:,.1f}")))
-    return "\n".join(lines) + "\n"
+        lines.append((f"{item.role}: {item.what}", value, _budget(row), f"{ratio:,.1f}"))
+    return markdown(("what", "at the target", "budget", "times the budget"), lines)
 
 
 def _number(value: float) -> str:
@@ -114,9 +113,5 @@
     return "yes" if row.verdict is Verdict.PASS else "**no**"
 
 
-def _line(cells: Sequence[str]) -> str:
-    return "| " + " | ".join(cells) + " |"
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/bench/checker/__init__.py
+++ b/bench/checker/__init__.py
@@ -7,6 +7,7 @@
 from bench.checker._records import (
     CallerRecord,
     ConfigurationWrite,
+    Confirm,
     Disruption,
     Kind,
     LookupRecord,
@@ -24,6 +25,7 @@
     "INVARIANTS",
     "CallerRecord",
     "ConfigurationWrite",
+    "Confirm",
     "Disruption",
     "Kind",
     "LookupRecord",
--- a/bench/checker/_invariants.py
+++ b/bench/checker/_invariants.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 
 from bench.checker._answers import is_own_and_whole
-from bench.checker._records import CallerRecord, Kind, Outcome, PlannedStop, Shift, TargetRun, Trace
+from bench.checker._records import CallerRecord, Kind, Outcome, PlannedStop, TargetRun, Trace
 
 IN_FORCE_S = 3.0
 LEAVING_S = 3.0
@@ -39,29 +39,33 @@
 
 def _shift_within_cap(trace: Trace) -> Iterator[str]:
     for shift in trace.shifts:
-        home = _homes(trace, shift)
+        seen = [
+            record
+            for record in sorted(trace.lookups, key=lambda record: record.at_s)
+            if record.service == shift.service
+        ]
+        homes = {record.block: record.region for record in reversed(seen)}
         away: set[str] = set()
-        for seen in sorted(trace.lookups, key=lambda record: record.at_s):
-            is_within = shift.from_s <= seen.at_s <= shift.until_s
-            if not is_within or seen.service != shift.service or seen.block not in home:
+        for record in seen:
+            if not shift.from_s <= record.at_s <= shift.until_s:
                 continue
-            if seen.region == shift.from_region:
-                away.discard(seen.block)
+            if record.region == homes[record.block]:
+                away.discard(record.block)
                 continue
-            away.add(seen.block)
-            if len(away) > shift.most_fraction * len(home):
-                yield f"{len(away)} of {len(home)} blocks away, cap {shift.most_fraction}"
+            away.add(record.block)
+            if len(away) > shift.most_blocks:
+                yield f"{len(away)} blocks away, cap {shift.most_blocks}"
                 break
 
 
-def _homes(trace: Trace, shift: Shift) -> set[str]:
-    return {
-        seen.block
-        for seen in trace.lookups
-        if seen.service == shift.service
-        and seen.region == shift.from_region
-        and seen.at_s < shift.from_s
-    }
+def _one_of_racing_confirms_wins(trace: Trace) -> Iterator[str]:
+    accepted: dict[tuple[str, str], set[str]] = {}
+    for confirm in trace.confirms:
+        if confirm.is_accepted:
+            accepted.setdefault((confirm.service, confirm.base), set()).add(confirm.plan)
+    for (service, base), plans in accepted.items():
+        if len(plans) > 1:
+            yield f"plans {', '.join(sorted(plans))} of {service} on {base} were all accepted"
 
 
 def _no_region_overloaded(trace: Trace) -> Iterator[str]:
@@ -175,6 +179,7 @@
 INVARIANTS: Mapping[str, Invariant] = MappingProxyType(
     {
         "shift_within_cap": _shift_within_cap,
+        "one_of_racing_confirms_wins": _one_of_racing_confirms_wins,
         "no_region_overloaded": _no_region_overloaded,
         "answers_are_own_and_whole": _answers_are_own_and_whole,
         "not_run_is_true": _not_run_is_true,
--- a/bench/checker/_records.py
+++ b/bench/checker/_records.py
@@ -130,15 +130,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Shift:
-    """Describe a confirmed shift out of a region: the most of its blocks that may move."""
+    """Bound the blocks of a service that may be away from their home between two times."""
 
     service: str
-    from_region: str
-    most_fraction: float
+    most_blocks: int
     from_s: float
     until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Confirm:
+    """Hold the confirm of a plan and whether it was accepted.
+
+    Plans of one service with the same base conflict: the first that is accepted makes the others
+    stale.
+    """
+
+    service: str
+    plan: str
+    base: str
+    is_accepted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class RegionSlots:
     """Hold how many requests the targets of a service in a region can run at once."""
@@ -152,6 +165,7 @@
 class Trace:
     """Hold every record of one run."""
 
+    started_s: float = 0.0
     callers: list[CallerRecord] = field(default_factory=list)
     runs: list[TargetRun] = field(default_factory=list)
     leavings: list[TargetLeaving] = field(default_factory=list)
@@ -161,4 +175,5 @@
     revisions: list[RevisionSeen] = field(default_factory=list)
     lookups: list[LookupRecord] = field(default_factory=list)
     shifts: list[Shift] = field(default_factory=list)
+    confirms: list[Confirm] = field(default_factory=list)
     slots: list[RegionSlots] = field(default_factory=list)
--- a/bench/faults/__init__.py
+++ b/bench/faults/__init__.py
@@ -5,11 +5,13 @@
 from collections.abc import Iterator
 
 from bench._rows import Figure
-from bench.checker import INVARIANTS, Outcome, Trace, Violation, check
-from bench.faults._run import FaultRun, run_faults
-from bench.faults._schedule import schedule
+from bench.checker import INVARIANTS, LookupRecord, Outcome, Trace, Violation, check
+from bench.faults._run import FaultRun, Load, run_faults
+from bench.faults._schedule import FaultKind, PlannedFault, schedule
 from bench.fleet import SHAPES
 
+__all__ = ["FaultKind", "FaultRun", "Load", "PlannedFault", "figures", "run_faults", "schedule"]
+
 SHOWN_VIOLATIONS = 3
 SHOWN_REASONS = 6
 
@@ -17,7 +19,7 @@
 def figures(seed: int) -> Iterator[Figure]:
     """Yield the violations of each invariant and the extent of the run, for each user."""
     for name, shape in SHAPES.items():
-        run = run_faults(shape, schedule(shape, seed), seed)
+        run = run_faults(shape, schedule(shape, seed), seed, Load(has_operators=True))
         violations = check(run.trace)
         _explain(run, violations)
         for invariant in INVARIANTS:
@@ -33,9 +35,19 @@
     yield Figure(f"{name}.whole", 100 * whole / max(1, attempts), "% of attempts")
     yield Figure(f"{name}.runs", len(trace.runs), "runs")
     yield Figure(f"{name}.revisions_seen", len(trace.revisions), "readings")
+    moved = {seen.block for seen in trace.lookups if _is_away(trace, seen)}
+    yield Figure(f"{name}.blocks_moved", len(moved), "blocks")
+    accepted = sum(confirm.is_accepted for confirm in trace.confirms)
+    yield Figure(f"{name}.confirms", len(trace.confirms), "confirms")
+    yield Figure(f"{name}.confirms_accepted", accepted, "confirms")
     yield Figure(f"{name}.planned_stops", len(trace.stops), "stops")
 
 
+def _is_away(trace: Trace, seen: LookupRecord) -> bool:
+    first = next(record for record in trace.lookups if record.block == seen.block)
+    return seen.region != first.region
+
+
 def _explain(run: FaultRun, violations: tuple[Violation, ...]) -> None:
     for fault in run.faults:
         print(f"  {run.shape.name}: {fault}", file=sys.stderr)
--- a/bench/faults/_run.py
+++ b/bench/faults/_run.py
@@ -20,14 +20,13 @@
     Trace,
 )
 from bench.faults._inject import Injector, Supervisor, write_configuration
+from bench.faults._operators import race, watch_blocks
 from bench.faults._schedule import FaultKind, PlannedFault
-from bench.fleet import Fleet, Shape
+from bench.fleet import Fleet, FleetSize, Shape
 from bench.fleet.target import CRASH_EXIT_CODE
 from bench.load import Callers, Mix, PlannedRequest, offer, plan
 from chervilmill.platform import Vm
 
-LOAD_S = 12.0
-LOAD = Mix(per_s=40.0)
 CRASH_NUMBER = 1_000_000
 RESTART_AFTER_S = 0.5
 STATUS_INTERVAL_S = 0.5
@@ -45,33 +44,58 @@
     trace: Trace
 
 
-def run_faults(shape: Shape, faults: Sequence[PlannedFault], seed: int) -> FaultRun:
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Say what callers ask, how long they go on and how long a target works on a request.
+
+    With operators, two of them race for conflicting shifts at the start.
+    """
+
+    mix: Mix = Mix(per_s=40.0)
+    duration_s: float = 12.0
+    work_s: float = 0.0
+    has_operators: bool = False
+
+
+def run_faults(
+    shape: Shape, faults: Sequence[PlannedFault], seed: int, load: Load | None = None
+) -> FaultRun:
     """Return the trace of one run of the whole fleet."""
+    load = load or Load()
     trace = Trace()
     with tempfile.TemporaryDirectory() as directory:
-        with Fleet(shape, Path(directory)) as fleet:
-            _run_load(fleet, faults, seed, trace)
+        with Fleet(shape, Path(directory), FleetSize(work_s=load.work_s)) as fleet:
+            trace.started_s = time.monotonic()
+            _run_load(fleet, faults, seed, load, trace)
         for vm in fleet.targets.values():
             trace.runs += _runs(fleet.records_file(vm.name), vm)
     trace.slots += _slots(fleet)
     return FaultRun(shape, tuple(faults), trace)
 
 
-def _run_load(fleet: Fleet, faults: Sequence[PlannedFault], seed: int, trace: Trace) -> None:
+def _run_load(
+    fleet: Fleet, faults: Sequence[PlannedFault], seed: int, load: Load, trace: Trace
+) -> None:
     stopped = threading.Event()
-    started_s = time.monotonic()
+    started_s = trace.started_s
     injector = Injector(fleet, trace)
     supervisor = Supervisor(fleet, trace, CRASH_EXIT_CODE)
-    observers = ThreadPoolExecutor(len(fleet.entries) + 2, thread_name_prefix="observer")
-    injections = ThreadPoolExecutor(len(faults) or 1, thread_name_prefix="fault")
+    observers = ThreadPoolExecutor(len(fleet.entries) + 3, thread_name_prefix="observer")
+    injections = ThreadPoolExecutor(len(faults) + 1, thread_name_prefix="fault")
     with observers, injections:
         futures = [injections.submit(injector.inject, fault, started_s) for fault in faults]
         watching = [observers.submit(supervisor.run, stopped, RESTART_AFTER_S)]
         watching.append(observers.submit(_change_configuration, fleet, trace, faults, stopped))
+        watching.append(
+            observers.submit(watch_blocks, fleet, trace, random.Random(seed), stopped)
+        )
+        if load.has_operators:
+            futures.append(injections.submit(race, fleet, trace, random.Random(seed)))
         for name in fleet.entries:
             watching.append(observers.submit(_read_revisions, fleet, trace, name, stopped))
         try:
-            offer(Callers(fleet, trace), _requests(fleet.shape, faults, seed), threading.Event())
+            requests = _requests(fleet, faults, seed, load)
+            offer(Callers(fleet, trace), requests, threading.Event())
             for fut in futures:
                 fut.result()
         finally:
@@ -80,8 +104,10 @@
             fut.result()
 
 
-def _requests(shape: Shape, faults: Sequence[PlannedFault], seed: int) -> list[PlannedRequest]:
-    requests = list(plan(LOAD, shape.regions, LOAD_S, random.Random(seed)))
+def _requests(
+    fleet: Fleet, faults: Sequence[PlannedFault], seed: int, load: Load
+) -> list[PlannedRequest]:
+    requests = list(plan(load.mix, len(fleet.clients), load.duration_s, random.Random(seed)))
     for fault in faults:
         if fault.kind is FaultKind.CRASH_REQUEST:
             base = replace(requests[0], kind=Kind.DIGEST, due_s=fault.from_s)
--- a/bench/faults/_schedule.py
+++ b/bench/faults/_schedule.py
@@ -67,13 +67,27 @@
         until_s = from_s + rng.uniform(SHORTEST_S, LONGEST_S)
         if kind is FaultKind.TARGET_DRAINS:
             until_s += DRAIN_EXTRA_S
-        names = _names(kind, shape, rng)
-        if kind is FaultKind.TARGET_DRAINS:
-            names += (_leaving_sign(kinds, rng).value,)
-        faults.append(PlannedFault(kind, names, from_s, until_s))
+        faults.append(PlannedFault(kind, _struck(kind, kinds, shape, rng), from_s, until_s))
     return tuple(sorted(faults, key=lambda fault: fault.from_s))
 
 
+def fault_of(
+    kind: FaultKind, shape: Shape, seed: int, from_s: float, until_s: float
+) -> PlannedFault:
+    """Return a single fault of a kind whose names follow from the seed."""
+    rng = random.Random(f"{shape.name} {kind.value} {seed}")
+    return PlannedFault(kind, _struck(kind, (kind,), shape, rng), from_s, until_s)
+
+
+def _struck(
+    kind: FaultKind, kinds: Sequence[FaultKind], shape: Shape, rng: random.Random
+) -> tuple[str, ...]:
+    names = _names(kind, shape, rng)
+    if kind is FaultKind.TARGET_DRAINS:
+        names += (_leaving_sign(kinds, rng).value,)
+    return names
+
+
 def _leaving_sign(kinds: Sequence[FaultKind], rng: random.Random) -> LeavingSign:
     """Draw a sign that can be read while the other faults last."""
     sign = rng.choice(list(LeavingSign))
--- a/bench/fleet/__init__.py
+++ b/bench/fleet/__init__.py
@@ -1,7 +1,7 @@
 """Run a fleet of real processes on loopback: entry VMs, targets and the platform stand-in."""
 
-from bench.fleet._fleet import Fleet
+from bench.fleet._fleet import Fleet, FleetSize
 from bench.fleet._processes import Process
 from bench.fleet._shape import SHAPES, Place, Shape
 
-__all__ = ["SHAPES", "Fleet", "Place", "Process", "Shape"]
+__all__ = ["SHAPES", "Fleet", "FleetSize", "Place", "Process", "Shape"]
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -26,6 +26,9 @@
 PART_DELAY_S = 0.02
 ENTRIES_PER_DOMAIN = 2
 TARGETS_PER_DOMAIN = 2
+BLOCKS_PER_REGION = 16
+CLIENT_PREFIX = 20
+DEMAND_PERCENT = 20
 TARGET_HOST = 21
 PLATFORM_HOST = 51
 RELAY_HOST = 61
@@ -40,6 +43,14 @@
     work_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class OperatorAnswer:
+    """Hold the status code and the decoded body of an answer to an operator."""
+
+    status: int
+    value: dict[str, Any]
+
+
 class Fleet:
     """Hold the processes of one run; use as a context manager."""
 
@@ -57,6 +68,12 @@
         self._relayed: dict[tuple[str, Address], Address] = {}
         self._relay: Process | None = None
         self._http = urllib3.PoolManager(retries=False, timeout=2.0)
+        self.clients = tuple(
+            f"10.{region}.{block}.7"
+            for region in range(1, len(shape.regions) + 1)
+            for block in range(BLOCKS_PER_REGION)
+        )
+        self._token = str(shape.settings()["operators_token"])
         self._place_vms()
 
     def __enter__(self) -> "Fleet":
@@ -143,17 +160,23 @@
 
     def status(self, entry: str) -> dict[str, Any] | None:
         """Return the status that an entry VM gives to operators, or None without an answer."""
-        url = f"http://{replace(self.entries[entry].address, port=addresses.OPERATORS_PORT)}"
-        headers = {"Authorization": f"Bearer {self._token()}"}
+        answer = self.ask(entry, "GET", "/status", None)
+        return None if answer is None else answer.value
+
+    def ask(
+        self, entry: str, method: str, path: str, body: dict[str, Any] | None
+    ) -> OperatorAnswer | None:
+        """Ask an entry VM as an operator and return its answer, or None without one."""
+        address = replace(self.entries[entry].address, port=addresses.OPERATORS_PORT)
+        headers = {"Authorization": f"Bearer {self._token}"}
+        content = None if body is None else json.dumps(body).encode()
         try:
-            resp = self._http.request("GET", f"{url}/status", headers=headers)
-        except urllib3.exceptions.HTTPError:
+            resp = self._http.request(
+                method, f"http://{address}{path}", body=content, headers=headers
+            )
+            return OperatorAnswer(resp.status, resp.json())
+        except (urllib3.exceptions.HTTPError, ValueError):
             return None
-        status: dict[str, Any] = resp.json()
-        return status
-
-    def _token(self) -> str:
-        return str(self.shape.settings()["operators_token"])
 
     def _place_vms(self) -> None:
         for name, host, place in self._names("entry", 1, self._size.entries_per_domain):
@@ -210,6 +233,12 @@
         }
         raw["platform"]["address"] = str(self._platform_address(vm.region))
         raw["limits"]["lookup_lifetime_s"] = LOOKUP_LIFETIME_S
+        raw["steering"]["clients"] = [
+            {"network": f"10.{number}.0.0/{CLIENT_PREFIX}", "region": region}
+            for number, region in enumerate(self.shape.regions, 1)
+        ]
+        for service in raw["services"]:
+            service["requests_per_s"] = max(1, service["requests_per_s"] * DEMAND_PERCENT // 100)
         (self.directory / f"{name}.jsonc").write_text(json.dumps(raw))
 
     def _platform_address(self, region: str) -> Address:
--- a/bench/load/_caller.py
+++ b/bench/load/_caller.py
@@ -9,7 +9,7 @@
 
 import urllib3
 
-from bench.checker import CallerRecord, Kind, LookupRecord, Outcome, Trace
+from bench.checker import CallerRecord, Kind, Outcome, Trace
 from bench.fleet import Fleet
 from bench.load._plan import PlannedRequest
 
@@ -33,6 +33,7 @@
 @dataclass(frozen=True, slots=True)
 class _Attempt:
     req: PlannedRequest
+    number: int
     request_id: str
     due_s: float
     key: str | None
@@ -42,7 +43,7 @@
 
 
 class Callers:
-    """Act as all callers of a run; one look-up serves the callers of a region for its lifetime."""
+    """Act as all callers of a run; one look-up serves a client for its lifetime."""
 
     def __init__(self, fleet: Fleet, trace: Trace) -> None:
         self._fleet = fleet
@@ -50,7 +51,7 @@
         self._http = urllib3.PoolManager(
             num_pools=64, maxsize=CONNECTIONS_PER_ENTRY, block=False, retries=False
         )
-        self._entries: dict[str, tuple[float, tuple[_Entry, ...]]] = {}
+        self._entries: dict[int, tuple[float, tuple[_Entry, ...]]] = {}
         self._lock = threading.Lock()
 
     def send(self, req: PlannedRequest, due_s: float) -> None:
@@ -67,7 +68,7 @@
             due_s = time.monotonic()
 
     def _attempt(self, attempt: _Attempt) -> CallerRecord:
-        entry = self._entry(attempt.req)
+        entry = self._entry(attempt)
         delay_s = self._fleet.shape.caller_delay_s
         record = CallerRecord(
             request_id=attempt.request_id,
@@ -106,70 +107,67 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ):
-            self._forget(attempt.req.region)
+            self._forget(attempt.req.client)
             return replace(record, outcome=Outcome.REFUSED, reason="unreachable")
         except urllib3.exceptions.HTTPError as exc:
-            self._forget(attempt.req.region)
+            self._forget(attempt.req.client)
             return replace(record, outcome=Outcome.LOST, reason=str(exc)[:200])
         return _read(resp, record, delay_s)
 
-    def _entry(self, req: PlannedRequest) -> _Entry:
-        entries = self._looked_up(req.region)
-        near = [entry for entry in entries if self._is_near(entry, req.region)]
-        usable = near or list(entries)
-        return usable[req.number % len(usable)]
+    def _entry(self, attempt: _Attempt) -> _Entry:
+        entries = self._looked_up(attempt.req.client)
+        return entries[attempt.number % len(entries)]
 
-    def _is_near(self, entry: _Entry, region: str) -> bool:
-        return self._fleet.entries[entry.name].region == region
-
-    def _looked_up(self, region: str) -> tuple[_Entry, ...]:
+    def _looked_up(self, client: int) -> tuple[_Entry, ...]:
+        with self._lock:
+            until_s, entries = self._entries.get(client, (0.0, ()))
+        if time.monotonic() < until_s:
+            return entries
+        fresh = self._look_up(client)
+        if fresh is None:
+            return entries or self._all(self._region(client))
         with self._lock:
-            until_s, entries = self._entries.get(region, (0.0, ()))
-            if time.monotonic() < until_s:
-                return entries
-            fresh = self._look_up(region)
-            if fresh is not None:
-                self._entries[region] = fresh
-                return fresh[1]
-            return entries or self._all(region)
-
-    def _look_up(self, region: str) -> tuple[float, tuple[_Entry, ...]] | None:
-        names = sorted(self._fleet.entries, key=lambda name: self._rank(name, region))
-        for name in names:
+            self._entries[client] = fresh
+        return fresh[1]
+
+    def _look_up(self, client: int) -> tuple[float, tuple[_Entry, ...]] | None:
+        """Ask the entry VMs one after the other, those of the client's region first."""
+        region = self._region(client)
+        service, address = self._fleet.shape.service, self._fleet.clients[client]
+        for name in sorted(self._fleet.entries, key=lambda name: self._rank(name, region, client)):
             url = self._fleet.callers_url(name, region)
             try:
                 resp = self._http.request(
                     "GET",
-                    f"{url}/lookup?service={self._fleet.shape.service}",
+                    f"{url}/lookup?service={service}&client={address}",
                     timeout=LOOKUP_TIMEOUT_S,
                 )
                 answer = resp.json()
             except (urllib3.exceptions.HTTPError, ValueError):
                 continue
-            entries = tuple(
-                _Entry(raw["name"], f"http://{raw['address']}") for raw in answer["entries"]
-            )
+            entries = tuple(self._named(raw["name"], region) for raw in answer.get("entries", ()))
             if entries:
-                self._record_lookup(region, entries[0])
                 return time.monotonic() + float(answer["lifetime_s"]), entries
         return None
 
-    def _record_lookup(self, region: str, first: _Entry) -> None:
-        seen_region = self._fleet.entries[first.name].region
-        service = self._fleet.shape.service
-        self._trace.lookups.append(LookupRecord(region, service, time.monotonic(), seen_region))
+    def _region(self, client: int) -> str:
+        regions = self._fleet.shape.regions
+        return regions[client * len(regions) // len(self._fleet.clients)]
 
-    def _rank(self, name: str, region: str) -> tuple[bool, str]:
-        return self._fleet.entries[name].region != region, name
+    def _rank(self, name: str, region: str, client: int) -> tuple[bool, int]:
+        vm = self._fleet.entries[name]
+        order = list(self._fleet.entries).index(name)
+        return vm.region != region, (order + client) % len(self._fleet.entries)
+
+    def _named(self, name: str, region: str) -> _Entry:
+        return _Entry(name, self._fleet.callers_url(name, region))
 
     def _all(self, region: str) -> tuple[_Entry, ...]:
-        return tuple(
-            _Entry(name, self._fleet.callers_url(name, region)) for name in self._fleet.entries
-        )
+        return tuple(self._named(name, region) for name in self._fleet.entries)
 
-    def _forget(self, region: str) -> None:
+    def _forget(self, client: int) -> None:
         with self._lock:
-            self._entries.pop(region, None)
+            self._entries.pop(client, None)
 
 
 class _SlowBody(io.BytesIO):
@@ -187,13 +185,13 @@
     name = f"{user}-{req.kind.value}-{req.number}"
     request_id = f"{name}.{number}"
     if req.kind is Kind.ORDER:
-        return _Attempt(req, request_id, due_s, name, "/orders", name.encode(), name)
+        return _Attempt(req, number, request_id, due_s, name, "/orders", name.encode(), name)
     if req.kind is Kind.UPLOAD:
         body = (name.encode() + b" ") * (req.upload_bytes // (len(name) + 1))
         expected = hashlib.sha256(body).hexdigest()
-        return _Attempt(req, request_id, due_s, None, f"/scans/{name}", body, expected)
+        return _Attempt(req, number, request_id, due_s, None, f"/scans/{name}", body, expected)
     path = f"/{'crash' if req.is_crashing else 'digest'}/{name}"
-    return _Attempt(req, request_id, due_s, None, path, b"", path)
+    return _Attempt(req, number, request_id, due_s, None, path, b"", path)
 
 
 def _body(attempt: _Attempt) -> bytes | io.BytesIO | None:
--- a/tests/faults/test_checker.py
+++ b/tests/faults/test_checker.py
@@ -10,6 +10,7 @@
     INVARIANTS,
     CallerRecord,
     ConfigurationWrite,
+    Confirm,
     Disruption,
     Kind,
     LookupRecord,
@@ -64,7 +65,13 @@
             for index in range(BLOCKS)
             for at_s in (1.0, 20.0)
         ],
-        shifts=[Shift("souhrny", "praha", 0.2, 15.0, 25.0)],
+        shifts=[Shift("souhrny", 2, 15.0, 25.0)],
+        confirms=[
+            Confirm("souhrny", "p1", "base-1", is_accepted=True),
+            Confirm("souhrny", "p1", "base-1", is_accepted=True),
+            Confirm("souhrny", "p2", "base-1", is_accepted=False),
+            Confirm("souhrny", "p3", "base-2", is_accepted=True),
+        ],
         slots=[RegionSlots("praha", "souhrny", 3)],
     )
 
@@ -73,6 +80,10 @@
     trace.lookups += [LookupRecord(f"b{index}", "souhrny", 21.0, "brno") for index in range(3)]
 
 
+def accepts_both_of_two_racing_confirms(trace: Trace) -> None:
+    trace.confirms.append(Confirm("souhrny", "p2", "base-1", is_accepted=True))
+
+
 def overloads_a_region(trace: Trace) -> None:
     trace.runs += [run(f"x{i}", Kind.DIGEST, started_s=20.0, ended_s=21.5) for i in range(4)]
 
@@ -128,6 +139,7 @@
 
 PLANTED = [
     ("shift_within_cap", moves_too_many_blocks),
+    ("one_of_racing_confirms_wins", accepts_both_of_two_racing_confirms),
     ("no_region_overloaded", overloads_a_region),
     ("answers_are_own_and_whole", crosses_an_answer),
     ("answers_are_own_and_whole", leaves_out_a_part),
--- a/tests/load/test_plan.py
+++ b/tests/load/test_plan.py
@@ -5,12 +5,12 @@
 from bench.checker import Kind
 from bench.load import Mix, plan
 
-REGIONS = ("praha", "brno")
+CLIENTS = 48
 
 
 def test_plan_is_open_loop_with_the_stated_rate_and_shares() -> None:
-    requests = list(plan(Mix(per_s=100.0), REGIONS, 100.0, random.Random(1)))
-    assert requests == list(plan(Mix(per_s=100.0), REGIONS, 100.0, random.Random(1)))
+    requests = list(plan(Mix(per_s=100.0), CLIENTS, 100.0, random.Random(1)))
+    assert requests == list(plan(Mix(per_s=100.0), CLIENTS, 100.0, random.Random(1)))
     assert 9_500 < len(requests) < 10_500
     shares = {kind: sum(req.kind is kind for req in requests) / len(requests) for kind in Kind}
     assert 0.18 < shares[Kind.ORDER] < 0.22
