Tell other entry VMs of crash requests and pace uploads over links

A request that crashed its targets was known to one entry VM only, and an upload to another region took whatever the link gave. Crashes are published as news of the nodes; uploads that leave the region share half of the node's allotment of the link.

Three uploads together send 500 kB/s at an allotment of 8,000 kbit/s, within 10%.

--- a/src/chervilmill/callers/__init__.py
+++ b/src/chervilmill/callers/__init__.py
@@ -2,9 +2,11 @@
 
 from chervilmill.callers._app import CallersApp
 from chervilmill.callers._attempts import Attempts
+from chervilmill.callers._crash_news import publish_crash, receive_crashes
 from chervilmill.callers._early import EarlyRefusalCounter
 from chervilmill.callers._forward import Forwarder
 from chervilmill.callers._in_flight import InFlight
+from chervilmill.callers._links import Links
 from chervilmill.callers._lookup import LookupAnswer, Lookups
 from chervilmill.callers._order_owners import OrderOwners
 from chervilmill.callers._orders import Orders
@@ -21,6 +23,7 @@
     "EarlyRefusalCounter",
     "Forwarder",
     "InFlight",
+    "Links",
     "LookupAnswer",
     "Lookups",
     "OrderOwners",
@@ -30,4 +33,6 @@
     "Retries",
     "ServiceParts",
     "build_services",
+    "publish_crash",
+    "receive_crashes",
 ]
--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -6,6 +6,7 @@
 
 from chervilmill.callers._answers import ForwardedAnswer
 from chervilmill.callers._checked_body import CheckedBody
+from chervilmill.callers._links import Links
 from chervilmill.callers._places import NoPlace, Wanted
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
@@ -85,10 +86,12 @@
         self,
         services: Mapping[str, ServiceParts],
         targets: Targets,
+        links: Links,
         metrics: Metrics,
     ) -> None:
         self._services = services
         self._targets = targets
+        self._links = links
         self._metrics = metrics
 
     def send(self, attempt: Attempt) -> ForwardedAnswer:
@@ -96,7 +99,7 @@
         parts = self._services[attempt.req.service]
         target = self._take(parts, attempt)
         attempt.taken.append(target.name)
-        return _Run(self._targets, self._metrics, parts, target, attempt).answer()
+        return _Run(self._targets, self._links, self._metrics, parts, target, attempt).answer()
 
     def _take(self, parts: ServiceParts, attempt: Attempt) -> Vm:
         req, places = attempt.req, parts.places
@@ -126,12 +129,14 @@
     def __init__(
         self,
         targets: Targets,
+        links: Links,
         metrics: Metrics,
         parts: ServiceParts,
         target: Vm,
         attempt: Attempt,
     ) -> None:
         self._targets = targets
+        self._links = links
         self._metrics = metrics
         self._suspects = parts.suspects
         self._places = parts.places
@@ -144,7 +149,7 @@
         self._suspects.started(self._attempt.fingerprint, self._target.name)
         answer: Answer | None = None
         try:
-            answer = self._send()
+            answer = self._send_paced()
             self._learn(answer)
             self._check(answer)
             forwarded = ForwardedAnswer(answer, self._target.name, self._finish)
@@ -160,20 +165,30 @@
         self._first_part_s = time.monotonic() - self._started_s
         return forwarded
 
-    def _send(self) -> Answer:
+    def _send(self, body: Body | None) -> Answer:
         attempt, req = self._attempt, self._attempt.req
         target_req = TargetRequest(
             request_id=req.request_id,
             method=req.method,
             path=req.path,
             headers=(*req.headers, (ATTEMPT_HEADER, str(attempt.number))),
-            body=attempt.body,
+            body=body,
             length=req.length,
             needs_new_connection=req.kind is RequestKind.ORDER,
             cancellation=attempt.cancellation,
         )
         return self._targets.send(self._target, target_req, req.deadline_s - time.monotonic())
 
+    def _send_paced(self) -> Answer:
+        attempt = self._attempt
+        if attempt.body is None or attempt.req.kind is not RequestKind.UPLOAD:
+            return self._send(attempt.body)
+        link = self._links.begin(self._target.region)
+        try:
+            return self._send(self._links.paced(attempt.body, link))
+        finally:
+            self._links.end(link)
+
     def _learn(self, answer: Answer) -> None:
         for name, value in answer.headers:
             if name.lower() == LOAD_HEADER:
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -12,17 +12,20 @@
     EarlyRefusalCounter,
     Forwarder,
     InFlight,
+    Links,
     Lookups,
     OrderOwners,
     Orders,
     Prober,
     Retries,
     build_services,
+    publish_crash,
+    receive_crashes,
 )
 from chervilmill.http import HttpServer
-from chervilmill.logs import log_event, log_problem
+from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
-from chervilmill.nodes import Nodes
+from chervilmill.nodes import Nodes, link_resource
 from chervilmill.operators import (
     LeavingMarks,
     NodeStatus,
@@ -99,6 +102,7 @@
         self._services = build_services(
             settings, self.directory, self._targets.is_reachable, self._on_crash, random.Random()
         )
+        receive_crashes(self.nodes, self._services)
         self._prober = Prober([parts.places for parts in self._services.values()], self._targets)
         self._view = _NodeView(self.directory, settings.node.name)
         self._world = SteeringWorld(settings, self.directory)
@@ -240,7 +244,8 @@
         )
 
     def _forwarder(self) -> Forwarder:
-        attempts = Attempts(self._services, self._targets, self.metrics)
+        links = Links(self.nodes, self.settings.node.region, link_resource)
+        attempts = Attempts(self._services, self._targets, links, self.metrics)
         retries = Retries(attempts, self._services, self._watch, self.metrics, random.Random())
         settings = self.settings
         owners = OrderOwners(
@@ -256,13 +261,7 @@
         self.metrics.count_dropped("", DropReason.EXTRA_BYTES)
 
     def _on_crash(self, service: str, news: CrashNews) -> None:
-        log_problem(
-            "request crashed a target",
-            service=service,
-            fingerprint=news.fingerprint.hex(),
-            crashes=news.crashes,
-            limited_to=news.limited_to,
-        )
+        publish_crash(self.nodes, service, news)
 
 
 def _connections(settings: Settings) -> int:
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -64,6 +64,7 @@
 from chervilmill.requests._shares import connection_share, home_slots, reachable_targets
 from chervilmill.requests._target_policy import TargetInfo, TargetPolicy
 from chervilmill.requests._target_state import AttemptEnd, LoadReading, TargetCondition
+from chervilmill.requests._upload_pace import UploadPace
 from chervilmill.requests._write_pace import WritePace
 
 __all__ = [
@@ -113,6 +114,7 @@
     "TargetPolicy",
     "TooBusy",
     "Waiting",
+    "UploadPace",
     "WritePace",
     "WriteShard",
     "commit_changes",
--- a/src/chervilmill/requests/_order_model.py
+++ b/src/chervilmill/requests/_order_model.py
@@ -139,7 +139,7 @@
 
 
 def decode_shard(value: bytes) -> Shard:
-    """Return the shard of a stored form, or raise ValueError or TypeError."""
+    """Return the shard of a stored form, or raise CBORDecodeError, ValueError or TypeError."""
     raw_records, raw_kept, horizon_ms = cbor2.loads(value)
     records = {
         digest: OrderRecord(
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -16,6 +16,7 @@
     CallerWatch,
     Forwarder,
     InFlight,
+    Links,
     Lookups,
     OrderOwners,
     Orders,
@@ -25,6 +26,7 @@
 )
 from chervilmill.http import HttpServer
 from chervilmill.metrics import Metrics
+from chervilmill.nodes import link_resource
 from chervilmill.platform import OrderLedger, Vm
 from chervilmill.reasons import DropReason
 from chervilmill.requests import CrashNews
@@ -52,6 +54,20 @@
         return tuple(self._entries)
 
 
+class FixedAllotments:
+    """Allot the same of every cap."""
+
+    def __init__(self, units: int = 10_000) -> None:
+        self.wanted: dict[str, int] = {}
+        self._units = units
+
+    def want(self, resource: str, units: int) -> None:
+        self.wanted[resource] = units
+
+    def units(self, resource: str) -> int:
+        return self._units
+
+
 class Entry:
     """Hold one running entry VM and a client of it."""
 
@@ -79,7 +95,8 @@
             random.Random(1),
         )
         self.prober = Prober([parts.places for parts in self.services.values()], self.client)
-        attempts = Attempts(self.services, self.client, self.metrics)
+        links = Links(FixedAllotments(), "praha", link_resource)
+        attempts = Attempts(self.services, self.client, links, self.metrics)
         retries = Retries(attempts, self.services, self.watch, self.metrics, random.Random(2))
         owners = OrderOwners(self.directory, self.client, name, "praha", self.ledger.shards)
         self.in_flight = InFlight()
--- /dev/null
+++ b/tests/callers/test_links.py
@@ -0,0 +1,77 @@
+"""Keep uploads within a node's share of a link, on a clock of the test's own."""
+
+import io
+
+import pytest
+
+from chervilmill.callers import Links, publish_crash, receive_crashes
+from chervilmill.nodes import NewsItem, link_resource
+from chervilmill.requests import CrashNews, Quarantined, UploadPace
+from tests.callers.harness import FixedAllotments, running
+
+
+class Time:
+    """Hold a clock that sleeping moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def sleep(self, pause_s: float) -> None:
+        self.now_s += pause_s
+
+
+def test_uploads_together_keep_half_of_the_allotment() -> None:
+    time, allotments = Time(), FixedAllotments(units=8_000)
+    links = Links(allotments, "praha", link_resource, lambda: time.now_s, time.sleep)
+    bodies = []
+    for _ in range(3):
+        link = links.begin("brno")
+        bodies.append(links.paced(io.BytesIO(bytes(1_000_000)), link))
+    assert allotments.wanted == {"link/praha/brno": 60_000}
+    sent = 0
+    while parts := [part for body in bodies if (part := body.read(16_384))]:
+        sent += sum(map(len, parts))
+    assert sent == 3_000_000
+    assert sent / (time.now_s - 100.0) == pytest.approx(500_000, rel=0.1)
+    for _ in range(3):
+        links.end(link)
+    assert allotments.wanted == {"link/praha/brno": 0}
+
+
+def test_upload_within_the_region_is_not_paced() -> None:
+    time = Time()
+    links = Links(FixedAllotments(0), "praha", link_resource, lambda: time.now_s, time.sleep)
+    body = io.BytesIO(b"x")
+    assert links.paced(body, links.begin("praha")) is body
+
+
+def test_no_rate_means_no_part() -> None:
+    assert UploadPace().take(1, 0.0, 0.0) is None
+
+
+class LoopedNews:
+    """Carry news to the listeners of the same process."""
+
+    def __init__(self) -> None:
+        self.listeners: list = []
+
+    def publish(self, topic: str, key: str, value: bytes, lifetime_s: float) -> None:
+        for listener in self.listeners:
+            listener(NewsItem(topic, key, 1, int(1000 * lifetime_s), value))
+
+    def on_news(self, topic: str, listener) -> None:
+        assert topic == "crash"
+        self.listeners.append(listener)
+
+
+def test_news_of_a_crash_reach_the_quarantine_of_their_service() -> None:
+    with running(targets=2) as ([entry], _):
+        news = LoopedNews()
+        receive_crashes(news, entry.services)
+        fingerprint = bytes(range(16))
+        publish_crash(news, "souhrny", CrashNews(fingerprint, 2, "target-0", 60.0))
+        suspects = entry.services["souhrny"].suspects
+        verdict = suspects._quarantine.verdict(fingerprint, suspects._clock(), lambda _: True)
+        assert isinstance(verdict, Quarantined)
+        for key, value in (("souhrny/00", b"\x80"), ("souhrny/zz", b""), ("other/00", b"")):
+            news.publish("crash", key, value, 1.0)
