--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -9,7 +9,13 @@
 )
 from chervilmill.requests._hedge import HedgeDelay
 from chervilmill.requests._kinds import RequestKind, kind_of
-from chervilmill.requests._order_model import MAX_OUTCOME_BYTES, OrderKey, Outcome, order_key
+from chervilmill.requests._order_model import (
+    EMPTY_SHARD,
+    MAX_OUTCOME_BYTES,
+    OrderKey,
+    Outcome,
+    order_key,
+)
 from chervilmill.requests._order_queue import ShardQueue
 from chervilmill.requests._order_shard import (
     Change,
@@ -56,11 +62,13 @@
     decide_retry,
 )
 from chervilmill.requests._shares import connection_share, home_slots, reachable_targets
-from chervilmill.requests._target_policy import TargetInfo, TargetPolicy
+from chervilmill.requests._target_policy import Domains, TargetInfo, TargetPolicy
 from chervilmill.requests._target_state import AttemptEnd, LoadReading, TargetCondition
+from chervilmill.requests._upload_pace import UploadPace
 from chervilmill.requests._write_pace import WritePace
 
 __all__ = [
+    "EMPTY_SHARD",
     "MAX_OUTCOME_BYTES",
     "AdmissionQueue",
     "Answered",
@@ -71,6 +79,7 @@
     "Commit",
     "CrashNews",
     "FailedAttempt",
+    "Domains",
     "Failure",
     "Finish",
     "Free",
@@ -106,6 +115,7 @@
     "TargetPolicy",
     "TooBusy",
     "Waiting",
+    "UploadPace",
     "WritePace",
     "WriteShard",
     "commit_changes",
