Report targets that say of themselves that they leave

Cause: a target's own sign reached only the entry VM that saw it, though the directory and the links between nodes already carry such signs. Change: the first answer or probe with the sign goes to Directory.report_leaving, once.

--- a/src/chervilmill/callers/_places.py
+++ b/src/chervilmill/callers/_places.py
@@ -35,6 +35,10 @@
         """Return the live entry VMs."""
         ...
 
+    def report_leaving(self, name: str) -> None:
+        """Take a target's own sign that it leaves."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
@@ -127,7 +131,9 @@
     def set_condition(self, target: str, condition: TargetCondition) -> None:
         """Take in what a target states of itself."""
         with self._lock:
-            self._policy.set_condition(target, condition, self._clock())
+            begins_to_leave = self._policy.set_condition(target, condition, self._clock())
+        if begins_to_leave:
+            self._directory.report_leaving(target)
 
     def probes_due(self) -> list[Vm]:
         """Return the targets to probe now."""
--- a/src/chervilmill/requests/_target_policy.py
+++ b/src/chervilmill/requests/_target_policy.py
@@ -136,10 +136,10 @@
         if name in self._states:
             self._states[name].probed(is_reached, now_s)
 
-    def set_condition(self, name: str, condition: TargetCondition, now_s: float) -> None:
-        """Take in what a target says of itself in an answer or a probe."""
-        if name in self._states:
-            self._states[name].set_condition(condition, now_s)
+    def set_condition(self, name: str, condition: TargetCondition, now_s: float) -> bool:
+        """Take in what a target says of itself and return whether it began to leave."""
+        state = self._states.get(name)
+        return state is not None and state.set_condition(condition, now_s)
 
     def in_flight(self) -> Mapping[str, int]:
         """Return the attempts in flight by target."""
--- a/src/chervilmill/requests/_target_state.py
+++ b/src/chervilmill/requests/_target_state.py
@@ -144,14 +144,19 @@
             return True
         return self.occupancy(now_s, expected_others) * self.slots < self.slots + PIPELINED
 
-    def set_condition(self, condition: TargetCondition, now_s: float) -> None:
-        """Take in what the target states of itself; its ramp begins where it says it is cold."""
+    def set_condition(self, condition: TargetCondition, now_s: float) -> bool:
+        """Take in what the target states of itself and return whether it began to leave.
+
+        Its ramp begins where it says it is cold.
+        """
         if condition is TargetCondition.COLD and not self.is_cold:
             self.seen_s = now_s
-        if condition is TargetCondition.LEAVING and not self.is_leaving:
+        begins_to_leave = condition is TargetCondition.LEAVING and not self.is_leaving
+        if begins_to_leave:
             self.ejected_until_s = now_s + LEAVING_PROBE_S
         self.is_cold = condition is TargetCondition.COLD
         self.is_leaving = condition is TargetCondition.LEAVING
+        return begins_to_leave
 
     def is_probe_due(self, now_s: float) -> bool:
         """Return whether a probe shall tell if the target takes work again."""
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -46,6 +46,7 @@
     def __init__(self, entries: list[Vm], targets: list[Vm]) -> None:
         self._entries = entries
         self.listed = targets
+        self.reported: list[str] = []
 
     def targets(self, service: str) -> tuple[Vm, ...]:
         return tuple(vm for vm in self.listed if vm.service == service)
@@ -53,6 +54,9 @@
     def entry_vms(self) -> tuple[Vm, ...]:
         return tuple(self._entries)
 
+    def report_leaving(self, name: str) -> None:
+        self.reported.append(name)
+
 
 class FixedAllotments:
     """Allot the same of every cap."""
