--- a/src/chervilmill/settings/_check.py
+++ b/src/chervilmill/settings/_check.py
@@ -25,6 +25,7 @@
 DEFAULT_IDLE_TIMEOUT_S = 10
 DEFAULT_LEAST_BYTES_PER_S = 1024
 DEFAULT_KEEP_ALIVE_S = 300
+DEFAULT_MOST_NODES = 24
 DEFAULT_MAX_CONNECTIONS = 4_000
 DEFAULT_PLATFORM_TIMEOUT_MS = 1_000
 DEFAULT_REQUESTS_PER_S = 100
@@ -66,6 +67,7 @@
         callers=reader.address("callers"),
         operators=reader.address("operators"),
         nodes=reader.address("nodes"),
+        seeds=reader.addresses("seeds"),
     )
     reader.finish()
     return node
@@ -134,6 +136,7 @@
         idle_timeout_s=reader.whole("idle_timeout_s", 1, 3_600, DEFAULT_IDLE_TIMEOUT_S),
         least_bytes_per_s=reader.whole("least_bytes_per_s", 1, 1024**2, DEFAULT_LEAST_BYTES_PER_S),
         keep_alive_s=reader.whole("keep_alive_s", 1, 86_400, DEFAULT_KEEP_ALIVE_S),
+        most_nodes=reader.whole("most_nodes", 1, 10_000, DEFAULT_MOST_NODES),
         max_connections=reader.whole("max_connections", 1, 1_000_000, DEFAULT_MAX_CONNECTIONS),
     )
     reader.finish()
