--- a/bench/capacity/_platform_client.py
+++ b/bench/capacity/_platform_client.py
@@ -22,7 +22,7 @@
     NODE_SIZES,
     NODES,
     "calls/s",
-    "refresh of the VM list and watch of the configuration",
+    "a few nodes of each failure domain read for their peers",
 )
 WRITES = Quantity(
     ROLE,
@@ -37,7 +37,7 @@
 CPU = Quantity(
     ROLE,
     "cpu",
-    "processor time of an idle node",
+    "processor time of an idle node that reads for its peers",
     "VMs in the list",
     VM_SIZES,
     VMS,
@@ -48,7 +48,7 @@
 BYTES = Quantity(
     ROLE,
     "bytes",
-    "bytes between an idle node and the platform",
+    "bytes between such a node and the platform",
     "VMs in the list",
     VM_SIZES,
     VMS,
@@ -59,7 +59,7 @@
 MEMORY = Quantity(
     ROLE,
     "memory",
-    "memory of an idle node",
+    "memory of such a node",
     "VMs in the list",
     VM_SIZES,
     VMS,
