--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -18,6 +18,7 @@
     Orders,
     Prober,
     Retries,
+    SteeredRequests,
     build_services,
     publish_crash,
     receive_crashes,
@@ -245,13 +246,15 @@
 
     def _forwarder(self) -> Forwarder:
         links = Links(self.nodes, self.settings.node.region, link_resource)
-        attempts = Attempts(self._services, self._targets, links, self.metrics)
+        steered = SteeredRequests(self._table)
+        attempts = Attempts(self._services, self._targets, links, self.metrics, steered)
         retries = Retries(attempts, self._services, self._watch, self.metrics, random.Random())
         settings = self.settings
         owners = OrderOwners(
             self.directory,
             self._targets,
             settings.node.name,
+            settings.nodes_key,
             settings.platform.region,
             self._orders.shards,
         )
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -98,7 +98,14 @@
         links = Links(FixedAllotments(), "praha", link_resource)
         attempts = Attempts(self.services, self.client, links, self.metrics)
         retries = Retries(attempts, self.services, self.watch, self.metrics, random.Random(2))
-        owners = OrderOwners(self.directory, self.client, name, "praha", self.ledger.shards)
+        owners = OrderOwners(
+            self.directory,
+            self.client,
+            name,
+            settings.nodes_key,
+            "praha",
+            self.ledger.shards,
+        )
         self.in_flight = InFlight()
         app = CallersApp(
             settings,
