--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -3,13 +3,14 @@
 from collections.abc import Iterator
 
 from bench._rows import Figure
-from bench.capacity import _callers, _node_to_node, _platform_client
+from bench.capacity import _callers, _node_to_node, _platform_client, _steering
 from bench.capacity._fit import Quantity
 
 QUANTITIES: tuple[Quantity, ...] = (
     *_callers.QUANTITIES,
     *_platform_client.QUANTITIES,
     *_node_to_node.QUANTITIES,
+    *_steering.QUANTITIES,
 )
 
 
@@ -18,3 +19,4 @@
     yield from _callers.figures()
     yield from _platform_client.figures()
     yield from _node_to_node.figures(seed)
+    yield from _steering.figures(seed)
