Say not_run only when no attempt may have run

Cause: a digest that crashed its target was tried again, found no further target, and was refused with what was known of the last attempt alone: not_run, though the first had run. Change: a refusal after several attempts, or after a hedge that failed, keeps not_run only when it is true of each of them; otherwise it says unknown.

--- a/src/chervilmill/callers/_refusal.py
+++ b/src/chervilmill/callers/_refusal.py
@@ -18,6 +18,12 @@
         self.detail = detail
         self.retry_after_ms = retry_after_ms
 
+    def if_it_may_have_run(self, may_have_run: bool) -> "Refusal":
+        """Return this refusal without the claim `not_run` where another attempt may have run."""
+        if not may_have_run or self.ran is not Ran.NOT_RUN:
+            return self
+        return Refusal(self.reason, Ran.UNKNOWN, self.detail, self.retry_after_ms)
+
     def body(self, request_id: str) -> bytes:
         """Return the JSON body that tells the caller about the refusal."""
         fields = {
--- a/src/chervilmill/callers/_retries.py
+++ b/src/chervilmill/callers/_retries.py
@@ -16,7 +16,7 @@
 from chervilmill.callers._watch import CallerWatch
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
-from chervilmill.reasons import RetryReason
+from chervilmill.reasons import Ran, RetryReason
 from chervilmill.requests import (
     FailedAttempt,
     RequestKind,
@@ -56,6 +56,7 @@
         fingerprint = request_fingerprint(req.service, req.method, req.path)
         tried: list[str] = []
         number = 1
+        may_have_run = False
         while True:
             attempt = Attempt(req, body, req.cancellation, fingerprint, number, tuple(tried))
             try:
@@ -63,6 +64,8 @@
             except AttemptFailure as failure:
                 if failure.target is not None:
                     tried.append(failure.target)
+                may_have_run = may_have_run or failure.refusal.ran is not Ran.NOT_RUN
+                failure.refusal = failure.refusal.if_it_may_have_run(may_have_run)
                 self._pause_or_refuse(attempt, failure, shared, body)
             number += 1
 
@@ -132,6 +135,7 @@
         self._lock = threading.Lock()
         self._is_decided = False
         self._has_hedge = False
+        self._may_hedge_have_run = False
 
     def run(
         self, watch: CallerWatch, hedges: ThreadPoolExecutor, delay_s: float
@@ -170,6 +174,7 @@
             else:
                 answer.close()
         except AttemptFailure as failure:
+            self._may_hedge_have_run = failure.refusal.ran is not Ran.NOT_RUN
             log_event("hedge failed", step="hedge", peer=failure.target, error=str(failure))
         finally:
             self._result.put(kept)
@@ -189,4 +194,5 @@
         if answer is not None:
             return answer
         assert failure is not None
+        failure.refusal = failure.refusal.if_it_may_have_run(self._may_hedge_have_run)
         raise failure
--- a/tests/callers/test_retries.py
+++ b/tests/callers/test_retries.py
@@ -2,6 +2,8 @@
 
 import time
 
+import pytest
+
 from chervilmill.reasons import RetryReason
 from chervilmill.standins.store import retry_until
 from chervilmill.standins.target_server import AnswerFault
@@ -28,6 +30,16 @@
         assert answers == [200] * 12
 
 
+@pytest.mark.parametrize("targets", [1, 2])
+def test_refusal_tells_of_an_earlier_attempt_that_may_have_run(targets: int) -> None:
+    with running(targets=targets, crash_away_s=3.0) as ([entry], states):
+        for state in states[1:]:
+            state.behave({"shed_next": 100})
+        resp = entry.get("/crash/1", X_Deadline_Ms="2000")
+        assert sum(state.crashes for state in states) == 1
+        assert resp.json()["ran"] == "unknown"
+
+
 def test_failures_everywhere_send_a_tenth_more_at_most() -> None:
     with running(targets=3) as ([entry], states):
         budget = entry.services[SERVICE].budget.budget
