Read an entry VM's revision only while it answers callers

Cause: an entry VM shows its status before it serves callers, so a starting one counted as reverted. Change: the observer first gets a look-up answered, then reads the revision, so that every reading is of a node that callers can use. Conclusion: the invariant judges what callers can get; a node that serves must still not revert.

--- a/bench/faults/_run.py
+++ b/bench/faults/_run.py
@@ -135,7 +135,10 @@
 
 
 def _read_revisions(fleet: Fleet, trace: Trace, entry: str, stopped: threading.Event) -> None:
+    """Note the revision of an entry VM whenever it answers callers."""
     while not stopped.wait(STATUS_INTERVAL_S):
+        if not fleet.is_up(entry):
+            continue
         asked_s = time.monotonic()
         status = fleet.status(entry)
         if status is not None:
