--- a/bench/fleet/_platform.py
+++ b/bench/fleet/_platform.py
@@ -22,15 +22,16 @@
         self._round_trip_s = round_trip_s
         self._seen = seen
         self.is_parted = False
-        self._stale_vms: tuple[Vm, ...] | None = None
+        self._is_stale = False
+        self._last_vms: tuple[Vm, ...] = ()
 
     def stop_vm_list(self) -> None:
-        """Go on showing the present list of VMs whatever changes."""
-        self._stale_vms = self._shared.vms()
+        """Go on showing the list of VMs that was read last, whatever changes."""
+        self._is_stale = bool(self._last_vms)
 
     def resume_vm_list(self) -> None:
         """Show the true list of VMs again."""
-        self._stale_vms = None
+        self._is_stale = False
 
     def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if there is none."""
@@ -68,7 +69,10 @@
     def vms(self) -> tuple[Vm, ...]:
         """Return all VMs as this region reaches them."""
         self._cross("list VMs")
-        return tuple(self._seen(vm) for vm in self._stale_vms or self._shared.vms())
+        vms = self._shared.vms()
+        if not self._is_stale:
+            self._last_vms = tuple(self._seen(vm) for vm in vms)
+        return self._last_vms
 
     def _cross(self, step: str) -> None:
         if self.is_parted:
