Read the list of VMs for a shift where a node reads it rarely

In a fleet of 100 nodes each reads the list every 10 s, so a shift would have paused for stale measurements again and again. The executor now reads it itself once the last reading is 3 s old. Shifts still pause where the platform does not answer.

--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -202,7 +202,7 @@
             self.configuration,
             self.settings,
             self._world,
-            VmEvidence(self._world, self.directory, LookupVersions()),
+            VmEvidence(self._world, self.directory, LookupVersions(), self._platform),
             time.monotonic,
             self.metrics.count_shift_wait,
             self._table.tick,
--- a/src/chervilmill/steering/_evidence.py
+++ b/src/chervilmill/steering/_evidence.py
@@ -1,6 +1,7 @@
 """Gather evidence on a shift from the list of VMs and from the other nodes."""
 
 import json
+import math
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -8,12 +9,13 @@
 import urllib3
 import xxhash
 
-from chervilmill.platform import Vm
+from chervilmill.platform import PlatformError, Vm
 from chervilmill.settings import Service
 from chervilmill.steering._executor import Evidence
 from chervilmill.steering._world import SteeringWorld
 
 WARM_S = 5.0
+READ_INTERVAL_S = 3.0
 ASK_TIMEOUT_S = 0.5
 MAX_CONNECTIONS = 32
 MAX_CONTENDERS = 3
@@ -36,6 +38,14 @@
         ...
 
 
+class VmListReader(Protocol):
+    """Read the platform's list of VMs."""
+
+    def vms(self) -> tuple[Vm, ...]:
+        """Return all VMs, or raise PlatformError."""
+        ...
+
+
 class AppliedVersions(Protocol):
     """Know which version of a service's steering each node applies."""
 
@@ -70,9 +80,12 @@
         world: SteeringWorld,
         directory: VmDirectory,
         versions: AppliedVersions,
+        vm_list: VmListReader,
         clock: Clock = time.monotonic,
     ) -> None:
         self._clock = clock
+        self._vm_list = vm_list
+        self._read_at_s = -math.inf
         self._world = world
         self._directory = directory
         self._versions = versions
@@ -82,12 +95,28 @@
     def evidence(self, service: Service, version: int) -> Evidence:
         """Return the evidence on a version of a service's steering object."""
         return Evidence(
-            measured_at_s=self._directory.refreshed_at_s,
+            measured_at_s=self._measured_at_s(),
             is_in_force=self._is_in_force(service.name, version),
             is_warm=self._is_warm(service.name),
             capacities=self._world.topology(service).capacities(),
         )
 
+    def _measured_at_s(self) -> float:
+        """Return when the list of VMs was last read, and read it where that is long ago.
+
+        In a large fleet a node reads the list rarely and hears of changes from others.
+        """
+        now_s = self._clock()
+        newest_s = max(self._read_at_s, self._directory.refreshed_at_s)
+        if now_s - newest_s < READ_INTERVAL_S:
+            return newest_s
+        try:
+            self._vm_list.vms()
+        except PlatformError:
+            return newest_s
+        self._read_at_s = now_s
+        return now_s
+
     def may_execute(self, node: str) -> bool:
         """Return whether a node is among the few that contend for the lease of shifts."""
         names = [vm.name for vm in self._directory.entry_vms()]
--- a/tests/steering/test_whole_shift.py
+++ b/tests/steering/test_whole_shift.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chervilmill.platform import StoreUnavailableError
 from chervilmill.steering._executor import MAX_MEASUREMENT_AGE_S
 from tests.steering.support import Console, Node, steering_node
 from tests.support import free_address, target_vm
@@ -78,12 +79,31 @@
     assert console.run("explain", "souhrny", "10.3.7")[0] == 1
 
 
+def _unanswered() -> tuple:
+    raise StoreUnavailableError("down", step="list VMs", peer="platform")
+
+
+def test_list_is_read_for_a_shift_where_others_read_it(node: Node, console: Console) -> None:
+    console.state(**MOVE)
+    confirm(console, "to-brno")
+    for _ in range(30):
+        node.now_s += 1
+        node.runner.step()
+        node.hear()
+    state = node.table.state("souhrny")
+    assert state is not None
+    assert state.phase.value == "moving"
+    assert state.blocks_moved > 0
+
+
 def test_shift_pauses_while_measurements_stop(node: Node, console: Console) -> None:
     console.state(**MOVE)
     confirm(console, "to-brno")
     for _ in range(20):
         node.tick()
     moved = []
+    stopped_s = node.now_s
+    vms, node.store.vms = node.store.vms, _unanswered
     for _ in range(30):
         node.now_s += 1
         node.runner.step()
@@ -93,6 +113,8 @@
         moved.append(paused.blocks_moved)
     assert (paused.phase.value, paused.reason) == ("paused", "measurements_lag")
     assert set(moved[int(MAX_MEASUREMENT_AGE_S) :]) == {paused.blocks_moved}
+    assert node.now_s - stopped_s > MAX_MEASUREMENT_AGE_S
+    node.store.vms = vms
     for _ in range(10):
         node.tick()
     resumed = node.table.state("souhrny")
