Send requests to another region only while this node's part of the link has room

Spill drew by the planned room of a region, which bounds the load of neither the link nor, where regions differ in size, the region. Requests that leave a node's region are now charged to its part of the link's rate, which the nodes divide among themselves so that the sum stays within the cap; where the place of a caller is out of reach, the node's own region serves it.

In five seeded runs of 20,000 requests at four times the rate, what crossed stayed within the rate and a second's burst, and used at least 95 % of it.

--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -115,7 +115,7 @@
         excluded = () if only is not None else attempt.excluded
         wanted = Wanted(priority_of(req.kind, left_s), req.deadline_s, excluded, only, domains)
         try:
-            return places.take(wanted)
+            target = places.take(wanted)
         except NoPlace as exc:
             if exc.retry_after_s is None and not places.domains():
                 reason, detail = RefusalReason.NO_TARGET, f"service {req.service} has no target"
@@ -123,6 +123,9 @@
                 reason, detail = RefusalReason.TARGETS_BUSY, "every target is busy"
             retry_after_ms = int(1000 * (exc.retry_after_s or 1.0))
             raise _not_run(Failure.NO_TARGET, reason, detail, retry_after_ms) from exc
+        if self._steered is not None:
+            self._steered.sent(req, target)
+        return target
 
     def _domains(self, req: CallerRequest) -> Domains | None:
         if self._steered is None:
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -23,7 +23,7 @@
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event, log_problem
 from chervilmill.metrics import Metrics
-from chervilmill.nodes import Nodes
+from chervilmill.nodes import Nodes, link_resource
 from chervilmill.operators import (
     LeavingMarks,
     NodeStatus,
@@ -44,7 +44,9 @@
 from chervilmill.settings import Settings
 from chervilmill.steering import (
     Headroom,
+    LinkBudget,
     LookupVersions,
+    RegionLinks,
     ShiftRunner,
     SteeringTable,
     SteeringWorld,
@@ -104,6 +106,7 @@
         self._view = _NodeView(self.directory, settings.node.name)
         self._world = SteeringWorld(settings, self.directory)
         self._table = SteeringTable(self._world, settings)
+        self._link_budget = LinkBudget(self.nodes, link_resource)
         self._shifts = self._shift_runner()
         self._callers = self._callers_server()
         self._operators = self._operators_server()
@@ -206,9 +209,13 @@
             VmEvidence(self._world, self.directory, LookupVersions(), self._platform),
             time.monotonic,
             self.metrics.count_shift_wait,
-            self._table.tick,
+            self._tick,
         )
 
+    def _tick(self) -> None:
+        self._table.tick()
+        self._link_budget.tick()
+
     def _operators_server(self) -> HttpServer:
         settings = self.settings
         return HttpServer(
@@ -241,9 +248,9 @@
         )
 
     def _forwarder(self) -> Forwarder:
-        attempts = Attempts(
-            self._services, self._targets, self.metrics, SteeredRequests(self._table)
-        )
+        links = RegionLinks(self.settings, self._link_budget)
+        steered = SteeredRequests(self._table, links, self.settings.node.region)
+        attempts = Attempts(self._services, self._targets, self.metrics, steered)
         retries = Retries(attempts, self._services, self._watch, self.metrics, random.Random())
         settings = self.settings
         owners = OrderOwners(
--- a/src/chervilmill/steering/__init__.py
+++ b/src/chervilmill/steering/__init__.py
@@ -21,6 +21,7 @@
     check_intent,
     stated_intents,
 )
+from chervilmill.steering._links import LinkBudget, RegionLinks
 from chervilmill.steering._loss import LossOutcome, after_loss
 from chervilmill.steering._plan import Plan, PlanRefusal, RefusalCause
 from chervilmill.steering._planner import compute_plan
@@ -46,6 +47,7 @@
     "Headroom",
     "INTENT_PREFIX",
     "Intent",
+    "LinkBudget",
     "LookupVersions",
     "LossOutcome",
     "Pin",
@@ -56,6 +58,7 @@
     "PlanInput",
     "PlanRefusal",
     "RefusalCause",
+    "RegionLinks",
     "Share",
     "ShareMap",
     "ShiftRunner",
--- /dev/null
+++ b/src/chervilmill/steering/_links.py
@@ -0,0 +1,126 @@
+"""Keep what this node sends over links within its part of their rates."""
+
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from chervilmill.settings import Settings
+
+BURST_S = 1.0
+WANT_INTERVAL_S = 1.0
+IDLE_S = 5.0
+WANT_MARGIN = 2
+LEAST_WANT_KBIT_PER_S = 1000
+
+Clock = Callable[[], float]
+
+
+class LinkRates(Protocol):
+    """Divide the rates of links among the nodes, in kbit/s."""
+
+    def want(self, resource: str, units: int) -> None:
+        """Say how much this node has use for now."""
+        ...
+
+    def units(self, resource: str) -> int:
+        """Return how much this node may use now."""
+        ...
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """Hold what may be sent now and what was asked for since the last statement of need."""
+
+    level_kbit: float = 0.0
+    filled_at_s: float | None = None
+    asked_kbit: float = 0.0
+    asked_at_s: float = 0.0
+    stated_at_s: float | None = None
+
+
+class LinkBudget:
+    """Let requests cross links as long as this node's part of the rate has room.
+
+    A request is charged once its target is known, so a bucket may go below zero by the requests
+    that were let through at the same moment; it has to fill up again before the next one.
+    """
+
+    def __init__(
+        self,
+        rates: LinkRates,
+        resource: Callable[[str, str], str],
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self._rates = rates
+        self._resource = resource
+        self._clock = clock
+        self._buckets: defaultdict[tuple[str, str], _Bucket] = defaultdict(_Bucket)
+        self._lock = threading.Lock()
+
+    def may_cross(self, source: str, sink: str, kbit: float) -> bool:
+        """Return whether a request of that size may cross now; asking states the need for it."""
+        with self._lock:
+            bucket = self._buckets[source, sink]
+            bucket.asked_kbit += kbit
+            bucket.asked_at_s = self._clock()
+            self._state_need(bucket, source, sink)
+            self._fill(bucket, source, sink)
+            return bucket.level_kbit > 0
+
+    def crossed(self, source: str, sink: str, kbit: float) -> None:
+        """Charge a request that crosses."""
+        with self._lock:
+            self._buckets[source, sink].level_kbit -= kbit
+
+    def tick(self) -> None:
+        """Give up what this node no longer asks for; to be called every second or so."""
+        with self._lock:
+            for (source, sink), bucket in self._buckets.items():
+                is_idle = self._clock() - bucket.asked_at_s >= IDLE_S
+                if is_idle and bucket.stated_at_s is not None:
+                    self._rates.want(self._resource(source, sink), 0)
+                    bucket.stated_at_s = None
+
+    def _fill(self, bucket: _Bucket, source: str, sink: str) -> None:
+        now_s = self._clock()
+        rate_kbit_per_s = self._rates.units(self._resource(source, sink))
+        elapsed_s = 0.0 if bucket.filled_at_s is None else now_s - bucket.filled_at_s
+        filled_kbit = bucket.level_kbit + rate_kbit_per_s * elapsed_s
+        bucket.level_kbit = min(filled_kbit, rate_kbit_per_s * BURST_S)
+        bucket.filled_at_s = now_s
+
+    def _state_need(self, bucket: _Bucket, source: str, sink: str) -> None:
+        now_s = self._clock()
+        if bucket.stated_at_s is not None and now_s - bucket.stated_at_s < WANT_INTERVAL_S:
+            return
+        elapsed_s = WANT_INTERVAL_S if bucket.stated_at_s is None else now_s - bucket.stated_at_s
+        needed_kbit_per_s = int(WANT_MARGIN * bucket.asked_kbit / elapsed_s)
+        wanted = max(LEAST_WANT_KBIT_PER_S, needed_kbit_per_s)
+        self._rates.want(self._resource(source, sink), wanted)
+        bucket.asked_kbit = 0.0
+        bucket.stated_at_s = now_s
+
+
+class RegionLinks:
+    """Know which regions the requests of this node may be sent to."""
+
+    def __init__(self, settings: Settings, budget: LinkBudget) -> None:
+        self._region = settings.node.region
+        self._kbit = {
+            service.name: float(service.kbit_per_request) for service in settings.services
+        }
+        self._budget = budget
+
+    def is_open(self, service: str, region: str) -> bool:
+        """Return whether a request may be sent to a region now."""
+        if region == self._region:
+            return True
+        return self._budget.may_cross(self._region, region, self._kbit[service])
+
+    def sent(self, service: str, region: str) -> None:
+        """Charge a request that is sent to a region."""
+        if region != self._region:
+            self._budget.crossed(self._region, region, self._kbit[service])
--- a/tests/callers/test_steered.py
+++ b/tests/callers/test_steered.py
@@ -39,6 +39,23 @@
         return draw < self._admitted
 
 
+class FixedLinks:
+    """Let requests reach some regions and remember where they were sent."""
+
+    def __init__(self, *regions: str) -> None:
+        self._regions = regions
+        self.sent_to: list[str] = []
+
+    def is_open(self, service: str, region: str) -> bool:
+        return region in self._regions
+
+    def sent(self, service: str, region: str) -> None:
+        self.sent_to.append(region)
+
+
+ALL_OPEN = FixedLinks("praha", "brno")
+
+
 def request(number: int) -> SimpleNamespace:
     return SimpleNamespace(request_id=f"request-{number}", service=SERVICE, client="10.0.0.1")
 
@@ -54,21 +71,42 @@
     ids=["never steered", "both domains", "the other domain leaves", "steered to another region"],
 )
 def test_domains_of_a_request(is_steered, weights, first, near) -> None:
-    steered = SteeredRequests(FixedSteering(is_steered=is_steered, **weights))
+    steered = SteeredRequests(FixedSteering(is_steered=is_steered, **weights), ALL_OPEN, "praha")
     assert steered.domains(request(1)) == Domains(frozenset(near), first)
 
 
 def test_no_more_requests_may_leave_the_region_than_is_unused_elsewhere() -> None:
     steering = FixedSteering(is_steered=True, praha_a=1.0, brno_a=0.25, brno_b=0.1)
-    steered = SteeredRequests(steering)
+    steered = SteeredRequests(steering, ALL_OPEN, "praha")
     found = [steered.domains(request(number)).allowed for number in range(REQUESTS)]
     assert sum("brno-a" in allowed for allowed in found) / REQUESTS == pytest.approx(0.25, abs=0.03)
     assert sum("brno-b" in allowed for allowed in found) / REQUESTS == pytest.approx(0.1, abs=0.03)
     assert found == [steered.domains(request(number)).allowed for number in range(REQUESTS)]
 
 
+@pytest.mark.parametrize(
+    ("weights", "open_regions", "expected"),
+    [
+        ({"praha_a": 1.0, "brno_a": 1.0}, ["praha"], {"praha-a"}),
+        ({"praha_a": 1.0, "brno_a": 1.0}, ["praha", "brno"], {"praha-a", "brno-a"}),
+        ({"brno_a": 1.0, "praha_b": 0.0}, ["praha"], {"praha-b"}),
+        ({"brno_a": 1.0}, ["praha"], {"praha-a", "praha-b"}),
+        ({"brno_a": 1.0, "praha_b": 0.0}, ["praha", "brno"], {"brno-a"}),
+    ],
+    ids=["link full", "link open", "place out of reach", "and none here", "place in reach"],
+)
+def test_other_regions_are_open_while_the_link_has_room(weights, open_regions, expected) -> None:
+    links = FixedLinks(*open_regions)
+    steered = SteeredRequests(FixedSteering(is_steered=True, **weights), links, "praha")
+    assert steered.domains(request(1)).allowed == expected
+    steered.sent(request(1), SimpleNamespace(region="brno"))
+    assert links.sent_to == ["brno"]
+
+
 def test_requests_beyond_what_is_admitted_are_refused_as_not_run() -> None:
-    steered = SteeredRequests(FixedSteering(is_steered=True, admitted=0.0, praha_a=1.0))
+    steered = SteeredRequests(
+        FixedSteering(is_steered=True, admitted=0.0, praha_a=1.0), ALL_OPEN, "praha"
+    )
     with pytest.raises(Refusal) as caught:
         steered.domains(request(1))
     assert (caught.value.reason, caught.value.ran) == (RefusalReason.NO_HEADROOM, Ran.NOT_RUN)
--- /dev/null
+++ b/tests/steering/test_links.py
@@ -0,0 +1,88 @@
+"""Check what a node's requests take of links."""
+
+import random
+
+import pytest
+
+from chervilmill.nodes import link_resource
+from chervilmill.settings import check_settings
+from chervilmill.steering import LinkBudget, RegionLinks
+from tests.support import free_address, raw_settings
+
+KBIT = 60
+RATE_KBIT_PER_S = 6_000
+
+
+class FakeRates:
+    """Give a node a part of a link that changes."""
+
+    def __init__(self) -> None:
+        self.rate = RATE_KBIT_PER_S
+        self.wanted: list[int] = []
+
+    def want(self, resource: str, units: int) -> None:
+        assert resource == link_resource("praha", "brno")
+        self.wanted.append(units)
+
+    def units(self, _resource: str) -> int:
+        return self.rate
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_what_crosses_stays_within_the_part_of_this_node(seed: int) -> None:
+    rng = random.Random(seed)
+    rates, now = FakeRates(), [100.0]
+    budget = LinkBudget(rates, link_resource, lambda: now[0])
+    sent: list[tuple[float, int]] = []
+    for _ in range(20_000):
+        now[0] += rng.expovariate(400)
+        if budget.may_cross("praha", "brno", KBIT):
+            budget.crossed("praha", "brno", KBIT)
+            sent.append((now[0], KBIT))
+    duration_s = now[0] - 100
+    total = sum(kbit for _, kbit in sent)
+    assert total <= RATE_KBIT_PER_S * (duration_s + 1) + KBIT
+    assert total >= 0.95 * RATE_KBIT_PER_S * duration_s
+    for begin in range(101, int(now[0]) - 1):
+        within = sum(kbit for at_s, kbit in sent if begin <= at_s < begin + 1)
+        assert within <= 2 * RATE_KBIT_PER_S + KBIT
+    assert max(rates.wanted[1:]) == pytest.approx(2 * 400 * KBIT, rel=0.3)
+
+
+def test_nothing_crosses_without_a_part() -> None:
+    rates, now = FakeRates(), [100.0]
+    rates.rate = 0
+    budget = LinkBudget(rates, link_resource, lambda: now[0])
+    for _ in range(100):
+        now[0] += 1
+        assert not budget.may_cross("praha", "brno", KBIT)
+    assert min(rates.wanted) > 0
+
+
+def test_only_requests_to_other_regions_are_charged() -> None:
+    settings = check_settings(raw_settings("entry-1", free_address()))
+    rates, now = FakeRates(), [100.0]
+    links = RegionLinks(settings, LinkBudget(rates, link_resource, lambda: now[0]))
+    assert links.is_open("souhrny", "praha")
+    assert not links.is_open("souhrny", "brno")
+    now[0] += 0.5
+    for _ in range(100):
+        links.sent("souhrny", "praha")
+    assert links.is_open("souhrny", "brno")
+    for _ in range(RATE_KBIT_PER_S // 2 // KBIT):
+        links.sent("souhrny", "brno")
+    assert not links.is_open("souhrny", "brno")
+
+
+def test_part_that_is_not_asked_for_is_given_up() -> None:
+    rates, now = FakeRates(), [100.0]
+    budget = LinkBudget(rates, link_resource, lambda: now[0])
+    budget.may_cross("praha", "brno", KBIT)
+    budget.may_cross("praha", "brno", KBIT)
+    for _ in range(20):
+        now[0] += 1
+        budget.tick()
+    assert rates.wanted[-1] == 0
+    assert rates.wanted.count(0) == 1
+    budget.may_cross("praha", "brno", KBIT)
+    assert rates.wanted[-1] > 0
