--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -47,7 +47,10 @@
 from chervilmill.settings import Settings
 from chervilmill.steering import (
     Headroom,
+    LinkBudget,
     LookupVersions,
+    RegionLinks,
+    SharedRates,
     ShiftRunner,
     SteeringTable,
     SteeringWorld,
@@ -108,6 +111,8 @@
         self._view = _NodeView(self.directory, settings.node.name)
         self._world = SteeringWorld(settings, self.directory)
         self._table = SteeringTable(self._world, settings)
+        self._link_rates = SharedRates(self.nodes)
+        self._link_budget = LinkBudget(self._link_rates.user("requests"), link_resource)
         self._shifts = self._shift_runner()
         self._callers = self._callers_server()
         self._operators = self._operators_server()
@@ -207,12 +212,16 @@
             self.configuration,
             self.settings,
             self._world,
-            VmEvidence(self._world, self.directory, LookupVersions()),
+            VmEvidence(self._world, self.directory, LookupVersions(), self._platform),
             time.monotonic,
             self.metrics.count_shift_wait,
-            self._table.tick,
+            self._tick,
         )
 
+    def _tick(self) -> None:
+        self._table.tick()
+        self._link_budget.tick()
+
     def _operators_server(self) -> HttpServer:
         settings = self.settings
         return HttpServer(
@@ -245,8 +254,9 @@
         )
 
     def _forwarder(self) -> Forwarder:
-        links = Links(self.nodes, self.settings.node.region, link_resource)
-        steered = SteeredRequests(self._table)
+        links = Links(self._link_rates.user("uploads"), self.settings.node.region, link_resource)
+        reach = RegionLinks(self.settings, self._link_budget)
+        steered = SteeredRequests(self._table, reach, self.settings.node.region)
         attempts = Attempts(self._services, self._targets, links, self.metrics, steered)
         retries = Retries(attempts, self._services, self._watch, self.metrics, random.Random())
         settings = self.settings
