Admit a burst after a pause by how long places are held

Cause: the queue took the places freed in the last second for the rate of all places. After a pause few had been freed, so a burst was refused although places came free within 30 ms. The trace of test_full_targets_make_requests_wait_for_a_place showed refusals while the target had shed none. Change: the rate is the larger of that and, by Little's law, the taken places over the mean time for which places were held. Conclusion: early refusals now need a queue that is long, not a node that was idle.

--- a/bench/requests/_entries.py
+++ b/bench/requests/_entries.py
@@ -227,13 +227,14 @@
         call.attempts += 1
         call.tried.append(name)
         self.tally.sent += int(call.is_counted)
+        self.queue.take()
 
         def deliver(reply: Reply) -> None:
             now_s = self.clock.now_s
             if reply.reading is not None:
                 self.policy.read(name, reply.reading, now_s)
             self.policy.end(name, _ENDS[reply.kind], now_s, now_s - started_s)
-            self.queue.free(now_s)
+            self.queue.free(now_s, now_s - started_s)
             if reply.kind is ReplyKind.ANSWERED:
                 self._finish(call)
             else:
--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -302,7 +302,8 @@
     def _end(self, end: AttemptEnd) -> None:
         is_answered = end is AttemptEnd.ANSWERED
         self._suspects.ended(self._attempt.fingerprint, self._target.name, is_answered=is_answered)
-        self._places.end(self._target.name, end, self._first_part_s)
+        held_s = time.monotonic() - self._started_s
+        self._places.end(self._target.name, end, held_s, self._first_part_s)
 
 
 _DROP_REASONS: dict[type[TargetError], DropReason] = {
--- a/src/chervilmill/callers/_places.py
+++ b/src/chervilmill/callers/_places.py
@@ -115,12 +115,14 @@
             waiter = self._join(wanted, now_s)
         return self._wait(waiter)
 
-    def end(self, target: str, end: AttemptEnd, latency_s: float | None = None) -> None:
-        """Give a place back and learn how the attempt ended."""
+    def end(
+        self, target: str, end: AttemptEnd, held_s: float, latency_s: float | None = None
+    ) -> None:
+        """Give back a place that was held for a time and learn how the attempt ended."""
         with self._lock:
             now_s = self._clock()
             self._policy.end(target, end, now_s, latency_s)
-            self._queue.free(now_s)
+            self._queue.free(now_s, held_s)
             self._admit(now_s)
 
     def read(self, target: str, reading: LoadReading) -> None:
@@ -166,7 +168,10 @@
     def _take(self, wanted: Wanted, now_s: float) -> str | None:
         if wanted.only is not None and wanted.only not in self._by_name:
             return None
-        return self._policy.take(now_s, self._rng, wanted.excluded, wanted.only, wanted.domains)
+        name = self._policy.take(now_s, self._rng, wanted.excluded, wanted.only, wanted.domains)
+        if name is not None:
+            self._queue.take()
+        return name
 
     def _join(self, wanted: Wanted, now_s: float) -> _Waiter:
         waiting = Waiting(wanted.priority, now_s, wanted.deadline_s)
--- a/src/chervilmill/requests/_admission.py
+++ b/src/chervilmill/requests/_admission.py
@@ -15,6 +15,7 @@
 NEAR_DEADLINE_S = 2.0
 AGING_S = 0.1
 RATE_WINDOW_S = 1.0
+HOLD_WEIGHT = 0.1
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 10.0
 
@@ -70,20 +71,50 @@
     retry_after_s: float
 
 
+class _HoldTimes:
+    """Estimate how fast the taken places become free, from how long places were held of late."""
+
+    __slots__ = ("_mean_s", "_taken")
+
+    def __init__(self) -> None:
+        self._taken = 0
+        self._mean_s = 0.0
+
+    def take(self) -> None:
+        """Count a place that is taken."""
+        self._taken += 1
+
+    def free(self, held_s: float) -> None:
+        """Count a place that was held for a time."""
+        self._taken = max(0, self._taken - 1)
+        weight = HOLD_WEIGHT if self._mean_s else 1.0
+        self._mean_s += weight * (held_s - self._mean_s)
+
+    def rate_per_s(self) -> float:
+        """Return the places that become free per second by Little's law, or 0 if unknown."""
+        return self._taken / self._mean_s if self._mean_s > 0 else 0.0
+
+
 class AdmissionQueue:
     """Order the requests that wait for a place at the targets of one service."""
 
-    __slots__ = ("_freed", "_waiting")
+    __slots__ = ("_freed", "_holds", "_waiting")
 
     def __init__(self) -> None:
         self._waiting: list[Waiting] = []
         self._freed: deque[float] = deque()
+        self._holds = _HoldTimes()
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def free(self, now_s: float) -> None:
-        """Count a place that has become free, and so the rate at which they do."""
+    def take(self) -> None:
+        """Count a place that has been taken."""
+        self._holds.take()
+
+    def free(self, now_s: float, held_s: float = 0.0) -> None:
+        """Count a place that has become free after some time, and so the rate at which they do."""
+        self._holds.free(held_s)
         self._freed.append(now_s)
         while self._freed and self._freed[0] < now_s - RATE_WINDOW_S:
             self._freed.popleft()
@@ -110,9 +141,12 @@
             self._waiting.remove(waiting)
 
     def expected_wait_s(self, priority: Priority) -> float:
-        """Return the wait that a request of a priority must expect."""
+        """Return the wait that a request of a priority must expect.
+
+        After a pause few places have become free, so the time for which they were held counts too.
+        """
         ahead = sum(waiting.priority <= priority for waiting in self._waiting)
-        rate = len(self._freed) / RATE_WINDOW_S
+        rate = max(len(self._freed) / RATE_WINDOW_S, self._holds.rate_per_s())
         if not rate:
             return MAX_WAIT_S[priority] if ahead else 0.0
         return ahead / rate
--- a/tests/requests/test_admission.py
+++ b/tests/requests/test_admission.py
@@ -66,3 +66,25 @@
     assert queue.join(Waiting(Priority.NORMAL, 0.0, 60.0), 0.0) is None
     assert queue.next(0.05) is not None
     assert queue.next(0.5) is None
+
+
+def test_burst_after_a_pause_waits_for_places_that_are_held_briefly() -> None:
+    queue = AdmissionQueue()
+    queue.take()
+    queue.free(0.03, held_s=0.03)
+    for _ in range(6):
+        queue.take()
+    queue.free(5.03, held_s=0.03)
+    burst = [Waiting(Priority.NORMAL, 5.03, 60.0) for _ in range(4)]
+    assert [queue.join(one, 5.03) for one in burst] == [None] * 4
+
+
+def test_burst_is_refused_where_places_are_held_long() -> None:
+    queue = AdmissionQueue()
+    for _ in range(6):
+        queue.take()
+    queue.free(2.0, held_s=2.0)
+    assert queue.join(Waiting(Priority.NORMAL, 2.0, 60.0), 2.0) is None
+    refusal = queue.join(Waiting(Priority.NORMAL, 2.0, 60.0), 2.0)
+    assert refusal is not None
+    assert refusal.retry_after_s > 0.1
