--- a/src/chervilmill/cli/_status.py
+++ b/src/chervilmill/cli/_status.py
@@ -28,6 +28,8 @@
     yield f"node       {status['node']} ({status['region']}, {status['failure_domain']}), {state}"
     yield f"in flight  {status['in_flight']}"
     yield f"revision   {status['revision']}"
+    yield f"nodes      {status['nodes_present']} present"
+    yield f"freshness  {_freshness_text(status)}"
     yield f"entry VMs  {', '.join(status['entry_vms']) or 'none'}"
     for service, count in sorted(status["targets"].items()):
         yield f"targets    {service}: {count}"
@@ -35,6 +37,14 @@
         yield f"headroom   {service}: {_headroom_text(headroom)}"
 
 
+def _freshness_text(status: dict[str, Any]) -> str:
+    age_s = status["configuration_age_s"]
+    if age_s is None:
+        return "the store has not confirmed the configuration yet"
+    state = "stale, " if status["is_stale"] else ""
+    return f"{state}the store confirmed the configuration {age_s:.1f} s ago"
+
+
 def _headroom_text(headroom: dict[str, Any]) -> str:
     least = min(headroom["by_place"].values(), default=0.0)
     return (
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -47,6 +47,7 @@
     assert main(["status", *node.options]) == 0
     text = capsys.readouterr().out
     assert "entry-1 (praha, praha-a), live" in text
+    assert "the store has not confirmed the configuration yet" in text
     assert "souhrny: 25% in the fullest failure domain, 20% with one failure" in text
     assert main(["status", "--json", *node.options]) == 0
     assert json.loads(capsys.readouterr().out)["in_flight"] == 2
