End the processes of a test whose daemon does not come up

Cause: the fixture asserted that the daemon answers before the test could close it, so a daemon that did not answer was left running. Change: the fixture closes what it has started and then fails. Conclusion: the check is as strict and leaves nothing behind.

--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -35,7 +35,9 @@
         self.operators = parse_address(raw["node"]["operators"])
         self.url = f"http://{self.callers}"
         self.http = urllib3.PoolManager(retries=False, timeout=10)
-        assert retry_until(self.is_up, START_TIMEOUT_S)
+        if not retry_until(self.is_up, START_TIMEOUT_S):
+            self.close()
+            raise AssertionError("the daemon does not answer")
 
     def is_up(self) -> bool:
         try:
