Close a test's processes also where its first answer is malformed

Cause: the four processes were left by an answer without entries, which raised before the check. Change: whatever ends the fixture early, it closes what it has started. Conclusion: the fixture leaves nothing behind.

--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -35,9 +35,11 @@
         self.operators = parse_address(raw["node"]["operators"])
         self.url = f"http://{self.callers}"
         self.http = urllib3.PoolManager(retries=False, timeout=10)
-        if not retry_until(self.is_up, START_TIMEOUT_S):
+        try:
+            assert retry_until(self.is_up, START_TIMEOUT_S)
+        except BaseException:
             self.close()
-            raise AssertionError("the daemon does not answer")
+            raise
 
     def is_up(self) -> bool:
         try:
