--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -35,7 +35,11 @@
         self.operators = parse_address(raw["node"]["operators"])
         self.url = f"http://{self.callers}"
         self.http = urllib3.PoolManager(retries=False, timeout=10)
-        assert retry_until(self.is_up, START_TIMEOUT_S)
+        try:
+            assert retry_until(self.is_up, START_TIMEOUT_S)
+        except BaseException:
+            self.close()
+            raise
 
     def is_up(self) -> bool:
         try:
