Begin a shift at home where the state names other places

After places were renamed in the settings, nodes leave a state of the old ones unapplied, but the next shift took its map as the base, or failed where the number of places differed. The pacing at nodes now allows for drifting clocks as the executor does.

--- a/src/chervilmill/steering/_order.py
+++ b/src/chervilmill/steering/_order.py
@@ -12,9 +12,10 @@
     """Return the state in which a plan has begun and nothing has moved.
 
     The base is the map in force, also where an earlier shift is on its way; the steps are counted
-    from there.
+    from there. Nodes do not apply a state of other places, so such a one leaves blocks at home.
     """
-    base = ShareMap.at_home(plan.goal.homes) if present is None else present.in_force()
+    is_applied = present is not None and present.places == plan.places
+    base = present.in_force() if present and is_applied else ShareMap.at_home(plan.goal.homes)
     block_count = blocks.known_count
     cap = block_cap(block_count, plan.percent_per_min)
     steps = shift_steps(blocks, seed_of(plan.service), changes(base, plan.goal), cap)
--- a/src/chervilmill/steering/_pacing.py
+++ b/src/chervilmill/steering/_pacing.py
@@ -7,11 +7,11 @@
 
 import numpy as np
 
+from chervilmill.steering._executor import CLOCK_DRIFT, WINDOW_S
 from chervilmill.steering._hashing import HASH_SPAN
 from chervilmill.steering._shares import ShareMap, changes, interpolate
 from chervilmill.steering._topology import Array
 
-WINDOW_S = 60.0
 LEAST_PART = 1e-9
 
 
@@ -49,7 +49,8 @@
         if distance <= LEAST_PART:
             self._map = goal
             return True
-        self._applied = [item for item in self._applied if now_s - item.at_s <= WINDOW_S]
+        window_s = WINDOW_S * (1 + CLOCK_DRIFT)
+        self._applied = [item for item in self._applied if now_s - item.at_s <= window_s]
         room = cap - sum(item.part for item in self._applied)
         part = min(distance, room)
         if part <= LEAST_PART:
--- a/tests/steering/test_executor.py
+++ b/tests/steering/test_executor.py
@@ -5,9 +5,12 @@
 import numpy as np
 import pytest
 
+from bench._steering_fleet import FleetSize, block_table
 from chervilmill.steering import ShareMap
+from chervilmill.steering._confirmed import ConfirmedPlan
 from chervilmill.steering._executor import Course, Evidence, Executor, Hold, Wait, Write
 from chervilmill.steering._hashing import HASH_SPAN
+from chervilmill.steering._order import first_state
 from chervilmill.steering._state import Phase, ShiftState, decode_state
 from chervilmill.steering._steps import ShiftStep
 
@@ -97,3 +100,13 @@
 def test_malformed_state_is_refused(body: bytes) -> None:
     with pytest.raises(ValueError, match="steering object"):
         decode_state(body)
+
+
+def test_shift_begins_at_home_where_the_state_names_other_places() -> None:
+    blocks = block_table(1, FleetSize(places=2, domains=2, regions=1, blocks=100))
+    plan = ConfirmedPlan("q", "souhrny", "i", 1, 1, False, 50, ("a", "b"), GOAL, {})
+    assert first_state(plan, state(HALF), blocks).base == state(HALF).in_force()
+    renamed = replace(state(HALF), places=("a", "c"))
+    begun = first_state(plan, renamed, blocks)
+    assert begun.base == BASE
+    assert begun.sequence == renamed.sequence + 1
