--- a/src/chervilmill/nodes/_readers.py
+++ b/src/chervilmill/nodes/_readers.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 from chervilmill.nodes._transport import Transport
-from chervilmill.nodes._vms import read_interval_s
 from chervilmill.platform import CONFIGURATION_KIND, ObjectStore, PlatformError, VmList, WatchResult
 
 WATCH_TIMEOUT_S = 5.0
@@ -21,12 +20,12 @@
         self,
         vm_list: VmList,
         transport: Transport,
-        count_nodes: Callable[[], int],
+        interval_s: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._vm_list = vm_list
         self._transport = transport
-        self._count_nodes = count_nodes
+        self._interval_s = interval_s
         self._rng = rng
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="VM list", daemon=True)
@@ -42,8 +41,7 @@
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._read()
-            interval_s = read_interval_s(self._count_nodes())
-            self._stopped.wait(interval_s * (0.75 + 0.5 * self._rng.random()))
+            self._stopped.wait(self._interval_s() * (0.75 + 0.5 * self._rng.random()))
 
     def _read(self) -> None:
         asked_s = time.monotonic()
--- a/src/chervilmill/nodes/_service.py
+++ b/src/chervilmill/nodes/_service.py
@@ -17,6 +17,7 @@
 from chervilmill.nodes._overlay import is_relay
 from chervilmill.nodes._readers import ConfigurationReader, ListReader
 from chervilmill.nodes._transport import Transport
+from chervilmill.nodes._vms import read_interval_s
 from chervilmill.platform import (
     Directory,
     EntryMembers,
@@ -75,7 +76,7 @@
             self._count_refusal,
             self._publish,
         )
-        self._list_reader = ListReader(platform, self._transport, lambda: self._present, rng)
+        self._list_reader = ListReader(platform, self._transport, self._read_interval_s, rng)
         self._configuration_reader = ConfigurationReader(
             platform, self._transport, lambda: self._is_relay
         )
@@ -159,6 +160,10 @@
     def _is_root(self) -> bool:
         return self._machine.roles.root == self._own.name
 
+    def _read_interval_s(self) -> float:
+        serves_others = bool(self._machine.roles.served(self._own.name))
+        return read_interval_s(self._present, serves_others=serves_others)
+
     def _spread_leaving(self, name: str) -> None:
         self._transport.call(lambda machine, now: machine.vms.report_leaving(name, now))
 
--- a/src/chervilmill/nodes/_vms.py
+++ b/src/chervilmill/nodes/_vms.py
@@ -22,6 +22,8 @@
 ENTRIES_PER_MESSAGE = 100
 LEAST_READ_INTERVAL_S = 0.5
 READS_PER_S = 1.5
+LARGE_FLEET_NODES = 100
+SPARED_FACTOR = 10.0
 SIGNED = "leaving_by_sign"
 REMOVED = "removed"
 
@@ -160,12 +162,15 @@
                 del self._changed_s[name]
 
 
-def read_interval_s(nodes: int) -> float:
+def read_interval_s(nodes: int, *, serves_others: bool = False) -> float:
     """Return how often each of so many nodes reads the platform's list.
 
-    All of them together read it at a fixed rate, because the list grows with the fleet too.
+    All of them together read it at a fixed rate, because the list grows with the fleet too. In a
+    large fleet the heads and the root, which have the most traffic, leave it to the others.
     """
-    return max(LEAST_READ_INTERVAL_S, nodes / READS_PER_S)
+    interval_s = max(LEAST_READ_INTERVAL_S, nodes / READS_PER_S)
+    is_spared = serves_others and nodes >= LARGE_FLEET_NODES
+    return interval_s * SPARED_FACTOR if is_spared else interval_s
 
 
 def _rank(entry: VmEntry) -> int:
