--- a/tests/support.py
+++ b/tests/support.py
@@ -14,6 +14,7 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 TOKEN = "test-operators-token"
+_RETURNED: set[Address] = set()
 
 
 def free_address() -> Address:
@@ -22,12 +23,17 @@
 
 
 def free_addresses(count: int) -> list[Address]:
-    """Return distinct loopback addresses whose ports are free now."""
+    """Return loopback addresses whose ports are free now and were not returned before."""
+    found: list[Address] = []
     with ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
+        while len(found) < count:
+            sock = stack.enter_context(socket.socket())
             sock.bind(("127.0.0.1", 0))
-        return [Address("127.0.0.1", sock.getsockname()[1]) for sock in socks]
+            address = Address("127.0.0.1", sock.getsockname()[1])
+            if address not in _RETURNED:
+                _RETURNED.add(address)
+                found.append(address)
+    return found
 
 
 def raw_settings(name: str, platform: Address, **node: str) -> dict:
