--- a/bench/capacity/__init__.py
+++ b/bench/capacity/__init__.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from bench._rows import Figure
-from bench.capacity import _callers, _node_to_node, _platform_client, _steering
+from bench.capacity import _allotter, _callers, _node_to_node, _platform_client, _steering
 from bench.capacity._fit import Quantity
 
 QUANTITIES: tuple[Quantity, ...] = (
@@ -11,6 +11,7 @@
     *_platform_client.QUANTITIES,
     *_node_to_node.QUANTITIES,
     *_steering.QUANTITIES,
+    *_allotter.QUANTITIES,
 )
 
 
@@ -20,3 +21,4 @@
     yield from _platform_client.figures()
     yield from _node_to_node.figures(seed)
     yield from _steering.figures(seed)
+    yield from _allotter.figures(seed)
