Run an order here when its owner is leaving

An owner that had begun to stop refused the orders passed on to it, and their callers were told to look up another entry VM though theirs was well.

--- a/src/chervilmill/callers/_order_owners.py
+++ b/src/chervilmill/callers/_order_owners.py
@@ -1,6 +1,7 @@
 """Pass orders on to the entry VM that records them."""
 
 import io
+import json
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -34,13 +35,16 @@
 class PassedOnAnswer:
     """Hold the answer of another entry VM on its way to the caller."""
 
-    def __init__(self, answer: Answer) -> None:
+    def __init__(self, answer: Answer, first: bytes) -> None:
         self._answer = answer
+        self._first = first
         self.status = answer.status
         self.headers = answer.headers
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the parts of the answer as they arrive."""
+        if self._first:
+            yield self._first
         yield from self._answer.chunks()
 
     def close(self) -> None:
@@ -51,7 +55,7 @@
 class OrderOwners:
     """Find the owner of an order among the entry VMs of the store's region and reach it.
 
-    An owner that cannot be reached or gives no answer is passed over for some seconds.
+    An owner that leaves, cannot be reached or gives no answer is passed over for some seconds.
     """
 
     def __init__(
@@ -87,9 +91,7 @@
         if owner is None or req.is_hop:
             return None
         try:
-            answer = self._peers.send(
-                owner, _passed(req, body, self._nodes_key), req.deadline_s - self._clock()
-            )
+            return self._send(owner, req, body)
         except TargetUnreachableError:
             self._avoid(owner)
             return None
@@ -98,7 +100,18 @@
             raise Refusal(
                 RefusalReason.ORDER_OUTCOME_UNKNOWN, Ran.UNKNOWN, str(exc), retry_after_ms=1000
             ) from exc
-        return PassedOnAnswer(answer)
+
+    def _send(self, owner: Vm, req: CallerRequest, body: bytes) -> PassedOnAnswer | None:
+        passed = _passed(req, body, self._nodes_key)
+        answer = self._peers.send(owner, passed, req.deadline_s - self._clock())
+        if answer.status != RefusalReason.ENTRY_LEAVING.status:
+            return PassedOnAnswer(answer, b"")
+        refusal = b"".join(answer.chunks())
+        if _reason(refusal) != RefusalReason.ENTRY_LEAVING.value:
+            return PassedOnAnswer(answer, refusal)
+        answer.close()
+        self._avoid(owner)
+        return None
 
     def _owner(self, key: OrderKey) -> Vm | None:
         by_name = {vm.name: vm for vm in self._owners()}
@@ -118,6 +131,15 @@
             self._avoided_until_s[owner.name] = self._clock() + AVOIDED_S
 
 
+def _reason(refusal: bytes) -> object:
+    """Return the reason of a refusal, or None where the body is no refusal."""
+    try:
+        fields = json.loads(refusal)
+    except ValueError:
+        return None
+    return fields.get("reason") if isinstance(fields, dict) else None
+
+
 def _passed(req: CallerRequest, body: bytes, nodes_key: str) -> TargetRequest:
     return TargetRequest(
         request_id=req.request_id,
--- a/src/chervilmill/callers/_orders.py
+++ b/src/chervilmill/callers/_orders.py
@@ -8,7 +8,8 @@
 from typing import Protocol
 
 from chervilmill.callers._answers import CallerAnswer, ForwardedAnswer
-from chervilmill.callers._attempts import Attempt, AttemptFailure, Attempts
+from chervilmill.callers._attempt import Attempt, AttemptFailure
+from chervilmill.callers._attempts import Attempts
 from chervilmill.callers._order_owners import OrderOwners
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
--- a/src/chervilmill/callers/_retries.py
+++ b/src/chervilmill/callers/_retries.py
@@ -9,7 +9,8 @@
 from dataclasses import replace
 
 from chervilmill.callers._answers import ForwardedAnswer
-from chervilmill.callers._attempts import Attempt, AttemptFailure, Attempts, body_of
+from chervilmill.callers._attempt import Attempt, AttemptFailure, body_of
+from chervilmill.callers._attempts import Attempts
 from chervilmill.callers._checked_body import CheckedBody
 from chervilmill.callers._request import CallerRequest
 from chervilmill.callers._services import ServiceBudget, ServiceParts
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -107,7 +107,7 @@
             self.ledger.shards,
         )
         self.in_flight = InFlight()
-        app = CallersApp(
+        self.app = CallersApp(
             settings,
             Lookups(self.directory, SimpleNamespace(place_regions=()), 5),
             Forwarder(retries, Orders(self.ledger, attempts, owners)),
@@ -115,7 +115,7 @@
             self.in_flight,
             self.metrics,
         )
-        self.server = HttpServer(settings.node.callers, app, threads=24)
+        self.server = HttpServer(settings.node.callers, self.app, threads=24)
         self.http = urllib3.HTTPConnectionPool(
             settings.node.callers.host, settings.node.callers.port, timeout=TIMEOUT_S, maxsize=16
         )
--- a/tests/callers/test_order_owners.py
+++ b/tests/callers/test_order_owners.py
@@ -33,6 +33,22 @@
         assert max(state.orders_run.values()) == 1
 
 
+def test_owner_that_leaves_is_done_without() -> None:
+    with running(entries=2) as (entries, [state]):
+        entries[1].app.refuses_new = True
+        for key in of_each_owner(entries, 16):
+            assert entries[0].order(key).status == 200
+        assert set(state.orders_run.values()) == {1}
+
+
+def test_refusal_of_an_owner_is_passed_on() -> None:
+    with running(entries=2) as (entries, [state]):
+        entries[0].ledger._store.is_down = True
+        answers = [entries[0].order(key) for key in of_each_owner(entries, 8)]
+        assert {resp.json()["reason"] for resp in answers} == {"order_records_unavailable"}
+        assert not state.requests
+
+
 def test_order_whose_owner_gave_no_answer_is_not_run_here_too(monkeypatch) -> None:
     with running(entries=2) as (entries, [state]):
         send = entries[0].client.send
