Tell all entry VMs that a target says it leaves

Each entry VM learnt of a leaving target by a request of its own, so such a target still got one request from each of them. The first entry VM to hear it tells the others, and targets that were silent for 2 s are probed by the entry VMs that have home slots there. A probe that says otherwise is believed at the third time only.

--- a/src/chervilmill/callers/__init__.py
+++ b/src/chervilmill/callers/__init__.py
@@ -6,6 +6,7 @@
 from chervilmill.callers._early import EarlyRefusalCounter
 from chervilmill.callers._forward import Forwarder
 from chervilmill.callers._in_flight import InFlight
+from chervilmill.callers._leaving_news import publish_leaving, receive_leaving
 from chervilmill.callers._links import Links
 from chervilmill.callers._lookup import LookupAnswer, Lookups
 from chervilmill.callers._order_owners import OrderOwners
@@ -36,5 +37,7 @@
     "ServiceParts",
     "build_services",
     "publish_crash",
+    "publish_leaving",
     "receive_crashes",
+    "receive_leaving",
 ]
--- a/src/chervilmill/callers/_places.py
+++ b/src/chervilmill/callers/_places.py
@@ -79,6 +79,7 @@
         node: str,
         region: str,
         rng: random.Random,
+        on_leaving: Callable[[str], None] = lambda _target: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.service = service
@@ -87,6 +88,7 @@
         self._node = node
         self._region = region
         self._rng = rng
+        self._on_leaving = on_leaving
         self._clock = clock
         self._policy = TargetPolicy(node)
         self._queue = AdmissionQueue()
@@ -125,9 +127,25 @@
             self._policy.read(target, reading, self._clock())
 
     def set_condition(self, target: str, condition: TargetCondition) -> None:
-        """Take in what a target states of itself."""
+        """Take in what a target states of itself in an answer."""
         with self._lock:
+            was_leaving = self._policy.is_leaving(target)
             self._policy.set_condition(target, condition, self._clock())
+        self._tell_leaving(target, was_leaving)
+
+    def set_probed_condition(self, target: str, condition: TargetCondition) -> None:
+        """Take in what a probe tells of a target."""
+        with self._lock:
+            was_leaving = self._policy.is_leaving(target)
+            self._policy.set_probed_condition(target, condition, self._clock())
+        self._tell_leaving(target, was_leaving)
+
+    def hear_leaving(self, target: str) -> None:
+        """Take in that another entry VM heard a target say that it leaves."""
+        with self._lock:
+            now_s = self._clock()
+            self._refresh(now_s)
+            self._policy.set_condition(target, TargetCondition.LEAVING, now_s)
 
     def probes_due(self) -> list[Vm]:
         """Return the targets to probe now."""
@@ -157,6 +175,10 @@
         """Return the number of requests that wait for a place."""
         return len(self._queue)
 
+    def _tell_leaving(self, target: str, was_leaving: bool) -> None:
+        if not was_leaving and self._policy.is_leaving(target):
+            self._on_leaving(target)
+
     def _take(self, wanted: Wanted, now_s: float) -> str | None:
         if wanted.only is not None and wanted.only not in self._by_name:
             return None
--- a/src/chervilmill/callers/_prober.py
+++ b/src/chervilmill/callers/_prober.py
@@ -1,4 +1,4 @@
-"""Probe targets that could not be reached or said that they leave, until they take work again."""
+"""Probe targets that could not be reached, said that they leave, or were silent for long."""
 
 import threading
 from collections.abc import Iterable
@@ -59,7 +59,7 @@
         try:
             condition = self._probes.probe(target)
             if condition is not None:
-                places.set_condition(target.name, condition)
+                places.set_probed_condition(target.name, condition)
             places.probed(target.name, condition is not None)
         finally:
             with self._lock:
--- a/src/chervilmill/callers/_services.py
+++ b/src/chervilmill/callers/_services.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 
 from chervilmill.callers._places import Places, ServiceTargets
 from chervilmill.callers._suspects import Reachable, Suspects
@@ -11,6 +12,7 @@
 from chervilmill.settings import Settings
 
 ServiceNewsListener = Callable[[str, CrashNews], None]
+LeavingListener = Callable[[str, str], None]
 
 
 class ServiceBudget:
@@ -36,6 +38,7 @@
     directory: ServiceTargets,
     is_reachable: Reachable,
     on_news: ServiceNewsListener,
+    on_leaving: LeavingListener,
     rng: random.Random,
 ) -> Mapping[str, ServiceParts]:
     """Return the parts of every service in the settings by its name."""
@@ -49,6 +52,7 @@
                 node.name,
                 node.region,
                 random.Random(rng.random()),
+                partial(on_leaving, service.name),
             ),
             suspects=Suspects(is_reachable, _named(service.name, on_news)),
             budget=ServiceBudget(),
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -21,7 +21,9 @@
     SteeredRequests,
     build_services,
     publish_crash,
+    publish_leaving,
     receive_crashes,
+    receive_leaving,
 )
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event
@@ -101,9 +103,15 @@
         self._watch = CallerWatch()
         self._targets = HttpTargets(_connections(settings), self._count_extra_bytes)
         self._services = build_services(
-            settings, self.directory, self._targets.is_reachable, self._on_crash, random.Random()
+            settings,
+            self.directory,
+            self._targets.is_reachable,
+            self._on_crash,
+            self._on_leaving,
+            random.Random(),
         )
         receive_crashes(self.nodes, self._services)
+        receive_leaving(self.nodes, self._services)
         self._prober = Prober([parts.places for parts in self._services.values()], self._targets)
         self._view = _NodeView(self.directory, settings.node.name)
         self._world = SteeringWorld(settings, self.directory)
@@ -266,6 +274,9 @@
     def _on_crash(self, service: str, news: CrashNews) -> None:
         publish_crash(self.nodes, service, news)
 
+    def _on_leaving(self, service: str, target: str) -> None:
+        publish_leaving(self.nodes, service, target)
+
 
 def _connections(settings: Settings) -> int:
     return max(service.connections_per_target for service in settings.services)
--- a/src/chervilmill/requests/_target_policy.py
+++ b/src/chervilmill/requests/_target_policy.py
@@ -128,8 +128,15 @@
         state.read(reading, now_s)
 
     def probes_due(self, now_s: float) -> list[str]:
-        """Return the targets that could not be reached and shall be probed now."""
-        return [name for name, state in self._states.items() if state.is_probe_due(now_s)]
+        """Return the targets to probe now.
+
+        Those are targets that could not be reached or leave, and silent ones with home slots here.
+        """
+        return [
+            name
+            for name, state in self._states.items()
+            if state.is_probe_due(now_s) or (name in self._home and state.is_silent(now_s))
+        ]
 
     def probed(self, name: str, is_reached: bool, now_s: float) -> None:
         """Take in the end of a probe."""
@@ -141,6 +148,15 @@
         if name in self._states:
             self._states[name].set_condition(condition, now_s)
 
+    def set_probed_condition(self, name: str, condition: TargetCondition, now_s: float) -> None:
+        """Take in what a probe tells of a target."""
+        if name in self._states:
+            self._states[name].set_probed_condition(condition, now_s)
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a target said that it leaves."""
+        return name in self._states and self._states[name].is_leaving
+
     def in_flight(self) -> Mapping[str, int]:
         """Return the attempts in flight by target."""
         return {name: state.in_flight for name, state in self._states.items()}
--- a/src/chervilmill/requests/_target_state.py
+++ b/src/chervilmill/requests/_target_state.py
@@ -19,6 +19,8 @@
 SHED_PAUSE_S = 0.05
 PIPELINED = 1.0
 LEAVING_PROBE_S = 5.0
+LIVE_PROBES = 3
+SILENCE_S = 2.0
 
 
 class AttemptEnd(Enum):
@@ -64,12 +66,15 @@
     avoid_until_s: float = 0.0
     is_leaving: bool = False
     needs_probe: bool = False
+    heard_s: float = field(init=False)
+    _live_probes: int = 0
     _others: int = 0
     _read_s: float = float("-inf")
     _limited_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.limit = float(self.slots)
+        self.heard_s = self.seen_s
         self._limited_s = self.seen_s
 
     def start(self) -> None:
@@ -84,6 +89,8 @@
         Where most targets fail, a failing one is no outlier and stays: `may_eject` is False.
         """
         self.in_flight -= 1
+        if end in (AttemptEnd.ANSWERED, AttemptEnd.SHED):
+            self.heard_s = now_s
         if end is AttemptEnd.ANSWERED:
             self._answered(latency_s)
         elif end is AttemptEnd.SHED:
@@ -150,9 +157,22 @@
             self.seen_s = now_s
         if condition is TargetCondition.LEAVING and not self.is_leaving:
             self.ejected_until_s = now_s + LEAVING_PROBE_S
+        self._live_probes = 0
         self.is_cold = condition is TargetCondition.COLD
         self.is_leaving = condition is TargetCondition.LEAVING
 
+    def set_probed_condition(self, condition: TargetCondition, now_s: float) -> None:
+        """Take in what a probe tells; it is believed slowly that a leaving target stays."""
+        if self.is_leaving and condition is not TargetCondition.LEAVING:
+            self._live_probes += 1
+            if self._live_probes < LIVE_PROBES:
+                return
+        self.set_condition(condition, now_s)
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether nothing was heard of the target for so long that it may be leaving."""
+        return not self.is_ejected(now_s) and now_s - self.heard_s > SILENCE_S
+
     def is_probe_due(self, now_s: float) -> bool:
         """Return whether a probe shall tell if the target takes work again."""
         return (self.needs_probe or self.is_leaving) and now_s >= self.ejected_until_s
@@ -160,10 +180,12 @@
     def probed(self, is_reached: bool, now_s: float) -> None:
         """Take in the end of a probe."""
         if is_reached:
+            self.heard_s = now_s
             self.needs_probe = False
             self.failures = 0
             self.ejected_until_s = now_s + (LEAVING_PROBE_S if self.is_leaving else 0.0)
             return
+        self.needs_probe = True
         self._eject(now_s)
 
     def _answered(self, latency_s: float | None) -> None:
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -26,7 +26,7 @@
 )
 from chervilmill.http import HttpServer
 from chervilmill.metrics import Metrics
-from chervilmill.nodes import link_resource
+from chervilmill.nodes import NewsItem, link_resource
 from chervilmill.platform import OrderLedger, Vm
 from chervilmill.reasons import DropReason
 from chervilmill.requests import CrashNews
@@ -68,6 +68,20 @@
         return self._units
 
 
+class LoopedNews:
+    """Carry news to the listeners of the same process."""
+
+    def __init__(self) -> None:
+        self.listeners: dict[str, list] = {}
+
+    def publish(self, topic: str, key: str, value: bytes, lifetime_s: float) -> None:
+        for listener in self.listeners.get(topic, []):
+            listener(NewsItem(topic, key, 1, int(1000 * lifetime_s), value))
+
+    def on_news(self, topic: str, listener) -> None:
+        self.listeners.setdefault(topic, []).append(listener)
+
+
 class Entry:
     """Hold one running entry VM and a client of it."""
 
@@ -80,6 +94,7 @@
         settings = check_settings(raw)
         self.metrics = Metrics()
         self.news: list[CrashNews] = []
+        self.leaving: list[str] = []
         self.watch = CallerWatch()
         self.ledger = OrderLedger(store)
         self.directory = FixedDirectory(entries, targets)
@@ -92,6 +107,7 @@
             self.directory,
             self.client.is_reachable,
             lambda _service, news: self.news.append(news),
+            lambda _service, target: self.leaving.append(target),
             random.Random(1),
         )
         self.prober = Prober([parts.places for parts in self.services.values()], self.client)
