Count on no queue at targets beyond their slots

Beyond its home slots an entry VM let one request more than the slots wait at a target. Several entry VMs did so at once, and with a failure domain lost the rest of its region stood over its slots. Now a target takes requests beyond the home slots only while it is thought to have a free one.

--- a/src/chervilmill/requests/_target_state.py
+++ b/src/chervilmill/requests/_target_state.py
@@ -17,7 +17,6 @@
 MAX_EJECTION_S = 30.0
 LATENCY_WEIGHT = 0.1
 SHED_PAUSE_S = 0.05
-PIPELINED = 1.0
 LEAVING_PROBE_S = 5.0
 LIVE_PROBES = 3
 SILENCE_S = 2.0
@@ -149,7 +148,7 @@
             return False
         if self.in_flight < home:
             return True
-        return self.occupancy(now_s, expected_others) * self.slots < self.slots + PIPELINED
+        return self.occupancy(now_s, expected_others) < 1.0
 
     def set_condition(self, condition: TargetCondition, now_s: float) -> None:
         """Take in what the target states of itself; its ramp begins where it says it is cold."""
