--- a/src/chervilmill/callers/_places.py
+++ b/src/chervilmill/callers/_places.py
@@ -131,12 +131,19 @@
             self._policy.read(target, reading, self._clock())
 
     def set_condition(self, target: str, condition: TargetCondition) -> None:
-        """Take in what a target states of itself."""
+        """Take in what a target states of itself in an answer."""
         with self._lock:
             begins_to_leave = self._policy.set_condition(target, condition, self._clock())
         if begins_to_leave:
             self._directory.report_leaving(target)
 
+    def set_probed_condition(self, target: str, condition: TargetCondition) -> None:
+        """Take in what a probe tells of a target."""
+        with self._lock:
+            begins_to_leave = self._policy.set_probed_condition(target, condition, self._clock())
+        if begins_to_leave:
+            self._directory.report_leaving(target)
+
     def probes_due(self) -> list[Vm]:
         """Return the targets to probe now."""
         with self._lock:
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -104,7 +104,11 @@
         self._watch = CallerWatch()
         self._targets = HttpTargets(_connections(settings), self._count_extra_bytes)
         self._services = build_services(
-            settings, self.directory, self._targets.is_reachable, self._on_crash, random.Random()
+            settings,
+            self.directory,
+            self._targets.is_reachable,
+            self._on_crash,
+            random.Random(),
         )
         receive_crashes(self.nodes, self._services)
         self._prober = Prober([parts.places for parts in self._services.values()], self._targets)
--- a/src/chervilmill/requests/_target_policy.py
+++ b/src/chervilmill/requests/_target_policy.py
@@ -128,8 +128,15 @@
         state.read(reading, now_s)
 
     def probes_due(self, now_s: float) -> list[str]:
-        """Return the targets that could not be reached and shall be probed now."""
-        return [name for name, state in self._states.items() if state.is_probe_due(now_s)]
+        """Return the targets to probe now.
+
+        Those are targets that could not be reached or leave, and silent ones with home slots here.
+        """
+        return [
+            name
+            for name, state in self._states.items()
+            if state.is_probe_due(now_s) or (name in self._home and state.is_silent(now_s))
+        ]
 
     def probed(self, name: str, is_reached: bool, now_s: float) -> None:
         """Take in the end of a probe."""
@@ -141,6 +148,11 @@
         state = self._states.get(name)
         return state is not None and state.set_condition(condition, now_s)
 
+    def set_probed_condition(self, name: str, condition: TargetCondition, now_s: float) -> bool:
+        """Take in what a probe tells of a target and return whether it began to leave."""
+        state = self._states.get(name)
+        return state is not None and state.set_probed_condition(condition, now_s)
+
     def in_flight(self) -> Mapping[str, int]:
         """Return the attempts in flight by target."""
         return {name: state.in_flight for name, state in self._states.items()}
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -26,7 +26,7 @@
 )
 from chervilmill.http import HttpServer
 from chervilmill.metrics import Metrics
-from chervilmill.nodes import link_resource
+from chervilmill.nodes import NewsItem, link_resource
 from chervilmill.platform import OrderLedger, Vm
 from chervilmill.reasons import DropReason
 from chervilmill.requests import CrashNews
@@ -72,6 +72,20 @@
         return self._units
 
 
+class LoopedNews:
+    """Carry news to the listeners of the same process."""
+
+    def __init__(self) -> None:
+        self.listeners: dict[str, list] = {}
+
+    def publish(self, topic: str, key: str, value: bytes, lifetime_s: float) -> None:
+        for listener in self.listeners.get(topic, []):
+            listener(NewsItem(topic, key, 1, int(1000 * lifetime_s), value))
+
+    def on_news(self, topic: str, listener) -> None:
+        self.listeners.setdefault(topic, []).append(listener)
+
+
 class Entry:
     """Hold one running entry VM and a client of it."""
 
@@ -111,7 +125,7 @@
             self.ledger.shards,
         )
         self.in_flight = InFlight()
-        app = CallersApp(
+        self.app = CallersApp(
             settings,
             Lookups(self.directory, SimpleNamespace(place_regions=()), 5),
             Forwarder(retries, Orders(self.ledger, attempts, owners)),
@@ -119,7 +133,7 @@
             self.in_flight,
             self.metrics,
         )
-        self.server = HttpServer(settings.node.callers, app, threads=24)
+        self.server = HttpServer(settings.node.callers, self.app, threads=24)
         self.http = urllib3.HTTPConnectionPool(
             settings.node.callers.host, settings.node.callers.port, timeout=TIMEOUT_S, maxsize=16
         )
--- a/tests/callers/test_retries.py
+++ b/tests/callers/test_retries.py
@@ -7,7 +7,13 @@
 from chervilmill.reasons import RetryReason
 from chervilmill.standins.store import retry_until
 from chervilmill.standins.target_server import AnswerFault
-from tests.callers.harness import SERVICE, TIMEOUT_S, Entry, in_thread, running
+from tests.callers.harness import (
+    SERVICE,
+    TIMEOUT_S,
+    Entry,
+    in_thread,
+    running,
+)
 
 
 def retries(entry: Entry, reason: RetryReason) -> float:
@@ -115,3 +121,13 @@
         for number in range(20):
             assert entry.get(f"/digest/{number}").status == 200
         assert states[0].requests <= 1
+
+
+def test_leaving_target_is_noticed_without_a_request() -> None:
+    with running(targets=2) as ([entry], states):
+        assert entry.get("/digest").status == 200
+        states[1].behave({"is_leaving": True})
+        requests = states[1].requests
+        assert retry_until(lambda: entry.directory.reported == ["target-1"], TIMEOUT_S)
+        assert [entry.get(f"/digest/{number}").status for number in range(12)] == [200] * 12
+        assert states[1].requests == requests
