Know an empty configuration at once, and count what a change costs

Cause: a node's first watch of an empty configuration waited 5 s, so its start took 5.8 s. The capacity row for changes gave the object past the state machine since the relays came, so no message was counted and the difference was clamped to 0. The rows of the platform client stood for a node alone, which reads the list as often as a whole fleet does. Change: the first watch does not wait; the row reads the change as a relay does and fails unless it reaches every node; the client's rows are divided by how much more rarely a node of 800 reads.

--- a/bench/capacity/_node_to_node.py
+++ b/bench/capacity/_node_to_node.py
@@ -7,7 +7,7 @@
 from bench.capacity._fit import Quantity, figures_of
 from bench.capacity._target import CHANGES_PER_DAY, NODES, REPLACEMENTS_PER_DAY
 from bench.nodes_network import Network, running_network
-from chervilmill.platform import CONFIGURATION_KIND, StoredObject
+from chervilmill.platform import CONFIGURATION_KIND, StoredObject, WatchResult
 
 ROLE = "node_to_node"
 NODE_SIZES = (50, 100, 200)
@@ -83,13 +83,19 @@
 
 
 def _change_bytes(network: Network, quiet_bytes_per_s: float) -> float:
-    """Return the bytes that one change costs all nodes beyond those of quiet times."""
+    """Return the bytes that one change costs all nodes beyond those of quiet times.
+
+    Raise RuntimeError where the change does not reach every node.
+    """
     network.reset_counts()
     node = next(iter(network.nodes.values()))
-    value = bytes(CHANGE_BYTES)
-    node.held.receive([StoredObject(CONFIGURATION_KIND, "intent/bench", 1, value)])
+    stored = StoredObject(CONFIGURATION_KIND, "intent/bench", 1, bytes(CHANGE_BYTES))
+    node.machine.read_configuration(WatchResult(1, (stored,), ()), network.now)
+    network.act(node)
     network.run(SPREAD_S)
-    return max(0.0, _sent_bytes(network) - quiet_bytes_per_s * SPREAD_S)
+    if any(one.held.snapshot().revision != 1 for one in network.nodes.values()):
+        raise RuntimeError(f"a change did not reach every node within {SPREAD_S} s")
+    return _sent_bytes(network) - quiet_bytes_per_s * SPREAD_S
 
 
 def _sent_bytes(network: Network) -> float:
--- a/bench/capacity/_platform_client.py
+++ b/bench/capacity/_platform_client.py
@@ -7,6 +7,7 @@
 from bench.capacity._fit import Quantity, figures_of
 from bench.capacity._probe import Probe, other_targets
 from bench.capacity._target import NODES, VMS
+from chervilmill.nodes._vms import read_interval_s
 
 SETTLE_S = 2.0
 WINDOW_S = 6.0
@@ -37,29 +38,29 @@
 CPU = Quantity(
     ROLE,
     "cpu",
-    "processor time of an idle node that reads for its peers",
+    "processor time of a node's readings of the list of VMs",
     "VMs in the list",
     VM_SIZES,
     VMS,
     "% of a core",
-    "refresh of the VM list",
+    "all nodes together read the list at a fixed rate",
     scale=100.0,
 )
 BYTES = Quantity(
     ROLE,
     "bytes",
-    "bytes between such a node and the platform",
+    "bytes between a node and the platform for those readings, as a mean",
     "VMs in the list",
     VM_SIZES,
     VMS,
     "KB/s",
-    "refresh of the VM list",
+    "all nodes together read the list at a fixed rate",
     scale=0.001,
 )
 MEMORY = Quantity(
     ROLE,
     "memory",
-    "memory of such a node",
+    "memory of a node that holds the list",
     "VMs in the list",
     VM_SIZES,
     VMS,
@@ -91,6 +92,12 @@
 
 
 def _costs(vms: int) -> tuple[float, float, float]:
+    """Return the processor time and bytes per second at the target, and the memory, of a node.
+
+    A node alone reads the list as often as a whole fleet does. Its costs are therefore divided by
+    how much more rarely one node of the target's fleet reads it.
+    """
+    rarer = read_interval_s(NODES) / read_interval_s(1)
     with Probe(1, other_targets(vms - 1)) as probe:
         (process,) = probe.processes
         time.sleep(SETTLE_S)
@@ -98,4 +105,4 @@
         time.sleep(WINDOW_S)
         cpu = (process.cpu_s() - cpu_s) / WINDOW_S
         rate = (probe.platform.bytes - sent) / WINDOW_S
-        return cpu, rate, float(process.memory_bytes())
+        return cpu / rarer, rate / rarer, float(process.memory_bytes())
--- a/src/chervilmill/nodes/_readers.py
+++ b/src/chervilmill/nodes/_readers.py
@@ -8,6 +8,7 @@
 from chervilmill.nodes._transport import Transport
 from chervilmill.platform import CONFIGURATION_KIND, ObjectStore, PlatformError, VmList, WatchResult
 
+FIRST_TIMEOUT_S = 0.0
 WATCH_TIMEOUT_S = 5.0
 RETRY_INTERVAL_S = 0.5
 RELAY_CHECK_S = 0.5
@@ -53,7 +54,11 @@
 
 
 class ConfigurationReader:
-    """Watch the configuration in a thread while this node is a relay of its failure domain."""
+    """Watch the configuration in a thread while this node is a relay of its failure domain.
+
+    The first reading does not wait for a change, so that a node also knows at once of a
+    configuration that is empty.
+    """
 
     def __init__(
         self, store: ObjectStore, transport: Transport, is_relay: Callable[[], bool]
@@ -62,6 +67,7 @@
         self._transport = transport
         self._is_relay = is_relay
         self._after = 0
+        self._timeout_s = FIRST_TIMEOUT_S
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="configuration", daemon=True)
 
@@ -77,13 +83,15 @@
         while not self._stopped.is_set():
             if not self._is_relay():
                 self._after = 0
+                self._timeout_s = FIRST_TIMEOUT_S
                 self._stopped.wait(RELAY_CHECK_S)
                 continue
             try:
-                seen = self._store.watch(CONFIGURATION_KIND, self._after, WATCH_TIMEOUT_S)
+                seen = self._store.watch(CONFIGURATION_KIND, self._after, self._timeout_s)
             except PlatformError:
                 self._stopped.wait(RETRY_INTERVAL_S)
                 continue
+            self._timeout_s = WATCH_TIMEOUT_S
             self._pass_on(seen)
 
     def _pass_on(self, seen: WatchResult) -> None:
--- /dev/null
+++ b/tests/nodes/test_readers.py
@@ -0,0 +1,44 @@
+"""Read the configuration without waiting first, and by waiting watches from then on."""
+
+from types import SimpleNamespace
+
+from chervilmill.nodes._readers import ConfigurationReader
+from chervilmill.platform import StoreUnavailableError, WatchResult
+
+
+class RecordingStore:
+    """Answer watches of an empty store and stop the reader after the last one."""
+
+    def __init__(self, outages: int) -> None:
+        self.timeouts_s: list[float] = []
+        self.reader: ConfigurationReader | None = None
+        self._outages = outages
+
+    def watch(self, kind: str, after_version: int, timeout_s: float) -> WatchResult:
+        self.timeouts_s.append(timeout_s)
+        if len(self.timeouts_s) <= self._outages:
+            raise StoreUnavailableError("down", step="watch objects", peer="store")
+        if len(self.timeouts_s) == self._outages + 2:
+            self.reader.stop()
+        return WatchResult(0, (), ())
+
+
+def timeouts(outages: int) -> tuple[list[float], int]:
+    store, passed_on = RecordingStore(outages), []
+    transport = SimpleNamespace(call=passed_on.append)
+    store.reader = ConfigurationReader(store, transport, lambda: True)
+    store.reader._run()
+    return store.timeouts_s, len(passed_on)
+
+
+def test_empty_configuration_is_known_after_the_first_call() -> None:
+    (first, second), passed_on = timeouts(outages=0)
+    assert first == 0
+    assert second > 0
+    assert passed_on == 2
+
+
+def test_first_answer_after_an_outage_does_not_wait_either() -> None:
+    waited, _ = timeouts(outages=1)
+    assert waited[:2] == [0, 0]
+    assert waited[2] > 0
