Remove a method of target states that nothing calls

Cause: occupancy took over the fading of old readings, and has_reading was left behind. Change: the method is gone; nothing else named it in the package, the tests or the benchmarks. Conclusion: behaviour is as before.

--- a/src/chervilmill/requests/_target_state.py
+++ b/src/chervilmill/requests/_target_state.py
@@ -105,10 +105,6 @@
         self._others = max(0, reading.in_flight - self.in_flight)
         self._read_s = now_s
 
-    def has_reading(self, now_s: float) -> bool:
-        """Return whether a young reading is there."""
-        return now_s - self._read_s < READING_LIFETIME_S
-
     def occupancy(self, now_s: float, expected_others: float) -> float:
         """Return the estimated requests at the target by its slots.
 
