--- a/bench/_lookup_node.py
+++ b/bench/_lookup_node.py
@@ -12,7 +12,7 @@
 from bench.fleet import _addresses as addresses
 from bench.fleet._processes import ROOT, Process
 from chervilmill.addresses import Address
-from chervilmill.platform import CONFIGURATION_KIND, Vm, VmRole, VmState
+from chervilmill.coordination import CONFIGURATION_KIND, Vm, VmRole, VmState
 from chervilmill.standins.platform_server import platform_server
 from chervilmill.standins.store import MemoryStore, retry_until
 
--- a/bench/capacity/_callers.py
+++ b/bench/capacity/_callers.py
@@ -11,7 +11,7 @@
 from bench.capacity._probe import Probe, other_targets
 from bench.capacity._target import LOOKUPS_PER_NODE_S, NODES
 from bench.fleet import _addresses as addresses
-from chervilmill.platform import Vm, VmRole, VmState
+from chervilmill.coordination import Vm, VmRole, VmState
 from chervilmill.standins.target_server import TargetState, target_server
 
 LOOKUPS = 400
--- a/bench/capacity/_node_to_node.py
+++ b/bench/capacity/_node_to_node.py
@@ -7,7 +7,7 @@
 from bench.capacity._fit import Quantity, figures_of
 from bench.capacity._target import CHANGES_PER_DAY, NODES, REPLACEMENTS_PER_DAY
 from bench.nodes_network import Network, running_network
-from chervilmill.platform import CONFIGURATION_KIND, StoredObject, WatchResult
+from chervilmill.coordination import CONFIGURATION_KIND, StoredObject, WatchResult
 
 ROLE = "node_to_node"
 NODE_SIZES = (50, 100, 200)
--- a/bench/capacity/_probe.py
+++ b/bench/capacity/_probe.py
@@ -15,7 +15,7 @@
 from bench.fleet import _addresses as addresses
 from chervilmill.addresses import Address
 from chervilmill.http import Environ, HttpServer, StartResponse
-from chervilmill.platform import Vm, VmRole, VmState
+from chervilmill.coordination import Vm, VmRole, VmState
 from chervilmill.standins.platform_server import PlatformApp
 from chervilmill.standins.store import MemoryStore, retry_until
 
--- a/bench/faults/_inject.py
+++ b/bench/faults/_inject.py
@@ -8,7 +8,7 @@
 from bench.checker import Disruption, PlannedStop, TargetLeaving, Trace
 from bench.faults._schedule import FaultKind, LeavingSign, PlannedFault
 from bench.fleet import Fleet
-from chervilmill.platform import CONFIGURATION_KIND, PlatformError, VmState
+from chervilmill.coordination import CONFIGURATION_KIND, PlatformError, VmState
 from chervilmill.standins.store import retry_until
 
 VM_LIST_LAG_S = 1.5
--- a/bench/faults/_run.py
+++ b/bench/faults/_run.py
@@ -25,7 +25,7 @@
 from bench.fleet import Fleet, FleetSize, Shape
 from bench.fleet.target import CRASH_EXIT_CODE
 from bench.load import Callers, Mix, PlannedRequest, offer, plan
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 
 CRASH_NUMBER = 1_000_000
 RESTART_AFTER_S = 0.5
--- a/bench/fleet/_platform.py
+++ b/bench/fleet/_platform.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from chervilmill.platform import StoredObject, StoreUnavailableError, Vm, WatchResult
+from chervilmill.coordination import StoredObject, StoreUnavailableError, Vm, WatchResult
 from chervilmill.standins.store import MemoryStore
 
 PARTED_WAIT_S = 1.2
--- a/bench/measures/_headroom.py
+++ b/bench/measures/_headroom.py
@@ -11,7 +11,7 @@
 from bench._rows import Figure
 from bench.fleet import Shape
 from chervilmill.addresses import Address
-from chervilmill.platform import Vm, VmRole, VmState
+from chervilmill.coordination import Vm, VmRole, VmState
 from chervilmill.settings import Service, check_settings
 from chervilmill.steering import SteeringWorld
 from chervilmill.steering._topology import Array, Topology
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -10,7 +10,7 @@
 from chervilmill.nodes._overlay import is_relay
 from chervilmill.nodes._readers import WATCH_TIMEOUT_S
 from chervilmill.nodes._vms import read_interval_s
-from chervilmill.platform import CONFIGURATION_KIND, StoredObject, WatchResult
+from chervilmill.coordination import CONFIGURATION_KIND, StoredObject, WatchResult
 
 LOSS = 0.01
 SIZES = {12: (3, 2), 800: (6, 3)}
--- a/bench/nodes_one.py
+++ b/bench/nodes_one.py
@@ -12,7 +12,7 @@
 from chervilmill.nodes._allotments import Caps
 from chervilmill.nodes._machine import NodeMachine
 from chervilmill.nodes._transport import Transport
-from chervilmill.platform import HeldConfiguration
+from chervilmill.coordination import HeldConfiguration
 
 NODES = 800
 REGIONS = 6
--- a/bench/nodes_processes.py
+++ b/bench/nodes_processes.py
@@ -33,7 +33,7 @@
 from chervilmill.nodes._news import REPORT_INTERVAL_S
 from chervilmill.nodes._overlay import neighbours
 from chervilmill.nodes._requester import REQUEST_INTERVAL_S
-from chervilmill.platform import CONFIGURATION_KIND
+from chervilmill.coordination import CONFIGURATION_KIND
 from chervilmill.standins.store import retry_until
 
 NODES = 800
--- a/bench/nodes_spreads.py
+++ b/bench/nodes_spreads.py
@@ -26,7 +26,7 @@
 )
 from chervilmill.nodes._overlay import is_relay, neighbours
 from chervilmill.nodes._readers import WATCH_TIMEOUT_S
-from chervilmill.platform import CONFIGURATION_KIND, HeldConfiguration, StoredObject
+from chervilmill.coordination import CONFIGURATION_KIND, HeldConfiguration, StoredObject
 
 HEARTBEAT_S = 0.8
 STORE_DELAY_S = 0.06
--- a/bench/requests/_orders.py
+++ b/bench/requests/_orders.py
@@ -8,7 +8,7 @@
 
 from bench._rows import Figure
 from bench.requests._world import Clock
-from chervilmill.platform import ORDER_SHARDS, ORDER_WRITES_PER_S
+from chervilmill.coordination import ORDER_SHARDS, ORDER_WRITES_PER_S
 from chervilmill.requests import (
     EMPTY_SHARD,
     Change,
--- a/bench/requests/_path.py
+++ b/bench/requests/_path.py
@@ -17,7 +17,7 @@
 from bench.fleet._processes import Process
 from bench.requests._running import entry_vm, start_entry, target_vm, wait_until_up
 from chervilmill.addresses import Address
-from chervilmill.platform._codec import vm_to_json
+from chervilmill.coordination._codec import vm_to_json
 
 HOST = 1
 TIMEOUT_S = 30.0
--- a/bench/requests/_running.py
+++ b/bench/requests/_running.py
@@ -10,7 +10,7 @@
 from bench.fleet._addresses import CALLERS_PORT, NODES_PORT, OPERATORS_PORT, address
 from bench.fleet._processes import ROOT, Process
 from chervilmill.addresses import Address
-from chervilmill.platform import Vm, VmRole, VmState
+from chervilmill.coordination import Vm, VmRole, VmState
 
 SERVICE = "souhrny"
 START_TIMEOUT_S = 30.0
--- /dev/null
+++ b/src/chervilmill/aio/_exchange.py
@@ -0,0 +1,88 @@
+"""Send small requests to one peer and return whole answers, reusing connections."""
+
+import asyncio
+from dataclasses import dataclass
+
+from chervilmill.addresses import Address
+from chervilmill.aio._client import ClientConnection, ExchangeError, connect
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_IDLE = 6
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Hold the status and the body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class WholeExchange:
+    """Exchange whole messages with one address."""
+
+    __slots__ = ("_address", "_idle")
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._idle: list[ClientConnection] = []
+
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> WholeAnswer:
+        """Return the whole answer; raise ConnectError or ExchangeError."""
+        conn: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                conn = await self._connection()
+                answer = await self._run(conn, method, path, body)
+        except TimeoutError as exc:
+            message = f"no answer in {timeout_s} s"
+            raise ExchangeError(message, step=method, peer=str(self._address)) from exc
+        finally:
+            self._put_back(conn)
+        return answer
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for conn in self._idle:
+            conn.abort()
+        self._idle.clear()
+
+    async def _connection(self) -> ClientConnection:
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            conn = self._idle.pop()
+            if not conn.is_lost and not conn.has_ended and now_s < conn.idle_until_s:
+                return conn
+            conn.abort()
+        return await connect(self._address, CONNECT_TIMEOUT_S)
+
+    async def _run(
+        self, conn: ClientConnection, method: str, path: str, body: bytes
+    ) -> WholeAnswer:
+        headers = [(b"host", str(self._address).encode())]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+            headers.append((b"content-length", str(len(body)).encode()))
+        await conn.send_head(method.encode(), path.encode(), headers)
+        if body:
+            await conn.send_part(body)
+        conn.end_body()
+        head = await conn.read_head()
+        parts: list[bytes] = []
+        size = 0
+        while (part := await conn.read_part()) is not None:
+            parts.append(part)
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise ExchangeError("answer too long", step=method, peer=str(self._address))
+        return WholeAnswer(head.status, b"".join(parts))
+
+    def _put_back(self, conn: ClientConnection | None) -> None:
+        if conn is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        if len(self._idle) < MAX_IDLE and conn.finish(now_s):
+            self._idle.append(conn)
+        else:
+            conn.abort()
--- a/src/chervilmill/callers/_attempt_run.py
+++ b/src/chervilmill/callers/_attempt_run.py
@@ -7,8 +7,8 @@
 from chervilmill.callers._links import Links
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._services import ServiceParts
+from chervilmill.coordination import Vm
 from chervilmill.metrics import Metrics
-from chervilmill.platform import Vm
 from chervilmill.reasons import DropReason, Ran, RefusalReason
 from chervilmill.requests import (
     AttemptEnd,
--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -12,8 +12,8 @@
 from chervilmill.callers._request import CallerRequest
 from chervilmill.callers._services import ServiceParts
 from chervilmill.callers._steered import SteeredRequests
+from chervilmill.coordination import Vm
 from chervilmill.metrics import Metrics
-from chervilmill.platform import Vm
 from chervilmill.reasons import Ran, RefusalReason
 from chervilmill.requests import Domains, Failure, priority_of
 from chervilmill.targets import Targets
--- a/src/chervilmill/callers/_lookup.py
+++ b/src/chervilmill/callers/_lookup.py
@@ -7,7 +7,7 @@
 from itertools import islice, zip_longest
 from typing import Protocol, TypeVar
 
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.steering import Whereabouts
 
 MAX_NEAR_ENTRIES = 4
--- a/src/chervilmill/callers/_order_owners.py
+++ b/src/chervilmill/callers/_order_owners.py
@@ -10,7 +10,7 @@
 from chervilmill.callers._hops import hop_headers
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.reasons import Ran, RefusalReason
 from chervilmill.requests import OrderKey, owner_of
 from chervilmill.targets import (
--- a/src/chervilmill/callers/_places.py
+++ b/src/chervilmill/callers/_places.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.requests import (
     AdmissionQueue,
     AttemptEnd,
--- a/src/chervilmill/callers/_prober.py
+++ b/src/chervilmill/callers/_prober.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from chervilmill.callers._places import Places
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.requests import TargetCondition
 
 INTERVAL_S = 0.1
--- a/src/chervilmill/callers/_steered.py
+++ b/src/chervilmill/callers/_steered.py
@@ -7,7 +7,7 @@
 
 from chervilmill.callers._refusal import Refusal
 from chervilmill.callers._request import CallerRequest
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.reasons import Ran, RefusalReason
 from chervilmill.requests import Domains
 from chervilmill.steering import PlaceChoice
--- a/src/chervilmill/callers/_suspects.py
+++ b/src/chervilmill/callers/_suspects.py
@@ -6,7 +6,7 @@
 
 from chervilmill.callers._places import Places
 from chervilmill.callers._refusal import Refusal
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.reasons import Ran, RefusalReason
 from chervilmill.requests import CrashNews, Limited, Quarantine, Quarantined
 
--- /dev/null
+++ b/src/chervilmill/coordination/__init__.py
@@ -0,0 +1,75 @@
+"""Talk to the platform: its object store and its list of VMs."""
+
+from chervilmill.coordination._client import HttpPlatform
+from chervilmill.coordination._configuration import (
+    CONFIGURATION_KIND,
+    EMPTY_CONFIGURATION,
+    Configuration,
+    ConfigurationSnapshot,
+    HeldConfiguration,
+    merge_objects,
+)
+from chervilmill.coordination._directory import LEAVING_PREFIX, Directory, EntryMembers
+from chervilmill.coordination._errors import (
+    PlatformError,
+    StoreUnavailableError,
+    VersionConflictError,
+    WriteUnsureError,
+)
+from chervilmill.coordination._fencing import (
+    FencedObject,
+    FencedOffError,
+    FencedValue,
+    MalformedObjectError,
+    decode_fenced,
+    encode_fenced,
+)
+from chervilmill.coordination._lease import LEASE_KIND, Clock, Lease, LeaseRecord, decode_lease
+from chervilmill.coordination._model import (
+    ObjectStore,
+    StoredObject,
+    Vm,
+    VmList,
+    VmRole,
+    VmState,
+    WatchResult,
+)
+from chervilmill.coordination._order_ledger import ORDER_SHARDS, ORDER_WRITES_PER_S, OrderLedger
+
+__all__ = [
+    "ORDER_SHARDS",
+    "ORDER_WRITES_PER_S",
+    "CONFIGURATION_KIND",
+    "Clock",
+    "EMPTY_CONFIGURATION",
+    "Configuration",
+    "ConfigurationSnapshot",
+    "Directory",
+    "EntryMembers",
+    "LEAVING_PREFIX",
+    "FencedObject",
+    "FencedOffError",
+    "FencedValue",
+    "HeldConfiguration",
+    "HttpPlatform",
+    "LEASE_KIND",
+    "Lease",
+    "LeaseRecord",
+    "MalformedObjectError",
+    "ObjectStore",
+    "OrderLedger",
+    "PlatformError",
+    "StoreUnavailableError",
+    "StoredObject",
+    "VersionConflictError",
+    "Vm",
+    "VmList",
+    "VmRole",
+    "VmState",
+    "WatchResult",
+    "WriteUnsureError",
+    "decode_fenced",
+    "decode_lease",
+    "encode_fenced",
+    "merge_objects",
+]
--- a/src/chervilmill/platform/_client.py
+++ b/src/chervilmill/coordination/_client.py
@@ -7,13 +7,13 @@
 import urllib3
 
 from chervilmill.addresses import Address
-from chervilmill.platform._codec import object_from_json, vm_from_json, watch_from_json
-from chervilmill.platform._errors import (
+from chervilmill.coordination._codec import object_from_json, vm_from_json, watch_from_json
+from chervilmill.coordination._errors import (
     StoreUnavailableError,
     VersionConflictError,
     WriteUnsureError,
 )
-from chervilmill.platform._model import StoredObject, Vm, WatchResult
+from chervilmill.coordination._model import StoredObject, Vm, WatchResult
 
 MAX_CONNECTIONS = 16
 WATCH_MARGIN_S = 2.0
--- a/src/chervilmill/platform/_codec.py
+++ b/src/chervilmill/coordination/_codec.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from chervilmill.addresses import parse_address
-from chervilmill.platform._model import StoredObject, Vm, VmRole, VmState, WatchResult
+from chervilmill.coordination._model import StoredObject, Vm, VmRole, VmState, WatchResult
 
 
 def object_to_json(stored: StoredObject) -> dict[str, Any]:
--- a/src/chervilmill/platform/_configuration.py
+++ b/src/chervilmill/coordination/_configuration.py
@@ -10,7 +10,7 @@
 from types import MappingProxyType
 from typing import Protocol
 
-from chervilmill.platform._model import StoredObject
+from chervilmill.coordination._model import StoredObject
 
 CONFIGURATION_KIND = "configuration"
 
--- a/src/chervilmill/platform/_directory.py
+++ b/src/chervilmill/coordination/_directory.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
-from chervilmill.platform._configuration import ConfigurationSnapshot
-from chervilmill.platform._model import Vm, VmRole, VmState
+from chervilmill.coordination._configuration import ConfigurationSnapshot
+from chervilmill.coordination._model import Vm, VmRole, VmState
 
 LEAVING_PREFIX = "leaving/"
 
--- a/src/chervilmill/platform/_fencing.py
+++ b/src/chervilmill/coordination/_fencing.py
@@ -4,9 +4,9 @@
 
 import cbor2
 
-from chervilmill.platform._errors import PlatformError, VersionConflictError, WriteUnsureError
-from chervilmill.platform._lease import Lease
-from chervilmill.platform._model import ObjectStore, StoredObject
+from chervilmill.coordination._errors import PlatformError, VersionConflictError, WriteUnsureError
+from chervilmill.coordination._lease import Lease
+from chervilmill.coordination._model import ObjectStore, StoredObject
 
 MAX_ATTEMPTS = 4
 
--- a/src/chervilmill/platform/_lease.py
+++ b/src/chervilmill/coordination/_lease.py
@@ -12,13 +12,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from chervilmill.platform._errors import (
+from chervilmill.coordination._errors import (
     PlatformError,
     StoreUnavailableError,
     VersionConflictError,
     WriteUnsureError,
 )
-from chervilmill.platform._model import ObjectStore
+from chervilmill.coordination._model import ObjectStore
 
 LEASE_KIND = "lease"
 MARGIN_FRACTION = 0.1
--- a/src/chervilmill/platform/_order_ledger.py
+++ b/src/chervilmill/coordination/_order_ledger.py
@@ -9,13 +9,13 @@
 import time
 from collections.abc import Callable
 
-from chervilmill.logs import log_problem
-from chervilmill.platform._errors import (
+from chervilmill.coordination._errors import (
     PlatformError,
     StoreUnavailableError,
     VersionConflictError,
 )
-from chervilmill.platform._model import ObjectStore
+from chervilmill.coordination._model import ObjectStore
+from chervilmill.logs import log_problem
 from chervilmill.requests import (
     Change,
     Claim,
--- a/src/chervilmill/daemon/_root.py
+++ b/src/chervilmill/daemon/_root.py
@@ -23,6 +23,13 @@
     publish_crash,
     receive_crashes,
 )
+from chervilmill.coordination import (
+    Directory,
+    HeldConfiguration,
+    HttpPlatform,
+    OrderLedger,
+    Vm,
+)
 from chervilmill.http import HttpServer
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
@@ -35,13 +42,6 @@
     SteeringRoutes,
     status_routes,
 )
-from chervilmill.platform import (
-    Directory,
-    HeldConfiguration,
-    HttpPlatform,
-    OrderLedger,
-    Vm,
-)
 from chervilmill.reasons import DropReason
 from chervilmill.requests import CrashNews
 from chervilmill.settings import Settings
--- /dev/null
+++ b/src/chervilmill/entry/_forward.py
@@ -0,0 +1,370 @@
+"""Take a caller's request to a final answer: route, place, send, and send again where allowed."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from chervilmill.aio import RequestHead, ServerConnection, header_value
+from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult, Outgoing
+from chervilmill.entry._body import ReplayBody
+from chervilmill.entry._pool import TargetPool
+from chervilmill.entry._site import Site
+from chervilmill.logs import log_event
+from chervilmill.metrics import Metrics
+from chervilmill.overload import (
+    Admission,
+    Asked,
+    CallerAges,
+    Candidate,
+    PlacementRequest,
+    Refused,
+    RetryShare,
+    Workload,
+)
+from chervilmill.platform import Bounds, RequestFacts, read_request, refusal_headers
+from chervilmill.reasons import RefusalReason, RetryReason
+from chervilmill.requests import RequestKind
+from chervilmill.routing import CallerLimits, Route, TrafficSplitter, find_route
+
+TIMEOUT_SLACK_S = 0.05  # for a target's own answer at its deadline to arrive
+OVERDUE = 3.0  # times what was expected, after which a repeatable request is sent elsewhere
+MIN_WORK_SHARE = 0.3  # of the usual work; what is below shows that the wait was overestimated
+MAX_TRIES = 4  # targets tried, with those that could not be reached
+UNKNOWN_RETURN_S = 0.5  # where this VM knows no configuration yet
+SHED_RETURN_S = 0.15  # where the chosen targets were full after all
+STOPPING_RETURN_S = 0.05  # another entry VM is ready at once
+
+_RETRY_REASONS = {
+    AttemptEnd.NOT_SENT: RetryReason.CONNECT_FAILED,
+    AttemptEnd.NOT_RUN: RetryReason.TARGET_SHED,
+    AttemptEnd.LOST: RetryReason.ANSWER_LOST,
+    AttemptEnd.SPOILED: RetryReason.ANSWER_LOST,
+}
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Hold a request on its way."""
+
+    caller: ServerConnection
+    facts: RequestFacts
+    outgoing: Outgoing
+    route: Route
+    service: str
+    began_s: float
+    deadline_s: float
+    age_s: float
+    tried: list[str] = field(default_factory=list)
+    sends: int = 0
+    may_have_run: bool = False
+    is_charged: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Refusal:
+    reason: RefusalReason
+    retry_after_s: float | None = None
+    detail: str = ""
+
+
+class Forwarder:
+    """Forward the requests of callers."""
+
+    def __init__(
+        self,
+        site: Site,
+        pool: TargetPool,
+        bounds: Bounds,
+        metrics: Metrics,
+        rng: random.Random,
+        live_vms: Callable[[], int],
+        is_view_fresh: Callable[[], bool],
+    ) -> None:
+        self._site = site
+        self._pool = pool
+        self._bounds = bounds
+        self._metrics = metrics
+        self._rng = rng
+        self._live_vms = live_vms
+        self._is_view_fresh = is_view_fresh
+        self._splitter = TrafficSplitter()
+        self._ages = CallerAges()
+        self._retries: dict[str, RetryShare] = {}
+        self._sequence = 0
+        self.is_stopping = False
+
+    async def __call__(self, caller: ServerConnection, head: RequestHead) -> None:
+        """Answer one request."""
+        began_s = asyncio.get_running_loop().time()
+        facts = read_request(head.headers)
+        found = self._route(head)
+        if isinstance(found, _Refusal):
+            await self._refuse(caller, facts, "", found, began_s)
+            return
+        progress = self._begin(caller, head, facts, found, began_s)
+        limit_s = progress.deadline_s + TIMEOUT_SLACK_S - began_s
+        try:
+            async with asyncio.timeout(limit_s):
+                refusal = await self._run(progress)
+        except TimeoutError:
+            refusal = _Refusal(RefusalReason.DEADLINE_EXCEEDED)
+        except asyncio.CancelledError:
+            self._log_end(progress, "caller gone", 0)
+            raise
+        if refusal is None:
+            return
+        if caller.has_begun_answer:
+            self._log_end(progress, "answer broken off", 0)
+            caller.abort()
+            return
+        await self._refuse(caller, facts, progress.service, refusal, began_s, progress.tried)
+
+    def _route(self, head: RequestHead) -> Route | _Refusal:
+        cfg = self._site.view.configuration
+        if self.is_stopping:
+            return _Refusal(RefusalReason.ENTRY_LEAVING, STOPPING_RETURN_S)
+        if cfg is None:
+            return _Refusal(RefusalReason.UNKNOWN_SERVICE, UNKNOWN_RETURN_S, "no configuration")
+        host = (header_value(head.headers, b"host") or b"").decode("latin-1")
+        path = head.target.split(b"?", 1)[0].decode("latin-1")
+        route = find_route(cfg.routes, host, path)
+        if route is None and not self._is_view_fresh():
+            return _Refusal(RefusalReason.UNKNOWN_SERVICE, UNKNOWN_RETURN_S, "stale configuration")
+        if route is None:
+            return _Refusal(RefusalReason.UNKNOWN_PATH)
+        length = header_value(head.headers, b"content-length")
+        if length is not None and int(length) > cfg.limits.body_bytes:
+            return _Refusal(RefusalReason.BODY_TOO_LARGE)
+        return route
+
+    def _begin(
+        self,
+        caller: ServerConnection,
+        head: RequestHead,
+        facts: RequestFacts,
+        route: Route,
+        began_s: float,
+    ) -> _Progress:
+        cfg = self._site.view.configuration
+        limits = cfg.limits if cfg else CallerLimits()
+        patience_s = facts.patience_s if facts.patience_s is not None else route.timeout_s
+        service = self._splitter.pick(route.name, route.split)
+        self._retry_share(service).receive()
+        self._site.fleet.receive()
+        self._sequence += 1
+        return _Progress(
+            caller=caller,
+            facts=facts,
+            outgoing=Outgoing(head, facts, ReplayBody(caller, head, limits.body_bytes)),
+            route=route,
+            service=service,
+            began_s=began_s,
+            deadline_s=began_s + min(patience_s, route.timeout_s),
+            age_s=self._ages.age_s(route.name, patience_s),
+        )
+
+    async def _run(self, progress: _Progress) -> _Refusal | None:
+        """Return None once the caller has its answer."""
+        last: AttemptResult | None = None
+        for _ in range(MAX_TRIES):
+            now_s = asyncio.get_running_loop().time()
+            decision = self._site.fleet.place(self._asked(progress, now_s), self._site.view, now_s)
+            if isinstance(decision, Refused):
+                return self._failed(progress, last, decision.retry_after_s, decision.expected_s)
+            last = await self._send(progress, decision.candidate)
+            if last.end is AttemptEnd.ANSWERED:
+                self._log_end(progress, "answered", last.status)
+                return None
+            if not self._may_repeat(progress, last):
+                break
+            self._metrics.count_retry(progress.service, _RETRY_REASONS[last.end])
+        return self._failed(progress, last, SHED_RETURN_S)
+
+    def _asked(self, progress: _Progress, now_s: float) -> Asked:
+        route = progress.route
+        key = progress.facts.affinity if route.has_affinity else ""
+        return Asked(
+            service=progress.service,
+            placement=PlacementRequest(_workload(progress), key),
+            admission=Admission(
+                objective_s=route.objective_s,
+                age_s=progress.age_s + (now_s - progress.began_s),
+                time_left_s=progress.deadline_s - now_s,
+                priority=route.priority,
+                is_work_known=self._site.fleet.times.is_trusted(_workload(progress)),
+            ),
+            home_regions=route.home_regions,
+            spread=self._rng.random(),
+            excluded=frozenset(progress.tried),
+        )
+
+    async def _send(self, progress: _Progress, candidate: Candidate) -> AttemptResult:
+        record = candidate.record
+        key = progress.facts.affinity if progress.route.has_affinity else ""
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        serial = self._site.fleet.start(candidate, key, sent_s)
+        progress.tried.append(record.target.name)
+        left_s = progress.deadline_s - sent_s
+        round_trip_s = self._site.fleet.round_trips_s.get(record.target.failure_domain, 0.0)
+        attempt = Attempt(progress.caller, progress.outgoing, self._pool, record.target)
+        running = asyncio.create_task(attempt.run(max(0.001, left_s - round_trip_s / 2)))
+        try:
+            await asyncio.wait({running}, timeout=self._patience_s(progress, candidate, left_s))
+            if running.done() or not self._may_leave(progress):
+                result = await running
+            else:
+                result = AttemptResult(AttemptEnd.LOST, detail="no answer in time")
+        finally:
+            record.end(serial)
+            if not running.done():
+                running.cancel()
+                await asyncio.gather(running, return_exceptions=True)
+        self._learn(progress, candidate, result, loop.time() - sent_s)
+        return result
+
+    def _patience_s(self, progress: _Progress, candidate: Candidate, left_s: float) -> float | None:
+        """Return how long to wait for one target, or None to wait until the deadline."""
+        is_last = progress.sends + 1 >= progress.route.max_attempts
+        if progress.route.kind is not RequestKind.IDEMPOTENT or is_last:
+            return None
+        wait_s = max(OVERDUE * candidate.finish_s, progress.route.objective_s)
+        return wait_s if left_s > wait_s + candidate.finish_s else None
+
+    def _may_leave(self, progress: _Progress) -> bool:
+        """Return whether an overdue request may be sent elsewhere, and charge the budget."""
+        now_s = asyncio.get_running_loop().time()
+        if progress.caller.has_begun_answer or not progress.outgoing.body.can_replay:
+            return False
+        progress.is_charged = self._retry_share(progress.service).take(self._live_vms(), now_s)
+        return progress.is_charged
+
+    def _learn(
+        self, progress: _Progress, candidate: Candidate, result: AttemptResult, took_s: float
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        record, fleet = candidate.record, self._site.fleet
+        if result.end is not AttemptEnd.NOT_SENT:
+            progress.sends += 1
+        if not result.proves_not_run:
+            progress.may_have_run = True
+        if result.connect_s is not None:
+            fleet.learn_round_trip(record.target.failure_domain, result.connect_s)
+        if result.load is not None:
+            record.learn_load(result.load.running + result.load.waiting, now_s)
+        is_good = result.end is AttemptEnd.ANSWERED and result.status < 500
+        record.learn_failure(now_s, has_failed=not is_good)
+        if result.end is AttemptEnd.NOT_SENT or result.status == 421:
+            record.eject(now_s)
+        if not is_good:
+            log_event(
+                "attempt failed",
+                step="send",
+                request=progress.facts.request_id,
+                target=record.target.name,
+                end=result.end.value,
+                status=result.status,
+                detail=result.detail,
+                took_s=round(took_s, 4),
+            )
+            return
+        self._learn_work(_workload(progress), candidate, took_s, now_s)
+
+    def _learn_work(
+        self, work: Workload, candidate: Candidate, took_s: float, now_s: float
+    ) -> None:
+        fleet, record = self._site.fleet, candidate.record
+        way_s = candidate.finish_s - candidate.wait_s - candidate.work_s
+        usual_s = fleet.times.expected_s(work, is_held=candidate.is_held)
+        work_s = max(took_s - way_s - candidate.wait_s, MIN_WORK_SHARE * usual_s)
+        record.learn_work(work_s, work_s / usual_s if candidate.is_held else None, now_s)
+        fleet.times.learn(work, work_s / record.slowness(now_s), is_held=candidate.is_held)
+
+    def _may_repeat(self, progress: _Progress, result: AttemptResult) -> bool:
+        """Return whether a failed request may be sent to a further target."""
+        if result.end is AttemptEnd.BROKEN_OFF or progress.caller.has_begun_answer:
+            return False
+        if not result.proves_not_run and progress.route.kind is not RequestKind.IDEMPOTENT:
+            return False
+        if not progress.outgoing.body.can_replay:
+            return False
+        if result.end is AttemptEnd.NOT_SENT:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        if progress.sends >= progress.route.max_attempts or progress.deadline_s <= now_s:
+            return False
+        if progress.is_charged:
+            progress.is_charged = False
+            return True
+        return self._retry_share(progress.service).take(self._live_vms(), now_s)
+
+    def _failed(
+        self,
+        progress: _Progress,
+        last: AttemptResult | None,
+        retry_after_s: float,
+        expected_s: float | None = None,
+    ) -> _Refusal:
+        """Return the final answer to a request that no target answered."""
+        detail = last.detail if last else ""
+        if progress.may_have_run:
+            return _Refusal(RefusalReason.TARGET_FAILED, detail=detail)
+        reason = RefusalReason.TARGETS_BUSY if last is None else RefusalReason.NO_TARGET
+        if last is None:
+            left_s = progress.deadline_s - asyncio.get_running_loop().time()
+            detail = f"expected in {expected_s} s, left {left_s:.3f} s, age {progress.age_s:.3f} s"
+        return _Refusal(reason, retry_after_s, detail)
+
+    async def _refuse(
+        self,
+        caller: ServerConnection,
+        facts: RequestFacts,
+        service: str,
+        refusal: _Refusal,
+        began_s: float,
+        tried: list[str] | None = None,
+    ) -> None:
+        status = refusal.reason.status
+        if refusal.reason is RefusalReason.UNKNOWN_SERVICE:
+            status = 503
+        self._metrics.count_refusal(service, refusal.reason)
+        log_event(
+            "request refused",
+            step="answer",
+            request=facts.request_id,
+            service=service,
+            reason=refusal.reason.value,
+            status=status,
+            retry_after_s=refusal.retry_after_s,
+            tried=tried or [],
+            detail=refusal.detail,
+            took_s=round(asyncio.get_running_loop().time() - began_s, 4),
+        )
+        await caller.answer(status, refusal_headers(refusal.retry_after_s), b"")
+
+    def _log_end(self, progress: _Progress, event: str, status: int) -> None:
+        took_s = asyncio.get_running_loop().time() - progress.began_s
+        self._metrics.latency.labels(progress.service).observe(took_s)
+        log_event(
+            event,
+            step="answer",
+            request=progress.facts.request_id,
+            service=progress.service,
+            route=progress.route.name,
+            status=status,
+            tried=progress.tried,
+            took_s=round(took_s, 4),
+        )
+
+    def _retry_share(self, service: str) -> RetryShare:
+        share = self._retries.get(service)
+        if share is None:
+            bounds = self._bounds
+            share = RetryShare(bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s)
+            self._retries[service] = share
+        return share
+
+
+def _workload(progress: _Progress) -> Workload:
+    return Workload(progress.service, progress.route.name, progress.route.objective_s)
--- /dev/null
+++ b/src/chervilmill/entry/main.py
@@ -0,0 +1,40 @@
+"""Run an entry VM with the settings that the platform renders."""
+
+import asyncio
+import os
+import sys
+from enum import IntEnum
+from pathlib import Path
+
+from chervilmill.entry._root import EntryVm
+from chervilmill.logs import log_problem, set_up_logs
+from chervilmill.platform import SETTINGS_VARIABLE, EntrySettings, SettingsError, read_settings
+
+
+class ExitCode(IntEnum):
+    """List the exit codes of an entry VM."""
+
+    STOPPED = 0
+    WRONG_SETTINGS = 2
+    CANNOT_START = 3
+
+
+def main() -> int:
+    """Run one entry VM until it is told to stop and return an exit code."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = read_settings(path)
+    except SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return ExitCode.WRONG_SETTINGS
+    set_up_logs(settings.name, stream=sys.stdout)
+    try:
+        asyncio.run(_run(settings, path))
+    except OSError as exc:
+        log_problem("cannot start", step="bind", peer=settings.host, error=str(exc))
+        return ExitCode.CANNOT_START
+    return ExitCode.STOPPED
+
+
+async def _run(settings: EntrySettings, path: Path) -> None:
+    await EntryVm(settings, path).run()
--- a/src/chervilmill/logs.py
+++ b/src/chervilmill/logs.py
@@ -5,6 +5,7 @@
 import sys
 import time
 from collections.abc import Callable
+from typing import TextIO
 
 from absl import logging as absl_logging
 
@@ -35,12 +36,14 @@
         return json.dumps(line, default=str)
 
 
-def set_up_logs(node: str, revision: RevisionSource | None = None) -> None:
-    """Send every log line of this process to standard error as one JSON object.
+def set_up_logs(
+    node: str, revision: RevisionSource | None = None, stream: TextIO | None = None
+) -> None:
+    """Send every log line of this process to a stream as one JSON object, by default to stderr.
 
     Each line names the node and the revision of the configuration that it decided on.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(_JsonFormatter(node, revision))
     root = logging.getLogger()
     for old in list(root.handlers):
--- a/src/chervilmill/nodes/_allotter_lease.py
+++ b/src/chervilmill/nodes/_allotter_lease.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Callable
 
-from chervilmill.platform import Lease, ObjectStore
+from chervilmill.coordination import Lease, ObjectStore
 
 LEASE_NAME = "allotter"
 DURATION_S = 60.0
--- a/src/chervilmill/nodes/_configuration.py
+++ b/src/chervilmill/nodes/_configuration.py
@@ -9,6 +9,7 @@
 
 import xxhash
 
+from chervilmill.coordination import CONFIGURATION_KIND, HeldConfiguration, StoredObject
 from chervilmill.nodes._actions import Outbox
 from chervilmill.nodes._messages import (
     ConfigurationEnd,
@@ -19,7 +20,6 @@
     ConfigurationPull,
     ObjectVersion,
 )
-from chervilmill.platform import CONFIGURATION_KIND, HeldConfiguration, StoredObject
 
 PUSHED_BYTES = 1024
 PAGE_BYTES = 256 * 1024
--- a/src/chervilmill/nodes/_machine.py
+++ b/src/chervilmill/nodes/_machine.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from chervilmill.coordination import HeldConfiguration, Vm, VmRole, WatchResult
 from chervilmill.nodes import _messages as messages
 from chervilmill.nodes._actions import Action, Outbox
 from chervilmill.nodes._allotments import NO_CAPS, Allotments, AllotterEpoch, Caps, nobody
@@ -13,7 +14,6 @@
 from chervilmill.nodes._messages import Heartbeat, Member, MembersPull, Message, VmChanges
 from chervilmill.nodes._news import LoadSpread, NewsSpread
 from chervilmill.nodes._vms import VmSpread
-from chervilmill.platform import HeldConfiguration, Vm, VmRole, WatchResult
 
 HEARTBEAT_INTERVAL_S = 0.8
 ROLE_HEARTBEAT_INTERVAL_S = 30.0
--- a/src/chervilmill/nodes/_readers.py
+++ b/src/chervilmill/nodes/_readers.py
@@ -5,8 +5,14 @@
 import time
 from collections.abc import Callable
 
+from chervilmill.coordination import (
+    CONFIGURATION_KIND,
+    ObjectStore,
+    PlatformError,
+    VmList,
+    WatchResult,
+)
 from chervilmill.nodes._transport import Transport
-from chervilmill.platform import CONFIGURATION_KIND, ObjectStore, PlatformError, VmList, WatchResult
 
 FIRST_TIMEOUT_S = 0.0
 WATCH_TIMEOUT_S = 5.0
--- a/src/chervilmill/nodes/_service.py
+++ b/src/chervilmill/nodes/_service.py
@@ -7,6 +7,15 @@
 from dataclasses import dataclass
 
 from chervilmill.addresses import parse_address
+from chervilmill.coordination import (
+    Directory,
+    EntryMembers,
+    HeldConfiguration,
+    HttpPlatform,
+    Vm,
+    VmRole,
+    VmState,
+)
 from chervilmill.metrics import Metrics
 from chervilmill.nodes._allotments import Caps
 from chervilmill.nodes._allotter_lease import AllotterLease
@@ -18,15 +27,6 @@
 from chervilmill.nodes._readers import ConfigurationReader, ListReader
 from chervilmill.nodes._transport import Transport
 from chervilmill.nodes._vms import read_interval_s
-from chervilmill.platform import (
-    Directory,
-    EntryMembers,
-    HeldConfiguration,
-    HttpPlatform,
-    Vm,
-    VmRole,
-    VmState,
-)
 from chervilmill.settings import Link, Node, Settings
 
 JOIN_PATIENCE_S = 2.0
--- a/src/chervilmill/nodes/_vms.py
+++ b/src/chervilmill/nodes/_vms.py
@@ -11,9 +11,9 @@
 from dataclasses import replace
 
 from chervilmill.addresses import parse_address
+from chervilmill.coordination import Vm, VmRole, VmState
 from chervilmill.nodes._actions import Outbox
 from chervilmill.nodes._messages import VmChanges, VmEntry, VmsPull
-from chervilmill.platform import Vm, VmRole, VmState
 
 LIST_LAG_S = 10.0
 SIGN_LIFETIME_S = 600.0
--- a/src/chervilmill/operators/_leaving.py
+++ b/src/chervilmill/operators/_leaving.py
@@ -8,9 +8,9 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
+from chervilmill.coordination import CONFIGURATION_KIND, ObjectStore, VmList, WriteUnsureError
 from chervilmill.logs import log_event
 from chervilmill.operators._router import OperatorRefusal, OperatorRequest, OperatorResponse, Route
-from chervilmill.platform import CONFIGURATION_KIND, ObjectStore, VmList, WriteUnsureError
 
 LEAVING_PREFIX = "leaving/"
 
--- a/src/chervilmill/operators/_router.py
+++ b/src/chervilmill/operators/_router.py
@@ -9,10 +9,10 @@
 from typing import Any
 from urllib.parse import parse_qsl, unquote
 
+from chervilmill.coordination import StoreUnavailableError, VersionConflictError, WriteUnsureError
 from chervilmill.errors import ChervilmillError
 from chervilmill.http import Environ, StartResponse, close_connection
 from chervilmill.logs import log_event
-from chervilmill.platform import StoreUnavailableError, VersionConflictError, WriteUnsureError
 
 JSON_TYPE = "application/json"
 MAX_BODY_BYTES = 1024**2
--- a/src/chervilmill/operators/_steering.py
+++ b/src/chervilmill/operators/_steering.py
@@ -5,15 +5,15 @@
 from http import HTTPStatus
 from typing import Any
 
-from chervilmill.logs import log_event
-from chervilmill.metrics import Metrics
-from chervilmill.operators._router import OperatorRefusal, OperatorRequest, OperatorResponse, Route
-from chervilmill.platform import (
+from chervilmill.coordination import (
     CONFIGURATION_KIND,
     ConfigurationSnapshot,
     ObjectStore,
     WriteUnsureError,
 )
+from chervilmill.logs import log_event
+from chervilmill.metrics import Metrics
+from chervilmill.operators._router import OperatorRefusal, OperatorRequest, OperatorResponse, Route
 from chervilmill.settings import Settings
 from chervilmill.steering import (
     Confirmer,
--- /dev/null
+++ b/src/chervilmill/peers/_digest.py
@@ -0,0 +1,54 @@
+"""Encode what entry VMs tell each other in one datagram, as CBOR."""
+
+from dataclasses import dataclass
+
+import cbor2
+
+from chervilmill.errors import ChervilmillError
+
+MAX_DIGEST_BYTES = 64 * 1024
+
+
+class MalformedDigestError(ChervilmillError):
+    """Report a datagram that is not a digest."""
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatEntry:
+    """Hold the last heartbeat known of one VM.
+
+    `key` is the VM's, `incarnation` counts its lifetimes and `counter` its rounds in this one.
+    """
+
+    key: int
+    incarnation: int
+    counter: int
+    is_serving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """Hold heartbeats and, by kind of object, the store revision up to which the sender knows."""
+
+    sender: int
+    heartbeats: tuple[HeartbeatEntry, ...]
+    revisions: dict[str, int]
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        rows = [[one.key, one.incarnation, one.counter, one.is_serving] for one in self.heartbeats]
+        return cbor2.dumps([self.sender, rows, self.revisions])
+
+
+def decode_digest(data: bytes, peer: str) -> Digest:
+    """Return the digest in a datagram, or raise MalformedDigestError."""
+    try:
+        sender, rows, revisions = cbor2.loads(data)
+        heartbeats = tuple(
+            HeartbeatEntry(int(key), int(incarnation), int(counter), bool(is_serving))
+            for key, incarnation, counter, is_serving in rows
+        )
+        known = {str(kind): int(revision) for kind, revision in revisions.items()}
+        return Digest(int(sender), heartbeats, known)
+    except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as exc:
+        raise MalformedDigestError(repr(exc), step="read digest", peer=peer) from exc
--- /dev/null
+++ b/src/chervilmill/peers/_endpoint.py
@@ -0,0 +1,90 @@
+"""Exchange digests with other entry VMs over UDP."""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from chervilmill.addresses import Address
+from chervilmill.errors import ChervilmillError
+from chervilmill.logs import log_problem
+from chervilmill.peers._digest import Digest, decode_digest
+from chervilmill.peers._membership import Membership
+
+ROUND_S = 0.5  # six rounds fit the time after which a silent VM counts as dead
+LEAVING_REPEATS = 3  # datagrams are lost occasionally
+
+
+class GossipEndpoint(asyncio.DatagramProtocol):
+    """Tell a few peers a round what this VM knows, and take in what they tell."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        port: int,
+        revisions: Callable[[], dict[str, int]],
+        on_digest: Callable[[Digest], None],
+    ) -> None:
+        self._membership = membership
+        self._port = port
+        self._revisions = revisions
+        self._on_digest = on_digest
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, host: str) -> None:
+        """Bind the port, or raise OSError."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, self._port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the bound transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | int, ...]) -> None:
+        """Take in a digest; anything else is dropped with a log line."""
+        try:
+            digest = decode_digest(data, str(addr[0]))
+        except ChervilmillError as exc:
+            log_problem("datagram dropped", step=exc.step, peer=exc.peer, reason=exc.message)
+            return
+        self._membership.receive(digest, asyncio.get_running_loop().time())
+        self._on_digest(digest)
+
+    def error_received(self, exc: Exception) -> None:
+        """Note an undeliverable datagram; the peer's silence tells the rest."""
+        log_problem("datagram not delivered", step="gossip", peer="udp", error=str(exc))
+
+    async def run(self) -> None:
+        """Gossip until cancelled."""
+        while True:
+            self._membership.beat()
+            self._tell()
+            await asyncio.sleep(ROUND_S)
+
+    async def tell_leaving(self) -> None:
+        """Tell every live peer that this VM leaves."""
+        self._membership.serve(False)
+        for _ in range(LEAVING_REPEATS):
+            self._membership.beat()
+            self._tell(to_all=True)
+            await asyncio.sleep(ROUND_S / LEAVING_REPEATS)
+
+    def tell_now(self, address: Address) -> None:
+        """Tell one address at once, such as a seed that is not registered here yet."""
+        self._send(self._digest().encode(), address.host)
+
+    def _digest(self) -> Digest:
+        now_s = asyncio.get_running_loop().time()
+        return self._membership.digest(self._revisions(), now_s)
+
+    def _tell(self, *, to_all: bool = False) -> None:
+        now_s = asyncio.get_running_loop().time()
+        receivers = self._membership.receivers(now_s, to_all=to_all)
+        if not receivers:
+            return
+        data = self._digest().encode()
+        for peer in receivers:
+            self._send(data, peer.host)
+
+    def _send(self, data: bytes, host: str) -> None:
+        if self._transport is not None:
+            self._transport.sendto(data, (host, self._port))
--- /dev/null
+++ b/src/chervilmill/platform/_settings.py
@@ -0,0 +1,124 @@
+"""Read the settings that the platform renders for a process.
+
+The deploy file's template renders all fields as one JSON object under the platform's names.
+Fields that are not read here are ignored, as the platform may add some.
+"""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from chervilmill.addresses import Address, parse_address
+from chervilmill.errors import ChervilmillError
+
+SETTINGS_VARIABLE = "CHERVILMILL_SETTINGS"
+
+
+class SettingsError(ChervilmillError):
+    """Report settings that a process cannot run with."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold the bounds that the platform's operators state; times are in seconds."""
+
+    drain_s: float
+    stop_grace_s: float
+    configuration_s: float
+    stable_window_s: float
+    max_lookup_ttl_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_extra: float
+    cold_overshoot: float
+    cold_slack: float
+    max_region_shift: float
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Hold what one entry VM learns from its settings.
+
+    `regions` maps each failure domain to its region. `seeds` are peers that may be out of date.
+    """
+
+    name: str
+    host: str
+    failure_domain: str
+    regions: dict[str, str]
+    callers: Address
+    lookups: Address
+    readiness: Address
+    peers: Address
+    gossip_port: int
+    metrics_port: int
+    seeds: tuple[Address, ...]
+    store: Address
+    target_heartbeat_s: float
+    max_descriptors: int
+    memory_mb: float
+    link_mbps: float
+    cpu_cores: float
+    bounds: Bounds
+
+    @property
+    def region(self) -> str:
+        """Return the region of this VM."""
+        return self.regions[self.failure_domain]
+
+
+def read_settings(path: Path) -> EntrySettings:
+    """Return the settings in a file, or raise SettingsError naming the field."""
+    try:
+        return _settings(json.loads(path.read_text(encoding="utf-8")))
+    except KeyError as exc:
+        raise _problem(path, f"field {exc} is missing") from exc
+    except (OSError, ValueError, TypeError, IndexError, AttributeError) as exc:
+        raise _problem(path, str(exc)) from exc
+
+
+def _problem(path: Path, message: str) -> SettingsError:
+    return SettingsError(message, step="read settings", peer=str(path))
+
+
+def _settings(raw: dict[str, Any]) -> EntrySettings:
+    listen = raw["listen-addresses"]
+    limits = raw["limits"]
+    ports = raw["internal-port-range"]
+    return EntrySettings(
+        name=str(raw["node-name"]),
+        host=str(raw["ip-address"]),
+        failure_domain=str(raw["zone"]),
+        regions={str(zone): str(region) for zone, region in raw["zones"].items()},
+        callers=parse_address(listen["front"]),
+        lookups=parse_address(listen["directory"]),
+        readiness=parse_address(listen["ready"]),
+        peers=parse_address(listen["control"]),
+        gossip_port=int(ports[0]),
+        metrics_port=int(ports[1]),
+        seeds=tuple(parse_address(seed) for seed in raw.get("seeds") or ()),
+        store=parse_address(raw["platform"]["address"]),
+        target_heartbeat_s=float(raw["heartbeat-interval-s"]),
+        max_descriptors=int(limits["file-descriptors"]),
+        memory_mb=float(limits["memory-mb"]),
+        link_mbps=float(limits["link-mbps"]),
+        cpu_cores=float(limits["cpu-share"]) * float(limits["cores"]),
+        bounds=_bounds(raw["bounds"]),
+    )
+
+
+def _bounds(raw: dict[str, Any]) -> Bounds:
+    return Bounds(
+        drain_s=float(raw["drain-s"]),
+        stop_grace_s=float(raw["grace-s"]),
+        configuration_s=float(raw["config-propagation-s"]),
+        stable_window_s=float(raw["stable-window-s"]),
+        max_lookup_ttl_s=float(raw["ttl_max_s"]),
+        retry_ratio=float(raw["retry-budget-ratio"]),
+        retry_window_s=float(raw["budget-window-s"]),
+        retry_extra=float(raw["budget-extra-retries"]),
+        cold_overshoot=float(raw["cold-overshoot"]),
+        cold_slack=float(raw["cold-slack"]),
+        max_region_shift=float(raw["max-region-shift"]),
+    )
--- /dev/null
+++ b/src/chervilmill/routing/__init__.py
@@ -0,0 +1,39 @@
+"""Hold the configuration in force and the targets that it routes to."""
+
+from chervilmill.routing._hashing import unit_hash
+from chervilmill.routing._model import (
+    CallerLimits,
+    Configuration,
+    Route,
+    ServicePolicy,
+    SplitPart,
+    Target,
+)
+from chervilmill.routing._split import TrafficSplitter
+from chervilmill.routing._table import find_route
+from chervilmill.routing._view import (
+    ConfigurationApplied,
+    EvacuationChanged,
+    SiteView,
+    TargetChanged,
+    TargetGone,
+    ViewChange,
+)
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "ConfigurationApplied",
+    "EvacuationChanged",
+    "Route",
+    "ServicePolicy",
+    "SiteView",
+    "SplitPart",
+    "Target",
+    "TargetChanged",
+    "TargetGone",
+    "TrafficSplitter",
+    "ViewChange",
+    "find_route",
+    "unit_hash",
+]
--- a/src/chervilmill/standins/demo/_load.py
+++ b/src/chervilmill/standins/demo/_load.py
@@ -5,7 +5,7 @@
 
 import urllib3
 
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.standins.demo._site import Site
 
 SENDERS = 6
--- a/src/chervilmill/standins/demo/_requests.py
+++ b/src/chervilmill/standins/demo/_requests.py
@@ -5,7 +5,7 @@
 import uuid
 from http import HTTPStatus
 
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.standins.demo._report import Report
 from chervilmill.standins.demo._site import ENTRY_DOMAINS, SERVICE, TARGET_BEHAVIOUR, Site
 
--- a/src/chervilmill/standins/demo/_shift.py
+++ b/src/chervilmill/standins/demo/_shift.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.standins.demo._report import Report
 from chervilmill.standins.demo._site import SERVICE, Site
 
--- a/src/chervilmill/standins/demo/_site.py
+++ b/src/chervilmill/standins/demo/_site.py
@@ -8,8 +8,8 @@
 import urllib3
 
 from chervilmill.addresses import Address
-from chervilmill.platform import Vm, VmRole, VmState
-from chervilmill.platform._codec import vm_to_json
+from chervilmill.coordination import Vm, VmRole, VmState
+from chervilmill.coordination._codec import vm_to_json
 from chervilmill.standins.demo._processes import Processes, run_module
 from chervilmill.standins.store import retry_until
 
--- a/src/chervilmill/standins/platform_main.py
+++ b/src/chervilmill/standins/platform_main.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from chervilmill.platform._codec import vm_from_json
+from chervilmill.coordination._codec import vm_from_json
 from chervilmill.standins.platform_server import platform_server
 from chervilmill.standins.process import address_argument, run_until_stopped
 from chervilmill.standins.store import MemoryStore
--- a/src/chervilmill/standins/platform_server.py
+++ b/src/chervilmill/standins/platform_server.py
@@ -11,10 +11,10 @@
 from urllib.parse import parse_qs, unquote
 
 from chervilmill.addresses import Address
+from chervilmill.coordination import StoreUnavailableError, VersionConflictError, WriteUnsureError
+from chervilmill.coordination._codec import object_to_json, vm_from_json, vm_to_json, watch_to_json
+from chervilmill.coordination._model import MAX_VALUE_BYTES
 from chervilmill.http import Environ, HttpServer, StartResponse, close_connection
-from chervilmill.platform import StoreUnavailableError, VersionConflictError, WriteUnsureError
-from chervilmill.platform._codec import object_to_json, vm_from_json, vm_to_json, watch_to_json
-from chervilmill.platform._model import MAX_VALUE_BYTES
 from chervilmill.standins.store import MemoryStore
 
 THREADS = 40
--- a/src/chervilmill/standins/store.py
+++ b/src/chervilmill/standins/store.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from chervilmill.platform import (
+from chervilmill.coordination import (
     StoredObject,
     StoreUnavailableError,
     VersionConflictError,
--- a/src/chervilmill/steering/_block_store.py
+++ b/src/chervilmill/steering/_block_store.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from chervilmill.platform import ObjectStore, StoreUnavailableError, VersionConflictError
+from chervilmill.coordination import ObjectStore, StoreUnavailableError, VersionConflictError
 from chervilmill.steering._block_codec import (
     BlockDelta,
     MalformedBlocksError,
--- a/src/chervilmill/steering/_confirm.py
+++ b/src/chervilmill/steering/_confirm.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Protocol
 
-from chervilmill.platform import (
+from chervilmill.coordination import (
     CONFIGURATION_KIND,
     EMPTY_CONFIGURATION,
     ConfigurationSnapshot,
--- a/src/chervilmill/steering/_confirmed.py
+++ b/src/chervilmill/steering/_confirmed.py
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from chervilmill.platform import ConfigurationSnapshot
+from chervilmill.coordination import ConfigurationSnapshot
 from chervilmill.steering._inputs import PlanInput
 from chervilmill.steering._plan import Plan
 from chervilmill.steering._priorities import Yield
--- a/src/chervilmill/steering/_evidence.py
+++ b/src/chervilmill/steering/_evidence.py
@@ -9,7 +9,7 @@
 import urllib3
 import xxhash
 
-from chervilmill.platform import PlatformError, Vm
+from chervilmill.coordination import PlatformError, Vm
 from chervilmill.settings import Service
 from chervilmill.steering._executor import Evidence
 from chervilmill.steering._world import SteeringWorld
--- a/src/chervilmill/steering/_headroom.py
+++ b/src/chervilmill/steering/_headroom.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from chervilmill.platform import ConfigurationSnapshot
+from chervilmill.coordination import ConfigurationSnapshot
 from chervilmill.settings import Service
 from chervilmill.steering._loads import KBIT_PER_MBIT, flows, link_loads
 from chervilmill.steering._loss import FULL, LossOutcome, after_loss
--- a/src/chervilmill/steering/_intents.py
+++ b/src/chervilmill/steering/_intents.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from chervilmill.platform import ConfigurationSnapshot, StoredObject
+from chervilmill.coordination import ConfigurationSnapshot, StoredObject
 from chervilmill.settings import Reader, SettingError, Settings
 
 INTENT_PREFIX = "intent/"
--- a/src/chervilmill/steering/_report.py
+++ b/src/chervilmill/steering/_report.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from chervilmill.platform import ConfigurationSnapshot
+from chervilmill.coordination import ConfigurationSnapshot
 from chervilmill.steering._confirmed import ConfirmedPlan, confirmed_plans
 from chervilmill.steering._hashing import HASH_SPAN
 from chervilmill.steering._world import StateInForce, states
--- a/src/chervilmill/steering/_runner.py
+++ b/src/chervilmill/steering/_runner.py
@@ -6,8 +6,7 @@
 
 import numpy as np
 
-from chervilmill.logs import log_event, log_problem
-from chervilmill.platform import (
+from chervilmill.coordination import (
     CONFIGURATION_KIND,
     Configuration,
     FencedObject,
@@ -16,6 +15,7 @@
     ObjectStore,
     PlatformError,
 )
+from chervilmill.logs import log_event, log_problem
 from chervilmill.settings import Service, Settings
 from chervilmill.steering._confirmed import ConfirmedPlan, confirmed_plans
 from chervilmill.steering._executor import Action, Course, Evidence, Executor, Hold, Wait, Write
--- a/src/chervilmill/steering/_table.py
+++ b/src/chervilmill/steering/_table.py
@@ -9,7 +9,7 @@
 
 import numpy as np
 
-from chervilmill.platform import ConfigurationSnapshot
+from chervilmill.coordination import ConfigurationSnapshot
 from chervilmill.settings import Service, Settings
 from chervilmill.steering._blocks import Block
 from chervilmill.steering._hashing import folded, position, seed_of
--- a/src/chervilmill/steering/_world.py
+++ b/src/chervilmill/steering/_world.py
@@ -8,7 +8,7 @@
 
 import numpy as np
 
-from chervilmill.platform import (
+from chervilmill.coordination import (
     ConfigurationSnapshot,
     MalformedObjectError,
     StoredObject,
--- a/src/chervilmill/targets/_client.py
+++ b/src/chervilmill/targets/_client.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.requests import TargetCondition
 from chervilmill.targets._answer import TargetAnswer
 from chervilmill.targets._connections import Connection, Connections
--- a/src/chervilmill/targets/_model.py
+++ b/src/chervilmill/targets/_model.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.targets._cancellation import Cancellation
 
 
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -27,7 +27,7 @@
 from chervilmill.http import HttpServer
 from chervilmill.metrics import Metrics
 from chervilmill.nodes import NewsItem, link_resource
-from chervilmill.platform import OrderLedger, Vm
+from chervilmill.coordination import OrderLedger, Vm
 from chervilmill.reasons import DropReason
 from chervilmill.requests import CrashNews
 from chervilmill.settings import check_settings
--- a/tests/callers/test_lookup.py
+++ b/tests/callers/test_lookup.py
@@ -6,7 +6,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.callers._lookup import MAX_ENTRIES, Lookups
-from chervilmill.platform import Vm, VmRole, VmState
+from chervilmill.coordination import Vm, VmRole, VmState
 from chervilmill.steering import Whereabouts
 
 REGIONS = {"praha": 3, "brno": 2, "ostrava": 1}
--- a/tests/callers/test_order_owners.py
+++ b/tests/callers/test_order_owners.py
@@ -1,6 +1,6 @@
 """Pass orders on to their owner, and do without it when it cannot be reached."""
 
-from chervilmill.platform import VmRole
+from chervilmill.coordination import VmRole
 from chervilmill.requests import owner_of
 from chervilmill.standins.store import retry_until
 from chervilmill.targets import AnswerLostError, TargetUnreachableError
--- a/tests/platform/test_directory.py
+++ b/tests/coordination/test_directory.py
@@ -6,7 +6,7 @@
 import pytest
 
 from chervilmill.addresses import Address
-from chervilmill.platform import (
+from chervilmill.coordination import (
     CONFIGURATION_KIND,
     ConfigurationSnapshot,
     Directory,
--- a/tests/platform/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from chervilmill.platform import (
+from chervilmill.coordination import (
     FencedObject,
     FencedOffError,
     FencedValue,
--- a/tests/platform/test_order_ledger.py
+++ b/tests/coordination/test_order_ledger.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from chervilmill.platform import OrderLedger
+from chervilmill.coordination import OrderLedger
 from chervilmill.requests import Claim, Finish, Outcome, Release, Standing, order_key
 from chervilmill.standins.store import MemoryStore, retry_until
 
--- a/tests/platform/test_store_contract.py
+++ b/tests/coordination/test_store_contract.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from chervilmill.platform import (
+from chervilmill.coordination import (
     HttpPlatform,
     ObjectStore,
     StoreUnavailableError,
--- a/tests/nodes/test_configuration.py
+++ b/tests/nodes/test_configuration.py
@@ -4,7 +4,7 @@
 
 from bench.nodes_network import Network, member, running_network
 from chervilmill.nodes._configuration import PUSHED_BYTES
-from chervilmill.platform import CONFIGURATION_KIND, StoredObject, WatchResult
+from chervilmill.coordination import CONFIGURATION_KIND, StoredObject, WatchResult
 
 IN_FORCE_S = 3.0
 
--- a/tests/nodes/test_readers.py
+++ b/tests/nodes/test_readers.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from chervilmill.nodes._readers import ConfigurationReader
-from chervilmill.platform import StoreUnavailableError, WatchResult
+from chervilmill.coordination import StoreUnavailableError, WatchResult
 
 
 class RecordingStore:
--- a/tests/nodes/test_transport.py
+++ b/tests/nodes/test_transport.py
@@ -14,7 +14,7 @@
 from chervilmill.nodes._machine import NodeMachine
 from chervilmill.nodes._messages import Heartbeat, Member
 from chervilmill.nodes._transport import Transport
-from chervilmill.platform import HeldConfiguration
+from chervilmill.coordination import HeldConfiguration
 from chervilmill.standins.store import retry_until
 from tests.support import free_address
 
--- a/tests/operators/test_router.py
+++ b/tests/operators/test_router.py
@@ -17,7 +17,7 @@
     Route,
     status_routes,
 )
-from chervilmill.platform import VersionConflictError
+from chervilmill.coordination import VersionConflictError
 from chervilmill.standins.store import MemoryStore
 from chervilmill.steering import Headroom
 from tests.support import free_address, target_vm
--- a/tests/steering/test_block_store.py
+++ b/tests/steering/test_block_store.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bench._steering_fleet import FleetSize, block_table
-from chervilmill.platform import StoreUnavailableError
+from chervilmill.coordination import StoreUnavailableError
 from chervilmill.standins.store import MemoryStore
 from chervilmill.steering import BlockTable
 from chervilmill.steering._block_codec import (
--- a/tests/steering/test_confirm.py
+++ b/tests/steering/test_confirm.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from chervilmill.platform import CONFIGURATION_KIND, StoreUnavailableError, WriteUnsureError
+from chervilmill.coordination import CONFIGURATION_KIND, StoreUnavailableError, WriteUnsureError
 from chervilmill.steering import Confirmer, ConfirmRefusal, ConfirmRefusedError, ConfirmRequest
 from chervilmill.steering._confirmed import confirmed_plans
 from tests.steering.support import Node, steering_node
--- a/tests/steering/test_headroom.py
+++ b/tests/steering/test_headroom.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chervilmill.platform import EMPTY_CONFIGURATION
+from chervilmill.coordination import EMPTY_CONFIGURATION
 from chervilmill.settings import check_settings
 from chervilmill.steering import Headroom, SteeringWorld, headroom
 from tests.steering.support import FakeDirectory
--- a/tests/steering/test_plan_refusals.py
+++ b/tests/steering/test_plan_refusals.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chervilmill.platform import CONFIGURATION_KIND
+from chervilmill.coordination import CONFIGURATION_KIND
 from chervilmill.steering import Confirmer, ConfirmRequest, Plan
 from tests.steering.support import Node, directory_of, steering_node
 
--- a/tests/steering/test_shift_race.py
+++ b/tests/steering/test_shift_race.py
@@ -11,7 +11,7 @@
 import numpy as np
 import pytest
 
-from chervilmill.platform import FencedObject, FencedOffError, Lease, PlatformError, decode_fenced
+from chervilmill.coordination import FencedObject, FencedOffError, Lease, PlatformError, decode_fenced
 from chervilmill.settings import Service
 from chervilmill.steering import BlockTable, Place, ShareMap, Topology
 from chervilmill.steering._confirmed import ConfirmedPlan
@@ -19,7 +19,7 @@
 from chervilmill.steering._hashing import HASH_SPAN, positions, seed_of
 from chervilmill.steering._runner import ShiftTask
 from chervilmill.steering._state import ShiftState, decode_state
-from tests.platform.test_lease import FaultyStore
+from tests.coordination.test_lease import FaultyStore
 
 CASES = 8
 SEEDS_PER_CASE = 1_250
--- a/tests/steering/test_whole_shift.py
+++ b/tests/steering/test_whole_shift.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chervilmill.platform import StoreUnavailableError
+from chervilmill.coordination import StoreUnavailableError
 from chervilmill.steering._executor import MAX_MEASUREMENT_AGE_S
 from tests.steering.support import Console, Node, steering_node
 from tests.support import free_address, target_vm
--- a/tests/support.py
+++ b/tests/support.py
@@ -10,7 +10,7 @@
 import json5
 
 from chervilmill.addresses import Address
-from chervilmill.platform import Vm, VmRole, VmState
+from chervilmill.coordination import Vm, VmRole, VmState
 
 ROOT = Path(__file__).resolve().parents[1]
 TOKEN = "test-operators-token"
--- a/tests/targets/test_contract.py
+++ b/tests/targets/test_contract.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from chervilmill.platform import Vm
+from chervilmill.coordination import Vm
 from chervilmill.standins.store import retry_until
 from chervilmill.standins.target_server import AnswerFault, TargetState, target_server
 from chervilmill.targets import (
