--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -14,6 +14,7 @@
 from chervilmill.metrics import Metrics
 from chervilmill.overload import (
     Admission,
+    Admitted,
     Asked,
     CallerAges,
     Candidate,
@@ -80,6 +81,7 @@
         rng: random.Random,
         live_vms: Callable[[], int],
         is_view_fresh: Callable[[], bool],
+        is_ending: Callable[[], bool],
     ) -> None:
         self._site = site
         self._pool = pool
@@ -88,6 +90,7 @@
         self._rng = rng
         self._live_vms = live_vms
         self._is_view_fresh = is_view_fresh
+        self._is_ending = is_ending
         self._splitter = TrafficSplitter()
         self._ages = CallerAges()
         self._retries: dict[str, RetryShare] = {}
@@ -233,13 +236,23 @@
         return wait_s if left_s > wait_s + candidate.finish_s else None
 
     def _may_leave(self, progress: _Progress) -> bool:
-        """Return whether an overdue request may be sent elsewhere, and charge the budget."""
+        """Return whether an overdue request is sent elsewhere now, and charge the budget.
+
+        It is left where it is unless another target takes it, and also while this VM stops, as
+        planned work must not end what a target still works on.
+        """
         now_s = asyncio.get_running_loop().time()
         if progress.caller.has_begun_answer or not progress.outgoing.body.can_replay:
             return False
+        if self._is_ending() or not self._has_alternative(progress, now_s):
+            return False
         progress.is_charged = self._retry_share(progress.service).take(self._live_vms(), now_s)
         return progress.is_charged
 
+    def _has_alternative(self, progress: _Progress, now_s: float) -> bool:
+        asked = self._asked(progress, now_s)
+        return isinstance(self._site.fleet.place(asked, self._site.view, now_s), Admitted)
+
     def _learn(
         self, progress: _Progress, candidate: Candidate, result: AttemptResult, took_s: float
     ) -> None:
--- a/src/chervilmill/entry/_root.py
+++ b/src/chervilmill/entry/_root.py
@@ -48,6 +48,7 @@
         self._settings_path = settings_path
         self._clock = time.monotonic
         rng = random.Random()
+        self._stop_asked = asyncio.Event()
         own = Peer(settings.name, settings.host, settings.failure_domain)
         self._own = own
         self._membership = Membership(settings.name, int(time.time()), rng)
@@ -70,6 +71,7 @@
             rng,
             self._live_vms,
             self._is_view_fresh,
+            self._stop_asked.is_set,
         )
         self._lookups = LookupServer(
             own, settings.callers, settings.regions, self._membership, self._clock
@@ -85,7 +87,6 @@
                 self._answer_metrics, lambda: CONTROL_LIMITS
             ),
         }
-        self._stop_asked = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
