Test the whole path and replay load at its worst

Change: reports age towards what others have elsewhere, which itself lapses; work is learnt by a target's rank; late work takes spare slots only; all callers are allowed the wait that the farthest can bear; new routes go by their service.

--- a/Makefile
+++ b/Makefile
@@ -22,13 +22,13 @@
 	$(PY) -m pytest -n 8
 
 lint: $(STAMP)
-	$(VENV)/bin/black --check --quiet src tests bench
-	$(VENV)/bin/ruff check src tests bench
+	$(VENV)/bin/black --check --quiet src tests bench soak deploy
+	$(VENV)/bin/ruff check src tests bench soak deploy
 	$(VENV)/bin/mypy
 
 format: $(STAMP)
-	$(VENV)/bin/black --quiet src tests bench
-	$(VENV)/bin/ruff check --fix src tests bench
+	$(VENV)/bin/black --quiet src tests bench soak deploy
+	$(VENV)/bin/ruff check --fix src tests bench soak deploy
 
 bench: $(STAMP)
 	$(PY) -m bench
--- /dev/null
+++ b/soak/store.py
@@ -0,0 +1,153 @@
+"""Stand in for the platform's object store: objects, conditions, lists, watches and faults."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from chervilmill.addresses import Address
+from chervilmill.aio import HttpServer, RequestHead, ServerConnection, ServerLimits
+
+JSON = [(b"content-type", b"application/json")]
+LIMITS = ServerLimits(header_bytes=16_384, header_timeout_s=5.0, idle_s=60.0)
+PREFIX = "/v1/objects/"
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """Hold what goes wrong at the store; a refused host is answered 503."""
+
+    is_down: bool = False
+    delay_s: float = 0.0
+    loses_answers: bool = False
+    refused_hosts: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    revision: int
+    kind: str
+    value: dict[str, Any]
+    is_deleted: bool
+
+
+class StandInStore:
+    """Hold objects in memory and serve them."""
+
+    def __init__(self, page: int = 500) -> None:
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+        self.revision = 1
+        self._page = page
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._history: list[_Change] = []
+        self._first_known = 0
+        self._changed = asyncio.Event()
+        self._server = HttpServer(self._handle, lambda: LIMITS)
+
+    async def listen(self, address: Address) -> None:
+        """Begin to serve."""
+        await self._server.listen(address)
+
+    def stop(self) -> None:
+        """Stop serving and reset all connections."""
+        self._server.stop_accepting()
+        for conn in list(self._server.connections):
+            conn.abort()
+
+    def put(self, kind: str, name: str, content: object) -> int:
+        """Write an object as an operator or a target does; returns its revision."""
+        held = self._objects.get((kind, name))
+        if held is not None and held["specification"] == content:
+            return int(held["metadata"]["revision"])
+        self.revision += 1
+        meta = {"name": name, "revision": self.revision, "finalizers": [], "deleting": False}
+        value = {"metadata": meta, "specification": content, "status": None}
+        self._objects[(kind, name)] = value
+        self._record(kind, value, is_deleted=False)
+        return self.revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        value = self._objects.pop((kind, name), None)
+        if value is not None:
+            self.revision += 1
+            self._record(kind, value, is_deleted=True)
+
+    def names(self, kind: str) -> list[str]:
+        """Return the names of a kind in order."""
+        return sorted(name for held, name in self._objects if held == kind)
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._first_known = self.revision
+        self._history.clear()
+        self._wake()
+
+    def _record(self, kind: str, value: dict[str, Any], *, is_deleted: bool) -> None:
+        self._history.append(_Change(self.revision, kind, value, is_deleted))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, conn: ServerConnection, head: RequestHead) -> None:
+        body = await _read(conn) if head.has_body else b""
+        self.calls.append(f"{head.method.decode()} {head.target.decode()}")
+        if self.faults.is_down or conn.host.rpartition(":")[0] in self.faults.refused_hosts:
+            await conn.answer(503, [], b"")
+            return
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        status, value = await self._act(head.method.decode(), head.target.decode(), body)
+        if self.faults.loses_answers and head.method != b"GET":
+            conn.abort()
+            return
+        await conn.answer(status, list(JSON), json.dumps(value).encode())
+
+    async def _act(self, method: str, target: str, body: bytes) -> tuple[int, object]:
+        parts = urlsplit(target)
+        kind, _, name = unquote(parts.path.removeprefix(PREFIX)).partition("/")
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        if method == "GET" and "watch" in query:
+            return await self._watch(kind, int(query["watch"]), int(query["wait-ms"]) / 1000)
+        if method == "GET":
+            return 200, self._list(kind, query.get("after", ""))
+        if method == "DELETE":
+            self.delete(kind, name)
+            return 200, {}
+        written = json.loads(body)
+        name = name or written["metadata"]["name"]
+        if method == "POST" and (kind, name) in self._objects:
+            return 409, self._objects[(kind, name)]
+        self.put(kind, name, written["specification"])
+        return 200, self._objects[(kind, name)]
+
+    def _list(self, kind: str, after: str) -> dict[str, Any]:
+        names = [name for name in self.names(kind) if name > after]
+        page = [self._objects[(kind, name)] for name in names[: self._page]]
+        return {"items": page, "more": len(names) > self._page, "as-of": self.revision}
+
+    async def _watch(self, kind: str, since: int, wait_s: float) -> tuple[int, object]:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + wait_s
+        while since >= self._first_known:
+            found = [one for one in self._history if one.kind == kind and one.revision > since]
+            if found or loop.time() >= until_s:
+                events = [{"object": one.value, "deleted": one.is_deleted} for one in found]
+                return 200, {"events": events, "as-of": self.revision}
+            try:
+                async with asyncio.timeout_at(until_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+        return 410, {"error": "history is gone"}
+
+
+async def _read(conn: ServerConnection) -> bytes:
+    parts = []
+    while (part := await conn.read_part()) is not None:
+        parts.append(part)
+    return b"".join(parts)
--- /dev/null
+++ b/soak/target.py
@@ -0,0 +1,200 @@
+"""Stand in for a target: slots, a queue, affinity, and faults, with a record of what it ran."""
+
+import asyncio
+import hashlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from chervilmill.addresses import Address
+from chervilmill.aio import HttpServer, RequestHead, ServerConnection, ServerLimits, header_value
+
+ID = b"x-chervilmill-request-id"
+AFFINITY = b"x-chervilmill-request-affinity"
+DEADLINE = b"x-chervilmill-deadline-milliseconds"
+EXPECTED = b"x-chervilmill-expected-instance"
+SEAL = b"x-chervilmill-response-seal"
+LOAD = b"x-chervilmill-server-load"
+NOT_RUN = b"x-chervilmill-request-not-run"
+INSTANCE = b"x-chervilmill-instance-id"
+LIMITS = ServerLimits(header_bytes=65_536, header_timeout_s=5.0, idle_s=10.0)
+KEPT_OBJECTS = 30
+WARM_SHARE = 0.3  # of the work of a request whose object is held
+
+
+@dataclass(slots=True)
+class TargetFaults:
+    """Hold what goes wrong; counts are of the next requests."""
+
+    shed: int = 0
+    lose_answer: int = 0
+    break_off: int = 0
+    spoil: int = 0
+    answer_crossed: int = 0
+    answer_early: int = 0
+    extra: int = 0
+    work_factor: float = 1.0
+
+    def take(self, name: str) -> bool:
+        """Return whether the next request meets a fault, and count it."""
+        left = getattr(self, name)
+        if left:
+            setattr(self, name, left - 1)
+        return bool(left)
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Record a request that the target began to run."""
+
+    request_id: str
+    method: str
+    path: str
+    body_digest: str
+    deadline_ms: int | None
+    at_s: float
+
+
+@dataclass(slots=True)
+class TargetRecords:
+    """Hold what a target has seen."""
+
+    runs: list[Run] = field(default_factory=list)
+    cut: list[str] = field(default_factory=list)
+    arrivals: int = 0
+
+
+class StandInTarget:
+    """Serve one lifetime of a target."""
+
+    def __init__(self, name: str, slots: int = 4, work_s: float = 0.02, queue: int = 8) -> None:
+        self.name = name
+        self.slots = slots
+        self.faults = TargetFaults()
+        self.records = TargetRecords()
+        self._work_s = work_s
+        self._queue = queue
+        self._running = 0
+        self._waiting = 0
+        self._free = asyncio.Semaphore(slots)
+        self._held: OrderedDict[bytes, None] = OrderedDict()
+        self._server = HttpServer(self._handle, lambda: LIMITS)
+
+    async def listen(self, address: Address) -> None:
+        """Begin to serve."""
+        await self._server.listen(address)
+
+    def crash(self) -> None:
+        """Reset all connections and accept no more."""
+        self._server.stop_accepting()
+        for conn in list(self._server.connections):
+            conn.abort()
+
+    def entry(self, service: str, address: Address, domain: str, born: int) -> dict[str, object]:
+        """Return what the target registers in the store."""
+        return {
+            "service": service,
+            "address": str(address),
+            "zone": domain,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "cold-remaining-s": 0,
+            "sequence": 1,
+            "born": born,
+        }
+
+    async def _handle(self, conn: ServerConnection, head: RequestHead) -> None:
+        self.records.arrivals += 1
+        expected = header_value(head.headers, EXPECTED)
+        if expected is not None and expected != self.name.encode():
+            await self._finish(conn, head, 421, [(INSTANCE, self.name.encode())], b"")
+            return
+        if self._waiting >= self._queue or self.faults.take("shed"):
+            await self._finish(conn, head, 503, [(NOT_RUN, b"1")], b"")
+            return
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            await self._run(conn, head)
+        finally:
+            self._running -= 1
+            self._free.release()
+
+    async def _run(self, conn: ServerConnection, head: RequestHead) -> None:
+        if self.faults.take("answer_early"):
+            await self._finish(conn, head, 503, [(NOT_RUN, b"1"), (b"connection", b"close")], b"")
+            return
+        body = await _read(conn) if head.has_body else b""
+        request_id = (header_value(head.headers, ID) or b"").decode()
+        digest = hashlib.sha256(body).hexdigest()
+        deadline = header_value(head.headers, DEADLINE)
+        at_s = asyncio.get_running_loop().time()
+        ms = int(deadline) if deadline else None
+        method, path = head.method.decode(), head.target.decode()
+        self.records.runs.append(Run(request_id, method, path, digest, ms, at_s))
+        try:
+            await asyncio.sleep(self._work(head))
+        except asyncio.CancelledError:
+            self.records.cut.append(request_id)
+            raise
+        await self._answer(conn, head, request_id, digest)
+
+    async def _answer(
+        self, conn: ServerConnection, head: RequestHead, request_id: str, digest: str
+    ) -> None:
+        content = f"{self.name} ran {request_id} {digest}".encode()
+        if self.faults.take("lose_answer"):
+            conn.abort()
+            return
+        if self.faults.take("answer_crossed"):
+            crossed = [(SEAL, b"other"), (ID, b"somebody-else")]
+            await conn.answer(200, crossed, b"an answer to another request")
+            return
+        seal = hashlib.sha256(content).hexdigest().encode()
+        headers = [(SEAL, seal), (LOAD, self._load())]
+        if self.faults.take("spoil"):
+            headers = [(LOAD, self._load())]
+        if self.faults.take("break_off"):
+            length = (b"content-length", str(len(content)).encode())
+            echo = (ID, request_id.encode())
+            await conn.start_answer(200, [*headers, echo, length])
+            await conn.send_part(content[: len(content) // 2])
+            conn.close()
+            return
+        await self._finish(conn, head, 200, headers, content)
+
+    async def _finish(
+        self,
+        conn: ServerConnection,
+        head: RequestHead,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        echo = header_value(head.headers, ID)
+        own = [(ID, echo)] if echo else []
+        await conn.answer(status, [*headers, *own, (b"keep-alive", b"timeout=10")], body)
+
+    def _work(self, head: RequestHead) -> float:
+        key = header_value(head.headers, AFFINITY)
+        is_held = key is not None and key in self._held
+        if key is not None:
+            self._held[key] = None
+            self._held.move_to_end(key)
+            if len(self._held) > KEPT_OBJECTS:
+                self._held.popitem(last=False)
+        return self._work_s * (WARM_SHARE if is_held else 1.0) * self.faults.work_factor
+
+    def _load(self) -> bytes:
+        return f"{self._running},{self._waiting},{self.slots}".encode()
+
+
+async def _read(conn: ServerConnection) -> bytes:
+    parts = []
+    while (part := await conn.read_part()) is not None:
+        parts.append(part)
+    return b"".join(parts)
--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -215,6 +215,9 @@
             raise self._bad("read head", "both a length and a transfer encoding", 400)
         if names.count(b"host") != 1:
             raise self._bad("read head", "not exactly one host", 400)
+        size = sum(len(key) + len(value) for key, value in headers)
+        if size > self.limits.header_bytes:
+            raise self._bad("read head", "the headers are too large", 431)
         return RequestHead(event.method, event.target, headers)
 
     async def _next_cycle(self) -> bool:
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -30,7 +30,6 @@
 
 TIMEOUT_SLACK_S = 0.05  # for a target's own answer at its deadline to arrive
 OVERDUE = 3.0  # times what was expected, after which a repeatable request is sent elsewhere
-MIN_WORK_SHARE = 0.3  # of the usual work; what is below shows that the wait was overestimated
 MAX_TRIES = 4  # targets tried, with those that could not be reached
 UNKNOWN_RETURN_S = 0.5  # where this VM knows no configuration yet
 SHED_RETURN_S = 0.15  # where the chosen targets were full after all
@@ -195,7 +194,7 @@
                 age_s=progress.age_s + (now_s - progress.began_s),
                 time_left_s=progress.deadline_s - now_s,
                 priority=route.priority,
-                is_work_known=self._site.fleet.times.is_trusted(_workload(progress)),
+                is_work_known=self._site.fleet.times.is_trusted(_workload(progress), now_s),
             ),
             home_regions=route.home_regions,
             spread=self._rng.random(),
@@ -265,7 +264,7 @@
         if result.connect_s is not None:
             fleet.learn_round_trip(record.target.failure_domain, result.connect_s)
         if result.load is not None:
-            record.learn_load(result.load.running + result.load.waiting, now_s)
+            fleet.learn_load(record, result.load.running + result.load.waiting, now_s)
         is_good = result.end is AttemptEnd.ANSWERED and result.status < 500
         record.learn_failure(now_s, has_failed=not is_good)
         if result.end is AttemptEnd.NOT_SENT or result.status == 421:
@@ -282,17 +281,7 @@
                 took_s=round(took_s, 4),
             )
             return
-        self._learn_work(_workload(progress), candidate, took_s, now_s)
-
-    def _learn_work(
-        self, work: Workload, candidate: Candidate, took_s: float, now_s: float
-    ) -> None:
-        fleet, record = self._site.fleet, candidate.record
-        way_s = candidate.finish_s - candidate.wait_s - candidate.work_s
-        usual_s = fleet.times.expected_s(work, is_held=candidate.is_held)
-        work_s = max(took_s - way_s - candidate.wait_s, MIN_WORK_SHARE * usual_s)
-        record.learn_work(work_s, work_s / usual_s if candidate.is_held else None, now_s)
-        fleet.times.learn(work, work_s / record.slowness(now_s), is_held=candidate.is_held)
+        fleet.learn(_workload(progress), candidate, took_s, now_s)
 
     def _may_repeat(self, progress: _Progress, result: AttemptResult) -> bool:
         """Return whether a failed request may be sent to a further target."""
--- a/src/chervilmill/entry/_root.py
+++ b/src/chervilmill/entry/_root.py
@@ -92,8 +92,8 @@
     async def run(self) -> None:
         """Serve until a signal asks to stop, then finish what was begun."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_asked.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGTERM, self.ask_stop)
+        loop.add_signal_handler(signal.SIGINT, self.ask_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         log_event("started", step="start", host=self._settings.host)
         for address, server in self._servers.items():
@@ -107,6 +107,20 @@
         await self._stop_asked.wait()
         await self._stop()
 
+    def ask_stop(self) -> None:
+        """Begin to stop."""
+        self._stop_asked.set()
+
+    def abort(self) -> None:
+        """Drop everything at once."""
+        for task in list(self._tasks):
+            task.cancel()
+        for server in self._servers.values():
+            server.stop_accepting()
+            for conn in list(server.connections):
+                conn.abort()
+        self._gossip.close()
+
     async def _become_ready(self) -> None:
         for _ in range(SEED_ROUNDS):
             for seed in self._settings.seeds:
--- a/src/chervilmill/overload/__init__.py
+++ b/src/chervilmill/overload/__init__.py
@@ -6,7 +6,7 @@
 from chervilmill.overload._admission import Admission, Admitted, Refused, admit
 from chervilmill.overload._affinity import AffinityRanking
 from chervilmill.overload._ages import CallerAges
-from chervilmill.overload._choice import Candidate, PlacementRequest, best_candidate
+from chervilmill.overload._choice import Candidate, Choices, PlacementRequest, choose
 from chervilmill.overload._cold import ColdGate
 from chervilmill.overload._fleet import Asked, TargetFleet
 from chervilmill.overload._retry_share import RetryShare
@@ -22,6 +22,7 @@
     "CallerAges",
     "Asked",
     "Candidate",
+    "Choices",
     "ColdGate",
     "PlacementRequest",
     "Refused",
@@ -33,6 +34,6 @@
     "TargetRecord",
     "Workload",
     "admit",
-    "best_candidate",
+    "choose",
     "home_shares",
 ]
--- a/src/chervilmill/overload/_admission.py
+++ b/src/chervilmill/overload/_admission.py
@@ -9,12 +9,12 @@
 import random
 from dataclasses import dataclass
 
-from chervilmill.overload._choice import Candidate
+from chervilmill.overload._choice import Candidate, Choices
 
 URGENT_PRIORITY = 1  # routes of this rank and below may use the whole objective
 LESS_URGENT_SHARE = 0.85  # of the objective, so that urgent requests find the shorter queue
-LATE_WAIT_SHARE = 0.25  # of the objective, for work that cannot meet it
-RETURN_WAIT_SHARE = 0.75  # of the objective, for callers that were refused before
+NEWCOMER_SHARE = 0.9  # of the objective, so that callers that were refused find the shorter queue
+LATE_WAIT_SHARE = 0.05  # of the objective, for work that cannot meet it
 MIN_RETURN_S = 0.1  # below this, a refused caller meets the same queue again
 MAX_RETURN_S = 1.0  # beyond this, most callers have no time left
 RETURN_SPREAD = 0.5  # spreads the returns over half of the wait again
@@ -24,13 +24,14 @@
 class Admission:
     """Describe the request for which a candidate was found; `age_s` is 0 for a newcomer.
 
-    Without `is_work_known`, the request is not refused for its work, only for its wait.
+    `longest_way_s` is the round trip to the farthest targets of the service. Without `is_work_known`, the request is not refused for its work, only for its wait.
     """
 
     objective_s: float
     age_s: float
     time_left_s: float
     priority: int
+    longest_way_s: float = 0.0
     is_work_known: bool = True
 
 
@@ -52,10 +53,18 @@
     expected_s: float | None = None
 
 
-def admit(asked: Admission, candidate: Candidate, rng: random.Random) -> Admitted | Refused:
+def admit(asked: Admission, choices: Choices, rng: random.Random) -> Admitted | Refused:
     """Decide on a request by the best that can be expected for it."""
+    decision = _admit_to(asked, choices.first, rng)
+    if isinstance(decision, Admitted) or choices.idle is None:
+        return decision
+    late = _admit_to(asked, choices.idle, rng)
+    return late if isinstance(late, Admitted) else decision
+
+
+def _admit_to(asked: Admission, candidate: Candidate, rng: random.Random) -> Admitted | Refused:
     allowed_s = _allowed_wait_s(asked, candidate)
-    unwaited_s = candidate.finish_s - candidate.wait_s
+    unwaited_s = candidate.unwaited_s
     is_in_time = unwaited_s <= asked.time_left_s or not asked.is_work_known
     if candidate.wait_s <= allowed_s and is_in_time:
         return Admitted(candidate)
@@ -63,15 +72,18 @@
 
 
 def _allowed_wait_s(asked: Admission, candidate: Candidate) -> float:
+    """Return the longest wait that the request may be given.
+
+    All are allowed the wait of those with the longest way, lest callers near a target fill its
+    queue up to a length that callers of a region with few targets cannot bear.
+
+    A caller that was refused before may wait as long as if it were new, although its answer is late
+    then, and longer than a newcomer of the same kind.
+    """
     share = 1.0 if asked.priority <= URGENT_PRIORITY else LESS_URGENT_SHARE
-    unwaited_s = candidate.finish_s - candidate.wait_s
-    in_time_s = asked.objective_s * share - asked.age_s - unwaited_s
-    late_share = RETURN_WAIT_SHARE if asked.age_s > 0 else LATE_WAIT_SHARE
-    late_s = asked.objective_s * late_share
-    if in_time_s > 0 and asked.age_s == 0:
-        return in_time_s
-    spare_s = asked.time_left_s - unwaited_s if asked.is_work_known else late_s
-    return min(max(in_time_s, late_s), spare_s)
+    share *= 1.0 if asked.age_s > 0 else NEWCOMER_SHARE
+    in_time_s = asked.objective_s * share - asked.longest_way_s - candidate.work_s
+    return max(in_time_s, asked.objective_s * LATE_WAIT_SHARE)
 
 
 def _return_s(excess_s: float, rng: random.Random) -> float:
--- a/src/chervilmill/overload/_fleet.py
+++ b/src/chervilmill/overload/_fleet.py
@@ -1,14 +1,15 @@
 """Bring the knowledge of targets and the decisions on them together for one entry VM."""
 
+import math
 import random
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from chervilmill.overload._admission import Admission, Admitted, Refused, admit
 from chervilmill.overload._affinity import AffinityRanking
-from chervilmill.overload._choice import Candidate, PlacementRequest, best_candidate
+from chervilmill.overload._choice import Candidate, PlacementRequest, choose
 from chervilmill.overload._cold import ColdGate
-from chervilmill.overload._service_times import ServiceTimes
+from chervilmill.overload._service_times import ServiceTimes, Workload
 from chervilmill.overload._shares import RegionShares, home_shares, region_of_key
 from chervilmill.overload._spill import SpillAllowance
 from chervilmill.overload._target_record import TargetRecord
@@ -23,6 +24,9 @@
     unit_hash,
 )
 
+USUAL_OTHERS_WEIGHT = 0.1  # ten reports of memory: under a second at a busy entry VM
+USUAL_OTHERS_HALF_LIFE_S = 1.0  # without a report
+MIN_WORK_SHARE = 0.3  # of the usual work; less shows that the wait was overestimated
 NO_TARGET_RETURN_S = 0.5  # targets register within about a second of coming back
 
 
@@ -52,6 +56,7 @@
         self._shares: dict[str, RegionShares] = {}
         self._spill = SpillAllowance()
         self._cold = ColdGate(vm)
+        self._usual_others: dict[str, tuple[float, float]] = {}
         self._usable: dict[str, list[Target]] = {}
         self.times = ServiceTimes()
         self.round_trips_s: dict[str, float] = {}
@@ -98,11 +103,38 @@
             self._cold.count(target.name, target.incarnation)
         return candidate.record.start(key, candidate.finish_s, now_s)
 
+    def learn_load(self, record: TargetRecord, total: int, now_s: float) -> None:
+        """Take in how many requests a target said it has."""
+        others = record.learn_load(total, now_s)
+        region = self._regions.get(record.target.failure_domain, "")
+        group = f"{record.target.service}/{region}"
+        known = self._usual(group, now_s) if group in self._usual_others else others
+        mean = known + USUAL_OTHERS_WEIGHT * (others - known)
+        self._usual_others[group] = (mean, now_s)
+
+    def learn(self, work: Workload, candidate: Candidate, took_s: float, now_s: float) -> None:
+        """Take in how long an answered request took, and what that says of target and route."""
+        record = candidate.record
+        way_s = candidate.unwaited_s - candidate.work_s
+        rank = candidate.unproven_rank
+        usual_s = self.times.expected_s(work, rank)
+        work_s = max(took_s - way_s - candidate.wait_s, MIN_WORK_SHARE * usual_s)
+        record.learn_work(work_s, work_s / usual_s if rank is None else None, now_s)
+        self.times.learn(work, work_s / record.slowness(now_s), rank, now_s)
+
     def learn_round_trip(self, domain: str, seconds: float) -> None:
         """Take in the time of a handshake with a target."""
         known = self.round_trips_s.get(domain)
         self.round_trips_s[domain] = seconds if known is None else min(known * 1.02, seconds)
 
+    def _usual(self, group: str, now_s: float) -> float:
+        """Return what other VMs have at a target of a group, a slot; it lapses without reports.
+
+        If it did not, a VM that refuses all it is asked would never learn that there is room.
+        """
+        mean, at_s = self._usual_others.get(group, (0.0, now_s))
+        return mean * math.exp2(-(now_s - at_s) / USUAL_OTHERS_HALF_LIFE_S)
+
     def _put(self, target: Target, now_s: float, *, is_new: bool) -> None:
         record = self._records.get(target.name)
         if record is None or is_new:
@@ -161,12 +193,21 @@
         records = [self._records[one.name] for one in local if one.name not in asked.excluded]
         working = [one for one in records if not one.is_ejected(now_s)] or records
         open_now = [one for one in working if self._is_open(one, region, cfg, now_s)]
-        candidate = best_candidate(
-            open_now, asked.placement, ranks, self.round_trips_s, self.times, now_s
+        choices = choose(
+            open_now,
+            asked.placement,
+            ranks,
+            self.round_trips_s,
+            self.times,
+            self._usual(f"{asked.service}/{region}", now_s),
+            now_s,
         )
-        if candidate is None:
+        if choices is None:
             return None
-        return admit(asked.admission, candidate, self._rng)
+        admission = replace(
+            asked.admission, longest_way_s=max(self.round_trips_s.values(), default=0.0)
+        )
+        return admit(admission, choices, self._rng)
 
     def _place_elsewhere(
         self, full: str, asked: Asked, targets: Sequence[Target], view: SiteView, now_s: float
--- a/src/chervilmill/overload/_service_times.py
+++ b/src/chervilmill/overload/_service_times.py
@@ -1,8 +1,10 @@
 """Learn how long the requests of a route keep a slot, warm and cold.
 
 Load pattern: steady overload. Whether a wait at the target that holds an object is worth more than
-a free slot elsewhere depends on both times, which differ by site and route. A route without answers
-yet, such as one that a configuration has just added, goes by its service.
+a free slot elsewhere depends on both times, which differ by site and route. Whether a target holds
+an object that other entry VMs may have sent there is not known here, but how often it did is learnt
+by the target's rank for the object. A route without answers yet, such as one that a configuration
+has just added, goes by its service.
 """
 
 from dataclasses import dataclass
@@ -10,7 +12,8 @@
 LEARNING_WEIGHT = 0.05  # twenty answers of memory: a second or two at a busy entry VM
 WARM_PRIOR = 0.4  # of the objective, until answers tell
 COLD_PRIOR = 1.3  # of the objective, until answers tell
-MIN_COLD_RATIO = 1.5  # below this, spreading an object costs nothing
+TRUSTED_S = 2.0  # after the last answer, lest a wrong figure refuses all that could correct it
+RANKS = 4  # told apart; what ranks lower is as cold as the last of them
 TRUSTED_ANSWERS = 10  # of a route, before its requests are refused for the work alone
 
 
@@ -26,15 +29,21 @@
 @dataclass(slots=True)
 class _Means:
     warm_s: float
-    cold_s: float
+    unproven_s: list[float]
     answers: int = 0
+    answered_s: float = 0.0
 
-    def learn(self, work_s: float, *, is_held: bool) -> None:
+    def expected_s(self, rank: int | None) -> float:
+        return self.warm_s if rank is None else self.unproven_s[min(rank, RANKS - 1)]
+
+    def learn(self, work_s: float, rank: int | None, now_s: float) -> None:
         self.answers += 1
-        if is_held:
+        self.answered_s = now_s
+        if rank is None:
             self.warm_s += LEARNING_WEIGHT * (work_s - self.warm_s)
-        else:
-            self.cold_s += LEARNING_WEIGHT * (work_s - self.cold_s)
+            return
+        place = min(rank, RANKS - 1)
+        self.unproven_s[place] += LEARNING_WEIGHT * (work_s - self.unproven_s[place])
 
 
 class ServiceTimes:
@@ -46,26 +55,35 @@
         self._by_route: dict[str, _Means] = {}
         self._by_service: dict[str, _Means] = {}
 
-    def expected_s(self, work: Workload, *, is_held: bool) -> float:
-        """Return the work of a request where the target holds its object, or does not."""
+    def expected_s(self, work: Workload, rank: int | None) -> float:
+        """Return the work of a request.
+
+        `rank` is the target's for the object, or None where this VM has seen it hold the object.
+        """
         means = self._by_route.get(work.route) or self._of_service(work)
-        return means.warm_s if is_held else max(means.cold_s, MIN_COLD_RATIO * means.warm_s)
+        return means.expected_s(rank)
 
-    def is_trusted(self, work: Workload) -> bool:
+    def is_trusted(self, work: Workload, now_s: float) -> bool:
         """Return whether the work of a route is known well enough to refuse by it."""
         means = self._by_route.get(work.route)
-        return means is not None and means.answers >= TRUSTED_ANSWERS
+        if means is None or means.answers < TRUSTED_ANSWERS:
+            return False
+        return now_s - means.answered_s < TRUSTED_S
 
-    def learn(self, work: Workload, work_s: float, *, is_held: bool) -> None:
+    def learn(self, work: Workload, work_s: float, rank: int | None, now_s: float) -> None:
         """Take in the work of one answered request."""
         service = self._of_service(work)
-        means = self._by_route.setdefault(work.route, _Means(service.warm_s, service.cold_s))
-        means.learn(work_s, is_held=is_held)
-        service.learn(work_s, is_held=is_held)
+        means = self._by_route.get(work.route)
+        if means is None:
+            means = _Means(service.warm_s, list(service.unproven_s))
+            self._by_route[work.route] = means
+        means.learn(work_s, rank, now_s)
+        service.learn(work_s, rank, now_s)
 
     def _of_service(self, work: Workload) -> _Means:
         means = self._by_service.get(work.service)
         if means is None:
-            means = _Means(WARM_PRIOR * work.objective_s, COLD_PRIOR * work.objective_s)
+            warm_s, cold_s = WARM_PRIOR * work.objective_s, COLD_PRIOR * work.objective_s
+            means = _Means(warm_s, [warm_s] + [cold_s] * (RANKS - 1))
             self._by_service[work.service] = means
         return means
--- a/src/chervilmill/overload/_target_record.py
+++ b/src/chervilmill/overload/_target_record.py
@@ -9,13 +9,13 @@
 
 from chervilmill.routing import Target
 
-OTHERS_WEIGHT = 0.5  # of a new report against the running figure
-OTHERS_HALF_LIFE_S = 1.0  # a wave or a burst turns within seconds
+OTHERS_HALF_LIFE_S = 0.3  # about the time in which a slot is taken anew
 SLOWNESS_WEIGHT = 0.2  # five answers of memory, as a target may turn slow at any time
 SLOWNESS_HALF_LIFE_S = 3.0  # how soon a slow target is tried again
 MAX_SLOWNESS = 20.0
 FAILURE_WEIGHT = 0.2
 FAILURE_HALF_LIFE_S = 2.0
+IDLE_SHARE = 0.5  # of the slots in use; the rest is left to requests that can be in time
 OVERDUE = 3.0  # times its expected time, after which a request tells that its target is slow
 EJECTION_S = 0.5  # after a first failure to connect; doubles with each further one
 MAX_EJECTION_S = 4.0  # about the time in which a lost target's entry lapses
@@ -63,10 +63,15 @@
         """Return the requests of this VM at the target."""
         return len(self._in_flight)
 
-    def load(self, now_s: float) -> float:
-        """Return the requests at the target, of this VM and as far as known of the others."""
+    def load(self, now_s: float, usual_others: float = 0.0) -> float:
+        """Return the requests at the target, of this VM and as far as known of the others.
+
+        As the last report ages, what the others have here is taken to be what they have elsewhere:
+        `usual_others` a slot.
+        """
         aged = _decay(now_s - self._others_at_s, OTHERS_HALF_LIFE_S)
-        return len(self._in_flight) + self._others * aged
+        usual = usual_others * self.target.slots
+        return len(self._in_flight) + usual + (self._others - usual) * aged
 
     def slowness(self, now_s: float) -> float:
         """Return how many times the usual work the target takes, at least 1."""
@@ -78,13 +83,17 @@
         """Return the share of requests of late that the target failed."""
         return self._failure * _decay(now_s - self._failure_at_s, FAILURE_HALF_LIFE_S)
 
-    def wait_s(self, now_s: float) -> float:
+    def wait_s(self, now_s: float, usual_others: float = 0.0) -> float:
         """Return how long a request would queue at the target."""
-        ahead = self.load(now_s) + 1 - self.target.slots
+        ahead = self.load(now_s, usual_others) + 1 - self.target.slots
         if ahead <= 0:
             return 0.0
         return ahead / self.target.slots * self.mean_work_s * self.slowness(now_s)
 
+    def is_idle(self, now_s: float, usual_others: float = 0.0) -> bool:
+        """Return whether the target has slots to spare for work that will be late."""
+        return self.load(now_s, usual_others) + 1 <= IDLE_SHARE * self.target.slots
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the target bears a bounded rate only."""
         return now_s < self.cold_until_s
@@ -123,12 +132,11 @@
         self._slowness = max(1.0, held + SLOWNESS_WEIGHT * (min(ratio, MAX_SLOWNESS) - held))
         self._slowness_at_s = now_s
 
-    def learn_load(self, total: int, now_s: float) -> None:
-        """Take in how many requests the target said it has."""
-        others = max(0.0, total - len(self._in_flight))
-        aged = self.load(now_s) - len(self._in_flight)
-        self._others = aged + OTHERS_WEIGHT * (others - aged)
+    def learn_load(self, total: int, now_s: float) -> float:
+        """Take in how many requests the target has; returns how many a slot are of others."""
+        self._others = max(0.0, total - len(self._in_flight))
         self._others_at_s = now_s
+        return self._others / self.target.slots
 
     def learn_failure(self, now_s: float, *, has_failed: bool) -> None:
         """Take in whether a request came to a good end."""
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -53,6 +53,11 @@
         """Note an undeliverable datagram; the peer's silence tells the rest."""
         log_problem("datagram not delivered", step="gossip", peer="udp", error=str(exc))
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
     async def run(self) -> None:
         """Gossip until cancelled."""
         while True:
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -24,10 +24,10 @@
     Retries,
     build_services,
 )
+from chervilmill.coordination import OrderLedger, Vm
 from chervilmill.http import HttpServer
 from chervilmill.metrics import Metrics
 from chervilmill.nodes import NewsItem, link_resource
-from chervilmill.coordination import OrderLedger, Vm
 from chervilmill.reasons import DropReason
 from chervilmill.requests import CrashNews
 from chervilmill.settings import check_settings
--- /dev/null
+++ b/tests/entry/harness.py
@@ -0,0 +1,195 @@
+"""Run an entry VM with stand-ins of the store and of targets on one event loop."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from chervilmill.addresses import Address
+from chervilmill.aio import ClientConnection, connect
+from chervilmill.entry._root import EntryVm
+from chervilmill.platform import read_settings
+from soak.site import (
+    DEFAULT_ROUTES,
+    HOST,
+    RouteRow,
+    VmPorts,
+    configuration,
+    settings,
+    write_settings,
+)
+from soak.store import StandInStore
+from soak.target import StandInTarget
+from tests.support import free_address
+
+READY_S = 10.0
+
+
+@dataclass(slots=True)
+class Answer:
+    """Hold what a caller got; `is_whole` is False where the answer broke off."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    is_whole: bool = True
+
+
+@dataclass(slots=True)
+class Scene:
+    """Hold the parts of one small site."""
+
+    store: StandInStore
+    vm: EntryVm
+    callers: Address
+    lookups: Address
+    readiness: Address
+    targets: dict[str, StandInTarget] = field(default_factory=dict)
+    addresses: dict[str, Address] = field(default_factory=dict)
+    serial: int = 0
+
+    async def add_target(
+        self, name: str, service: str = "app", domain: str = "north-a", **options: float
+    ) -> StandInTarget:
+        """Start a target and register it."""
+        target = StandInTarget(name, **options)  # type: ignore[arg-type]
+        address = free_address()
+        await target.listen(address)
+        self.targets[name] = target
+        self.addresses[name] = address
+        self.store.put("servers", name, target.entry(service, address, domain, 1))
+        return target
+
+    async def settle(self) -> None:
+        """Let what was written to the store arrive."""
+        await asyncio.sleep(0.15)
+
+    def next_id(self) -> str:
+        """Return the id of a further attempt."""
+        self.serial += 1
+        return f"req-{self.serial}"
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a request was run over all targets."""
+        return sum(
+            run.request_id == request_id
+            for target in self.targets.values()
+            for run in target.records.runs
+        )
+
+    async def ask(
+        self,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        request_id: str | None = None,
+        deadline_ms: int = 2000,
+        conn: ClientConnection | None = None,
+        key: str = "7",
+    ) -> Answer:
+        """Send one request as a caller does."""
+        used = conn or await connect(self.callers, 1.0)
+        try:
+            return await ask_on(
+                used, path, method, body, request_id or self.next_id(), deadline_ms, key
+            )
+        finally:
+            if conn is None:
+                used.abort()
+
+
+async def ask_on(
+    conn: ClientConnection,
+    path: str,
+    method: str,
+    body: bytes,
+    request_id: str,
+    deadline_ms: int,
+    key: str,
+) -> Answer:
+    """Exchange one request on a connection."""
+    headers = [
+        (b"host", HOST.encode()),
+        (b"x-chervilmill-request-id", request_id.encode()),
+        (b"x-chervilmill-deadline-milliseconds", str(deadline_ms).encode()),
+        (b"x-chervilmill-request-affinity", key.encode()),
+    ]
+    if body:
+        headers.append((b"content-length", str(len(body)).encode()))
+    await conn.send_head(method.encode(), path.encode(), headers)
+    if body:
+        await conn.send_part(body)
+    conn.end_body()
+    head = await conn.read_head()
+    parts = []
+    is_whole = True
+    try:
+        while (part := await conn.read_part()) is not None:
+            parts.append(part)
+    except Exception:  # the break is what the test looks for
+        is_whole = False
+    conn.finish(asyncio.get_running_loop().time())
+    return Answer(head.status, dict(head.headers), b"".join(parts), is_whole)
+
+
+@asynccontextmanager
+async def scene(
+    tmp_path: Path,
+    targets: tuple[str, ...] = ("t1", "t2"),
+    routes: tuple[RouteRow, ...] = DEFAULT_ROUTES,
+    services: tuple[str, ...] = ("app",),
+) -> AsyncIterator[Scene]:
+    """Yield a site with one ready entry VM."""
+    store_address = free_address()
+    store = StandInStore()
+    await store.listen(store_address)
+    store.put("config", "main", configuration(1, routes, services))
+    ports = VmPorts("127.0.0.1", *[free_address().port for _ in range(6)])
+    path = write_settings(tmp_path / "vm.json", settings("vm-1", "north-a", ports, store_address))
+    read = read_settings(path)
+    vm = EntryVm(read, path)
+    made = Scene(store, vm, read.callers, read.lookups, read.readiness)
+    for name in targets:
+        await made.add_target(name)
+    running = asyncio.create_task(vm.run())
+    try:
+        await until(lambda: is_ready(read.readiness))
+        yield made
+    finally:
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        vm.abort()
+        store.stop()
+        for target in made.targets.values():
+            target.crash()
+
+
+async def is_ready(address: Address) -> bool:
+    """Return whether an entry VM says that it is ready."""
+    try:
+        conn = await connect(address, 0.5)
+    except Exception:  # not listening yet
+        return False
+    try:
+        await conn.send_head(b"GET", b"/v1/readiness", [(b"host", b"-")])
+        conn.end_body()
+        return (await conn.read_head()).status == 200
+    finally:
+        conn.abort()
+
+
+async def until(check: Callable[[], Awaitable[bool]], limit_s: float = READY_S) -> None:
+    """Wait until a check holds, or fail."""
+    async with asyncio.timeout(limit_s):
+        while not await check():
+            await asyncio.sleep(0.02)
+
+
+def play(story: Callable[[], Awaitable[None]]) -> None:
+    """Run one story on an event loop of its own."""
+
+    async def run() -> None:
+        await story()
+
+    asyncio.run(run())
--- a/tests/nodes/test_configuration.py
+++ b/tests/nodes/test_configuration.py
@@ -3,8 +3,8 @@
 import pytest
 
 from bench.nodes_network import Network, member, running_network
-from chervilmill.nodes._configuration import PUSHED_BYTES
 from chervilmill.coordination import CONFIGURATION_KIND, StoredObject, WatchResult
+from chervilmill.nodes._configuration import PUSHED_BYTES
 
 IN_FORCE_S = 3.0
 
--- a/tests/nodes/test_readers.py
+++ b/tests/nodes/test_readers.py
@@ -2,8 +2,8 @@
 
 from types import SimpleNamespace
 
-from chervilmill.nodes._readers import ConfigurationReader
 from chervilmill.coordination import StoreUnavailableError, WatchResult
+from chervilmill.nodes._readers import ConfigurationReader
 
 
 class RecordingStore:
--- a/tests/nodes/test_transport.py
+++ b/tests/nodes/test_transport.py
@@ -9,12 +9,12 @@
 from websockets.sync.client import ClientConnection, connect
 
 from bench.nodes_network import member
+from chervilmill.coordination import HeldConfiguration
 from chervilmill.nodes._codec import MAX_MESSAGE_BYTES, decode, encode
 from chervilmill.nodes._handshake import Handshake, LinkRefusal
 from chervilmill.nodes._machine import NodeMachine
 from chervilmill.nodes._messages import Heartbeat, Member
 from chervilmill.nodes._transport import Transport
-from chervilmill.coordination import HeldConfiguration
 from chervilmill.standins.store import retry_until
 from tests.support import free_address
 
--- a/tests/nodes/test_vms.py
+++ b/tests/nodes/test_vms.py
@@ -5,10 +5,10 @@
 import pytest
 
 from chervilmill.addresses import Address
+from chervilmill.coordination import Vm, VmRole, VmState
 from chervilmill.nodes._actions import Outbox, Send
 from chervilmill.nodes._messages import VmChanges
 from chervilmill.nodes._vms import LIST_LAG_S, SIGN_LIFETIME_S, VmSpread, read_interval_s
-from chervilmill.coordination import Vm, VmRole, VmState
 
 LIVE = Vm(
     "target-1", VmRole.TARGET, VmState.LIVE, "souhrny", "praha", "praha-a", Address("10.0.0.1", 80)
--- a/tests/operators/test_router.py
+++ b/tests/operators/test_router.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from chervilmill.coordination import VersionConflictError
 from chervilmill.http import Exchange
 from chervilmill.http._exchange import EXCHANGE_KEY
 from chervilmill.metrics import Metrics
@@ -17,7 +18,6 @@
     Route,
     status_routes,
 )
-from chervilmill.coordination import VersionConflictError
 from chervilmill.standins.store import MemoryStore
 from chervilmill.steering import Headroom
 from tests.support import free_address, target_vm
--- /dev/null
+++ b/tests/overload/test_replays.py
@@ -0,0 +1,213 @@
+"""Replay load patterns of played days against the decisions, each with the bound it is held to.
+
+Sizes are those of a site of today: 34 targets of 6 slots in three regions, one of them small for
+its callers, and 12 entry VMs. Bounds come from the sites' own marks, not from what was measured.
+"""
+
+import math
+import random
+
+from tests.overload.support import (
+    ORDER,
+    READ,
+    REGIONS,
+    Replay,
+    in_time_share,
+    served_share,
+)
+
+SLOTS = {
+    "north-a": (2, 6),
+    "north-b": (2, 6),
+    "south-a": (7, 6),
+    "south-b": (7, 6),
+    "west-a": (8, 6),
+    "west-b": (8, 6),
+}
+VMS = {"north-a": 2, "north-b": 1, "south-a": 3, "south-b": 1, "west-a": 3, "west-b": 2}
+READS_PER_S = 43.0  # a failure domain; cold, reads and orders take 1.2 times the slots
+ORDERS_PER_S = 17.0
+WARM_UP_S = 6.0
+END_S = 20.0
+MARK = 0.69  # the share of credit that the sites ask of a calm day
+
+
+def _steady(replay: Replay, factor: float = 1.0) -> None:
+    for domain in REGIONS:
+        replay.arrive(READ, domain, lambda _: READS_PER_S * factor, END_S)
+        replay.arrive(ORDER, domain, lambda _: ORDERS_PER_S * factor, END_S)
+
+
+def test_steady_overload_is_served_from_targets_that_hold_the_objects() -> None:
+    replay = Replay(SLOTS, VMS)
+    _steady(replay)
+    replay.run(END_S + 5)
+    assert in_time_share(replay.since(WARM_UP_S)) >= 0.9
+    assert served_share(replay.since(0.0)) >= 0.95
+
+
+def test_region_with_few_targets_is_served_like_the_others() -> None:
+    replay = Replay(SLOTS, VMS)
+    _steady(replay)
+    replay.run(END_S + 5)
+    by_region = {
+        region: in_time_share([c for c in replay.since(WARM_UP_S) if REGIONS[c.domain] == region])
+        for region in ("north", "south", "west")
+    }
+    assert by_region["north"] >= by_region["south"] - 0.15
+
+
+def test_wave_between_regions_moves_no_more_than_the_shift_cap() -> None:
+    replay = Replay(SLOTS, VMS)
+    phases = {"north": 0.0, "south": 0.33, "west": 0.67}
+    for domain, region in REGIONS.items():
+
+        def wave(at_s: float, phase: float = phases[region]) -> float:
+            return 1.0 + 0.55 * math.sin(2 * math.pi * (at_s / 36.0 + phase))
+
+        replay.arrive(READ, domain, lambda s, w=wave: READS_PER_S * w(s), END_S)  # type: ignore[misc]
+        replay.arrive(ORDER, domain, lambda s, w=wave: ORDERS_PER_S * w(s), END_S)  # type: ignore[misc]
+    replay.run(END_S + 5)
+    assert in_time_share(replay.since(WARM_UP_S)) >= MARK
+    for region in phases:
+        for begin_s in range(4, int(END_S) - 3):
+            assert _moved(replay, region, begin_s) <= 0.15
+
+
+def _moved(replay: Replay, region: str, begin_s: float) -> float:
+    """Return the share of a region's requests that changed region between windows of 2 s."""
+    shares = []
+    for from_s in (begin_s, begin_s + 2.0):
+        ran = [
+            call.ran_in
+            for call in replay.since(from_s, from_s + 2.0)
+            if call.ran_in and REGIONS[call.domain] == region
+        ]
+        shares.append({name: ran.count(name) / len(ran) for name in set(REGIONS.values())})
+    return sum(abs(shares[0][name] - shares[1][name]) for name in shares[0]) / 2
+
+
+def test_burst_at_one_failure_domain_keeps_urgent_requests_first() -> None:
+    replay = Replay(SLOTS, VMS)
+
+    def burst(at_s: float) -> float:
+        return 4.0 if 8.0 <= at_s < 11.0 else 1.0
+
+    for domain in REGIONS:
+        factor = burst if domain == "south-a" else (lambda _: 1.0)
+        replay.arrive(READ, domain, lambda s, f=factor: READS_PER_S * f(s), END_S)  # type: ignore[misc]
+        replay.arrive(ORDER, domain, lambda s, f=factor: ORDERS_PER_S * f(s), END_S)  # type: ignore[misc]
+    replay.run(END_S + 5)
+    during = replay.since(8.0, 11.0)
+    reads = served_share([call for call in during if call.kind is READ])
+    orders = served_share([call for call in during if call.kind is ORDER])
+    assert orders >= reads - 0.05
+    assert in_time_share(replay.since(12.0, END_S)) >= MARK
+
+
+def test_doubled_load_serves_what_the_slots_give() -> None:
+    """Goodput at an overload even of warm work is at least 95% of what the slots give."""
+    replay = Replay(SLOTS, VMS)
+    _steady(replay, factor=4.0)
+    replay.run(END_S + 5)
+    calls = replay.since(WARM_UP_S, END_S)
+    done = [call for call in calls if call.answered_s is not None]
+    work_s = sum(call.kind.work_s * call.kind.warm_share for call in done) / (END_S - WARM_UP_S)
+    slots = sum(count * size for count, size in SLOTS.values())
+    assert work_s >= 0.95 * slots * math.exp(-(0.15**2) / 2) * 0.95
+    waited = [call.answered_s - call.began_s for call in done if call.answered_s is not None]
+    assert max(waited) <= READ.patience_s + 0.5
+
+
+def test_refused_caller_that_returns_is_served_before_a_newcomer() -> None:
+    replay = Replay(SLOTS, VMS)
+    _steady(replay, factor=3.0)
+    replay.run(END_S + 5)
+    returned = [c for c in replay.since(WARM_UP_S) if c.attempts > 1]
+    first = served_share([c for c in replay.since(WARM_UP_S) if c.attempts == 1])
+    assert returned
+    assert served_share(returned) >= first - 0.1
+
+
+def test_callers_that_ignore_retry_after_do_not_displace_the_others() -> None:
+    replay = Replay(SLOTS, VMS, returns=4, heeds_retry_after=False)
+    _steady(replay)
+    replay.run(END_S + 5)
+    assert in_time_share(replay.since(WARM_UP_S)) >= MARK
+
+
+def test_crash_of_a_seventh_of_the_targets() -> None:
+    replay = Replay(SLOTS, VMS)
+    _steady(replay)
+    lost = sorted(replay.targets)[::7]
+
+    def crash() -> None:
+        for name in lost:
+            replay.targets[name].is_up = False
+
+    def gone() -> None:
+        for name in lost:
+            replay.remove_target(name)
+
+    replay.at(8.0, crash)
+    replay.at(12.0, gone)
+    replay.run(END_S + 5)
+    assert served_share(replay.since(8.0, 12.0)) >= 0.9
+    assert in_time_share(replay.since(14.0)) >= MARK
+
+
+def test_slow_targets_lose_their_requests() -> None:
+    replay = Replay(SLOTS, VMS)
+    _steady(replay)
+    slow = sorted(replay.targets)[::7]
+
+    def slow_down() -> None:
+        for name in slow:
+            replay.targets[name].factor = 5.0
+
+    replay.at(8.0, slow_down)
+    replay.run(END_S + 5)
+    usual = len(replay.since(10.0)) / (END_S - 10.0) * len(slow) / len(replay.targets)
+    got = sum(sum(at_s >= 10.0 for at_s in replay.targets[name].starts) for name in slow)
+    assert got / (END_S - 10.0) <= 0.5 * usual
+    assert in_time_share(replay.since(10.0)) >= MARK
+
+
+def test_cold_failure_domain_stays_under_its_bound() -> None:
+    replay = Replay(SLOTS, VMS)
+    _steady(replay)
+    names = [name for name, one in replay.targets.items() if one.target.failure_domain == "west-b"]
+
+    def return_cold() -> None:
+        for name in names:
+            replay.remove_target(name)
+            replay.add_target(name, "west-b", 6, cold_s=3.0)
+
+    replay.at(8.0, return_cold)
+    replay.run(END_S + 5)
+    for name in names:
+        starts = [at_s for at_s in replay.targets[name].starts if 8.0 <= at_s < 11.0]
+        busiest = max((sum(a <= b < a + 1.0 for b in starts) for a in starts), default=0)
+        assert busiest <= 6.9 * 1.5 + 5
+
+
+def test_joined_targets_get_their_part() -> None:
+    replay = Replay(SLOTS, VMS)
+    _steady(replay)
+    replay.at(8.0, lambda: replay.add_target("t-new", "south-a", 6))
+    replay.run(END_S + 5)
+    usual = [len([s for s in one.starts if s >= 12.0]) for one in replay.targets.values()]
+    assert len([s for s in replay.targets["t-new"].starts if s >= 12.0]) >= 0.3 * sorted(usual)[17]
+
+
+def test_same_seed_gives_the_same_day() -> None:
+    def figures() -> list[float | None]:
+        replay = Replay(SLOTS, VMS, seed=5)
+        _steady(replay)
+        replay.run(8.0)
+        return [call.answered_s for call in replay.calls]
+
+    random.seed(1)
+    first = figures()
+    random.seed(2)
+    assert figures() == first
--- a/tests/steering/support.py
+++ b/tests/steering/support.py
@@ -4,10 +4,10 @@
 from collections import Counter
 
 from chervilmill.cli import main
+from chervilmill.coordination import CONFIGURATION_KIND, HeldConfiguration, Vm
 from chervilmill.http import HttpServer
 from chervilmill.metrics import Metrics
 from chervilmill.operators import OperatorsApp, SteeringRoutes
-from chervilmill.coordination import CONFIGURATION_KIND, HeldConfiguration, Vm
 from chervilmill.settings import Settings, check_settings
 from chervilmill.standins.store import MemoryStore
 from chervilmill.steering import ShiftRunner, SteeringTable, SteeringWorld, VmEvidence
--- a/tests/steering/test_shift_race.py
+++ b/tests/steering/test_shift_race.py
@@ -11,7 +11,13 @@
 import numpy as np
 import pytest
 
-from chervilmill.coordination import FencedObject, FencedOffError, Lease, PlatformError, decode_fenced
+from chervilmill.coordination import (
+    FencedObject,
+    FencedOffError,
+    Lease,
+    PlatformError,
+    decode_fenced,
+)
 from chervilmill.settings import Service
 from chervilmill.steering import BlockTable, Place, ShareMap, Topology
 from chervilmill.steering._confirmed import ConfirmedPlan
