Test the adapter, the view and membership; count above an earlier lifetime

Cause: a VM whose clock was set back between two lifetimes kept an incarnation no higher than before, and the others took its heartbeats for old ones: dead to all but itself.

Ruled out: taking any heartbeat of a VM thought dead (relays would revive dead VMs for ever).

Change: heartbeats are told on for 30 s, so a VM that starts hears its earlier ones and counts above them. Shares between regions fill no region beyond the others.

--- a/src/chervilmill/overload/_service_times.py
+++ b/src/chervilmill/overload/_service_times.py
@@ -4,8 +4,8 @@
 a free slot elsewhere depends on both times, which differ by site and route. Whether a target holds
 an object that other entry VMs may have sent there is not known here, but how often it did is learnt
 by the target's rank for the object. The first is presumed to hold it, so that a target that joins
-takes the objects over for which it ranks first. A route without answers yet, such as one that a configuration
-has just added, goes by its service.
+takes the objects over for which it ranks first. A route without answers yet, such as one that a
+configuration has just added, goes by its service.
 """
 
 from dataclasses import dataclass
--- a/src/chervilmill/overload/_shares.py
+++ b/src/chervilmill/overload/_shares.py
@@ -7,9 +7,7 @@
 
 from collections.abc import Mapping
 
-HOME_HEADROOM = (
-    1.25  # how much fuller than the site a region may be before its callers go elsewhere
-)
+HOME_HEADROOM = 1.0  # how much fuller than the site a region may be with its own callers
 MAX_STEP_PER_S = 0.04  # of a region's requests; two seconds of it stay well under the shift cap
 
 
@@ -58,7 +56,7 @@
         """
         usable = {name: share for name, share in self._shares.items() if name in wanted}
         held = sum(usable.values())
-        step = MAX_STEP_PER_S * (now_s - self._at_s)
+        step = MAX_STEP_PER_S * max(0.0, now_s - self._at_s)
         self._at_s = now_s
         if held <= 0:
             self._shares = dict(wanted)
--- a/src/chervilmill/peers/_membership.py
+++ b/src/chervilmill/peers/_membership.py
@@ -17,6 +17,7 @@
 FANOUT = 3  # peers told a round; reaches a hundred in five rounds
 REVIVAL_FANOUT = 1  # dead peers told a round, so that parted halves find each other again
 MAX_TOLD = 90  # heartbeats a datagram, so that it fits one packet
+TOLD_FOR_S = 30.0  # after the last rise, so that a VM that starts anew hears where it had been
 DEAD_AFTER_S = 3.0  # six rounds; a look-up must not name a dead VM for long
 
 
@@ -78,7 +79,7 @@
         """Return what to tell in this round."""
         own = HeartbeatEntry(self._key, self._incarnation, self._counter, self._is_serving)
         known = [
-            (key, heard) for key, heard in self._heard.items() if now_s - heard.at_s <= DEAD_AFTER_S
+            (key, heard) for key, heard in self._heard.items() if now_s - heard.at_s <= TOLD_FOR_S
         ]
         if len(known) > MAX_TOLD:
             known = self._rng.sample(known, MAX_TOLD)
@@ -141,5 +142,5 @@
 
     def _outlive(self, told: HeartbeatEntry) -> None:
         """Count above an earlier lifetime of this VM that others still tell of."""
-        if told.incarnation > self._incarnation:
+        if (told.incarnation, told.counter) > (self._incarnation, self._counter):
             self._incarnation = told.incarnation + 1
--- a/tests/overload/test_parts.py
+++ b/tests/overload/test_parts.py
@@ -42,9 +42,10 @@
 def test_shares_move_under_the_cap() -> None:
     shares = RegionShares()
     shares.move({"north": 1.0}, 0.0)
+    after = shares.move({"north": 1.0}, 0.0)
     for step in range(1, 100):
-        before = dict(shares.move({"north": 0.2, "south": 0.8}, step - 1.0))
-        after = shares.move({"north": 0.2, "south": 0.8}, step + 1.0)
+        before = dict(after)
+        after = shares.move({"north": 0.2, "south": 0.8}, 2.0 * step)
         assert abs(after["north"] - before["north"]) <= 0.15
     assert after["north"] == pytest.approx(0.2)
 
--- /dev/null
+++ b/tests/peers/test_membership.py
@@ -0,0 +1,138 @@
+"""Run many memberships on a virtual clock over a network that loses datagrams."""
+
+import random
+
+import pytest
+
+from chervilmill.peers import (
+    Digest,
+    KindReplica,
+    MalformedDigestError,
+    Membership,
+    MemberState,
+    Peer,
+)
+from chervilmill.peers._digest import decode_digest
+from chervilmill.peers._endpoint import ROUND_S
+from chervilmill.platform import Listing, StoredObject, WatchEvent, WatchResult
+
+DETECTED_S = 7.0  # a look-up names no VM that has been dead for longer
+
+
+class _Fleet:
+    """Hold memberships and who is up; a round is half a second."""
+
+    def __init__(self, count: int, loss: float = 0.0) -> None:
+        self.now_s = 0.0
+        self.loss = loss
+        self.rng = random.Random(4)
+        self.peers = [Peer(f"vm-{n}", f"10.0.0.{n}", "a") for n in range(count)]
+        self.up = {peer.name: self.make(peer, 1) for peer in self.peers}
+        self.bytes_sent = 0
+
+    def make(self, peer: Peer, incarnation: int) -> Membership:
+        membership = Membership(peer.name, incarnation, random.Random(peer.name))
+        membership.register(self.peers)
+        membership.serve(True)
+        return membership
+
+    def play(self, seconds: float) -> None:
+        until_s = self.now_s + seconds
+        while self.now_s < until_s:
+            self.now_s += ROUND_S
+            for membership in list(self.up.values()):
+                membership.beat()
+                data = membership.digest({}, self.now_s).encode()
+                for peer in membership.receivers(self.now_s):
+                    self.bytes_sent += len(data)
+                    if peer.name in self.up and self.rng.random() >= self.loss:
+                        self.up[peer.name].receive(decode_digest(data, peer.host), self.now_s)
+
+    def live(self, name: str) -> set[str]:
+        return {peer.name for peer in self.up[name].live(self.now_s)}
+
+
+@pytest.mark.parametrize(("count", "loss"), [(2, 0.0), (12, 0.0), (12, 0.2), (83, 0.02)])
+def test_all_find_each_other_and_none_is_thought_dead(count: int, loss: float) -> None:
+    fleet = _Fleet(count, loss)
+    fleet.play(5.0)
+    for _ in range(20):
+        fleet.play(ROUND_S)
+        assert all(len(fleet.live(name)) == count - 1 for name in fleet.up)
+
+
+@pytest.mark.parametrize("count", [12, 83])
+def test_dead_vm_is_dropped_by_all_in_time(count: int) -> None:
+    fleet = _Fleet(count)
+    fleet.play(5.0)
+    del fleet.up["vm-1"]
+    fleet.play(DETECTED_S)
+    assert all("vm-1" not in fleet.live(name) for name in fleet.up)
+
+
+@pytest.mark.parametrize("incarnation", [2, 1, 0])
+def test_vm_that_starts_anew_is_found_again(incarnation: int) -> None:
+    """Also where its clock was set back, so that its incarnation does not rise."""
+    fleet = _Fleet(12)
+    fleet.play(5.0)
+    del fleet.up["vm-1"]
+    fleet.play(5.0)
+    fleet.up["vm-1"] = fleet.make(fleet.peers[1], incarnation)
+    fleet.play(4.0)
+    assert all("vm-1" in fleet.live(name) for name in fleet.up if name != "vm-1")
+
+
+def test_vm_that_leaves_is_out_while_it_runs() -> None:
+    fleet = _Fleet(12)
+    fleet.play(5.0)
+    fleet.up["vm-1"].serve(False)
+    fleet.play(2.5)
+    assert all("vm-1" not in fleet.live(name) for name in fleet.up)
+    assert fleet.up["vm-0"].state("vm-1", fleet.now_s) is MemberState.IDLE
+
+
+def test_bytes_grow_with_the_fleet_and_no_faster_a_datagram_than_it() -> None:
+    sent = {}
+    for count in (12, 83):
+        fleet = _Fleet(count)
+        fleet.play(5.0)
+        begin = fleet.bytes_sent
+        fleet.play(10.0)
+        sent[count] = (fleet.bytes_sent - begin) / 10.0 / count
+    assert sent[83] <= 12_000
+    assert sent[83] <= 83 / 12 * sent[12] * 1.1
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x01", b"\x83\x01\x02\x03", b"x" * 100])
+def test_datagrams_of_others_are_refused(data: bytes) -> None:
+    with pytest.raises(MalformedDigestError):
+        decode_digest(data, "10.0.0.1")
+
+
+def test_digest_comes_back_as_it_was() -> None:
+    membership = Membership("vm", 5, random.Random(1))
+    digest = membership.digest({"config": 4}, 0.0)
+    assert isinstance(digest, Digest)
+    assert decode_digest(digest.encode(), "x") == digest
+
+
+def _stored(name: str, revision: int) -> StoredObject:
+    return StoredObject(name, revision, {})
+
+
+def test_replica_takes_lists_and_events_in_order() -> None:
+    replica = KindReplica("kind")
+    change = replica.take_listing(Listing({"a": _stored("a", 3), "b": _stored("b", 4)}, 5))
+    assert change is not None
+    assert {one.name for one in change.written} == {"a", "b"}
+    removed = WatchEvent(_stored("a", 6), True)
+    change = replica.take_events(WatchResult((removed, WatchEvent(_stored("c", 7), False)), 7))
+    assert change is not None
+    assert change.removed == ("a",)
+    assert sorted(replica.objects) == ["b", "c"]
+    assert replica.take_listing(Listing({"a": _stored("a", 3)}, 5)) is None
+    assert replica.take_events(WatchResult((), 6)) is None
+    assert (replica.as_of, replica.changed_at) == (7, 7)
+    change = replica.take_listing(Listing({"c": _stored("c", 7)}, 9))
+    assert change is not None
+    assert change.removed == ("b",)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,66 @@
+"""Translate headers both ways."""
+
+import pytest
+
+from chervilmill.platform import (
+    LoadReport,
+    read_answer,
+    read_request,
+    refusal_headers,
+    target_headers,
+)
+
+
+def test_request_facts() -> None:
+    facts = read_request(
+        [
+            (b"x-chervilmill-request-id", b"one"),
+            (b"x-chervilmill-request-affinity", b"17"),
+            (b"x-chervilmill-deadline-milliseconds", b"2500"),
+        ]
+    )
+    assert (facts.request_id, facts.affinity, facts.patience_s) == ("one", "17", 2.5)
+
+
+@pytest.mark.parametrize("value", [b"", b"soon", b"-5", b"1.5"])
+def test_unreadable_deadline_counts_as_none(value: bytes) -> None:
+    assert read_request([(b"x-chervilmill-deadline-milliseconds", value)]).patience_s is None
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "proves"),
+    [
+        (503, [(b"x-chervilmill-request-not-run", b"1")], True),
+        (421, [], True),
+        (503, [], False),
+        (429, [], False),
+        (500, [], False),
+        (504, [], False),
+    ],
+)
+def test_only_the_target_proves_that_it_did_not_run(
+    status: int, headers: list[tuple[bytes, bytes]], proves: bool
+) -> None:
+    assert read_answer(status, headers).proves_not_run is proves
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,1,6", LoadReport(3, 1, 6)),
+        (b"3,1", None),
+        (b"3,1,0", None),
+        (b"a,b,c", None),
+        (b"-1,0,6", None),
+        (b"", None),
+    ],
+)
+def test_load_reports(value: bytes, load: LoadReport | None) -> None:
+    assert read_answer(200, [(b"x-chervilmill-server-load", value)]).load == load
+
+
+def test_headers_to_targets_and_callers() -> None:
+    assert (b"x-chervilmill-expected-instance", b"i-1") in target_headers("i-1", 1.5)
+    assert (b"x-chervilmill-deadline-milliseconds", b"1500") in target_headers("i-1", 1.5)
+    assert refusal_headers(0.25) == [(b"retry-after", b"0.25")]
+    assert refusal_headers(None) == []
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,66 @@
+"""Read settings as the platform renders them."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from chervilmill.addresses import Address
+from chervilmill.platform import SettingsError, read_settings
+from soak.site import VmPorts, settings
+
+PORTS = VmPorts("10.1.0.10", 8161, 8164, 8167, 8166, 7720, 7735)
+
+
+def _content() -> dict[str, object]:
+    return settings("vm-1", "north-a", PORTS, Address("10.9.0.1", 8169), ("10.1.0.11:8166",))
+
+
+def _read(path: Path, content: object) -> object:
+    path.write_text(json.dumps(content), encoding="utf-8")
+    return read_settings(path)
+
+
+def test_fields_are_taken_and_unknown_ones_ignored(tmp_path: Path) -> None:
+    read = _read(tmp_path / "vm.json", _content() | {"new-field": [1, 2]})
+    assert read == read_settings(tmp_path / "vm.json")
+    found = read_settings(tmp_path / "vm.json")
+    assert found.region == "north"
+    assert found.callers == Address("10.1.0.10", 8161)
+    assert found.peers.port == 8166
+    assert found.seeds == (Address("10.1.0.11", 8166),)
+    assert found.bounds.drain_s == 2.5
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"node-name": None}, "node-name"),
+        ({"listen-addresses": {"front": "10.1.0.10:1"}}, "directory"),
+        ({"listen-addresses": {"front": "x", "directory": "x"}}, "IP:port"),
+        ({"internal-port-range": []}, "index"),
+        ({"bounds": {}}, "drain-s"),
+        ({"platform": {}}, "address"),
+        ({"zones": 3}, "items"),
+    ],
+)
+def test_missing_and_wrong_fields_are_named(
+    tmp_path: Path, change: dict[str, object], named: str
+) -> None:
+    content = {key: value for key, value in (_content() | change).items() if value is not None}
+    with pytest.raises(SettingsError, match=named) as caught:
+        _read(tmp_path / "vm.json", content)
+    assert caught.value.step == "read settings"
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "3"])
+def test_unreadable_settings_are_refused(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "vm.json"
+    path.write_text(text, encoding="utf-8")
+    with pytest.raises(SettingsError):
+        read_settings(path)
+
+
+def test_missing_file_is_refused(tmp_path: Path) -> None:
+    with pytest.raises(SettingsError, match=r"none\.json"):
+        read_settings(tmp_path / "none.json")
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,117 @@
+"""Hold the store client to its contract, against a store that answers as told."""
+
+import asyncio
+import json
+
+import pytest
+
+from chervilmill.aio import ExchangeError, WholeAnswer
+from chervilmill.platform import (
+    HistoryGoneError,
+    PlatformStore,
+    StoredObject,
+    StoreError,
+    decode_objects,
+    encode_objects,
+)
+
+Reply = WholeAnswer | Exception
+
+
+class _Scripted:
+    def __init__(self, *replies: Reply) -> None:
+        self.calls: list[tuple[str, str]] = []
+        self._replies = list(replies)
+
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> WholeAnswer:
+        self.calls.append((method, path))
+        reply = self._replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+def _item(name: str, revision: int = 1) -> dict[str, object]:
+    return {"metadata": {"name": name, "revision": revision}, "specification": {"n": name}}
+
+
+def _answer(value: object, status: int = 200) -> WholeAnswer:
+    return WholeAnswer(status, json.dumps(value).encode())
+
+
+LOST = ExchangeError("no answer", step="GET", peer="store")
+
+
+def test_list_goes_on_to_the_last_page() -> None:
+    script = _Scripted(
+        _answer({"items": [_item("a"), _item("b")], "more": True, "as-of": 7}),
+        _answer({"items": [_item("c")], "more": False, "as-of": 9}),
+    )
+    listing = asyncio.run(PlatformStore(script, "store").list_all("servers", 1.0))
+    assert sorted(listing.objects) == ["a", "b", "c"]
+    assert listing.as_of == 7
+    assert script.calls[1][1].endswith("after=b")
+
+
+def test_watch_returns_events_and_skips_what_is_none() -> None:
+    events = [{"object": _item("a", 8), "deleted": True}, "?", {"object": 3}, {"deleted": False}]
+    script = _Scripted(_answer({"events": events, "as-of": 8}))
+    store = PlatformStore(script, "store")
+    result = asyncio.run(store.watch("servers", 7, 5.0, 1.0, is_stale=True))
+    assert [(event.stored.name, event.is_removed) for event in result.events] == [("a", True)]
+    assert result.as_of == 8
+    assert "serializable=1" in script.calls[0][1]
+
+
+@pytest.mark.parametrize(
+    ("reply", "error"),
+    [
+        (_answer({}, 410), HistoryGoneError),
+        (_answer({}, 503), StoreError),
+        (_answer({}, 429), StoreError),
+        (WholeAnswer(200, b"\xff{"), StoreError),
+        (_answer([]), StoreError),
+        (LOST, StoreError),
+    ],
+)
+def test_failed_reads_raise(reply: Reply, error: type[Exception]) -> None:
+    store = PlatformStore(_Scripted(reply), "store")
+    with pytest.raises(error) as caught:
+        asyncio.run(store.watch("servers", 7, 5.0, 1.0, is_stale=True))
+    assert isinstance(caught.value, StoreError)
+    assert not caught.value.is_unsure
+
+
+def test_write_without_an_answer_is_unsure() -> None:
+    store = PlatformStore(_Scripted(LOST), "store")
+    with pytest.raises(StoreError) as caught:
+        asyncio.run(store.put("entry-vms", "vm", {}, 1.0))
+    assert caught.value.is_unsure
+
+
+@pytest.mark.parametrize(
+    ("replies", "calls"),
+    [
+        ([_answer({})], ["POST"]),
+        ([_answer({}, 409), _answer({})], ["POST", "PUT"]),
+    ],
+)
+def test_put_creates_or_replaces(replies: list[Reply], calls: list[str]) -> None:
+    script = _Scripted(*replies)
+    asyncio.run(PlatformStore(script, "store").put("entry-vms", "vm", {}, 1.0))
+    assert [method for method, _ in script.calls] == calls
+
+
+@pytest.mark.parametrize("status", [200, 404])
+def test_delete_of_what_is_gone_is_done(status: int) -> None:
+    asyncio.run(PlatformStore(_Scripted(_answer({}, status)), "store").delete("k", "n", 1.0))
+
+
+def test_copies_for_peers_come_back_as_they_were() -> None:
+    stored = {"a": StoredObject("a", 3, {"x": 1})}
+    assert decode_objects(encode_objects(stored.values())) == stored
+
+
+@pytest.mark.parametrize("value", [None, 3, [3], [{}], [{"metadata": {"name": 3}}]])
+def test_unreadable_copies_hold_nothing(value: object) -> None:
+    assert decode_objects(value) == {}
