Stop requests that crash their targets, and rest connections for longer

Ruled out: counting each lost connection as a crash (the platform also loses answers; a legitimate request would be quarantined within seconds).

Change: a loss counts as a crash once its target refuses connections or starts anew; suspects run at one target, news travel with the digests. Idle connections are reused up to 0.85 of the stated time, less after a target has dropped one unannounced. Look-ups name the caller's own failure domain where it has two VMs.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -11,7 +11,7 @@
 from chervilmill.errors import ChervilmillError
 
 DEFAULT_IDLE_S = 4.0  # where a peer does not state its own time-out
-IDLE_SHARE = 0.6  # of the stated time-out, so that a close does not cross a request
+IDLE_SHARE = 0.85  # of the stated time-out, so that a close does not cross a request
 
 
 class ConnectError(ChervilmillError):
@@ -35,8 +35,10 @@
 
     def __init__(self) -> None:
         super().__init__(h11.Connection(h11.CLIENT))
+        self.idle_since_s = 0.0
         self.idle_until_s = 0.0
         self.exchanges = 0
+        self.has_answered = False
         self._idle_s = DEFAULT_IDLE_S
         self._method = b"GET"
 
@@ -50,6 +52,7 @@
     async def send_head(self, method: bytes, path: bytes, headers: Headers) -> None:
         """Begin an exchange."""
         self.exchanges += 1
+        self.has_answered = False
         self._method = method
         self._write_checked(h11.Request(method=method, target=path, headers=headers))
         await self._flush()
@@ -63,16 +66,12 @@
         """Finish the body."""
         self._write_checked(h11.EndOfMessage())
 
-    @property
-    def has_answer(self) -> bool:
-        """Return whether any part of an answer has come or the connection has ended."""
-        return self._unread > 0 or self.has_ended or self.is_lost
-
     async def read_head(self) -> AnswerHead:
         """Return the head of the answer, or raise ExchangeError."""
         while True:
             event = await self._read_event()
             if isinstance(event, h11.Response):
+                self.has_answered = True
                 self._note_idle(event)
                 return AnswerHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
@@ -107,6 +106,7 @@
             return False
         self._h11.start_next_cycle()
         self._unread = 0
+        self.idle_since_s = now_s
         self.idle_until_s = now_s + self._idle_s * IDLE_SHARE
         return True
 
--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -100,11 +100,14 @@
             return AttemptResult(AttemptEnd.NOT_SENT, detail=str(exc))
         connect_s = loop.time() - began_s if conn.exchanges == 0 else None
         is_done = False
+        idle_s = loop.time() - conn.idle_since_s if conn.exchanges else None
         try:
             result = await self._exchange(conn, patience_s, connect_s)
             is_done = True
             return result
         except ExchangeError as exc:
+            if idle_s is not None and not conn.has_answered:
+                self._pool.learn_dropped(self._target, idle_s)
             end = AttemptEnd.BROKEN_OFF if self._caller.has_begun_answer else AttemptEnd.LOST
             return AttemptResult(end, detail=str(exc), connect_s=connect_s)
         finally:
--- a/src/chervilmill/entry/_directory.py
+++ b/src/chervilmill/entry/_directory.py
@@ -9,6 +9,7 @@
 from chervilmill.platform import LOOKUP_PATH, READINESS_PATH, encode_addresses, read_lookup
 
 LOOKUP_TTL_S = 1.5  # three times this is under the grace of a stop, as some callers keep answers
+ENOUGH_AT_HOME = 2  # VMs in a failure domain, for its callers to use no others
 MAX_ADDRESSES = 64  # as many as callers read
 JSON = [(b"content-type", b"application/json")]
 
@@ -37,20 +38,26 @@
         if head.method != b"GET" or target.split("?", 1)[0] != LOOKUP_PATH:
             await conn.answer(404, [], b"")
             return
-        hosts = self.hosts(read_lookup(target).region)
+        query = read_lookup(target)
+        hosts = self.hosts(query.failure_domain, query.region)
         if not hosts:
             await conn.answer(503, [], b"")
             return
         addresses = [Address(host, self._callers.port) for host in hosts[:MAX_ADDRESSES]]
         await conn.answer(200, list(JSON), encode_addresses(addresses, LOOKUP_TTL_S))
 
-    def hosts(self, region: str) -> list[str]:
-        """Return the hosts of serving VMs, of the region alone while it has any."""
+    def hosts(self, domain: str, region: str) -> list[str]:
+        """Return the hosts of the nearest serving VMs.
+
+        A failure domain is enough only with a second VM to turn to when one is lost.
+        """
         serving = self._membership.live(self._clock())
         if self.is_serving:
             serving = [self._own, *serving]
+        at_home = [peer for peer in serving if peer.failure_domain == domain]
         near = [peer for peer in serving if self._regions.get(peer.failure_domain) == region]
-        return sorted(peer.host for peer in near or serving)
+        nearest = at_home if len(at_home) >= ENOUGH_AT_HOME else near or serving
+        return sorted(peer.host for peer in nearest)
 
 
 class ReadinessServer:
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from chervilmill.aio import RequestHead, ServerConnection, header_value
 from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult, Outgoing
 from chervilmill.entry._body import ReplayBody
+from chervilmill.entry._crashes import CrashWatch, fingerprint_of, limit_of
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._site import Site
 from chervilmill.logs import log_event
@@ -25,7 +26,7 @@
 )
 from chervilmill.platform import Bounds, RequestFacts, read_request, refusal_headers
 from chervilmill.reasons import RefusalReason, RetryReason
-from chervilmill.requests import RequestKind
+from chervilmill.requests import Quarantined, RequestKind
 from chervilmill.routing import CallerLimits, Route, TrafficSplitter, find_route
 
 TIMEOUT_SLACK_S = 0.05  # for a target's own answer at its deadline to arrive
@@ -55,6 +56,7 @@
     began_s: float
     deadline_s: float
     age_s: float
+    fingerprint: bytes
     tried: list[str] = field(default_factory=list)
     sends: int = 0
     last: Candidate | None = None
@@ -82,6 +84,7 @@
         live_vms: Callable[[], int],
         is_view_fresh: Callable[[], bool],
         is_ending: Callable[[], bool],
+        crashes: CrashWatch,
     ) -> None:
         self._site = site
         self._pool = pool
@@ -91,6 +94,7 @@
         self._live_vms = live_vms
         self._is_view_fresh = is_view_fresh
         self._is_ending = is_ending
+        self._crashes = crashes
         self._splitter = TrafficSplitter()
         self._ages = CallerAges()
         self._retries: dict[str, RetryShare] = {}
@@ -165,6 +169,9 @@
             began_s=began_s,
             deadline_s=began_s + min(patience_s, route.timeout_s),
             age_s=self._ages.age_s(route.name, patience_s),
+            fingerprint=fingerprint_of(
+                head, caller.host.rpartition(":")[0], facts.affinity, service
+            ),
         )
 
     async def _run(self, progress: _Progress) -> _Refusal | None:
@@ -172,7 +179,11 @@
         last: AttemptResult | None = None
         for _ in range(MAX_TRIES):
             now_s = asyncio.get_running_loop().time()
-            decision = self._site.fleet.place(self._asked(progress, now_s), self._site.view, now_s)
+            verdict = self._crashes.verdict(progress.fingerprint, now_s, self._is_usable)
+            if isinstance(verdict, Quarantined):
+                return self._quarantined(progress)
+            asked = replace(self._asked(progress, now_s), only=limit_of(verdict))
+            decision = self._site.fleet.place(asked, self._site.view, now_s)
             if isinstance(decision, Refused):
                 return self._failed(progress, last, decision.retry_after_s, decision.expected_s)
             last = await self._send(progress, decision.candidate)
@@ -184,6 +195,16 @@
             self._metrics.count_retry(progress.service, _RETRY_REASONS[last.end])
         return self._failed(progress, last, SHED_RETURN_S)
 
+    def _quarantined(self, progress: _Progress) -> _Refusal:
+        if progress.may_have_run:
+            return _Refusal(RefusalReason.TARGET_FAILED, detail="quarantined")
+        return _Refusal(RefusalReason.QUARANTINED)
+
+    def _is_usable(self, name: str) -> bool:
+        record = self._site.fleet.record(name)
+        now_s = asyncio.get_running_loop().time()
+        return record is not None and not record.is_ejected(now_s)
+
     def _asked(self, progress: _Progress, now_s: float) -> Asked:
         route = progress.route
         key = progress.facts.affinity if route.has_affinity else ""
@@ -273,6 +294,12 @@
         record.learn_failure(now_s, has_failed=not is_good)
         if result.end is AttemptEnd.NOT_SENT or result.status == 421:
             record.eject(now_s)
+        if result.end is AttemptEnd.NOT_SENT:
+            self._crashes.confirm(record.target.name, now_s)
+        elif result.end is AttemptEnd.LOST:
+            self._crashes.lost(progress.fingerprint, record.target.name, now_s)
+        elif result.end is AttemptEnd.ANSWERED:
+            self._crashes.answered(progress.fingerprint, record.target.name)
         if not is_good:
             log_event(
                 "attempt failed",
--- a/src/chervilmill/entry/_pool.py
+++ b/src/chervilmill/entry/_pool.py
@@ -6,6 +6,9 @@
 from chervilmill.routing import Target
 
 CONNECT_TIMEOUT_S = 0.5  # four round trips between the farthest regions
+DROPPED_SHARE = 0.5  # of the rest after which a target dropped a connection unannounced
+DROPPED_FOR_S = 10.0  # about as long as targets keep idle connections
+MIN_IDLE_S = 0.2  # a connection that has just been used is as good as a new one
 MAX_IDLE = 8  # a target; more than its slots are seldom in use by one entry VM
 
 
@@ -14,14 +17,17 @@
 
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[ClientConnection]] = {}
+        self._dropped: dict[str, tuple[float, float]] = {}
 
     async def take(self, target: Target) -> ClientConnection:
         """Return an idle connection or a new one; raises ConnectError."""
         now_s = asyncio.get_running_loop().time()
         idle = self._idle.get((target.name, target.incarnation), [])
+        longest_s = self._longest_idle_s(target.service, now_s)
         while idle:
             conn = idle.pop()
-            if not conn.is_lost and not conn.has_ended and now_s < conn.idle_until_s:
+            is_open = not conn.is_lost and not conn.has_ended and now_s < conn.idle_until_s
+            if is_open and now_s - conn.idle_since_s < longest_s:
                 return conn
             conn.abort()
         return await connect(target.address, CONNECT_TIMEOUT_S)
@@ -34,6 +40,19 @@
         else:
             conn.abort()
 
+    def learn_dropped(self, target: Target, idle_s: float) -> None:
+        """Take in that a connection was dropped by its target after being idle.
+
+        Connections of the service are then reused only after shorter rests, for a while.
+        """
+        now_s = asyncio.get_running_loop().time()
+        longest_s = min(self._longest_idle_s(target.service, now_s), idle_s * DROPPED_SHARE)
+        self._dropped[target.service] = (max(longest_s, MIN_IDLE_S), now_s + DROPPED_FOR_S)
+
+    def _longest_idle_s(self, service: str, now_s: float) -> float:
+        longest_s, until_s = self._dropped.get(service, (float("inf"), 0.0))
+        return longest_s if now_s < until_s else float("inf")
+
     def drop(self, target: Target) -> None:
         """Close the idle connections to earlier lifetimes under a target's name."""
         for key in [key for key in self._idle if key[0] == target.name]:
--- a/src/chervilmill/entry/_root.py
+++ b/src/chervilmill/entry/_root.py
@@ -12,6 +12,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import HttpServer, RequestHead, ServerConnection, ServerLimits, WholeExchange
+from chervilmill.entry._crashes import CrashWatch
 from chervilmill.entry._directory import LookupServer, ReadinessServer, ReplicaServer
 from chervilmill.entry._forward import Forwarder
 from chervilmill.entry._pool import TargetPool
@@ -28,7 +29,7 @@
     StoreError,
     read_settings,
 )
-from chervilmill.routing import CallerLimits
+from chervilmill.routing import CallerLimits, Target
 
 REGISTER_TIMEOUT_S = 2.0
 REGISTER_RETRY_S = 2.0
@@ -55,12 +56,17 @@
         fleet = TargetFleet(settings.name, settings.region, settings.regions, rng)
         self._site = Site(fleet, self._membership, own, self._clock)
         self._pool = TargetPool()
-        self._site.on_target_gone = self._pool.drop
+        self._site.on_target_gone = self._forget
+        self._crashes = CrashWatch()
         self._replicas = {kind: KindReplica(kind) for kind in KINDS}
         self._store = PlatformStore(WholeExchange(settings.store), str(settings.store))
         self._sync = StoreSync(self._store, self._replicas, self._site.take)
         self._gossip = GossipEndpoint(
-            self._membership, settings.gossip_port, self._sync.revisions, self._hear
+            self._membership,
+            settings.gossip_port,
+            self._sync.revisions,
+            self._crashes.news,
+            self._hear,
         )
         self._metrics = Metrics()
         self._forwarder = Forwarder(
@@ -72,6 +78,7 @@
             self._live_vms,
             self._is_view_fresh,
             self._stop_asked.is_set,
+            self._crashes,
         )
         self._lookups = LookupServer(
             own, settings.callers, settings.regions, self._membership, self._clock
@@ -171,7 +178,15 @@
         self._lookups.is_serving = is_serving
         self._membership.serve(is_serving)
 
+    def _forget(self, target: Target) -> None:
+        """Drop what belongs to an earlier lifetime of a target that is gone or started anew."""
+        self._pool.drop(target)
+        self._crashes.confirm(target.name, self._clock())
+        domains = {one.name: one.failure_domain for one in self._site.view.targets.values()}
+        self._crashes.set_targets(domains)
+
     def _hear(self, digest: Digest) -> None:
+        self._crashes.receive(digest.crashes, self._clock())
         peer = self._membership.peer(digest.sender)
         if peer is not None:
             host = Address(peer.host, self._settings.peers.port)
--- a/src/chervilmill/overload/_fleet.py
+++ b/src/chervilmill/overload/_fleet.py
@@ -32,7 +32,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Asked:
-    """Describe a request for placement; `excluded` are targets that it was sent to before."""
+    """Describe a request for placement; `excluded` are targets that it was sent to before.
+
+    With `only`, no other target may run it.
+    """
 
     service: str
     placement: PlacementRequest
@@ -40,6 +43,7 @@
     home_regions: frozenset[str]
     spread: float
     excluded: frozenset[str] = frozenset()
+    only: str | None = None
 
 
 class TargetFleet:
@@ -86,7 +90,11 @@
         """Choose a target for a request, or turn it away."""
         usable = self._usable_targets(asked.service, view)
         allowed = [one for one in usable if self._is_home(one, asked.home_regions)]
-        region = self._run_region(asked, allowed, now_s)
+        if asked.only is not None:
+            allowed = [one for one in allowed if one.name == asked.only]
+            region = self._regions.get(allowed[0].failure_domain) if allowed else None
+        else:
+            region = self._run_region(asked, allowed, now_s)
         if region is None:
             return Refused(NO_TARGET_RETURN_S)
         decision = self._place_in(region, asked, allowed, view.configuration, now_s)
--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -5,6 +5,7 @@
 import cbor2
 
 from chervilmill.errors import ChervilmillError
+from chervilmill.requests import CrashNews
 
 MAX_DIGEST_BYTES = 64 * 1024
 
@@ -28,27 +29,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Digest:
-    """Hold heartbeats and, by kind of object, the store revision up to which the sender knows."""
+    """Hold heartbeats, news of requests that crash targets, and what the sender knows.
+
+    `revisions` holds, by kind of object, the store revision of the last change known.
+    """
 
     sender: int
     heartbeats: tuple[HeartbeatEntry, ...]
     revisions: dict[str, int]
+    crashes: tuple[CrashNews, ...] = ()
 
     def encode(self) -> bytes:
         """Return the datagram."""
         rows = [[one.key, one.incarnation, one.counter, one.is_serving] for one in self.heartbeats]
-        return cbor2.dumps([self.sender, rows, self.revisions])
+        crashes = [
+            [one.fingerprint, one.crashes, one.limited_to, one.lapses_in_s] for one in self.crashes
+        ]
+        return cbor2.dumps([self.sender, rows, self.revisions, crashes])
 
 
 def decode_digest(data: bytes, peer: str) -> Digest:
     """Return the digest in a datagram, or raise MalformedDigestError."""
     try:
-        sender, rows, revisions = cbor2.loads(data)
+        sender, rows, revisions, crashes = cbor2.loads(data)
         heartbeats = tuple(
             HeartbeatEntry(int(key), int(incarnation), int(counter), bool(is_serving))
             for key, incarnation, counter, is_serving in rows
         )
         known = {str(kind): int(revision) for kind, revision in revisions.items()}
-        return Digest(int(sender), heartbeats, known)
+        news = tuple(
+            CrashNews(bytes(fingerprint), int(count), str(limited_to), float(lapses_in_s))
+            for fingerprint, count, limited_to, lapses_in_s in crashes
+        )
+        return Digest(int(sender), heartbeats, known, news)
     except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as exc:
         raise MalformedDigestError(repr(exc), step="read digest", peer=peer) from exc
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -9,6 +9,7 @@
 from chervilmill.logs import log_problem
 from chervilmill.peers._digest import Digest, decode_digest
 from chervilmill.peers._membership import Membership
+from chervilmill.requests import CrashNews
 
 ROUND_S = 0.5  # six rounds fit the time after which a silent VM counts as dead
 LEAVING_REPEATS = 3  # datagrams are lost occasionally
@@ -22,11 +23,13 @@
         membership: Membership,
         port: int,
         revisions: Callable[[], dict[str, int]],
+        crashes: Callable[[], tuple[CrashNews, ...]],
         on_digest: Callable[[Digest], None],
     ) -> None:
         self._membership = membership
         self._port = port
         self._revisions = revisions
+        self._crashes = crashes
         self._on_digest = on_digest
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -79,7 +82,7 @@
 
     def _digest(self) -> Digest:
         now_s = asyncio.get_running_loop().time()
-        return self._membership.digest(self._revisions(), now_s)
+        return self._membership.digest(self._revisions(), now_s, self._crashes())
 
     def _tell(self, *, to_all: bool = False) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/chervilmill/peers/_membership.py
+++ b/src/chervilmill/peers/_membership.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from chervilmill.peers._digest import Digest, HeartbeatEntry
+from chervilmill.requests import CrashNews
 
 FANOUT = 3  # peers told a round; reaches a hundred in five rounds
 REVIVAL_FANOUT = 1  # dead peers told a round, so that parted halves find each other again
@@ -75,7 +76,9 @@
         """Begin a round."""
         self._counter += 1
 
-    def digest(self, revisions: dict[str, int], now_s: float) -> Digest:
+    def digest(
+        self, revisions: dict[str, int], now_s: float, crashes: tuple[CrashNews, ...] = ()
+    ) -> Digest:
         """Return what to tell in this round."""
         own = HeartbeatEntry(self._key, self._incarnation, self._counter, self._is_serving)
         known = [
@@ -87,7 +90,7 @@
             HeartbeatEntry(key, heard.incarnation, heard.counter, heard.is_serving)
             for key, heard in known
         ]
-        return Digest(self._key, (own, *others), revisions)
+        return Digest(self._key, (own, *others), revisions, crashes)
 
     def receive(self, digest: Digest, now_s: float) -> None:
         """Take in what another VM told."""
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -52,6 +52,7 @@
     Limited,
     Quarantine,
     Quarantined,
+    Verdict,
     request_fingerprint,
 )
 from chervilmill.requests._retry import (
@@ -98,6 +99,7 @@
     "Priority",
     "Quarantine",
     "Quarantined",
+    "Verdict",
     "ReadShard",
     "Release",
     "RequestKind",
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -295,3 +295,46 @@
     assert site.runs(request_id) == 0
     assert b"retry-after" in answer.headers
     return True
+
+
+def test_request_that_crashes_its_targets_is_stopped(tmp_path: Path) -> None:
+    """It takes two targets at most; others of the same kind go on being served."""
+
+    async def story() -> None:
+        async with scene(tmp_path, targets=("t1", "t2", "t3", "t4", "t5")) as site:
+            crashed: set[str] = set()
+            for _ in range(8):
+                asking = asyncio.create_task(
+                    site.ask("/order/deadly", "POST", b"x", "deadly", key="deadly")
+                )
+                crashed |= await _crash_whoever_runs(site, "deadly", asking)
+                await site.ask("/order/fine", "POST", b"x", key="fine")
+            assert len(crashed) <= 2
+            answer = await site.ask("/order/fine", "POST", b"x", key="fine")
+            assert answer.status == 200
+
+    play(story)
+
+
+async def _crash_whoever_runs(
+    site: Scene, request_id: str, asking: "asyncio.Task[object]"
+) -> set[str]:
+    for target in site.targets.values():
+        target.faults.work_factor = 5.0
+    crashed: set[str] = set()
+    while not asking.done():
+        for name, target in site.targets.items():
+            runs = [run for run in target.records.runs if run.request_id == request_id]
+            if runs and name not in crashed:
+                target.records.runs.clear()
+                target.crash()
+                crashed.add(name)
+        await asyncio.sleep(0.005)
+    await asyncio.gather(asking, return_exceptions=True)
+    for target in site.targets.values():
+        target.faults.work_factor = 1.0
+    for name in crashed:
+        site.store.delete("servers", name)
+        del site.targets[name]
+    await site.settle()
+    return crashed
