Bound the log and never wait for its reader

Cause: a line per request had no budget, and a reader that stands still would have blocked the event loop.

Ruled out: a writer thread (wake-ups are charged, and a thread takes turns with the loop).

--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -11,7 +11,7 @@
 from chervilmill.entry._crashes import CrashWatch, fingerprint_of, limit_of
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._site import Site
-from chervilmill.logs import log_event
+from chervilmill.logs import log_event, log_failure
 from chervilmill.metrics import Metrics
 from chervilmill.overload import (
     Admission,
@@ -301,7 +301,7 @@
         elif result.end is AttemptEnd.ANSWERED:
             self._crashes.answered(progress.fingerprint, record.target.name)
         if not is_good:
-            log_event(
+            log_failure(
                 "attempt failed",
                 step="send",
                 request=progress.facts.request_id,
@@ -362,7 +362,7 @@
         if refusal.reason is RefusalReason.UNKNOWN_SERVICE:
             status = 503
         self._metrics.count_refusal(service, refusal.reason)
-        log_event(
+        log_failure(
             "request refused",
             step="answer",
             request=facts.request_id,
--- a/src/chervilmill/logs.py
+++ b/src/chervilmill/logs.py
@@ -9,6 +9,8 @@
 
 from absl import logging as absl_logging
 
+from chervilmill._log_budget import KEPT_KEY, BoundedHandler
+
 _FIELDS_KEY = "chervilmill_fields"
 
 RevisionSource = Callable[[], int]
@@ -39,11 +41,13 @@
 def set_up_logs(
     node: str, revision: RevisionSource | None = None, stream: TextIO | None = None
 ) -> None:
-    """Send every log line of this process to a stream as one JSON object, by default to stderr.
+    """Send every log line of this process to stderr as one JSON object.
+
+    With a stream, lines go there instead, within a budget and without waiting for its reader.
 
     Each line names the node and the revision of the configuration that it decided on.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = logging.StreamHandler(sys.stderr) if stream is None else BoundedHandler(stream)
     handler.setFormatter(_JsonFormatter(node, revision))
     root = logging.getLogger()
     for old in list(root.handlers):
@@ -60,6 +64,12 @@
     absl_logging.get_absl_logger().info(event, extra={_FIELDS_KEY: fields})
 
 
+def log_failure(event: str, **fields: object) -> None:
+    """Log a decision by which a request failed; such lines are not left out as some of many."""
+    extra = {_FIELDS_KEY: fields, KEPT_KEY: True}
+    absl_logging.get_absl_logger().info(event, extra=extra)
+
+
 def log_problem(event: str, **fields: object) -> None:
     """Log something an operator should look at."""
     absl_logging.get_absl_logger().warning(event, extra={_FIELDS_KEY: fields})
