Leave silent targets in time, and tell the caller before it stops waiting

Targets had gone silent; a repeatable request asked for another target once, found the budget used, and then waited on. The next requests tried the silent targets anew as soon as the overdue one had ended.

Ruled out: shorter socket time-outs (the request had been acknowledged); giving up earlier than the objective (answers that are merely slow would run twice).

Change: an overdue request looks again every 0.1 s, takes the target it found, and a target that answered nobody meanwhile is left alone for a while; the final answer goes out before the caller's own deadline.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -32,6 +32,7 @@
 from chervilmill.routing import Target
 
 HOLD_S = 0.03  # most answers are whole by then; streamed ones reach the caller soon
+DROP_SHOWS_S = 0.2  # a reset comes back within a round trip; what breaks later was at work
 HOLD_BYTES = 64 * 1024
 MAX_CROSSED = 2  # answers of other requests skipped before the connection is given up
 
@@ -106,7 +107,8 @@
             is_done = True
             return result
         except ExchangeError as exc:
-            if idle_s is not None and not conn.has_answered:
+            broke_soon = loop.time() - began_s < DROP_SHOWS_S
+            if idle_s is not None and not conn.has_answered and broke_soon:
                 self._pool.learn_dropped(self._target, idle_s)
             end = AttemptEnd.BROKEN_OFF if self._caller.has_begun_answer else AttemptEnd.LOST
             return AttemptResult(end, detail=str(exc), connect_s=connect_s)
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -26,11 +26,14 @@
 )
 from chervilmill.platform import Bounds, RequestFacts, read_request, refusal_headers
 from chervilmill.reasons import RefusalReason, RetryReason
-from chervilmill.requests import Quarantined, RequestKind
+from chervilmill.requests import Quarantined, RequestKind, Verdict
 from chervilmill.routing import CallerLimits, Route, TrafficSplitter, find_route
 
 TIMEOUT_SLACK_S = 0.05  # for a target's own answer at its deadline to arrive
+LAST_WORD_S = 0.03  # before the caller stops waiting, for the final answer to reach it
 OVERDUE = 3.0  # times what was expected, after which a repeatable request is sent elsewhere
+LOOK_S = 0.1  # between looks at whether an attempt is overdue; a third of the shortest objective
+NO_ANSWER = "no answer in time"
 MAX_TRIES = 4  # targets tried, with those that could not be reached
 UNKNOWN_RETURN_S = 0.5  # where this VM knows no configuration yet
 SHED_RETURN_S = 0.15  # where the chosen targets were full after all
@@ -55,13 +58,14 @@
     service: str
     began_s: float
     deadline_s: float
+    patience_until_s: float
     age_s: float
     fingerprint: bytes
     tried: list[str] = field(default_factory=list)
     sends: int = 0
     last: Candidate | None = None
     may_have_run: bool = False
-    is_charged: bool = False
+    next: Admitted | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +114,10 @@
             await self._refuse(caller, facts, "", found, began_s)
             return
         progress = self._begin(caller, head, facts, found, began_s)
-        limit_s = progress.deadline_s + TIMEOUT_SLACK_S - began_s
+        limit_s = min(
+            progress.deadline_s + TIMEOUT_SLACK_S, progress.patience_until_s - LAST_WORD_S
+        )
+        limit_s = max(0.0, limit_s - began_s)
         try:
             async with asyncio.timeout(limit_s):
                 refusal = await self._run(progress)
@@ -168,6 +175,7 @@
             service=service,
             began_s=began_s,
             deadline_s=began_s + min(patience_s, route.timeout_s),
+            patience_until_s=began_s + patience_s,
             age_s=self._ages.age_s(route.name, patience_s),
             fingerprint=fingerprint_of(
                 head, caller.host.rpartition(":")[0], facts.affinity, service
@@ -182,8 +190,8 @@
             verdict = self._crashes.verdict(progress.fingerprint, now_s, self._is_usable)
             if isinstance(verdict, Quarantined):
                 return self._quarantined(progress)
-            asked = replace(self._asked(progress, now_s), only=limit_of(verdict))
-            decision = self._site.fleet.place(asked, self._site.view, now_s)
+            decision = progress.next or self._place(progress, verdict, now_s)
+            progress.next = None
             if isinstance(decision, Refused):
                 return self._failed(progress, last, decision.retry_after_s, decision.expected_s)
             last = await self._send(progress, decision.candidate)
@@ -195,6 +203,10 @@
             self._metrics.count_retry(progress.service, _RETRY_REASONS[last.end])
         return self._failed(progress, last, SHED_RETURN_S)
 
+    def _place(self, progress: _Progress, verdict: Verdict, now_s: float) -> Admitted | Refused:
+        asked = replace(self._asked(progress, now_s), only=limit_of(verdict))
+        return self._site.fleet.place(asked, self._site.view, now_s)
+
     def _quarantined(self, progress: _Progress) -> _Refusal:
         if progress.may_have_run:
             return _Refusal(RefusalReason.TARGET_FAILED, detail="quarantined")
@@ -236,11 +248,10 @@
         attempt = Attempt(progress.caller, progress.outgoing, self._pool, record.target)
         running = asyncio.create_task(attempt.run(max(0.001, left_s - round_trip_s / 2)))
         try:
-            await asyncio.wait({running}, timeout=self._patience_s(progress, candidate, left_s))
-            if running.done() or not self._may_leave(progress):
-                result = await running
+            if await self._is_left(progress, candidate, running):
+                result = AttemptResult(AttemptEnd.LOST, detail=NO_ANSWER)
             else:
-                result = AttemptResult(AttemptEnd.LOST, detail="no answer in time")
+                result = await running
         finally:
             record.end(serial)
             if not running.done():
@@ -249,13 +260,26 @@
         self._learn(progress, candidate, result, loop.time() - sent_s)
         return result
 
-    def _patience_s(self, progress: _Progress, candidate: Candidate, left_s: float) -> float | None:
-        """Return how long to wait for one target, or None to wait until the deadline."""
+    async def _is_left(
+        self, progress: _Progress, candidate: Candidate, running: "asyncio.Task[AttemptResult]"
+    ) -> bool:
+        """Wait for an attempt and return whether it was given up for another target.
+
+        A repeatable request is given up when it is overdue, or when its target turns out to be
+        unreachable, and only while another target can still answer it.
+        """
         is_last = progress.sends + 1 >= progress.route.max_attempts
         if progress.route.kind is not RequestKind.IDEMPOTENT or is_last:
-            return None
-        wait_s = max(OVERDUE * candidate.finish_s, progress.route.objective_s)
-        return wait_s if left_s > wait_s + candidate.finish_s else None
+            return False
+        loop = asyncio.get_running_loop()
+        overdue_s = max(OVERDUE * candidate.finish_s, progress.route.objective_s) + loop.time()
+        latest_s = progress.deadline_s - candidate.finish_s
+        while not running.done() and loop.time() < latest_s:
+            await asyncio.wait({running}, timeout=LOOK_S)
+            is_late = loop.time() >= overdue_s or candidate.record.is_ejected(loop.time())
+            if is_late and not running.done() and self._may_leave(progress):
+                return True
+        return False
 
     def _may_leave(self, progress: _Progress) -> bool:
         """Return whether an overdue request is sent elsewhere now, and charge the budget.
@@ -266,14 +290,15 @@
         now_s = asyncio.get_running_loop().time()
         if progress.caller.has_begun_answer or not progress.outgoing.body.can_replay:
             return False
-        if self._is_ending() or not self._has_alternative(progress, now_s):
+        if self._is_ending():
             return False
-        progress.is_charged = self._retry_share(progress.service).take(self._live_vms(), now_s)
-        return progress.is_charged
-
-    def _has_alternative(self, progress: _Progress, now_s: float) -> bool:
-        asked = self._asked(progress, now_s)
-        return isinstance(self._site.fleet.place(asked, self._site.view, now_s), Admitted)
+        decision = self._site.fleet.place(self._asked(progress, now_s), self._site.view, now_s)
+        if not isinstance(decision, Admitted):
+            return False
+        if not self._retry_share(progress.service).take(self._live_vms(), now_s):
+            return False
+        progress.next = decision
+        return True
 
     def _learn(
         self, progress: _Progress, candidate: Candidate, result: AttemptResult, took_s: float
@@ -292,7 +317,8 @@
             fleet.learn_load(record, result.load.running + result.load.waiting, now_s)
         is_good = result.end is AttemptEnd.ANSWERED and result.status < 500
         record.learn_failure(now_s, has_failed=not is_good)
-        if result.end is AttemptEnd.NOT_SENT or result.status == 421:
+        is_silent = result.detail == NO_ANSWER and record.answered_s < now_s - took_s
+        if result.end is AttemptEnd.NOT_SENT or result.status == 421 or is_silent:
             record.eject(now_s)
         if result.end is AttemptEnd.NOT_SENT:
             self._crashes.confirm(record.target.name, now_s)
@@ -327,8 +353,7 @@
         now_s = asyncio.get_running_loop().time()
         if progress.sends >= progress.route.max_attempts or progress.deadline_s <= now_s:
             return False
-        if progress.is_charged:
-            progress.is_charged = False
+        if progress.next is not None:
             return True
         return self._retry_share(progress.service).take(self._live_vms(), now_s)
 
--- a/src/chervilmill/overload/_target_record.py
+++ b/src/chervilmill/overload/_target_record.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         "target",
+        "answered_s",
         "cold_until_s",
         "ejected_until_s",
         "mean_work_s",
@@ -47,6 +48,7 @@
         self.target = target
         self.cold_until_s = now_s + target.cold_left_s
         self.ejected_until_s = 0.0
+        self.answered_s = float("-inf")
         self.mean_work_s = 0.0
         self._ejections = 0
         self._failure = 0.0
@@ -146,6 +148,7 @@
         self._failure_at_s = now_s
         if not has_failed:
             self._ejections = 0
+            self.answered_s = now_s
 
     def eject(self, now_s: float) -> None:
         """Leave the target out for a while, as it could not be reached."""
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -338,3 +338,28 @@
         del site.targets[name]
     await site.settle()
     return crashed
+
+
+def test_silent_target_costs_a_read_its_objective_and_no_more(tmp_path: Path) -> None:
+    """A target that runs nothing and says nothing is left for another, and then left alone."""
+
+    async def story() -> None:
+        async with scene(tmp_path) as site:
+            for number in range(20):
+                await site.ask("/read/a", key=str(number))
+            for run in site.targets.values():
+                run.faults.work_factor = 1.0
+            site.targets["t1"].faults.work_factor = 10_000.0
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            answers = await asyncio.gather(
+                *[site.ask("/read/a", key=str(number)) for number in range(12)]
+            )
+            assert [answer.status for answer in answers] == [200] * 12
+            assert loop.time() - began_s <= 0.5 + 0.5
+            seen = site.targets["t1"].records.arrivals
+            for number in range(12):
+                assert (await site.ask("/read/a", key=str(number))).status == 200
+            assert site.targets["t1"].records.arrivals - seen <= 2
+
+    play(story)
