--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -219,10 +219,9 @@
 
     def _asked(self, progress: _Progress, now_s: float) -> Asked:
         route = progress.route
-        key = progress.facts.affinity if route.has_affinity else ""
         return Asked(
             service=progress.service,
-            placement=PlacementRequest(_workload(progress), key),
+            placement=_placement(progress),
             admission=Admission(
                 objective_s=route.objective_s,
                 age_s=progress.age_s + (now_s - progress.began_s),
@@ -237,7 +236,7 @@
 
     async def _send(self, progress: _Progress, candidate: Candidate) -> AttemptResult:
         record = candidate.record
-        key = progress.facts.affinity if progress.route.has_affinity else ""
+        key = _placement(progress).key
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
         serial = self._site.fleet.start(candidate, key, sent_s)
@@ -338,7 +337,7 @@
                 took_s=round(took_s, 4),
             )
             return
-        fleet.learn(_workload(progress), candidate, took_s, now_s)
+        fleet.learn(_placement(progress), candidate, took_s, now_s)
 
     def _may_repeat(self, progress: _Progress, result: AttemptResult) -> bool:
         """Return whether a failed request may be sent to a further target."""
@@ -437,5 +436,10 @@
     }
 
 
+def _placement(progress: _Progress) -> PlacementRequest:
+    key = progress.facts.affinity if progress.route.has_affinity else ""
+    return PlacementRequest(_workload(progress), key)
+
+
 def _workload(progress: _Progress) -> Workload:
     return Workload(progress.service, progress.route.name, progress.route.objective_s)
--- a/src/chervilmill/entry/_pool.py
+++ b/src/chervilmill/entry/_pool.py
@@ -8,7 +8,7 @@
 CONNECT_TIMEOUT_S = 0.5  # four round trips between the farthest regions
 DROPPED_SHARE = 0.5  # of the rest after which a target dropped a connection unannounced
 DROPPED_FOR_S = 10.0  # about as long as targets keep idle connections
-MIN_IDLE_S = 0.2  # a connection that has just been used is as good as a new one
+MIN_IDLE_S = 1.0  # a connection that broke after a shorter rest broke for another reason
 MAX_IDLE = 8  # a target; more than its slots are seldom in use by one entry VM
 
 
@@ -45,6 +45,8 @@
 
         Connections of the service are then reused only after shorter rests, for a while.
         """
+        if idle_s < 2 * MIN_IDLE_S:
+            return
         now_s = asyncio.get_running_loop().time()
         longest_s = min(self._longest_idle_s(target.service, now_s), idle_s * DROPPED_SHARE)
         self._dropped[target.service] = (max(longest_s, MIN_IDLE_S), now_s + DROPPED_FOR_S)
--- a/src/chervilmill/overload/_fleet.py
+++ b/src/chervilmill/overload/_fleet.py
@@ -9,7 +9,7 @@
 from chervilmill.overload._affinity import AffinityRanking
 from chervilmill.overload._choice import Candidate, PlacementRequest, choose
 from chervilmill.overload._cold import ColdGate
-from chervilmill.overload._service_times import ServiceTimes, Workload
+from chervilmill.overload._service_times import ServiceTimes
 from chervilmill.overload._shares import RegionShares, home_shares, region_of_key
 from chervilmill.overload._spill import SpillAllowance
 from chervilmill.overload._target_record import TargetRecord
@@ -26,6 +26,7 @@
 
 USUAL_OTHERS_WEIGHT = 0.1  # ten reports of memory: under a second at a busy entry VM
 USUAL_OTHERS_HALF_LIFE_S = 1.0  # without a report
+NOT_HELD_RATIO = 2.0  # to the usual work, above which a target did not hold the object
 MIN_WORK_SHARE = 0.3  # of the usual work; less shows that the wait was overestimated
 NO_TARGET_RETURN_S = 0.5  # targets register within about a second of coming back
 
@@ -120,13 +121,17 @@
         mean = known + USUAL_OTHERS_WEIGHT * (others - known)
         self._usual_others[group] = (mean, now_s)
 
-    def learn(self, work: Workload, candidate: Candidate, took_s: float, now_s: float) -> None:
+    def learn(
+        self, placement: PlacementRequest, candidate: Candidate, took_s: float, now_s: float
+    ) -> None:
         """Take in how long an answered request took, and what that says of target and route."""
-        record = candidate.record
+        record, work = candidate.record, placement.work
         way_s = candidate.unwaited_s - candidate.work_s
         rank = candidate.unproven_rank
         usual_s = self.times.expected_s(work, rank)
         work_s = max(took_s - way_s - candidate.wait_s, MIN_WORK_SHARE * usual_s)
+        if rank is None and work_s > NOT_HELD_RATIO * usual_s:
+            record.forget(placement.key)
         record.learn_work(work_s, work_s / usual_s if rank is None else None, now_s)
         self.times.learn(work, work_s / record.slowness(now_s), rank, now_s)
 
--- a/src/chervilmill/overload/_target_record.py
+++ b/src/chervilmill/overload/_target_record.py
@@ -20,7 +20,7 @@
 OVERDUE = 3.0  # times its expected time, after which a request tells that its target is slow
 EJECTION_S = 0.5  # after a first failure to connect; doubles with each further one
 MAX_EJECTION_S = 4.0  # about the time in which a lost target's entry lapses
-MAX_HELD = 64  # objects remembered a target; more than any is known to keep
+MAX_HELD = 24  # objects remembered a target; targets of today keep 13 to 33
 
 
 class TargetRecord:
@@ -109,6 +109,10 @@
         """Return whether the target has handled an object for this VM of late."""
         return key in self._held
 
+    def forget(self, key: str) -> None:
+        """Take in that the target did not hold an object after all."""
+        self._held.pop(key, None)
+
     def start(self, key: str, expected_s: float, now_s: float) -> int:
         """Count a request that is sent and return the number to end it by."""
         self._serial += 1
--- a/tests/overload/support.py
+++ b/tests/overload/support.py
@@ -258,7 +258,7 @@
             call.ran_in = REGIONS[record.target.failure_domain]
             took_s = self.now_s - sent_s
             work = Workload(SERVICE, call.kind.route, call.kind.objective_s)
-            fleet.learn(work, candidate, took_s, self.now_s)
+            fleet.learn(PlacementRequest(work, call.key), candidate, took_s, self.now_s)
 
         def answer(is_run: bool) -> None:
             load = target.running + len(target.waiting)
