Measure membership by gossip up to the stated target

Cause: digests name every VM, so their cost was expected to grow with the fleet and their reach to end at 90 VMs, but nothing measured it.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,7 +13,16 @@
 from bench._report import HEADER, line, load, save
 from bench._rows import Group, Row, Verdict, judge, load_bounds
 
-GROUPS = ("requests", "lookup", "steering", "nodes", "faults", "capacity", "measures")
+GROUPS = (
+    "requests",
+    "lookup",
+    "steering",
+    "nodes",
+    "gossip",
+    "faults",
+    "capacity",
+    "measures",
+)
 ONLY_WHEN_NAMED = frozenset({"measures"})
 
 
--- a/bench/capacity/_probe.py
+++ b/bench/capacity/_probe.py
@@ -14,8 +14,8 @@
 from bench.fleet import SHAPES, Process, Shape
 from bench.fleet import _addresses as addresses
 from chervilmill.addresses import Address
-from chervilmill.http import Environ, HttpServer, StartResponse
 from chervilmill.coordination import Vm, VmRole, VmState
+from chervilmill.http import Environ, HttpServer, StartResponse
 from chervilmill.standins.platform_server import PlatformApp
 from chervilmill.standins.store import MemoryStore, retry_until
 
--- a/bench/fleet/_fleet.py
+++ b/bench/fleet/_fleet.py
@@ -16,8 +16,8 @@
 from bench.fleet._shape import Place, Shape
 from bench.fleet.relay import Route
 from chervilmill.addresses import Address
-from chervilmill.http import HttpServer
 from chervilmill.coordination import Vm, VmRole, VmState
+from chervilmill.http import HttpServer
 from chervilmill.standins.platform_server import platform_server
 from chervilmill.standins.store import MemoryStore, retry_until
 
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -6,11 +6,11 @@
 from bench.nodes_network import Network, live_views, member, running_network
 from bench.nodes_processes import node_figures, site_figures
 from bench.nodes_spreads import outcomes
+from chervilmill.coordination import CONFIGURATION_KIND, StoredObject, WatchResult
 from chervilmill.nodes._allotments import Caps
 from chervilmill.nodes._overlay import is_relay
 from chervilmill.nodes._readers import WATCH_TIMEOUT_S
 from chervilmill.nodes._vms import read_interval_s
-from chervilmill.coordination import CONFIGURATION_KIND, StoredObject, WatchResult
 
 LOSS = 0.01
 SIZES = {12: (3, 2), 800: (6, 3)}
--- a/bench/nodes_network.py
+++ b/bench/nodes_network.py
@@ -11,12 +11,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from chervilmill.coordination import HeldConfiguration
 from chervilmill.nodes._actions import Close, Dial, Send
 from chervilmill.nodes._allotments import NO_CAPS, QUIET_S, Caps
 from chervilmill.nodes._codec import encode
 from chervilmill.nodes._machine import TICK_S, NodeMachine
 from chervilmill.nodes._messages import Member, MemberState, Message
-from chervilmill.coordination import HeldConfiguration
 
 DOMAIN_DELAY_S = 0.003
 REGION_DELAY_S = 0.055
--- a/bench/nodes_one.py
+++ b/bench/nodes_one.py
@@ -9,10 +9,10 @@
 
 from bench.nodes_network import member
 from chervilmill.addresses import parse_address
+from chervilmill.coordination import HeldConfiguration
 from chervilmill.nodes._allotments import Caps
 from chervilmill.nodes._machine import NodeMachine
 from chervilmill.nodes._transport import Transport
-from chervilmill.coordination import HeldConfiguration
 
 NODES = 800
 REGIONS = 6
--- a/bench/nodes_processes.py
+++ b/bench/nodes_processes.py
@@ -16,6 +16,7 @@
 from bench.fleet import _addresses as addresses
 from bench.fleet._processes import Process
 from bench.nodes_network import member
+from chervilmill.coordination import CONFIGURATION_KIND
 from chervilmill.nodes._codec import decode, encode
 from chervilmill.nodes._handshake import Handshake
 from chervilmill.nodes._heads import choose_roles
@@ -33,7 +34,6 @@
 from chervilmill.nodes._news import REPORT_INTERVAL_S
 from chervilmill.nodes._overlay import neighbours
 from chervilmill.nodes._requester import REQUEST_INTERVAL_S
-from chervilmill.coordination import CONFIGURATION_KIND
 from chervilmill.standins.store import retry_until
 
 NODES = 800
--- a/bench/nodes_spreads.py
+++ b/bench/nodes_spreads.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from bench.nodes_network import FRAME_AND_PACKET_BYTES, member
+from chervilmill.coordination import CONFIGURATION_KIND, HeldConfiguration, StoredObject
 from chervilmill.nodes._actions import Outbox, Send
 from chervilmill.nodes._codec import encode
 from chervilmill.nodes._configuration import ConfigurationSpread
@@ -26,7 +27,6 @@
 )
 from chervilmill.nodes._overlay import is_relay, neighbours
 from chervilmill.nodes._readers import WATCH_TIMEOUT_S
-from chervilmill.coordination import CONFIGURATION_KIND, HeldConfiguration, StoredObject
 
 HEARTBEAT_S = 0.8
 STORE_DELAY_S = 0.06
