Test that a VM which the store turns away learns from its peer

Change: two entry VMs with a link of their own to the store each; a configuration and an evacuation reach the one turned away within 2.5 and 5 s; an unknown route is 503 there, not 404.

--- /dev/null
+++ b/tests/entry/test_peers.py
@@ -0,0 +1,123 @@
+"""Run two entry VMs, one of which the store turns away."""
+
+import asyncio
+from pathlib import Path
+
+from chervilmill.addresses import Address
+from chervilmill.entry._root import EntryVm
+from chervilmill.platform import EntrySettings, read_settings
+from soak.proxy import Proxy
+from soak.site import DEFAULT_ROUTES, RouteRow, VmPorts, configuration, settings, write_settings
+from soak.store import StandInStore
+from soak.target import StandInTarget
+from tests.entry.harness import Scene, is_ready, play, until
+from tests.support import free_address
+
+ADDED = (*DEFAULT_ROUTES, RouteRow("more", "/more/"))
+
+
+class _Pair:
+    """Hold two VMs on loopback addresses of their own, each with a link of its own to the store."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.store = StandInStore()
+        self.links: list[Proxy] = []
+        self.sites: list[Scene] = []
+        self._running: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start the store, one target and both VMs."""
+        store_address = free_address()
+        await self.store.listen(store_address)
+        self.store.put("config", "main", configuration(1))
+        target, address = StandInTarget("t1"), free_address()
+        await target.listen(address)
+        self.store.put("servers", "t1", target.entry("app", address, "north-a", 1))
+        ports = [free_address().port for _ in range(6)]
+        for number in (1, 2):
+            link, shown = Proxy(store_address), free_address()
+            await link.listen(shown)
+            self.links.append(link)
+            read = self._settings(f"vm-{number}", VmPorts(f"127.0.3.{number}", *ports), shown)
+            vm = EntryVm(read, self._folder / f"{read.name}.json")
+            site = Scene(self.store, vm, read.callers, read.lookups, read.readiness)
+            site.targets["t1"] = target
+            self.sites.append(site)
+            self._running.append(asyncio.create_task(vm.run()))
+        for site in self.sites:
+            await until(lambda site=site: is_ready(site.readiness))  # type: ignore[misc]
+        await until(self._know_each_other)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for task in self._running:
+            task.cancel()
+        await asyncio.gather(*self._running, return_exceptions=True)
+        for site in self.sites:
+            site.vm.abort()
+            site.targets["t1"].crash()
+        for link in self.links:
+            link.stop()
+        self.store.stop()
+
+    def refuse_second(self) -> None:
+        """Have the store turn the second VM away."""
+        self.links[1].faults.refuses = True
+        self.links[1].reset()
+
+    async def _know_each_other(self) -> bool:
+        return len(self.store.names("entry-vms")) == 2
+
+    def _settings(self, name: str, ports: VmPorts, store: Address) -> EntrySettings:
+        content = settings(name, "north-a", ports, store)
+        return read_settings(write_settings(self._folder / f"{name}.json", content))
+
+
+def test_vm_that_the_store_turns_away_learns_from_its_peer(tmp_path: Path) -> None:
+    """A configuration and an evacuation reach it within their bounds."""
+
+    async def story() -> None:
+        pair = _Pair(tmp_path)
+        try:
+            await pair.start()
+            await asyncio.sleep(1.0)
+            pair.refuse_second()
+            await asyncio.sleep(0.2)
+            pair.store.put("config", "main", configuration(2, ADDED))
+            cut_off = pair.sites[1]
+
+            async def serves_added() -> bool:
+                return (await cut_off.ask("/more/a")).status == 200
+
+            await until(serves_added, 2.5)
+            pair.store.put("evacuations", "north-a", {})
+
+            async def refuses_all() -> bool:
+                return (await cut_off.ask("/read/a")).status == 503
+
+            await until(refuses_all, 5.0)
+        finally:
+            await pair.stop()
+
+    play(story)
+
+
+def test_unknown_route_is_refused_for_a_while_by_a_vm_without_the_store(tmp_path: Path) -> None:
+    """A route that a newer configuration may have is not answered 404."""
+
+    async def story() -> None:
+        pair = _Pair(tmp_path)
+        try:
+            await pair.start()
+            assert (await pair.sites[1].ask("/none/a")).status == 404
+            pair.refuse_second()
+
+            async def says_so() -> bool:
+                return (await pair.sites[1].ask("/none/a")).status == 503
+
+            await until(says_so, 3.0)
+        finally:
+            await pair.stop()
+
+    play(story)
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -363,3 +363,19 @@
             assert site.targets["t1"].records.arrivals - seen <= 2
 
     play(story)
+
+
+def test_homes_bind(tmp_path: Path) -> None:
+    routes = (RouteRow("reads", "/read/", homes=["south"]),)
+
+    async def story() -> None:
+        async with scene(tmp_path, targets=(), routes=routes) as site:
+            await site.add_target("away", domain="north-a")
+            assert (await site.ask("/read/a")).status == 503
+            await site.add_target("home", domain="south-a")
+            await site.settle()
+            for number in range(20):
+                assert (await site.ask("/read/a", key=str(number))).status == 200
+            assert not site.targets["away"].records.runs
+
+    play(story)
