Name planted faults by function, so that every worker collects the same tests

Cause: test ids held addresses of functions, and test processes collected different ids: the whole run stopped before it began.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,5 +1,7 @@
 """Plant a fault for each check of the soak and see it caught."""
 
+from collections.abc import Callable
+
 import pytest
 
 from soak.checks import CHECKS, breaches
@@ -95,9 +97,9 @@
     assert breaches(_good()) == []
 
 
-@pytest.mark.parametrize(("plant", "promise"), PLANTED.items(), ids=lambda x: str(x))
-def test_planted_fault_is_caught(plant: "type[History]", promise: str) -> None:
-    assert {breach.promise for breach in breaches(plant())} == {promise}
+@pytest.mark.parametrize("plant", PLANTED, ids=lambda plant: plant.__name__)
+def test_planted_fault_is_caught(plant: Callable[[], History]) -> None:
+    assert {breach.promise for breach in breaches(plant())} == {PLANTED[plant]}
 
 
 def test_each_check_has_a_planted_fault() -> None:
