Have the test of waiting for a place find a burst that fills the slots

The check held the machine to start ten threads within a slot's time.

Ruled out: the fault of admission mended earlier, which lost requests; all ten were answered and none was shed in the failing run.

Change: bursts repeat up to 20 times until one fills the slots; each is held to whole service, no shedding and no more than the slots, which the old test did once.

--- a/tests/callers/test_retries.py
+++ b/tests/callers/test_retries.py
@@ -15,6 +15,8 @@
     running,
 )
 
+MAX_BURSTS = 20  # a busy machine may start the threads of a burst too far apart to overlap
+
 
 def retries(entry: Entry, reason: RetryReason) -> float:
     return entry.metrics.retries.labels(SERVICE, reason.value)._value.get()
@@ -93,13 +95,18 @@
 
 
 def test_full_targets_make_requests_wait_for_a_place() -> None:
+    """Every burst is served whole within the slots, and some burst fills them all."""
     with running(slots=6, work_s=0.03, queue_limit=0) as ([entry], [state]):
-        calls = [in_thread(entry.get, f"/digest/{number}") for number in range(10)]
-        for thread, _ in calls:
-            thread.join()
-        assert [results[0].status for _, results in calls] == [200] * 10
-        assert state.shed == 0
-        assert state.most_in_flight == 6
+        for _ in range(MAX_BURSTS):
+            calls = [in_thread(entry.get, f"/digest/{number}") for number in range(10)]
+            for thread, _ in calls:
+                thread.join()
+            assert [results[0].status for _, results in calls] == [200] * 10
+            assert state.shed == 0
+            assert state.most_in_flight <= 6
+            if state.most_in_flight == 6:
+                return
+        pytest.fail(f"no burst filled the slots: {state.most_in_flight} of 6 at most")
 
 
 def test_request_that_cannot_get_a_place_is_refused_early() -> None:
