--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -60,7 +60,7 @@
             finally:
                 self._writers.discard(far_writer)
                 far_writer.transport.abort()
-        except OSError:  # the peer's end of the link is the fault being played
+        except (OSError, asyncio.CancelledError):  # the link's end is the fault being played
             pass
         finally:
             self._writers.discard(writer)
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -31,8 +31,15 @@
         """Return where the VM answers look-ups."""
         return Address(self.ports.host, self.ports.lookups)
 
+    @property
+    def pid(self) -> int | None:
+        """Return the id of the process that was started last."""
+        return self._process.pid if self._process is not None else None
+
     def start(self) -> None:
-        """Start the process."""
+        """Start the process unless one runs, as another action may have started it meanwhile."""
+        if self._process is not None and self._process.poll() is None:
+            return
         env = {**os.environ, "CHERVILMILL_SETTINGS": str(self._path)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
