Remove what nothing reads, and share the stand-ins' reading of bodies

Cause: read through after the landing: a request counter and four constants of the adapter and of digests that nothing reads, two looks at one connection time, and the same function in both stand-ins of the soak.

Change: removed, merged, and moved to soak/body.py. Behaviour is as it was.

--- a/soak/store.py
+++ b/soak/store.py
@@ -8,6 +8,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import HttpServer, RequestHead, ServerConnection, ServerLimits
+from soak.body import read_body
 
 JSON = [(b"content-type", b"application/json")]
 LIMITS = ServerLimits(header_bytes=16_384, header_timeout_s=5.0, idle_s=60.0)
@@ -94,7 +95,7 @@
         self._changed = asyncio.Event()
 
     async def _handle(self, conn: ServerConnection, head: RequestHead) -> None:
-        body = await _read(conn) if head.has_body else b""
+        body = await read_body(conn) if head.has_body else b""
         self.calls.append(f"{head.method.decode()} {head.target.decode()}")
         if self.faults.is_down or conn.host.rpartition(":")[0] in self.faults.refused_hosts:
             await conn.answer(503, [], b"")
@@ -144,10 +145,3 @@
             except TimeoutError:
                 continue
         return 410, {"error": "history is gone"}
-
-
-async def _read(conn: ServerConnection) -> bytes:
-    parts = []
-    while (part := await conn.read_part()) is not None:
-        parts.append(part)
-    return b"".join(parts)
--- a/soak/target.py
+++ b/soak/target.py
@@ -7,6 +7,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import HttpServer, RequestHead, ServerConnection, ServerLimits, header_value
+from soak.body import read_body
 
 ID = b"x-chervilmill-request-id"
 AFFINITY = b"x-chervilmill-request-affinity"
@@ -128,7 +129,7 @@
         if self.faults.take("answer_early"):
             await self._finish(conn, head, 503, [(NOT_RUN, b"1"), (b"connection", b"close")], b"")
             return
-        body = await _read(conn) if head.has_body else b""
+        body = await read_body(conn) if head.has_body else b""
         request_id = (header_value(head.headers, ID) or b"").decode()
         digest = hashlib.sha256(body).hexdigest()
         deadline = header_value(head.headers, DEADLINE)
@@ -191,10 +192,3 @@
 
     def _load(self) -> bytes:
         return f"{self._running},{self._waiting},{self.slots}".encode()
-
-
-async def _read(conn: ServerConnection) -> bytes:
-    parts = []
-    while (part := await conn.read_part()) is not None:
-        parts.append(part)
-    return b"".join(parts)
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -102,7 +102,6 @@
         self._splitter = TrafficSplitter()
         self._ages = CallerAges()
         self._retries: dict[str, RetryShare] = {}
-        self._sequence = 0
         self.is_stopping = False
 
     async def __call__(self, caller: ServerConnection, head: RequestHead) -> None:
@@ -166,7 +165,6 @@
         service = self._splitter.pick(route.name, route.split)
         self._retry_share(service).receive()
         self._site.fleet.receive()
-        self._sequence += 1
         return _Progress(
             caller=caller,
             facts=facts,
@@ -306,12 +304,11 @@
         record, fleet = candidate.record, self._site.fleet
         if result.connect_s is not None:
             took_s -= result.connect_s
+            fleet.learn_round_trip(record.target.failure_domain, result.connect_s)
         if result.end is not AttemptEnd.NOT_SENT:
             progress.sends += 1
         if not result.proves_not_run:
             progress.may_have_run = True
-        if result.connect_s is not None:
-            fleet.learn_round_trip(record.target.failure_domain, result.connect_s)
         if result.load is not None:
             fleet.learn_load(record, result.load.running + result.load.waiting, now_s)
         is_good = result.end is AttemptEnd.ANSWERED and result.status < 500
--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -7,8 +7,6 @@
 from chervilmill.errors import ChervilmillError
 from chervilmill.requests import CrashNews
 
-MAX_DIGEST_BYTES = 64 * 1024
-
 
 class MalformedDigestError(ChervilmillError):
     """Report a datagram that is not a digest."""
--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -15,8 +15,6 @@
 _EXPECTED_INSTANCE = b"x-chervilmill-expected-instance"
 _LOAD = b"x-chervilmill-server-load"  # running, waiting, slots; not a server's CPU load
 _NOT_RUN = b"x-chervilmill-request-not-run"
-_INSTANCE = b"x-chervilmill-instance-id"
-_COLD = b"x-chervilmill-cold-milliseconds"
 _RETRY_AFTER = b"retry-after"
 
 TARGET_HEADERS = frozenset({_DEADLINE, _EXPECTED_INSTANCE})
--- a/src/chervilmill/platform/_objects.py
+++ b/src/chervilmill/platform/_objects.py
@@ -17,7 +17,6 @@
 )
 
 CONFIGURATION_KIND = "config"
-CONFIGURATION_NAME = "main"
 EVACUATION_KIND = "evacuations"
 TARGET_KIND = "servers"
 
