--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -11,7 +11,7 @@
 from bench._rows import Figure
 from chervilmill.peers import Membership, Peer
 from chervilmill.peers._digest import decode_digest
-from chervilmill.peers._endpoint import ROUND_S
+from chervilmill.peers._membership import ROUND_S
 
 SIZES = (12, 83, 300, 800)
 LOSS = 0.02
@@ -50,18 +50,26 @@
         )
 
     def _member(self, peer: Peer) -> Membership:
-        membership = Membership(peer.name, 1, random.Random(peer.name))
+        membership = Membership(peer.name, 1, random.Random(peer.name), peer.failure_domain)
         membership.register(self._peers)
         membership.serve(True)
         return membership
 
     def _round(self, membership: Membership) -> None:
-        membership.beat()
+        membership.beat(self.now_s)
         data = membership.digest({}, self.now_s).encode()
         for peer in membership.receivers(self.now_s):
-            self.sent_bytes += len(data)
-            if peer.name in self.up and self._rng.random() >= LOSS:
-                self.up[peer.name].receive(decode_digest(data, peer.host), self.now_s)
+            self._send(data, self.up.get(peer.name), membership)
+
+    def _send(self, data: bytes, to: Membership | None, sender: Membership) -> None:
+        self.sent_bytes += len(data)
+        if to is None or self._rng.random() < LOSS:
+            return
+        for answer in to.receive(decode_digest(data, "digest"), self.now_s):
+            encoded = answer.encode()
+            self.sent_bytes += len(encoded)
+            if self._rng.random() >= LOSS:
+                sender.receive(decode_digest(encoded, "answer"), self.now_s)
 
 
 def figures(seed: int) -> Iterator[Figure]:
--- a/src/chervilmill/entry/_root.py
+++ b/src/chervilmill/entry/_root.py
@@ -52,7 +52,9 @@
         self._stop_asked = asyncio.Event()
         own = Peer(settings.name, settings.host, settings.failure_domain)
         self._own = own
-        self._membership = Membership(settings.name, int(time.time()), rng)
+        self._membership = Membership(
+            settings.name, int(time.time()), rng, settings.failure_domain
+        )
         fleet = TargetFleet(settings.name, settings.region, settings.regions, rng)
         self._site = Site(fleet, self._membership, own, self._clock)
         self._pool = TargetPool()
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -8,10 +8,9 @@
 from chervilmill.errors import ChervilmillError
 from chervilmill.logs import log_problem
 from chervilmill.peers._digest import Digest, decode_digest
-from chervilmill.peers._membership import Membership
+from chervilmill.peers._membership import ROUND_S, Membership
 from chervilmill.requests import CrashNews
 
-ROUND_S = 0.5  # six rounds fit the time after which a silent VM counts as dead
 LEAVING_REPEATS = 3  # datagrams are lost occasionally
 
 
@@ -49,7 +48,9 @@
         except ChervilmillError as exc:
             log_problem("datagram dropped", step=exc.step, peer=exc.peer, reason=exc.message)
             return
-        self._membership.receive(digest, asyncio.get_running_loop().time())
+        answers = self._membership.receive(digest, asyncio.get_running_loop().time())
+        for answer in answers:
+            self._send(answer.encode(), str(addr[0]))
         self._on_digest(digest)
 
     def error_received(self, exc: Exception) -> None:
@@ -64,7 +65,7 @@
     async def run(self) -> None:
         """Gossip until cancelled."""
         while True:
-            self._membership.beat()
+            self._membership.beat(asyncio.get_running_loop().time())
             self._tell()
             await asyncio.sleep(ROUND_S)
 
@@ -72,7 +73,7 @@
         """Tell every live peer that this VM leaves."""
         self._membership.serve(False)
         for _ in range(LEAVING_REPEATS):
-            self._membership.beat()
+            self._membership.beat(asyncio.get_running_loop().time())
             self._tell(to_all=True)
             await asyncio.sleep(ROUND_S / LEAVING_REPEATS)
 
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -13,7 +13,7 @@
     Peer,
 )
 from chervilmill.peers._digest import decode_digest
-from chervilmill.peers._endpoint import ROUND_S
+from chervilmill.peers._membership import ROUND_S
 from chervilmill.platform import Listing, StoredObject, WatchEvent, WatchResult
 
 DETECTED_S = 7.0  # a look-up names no VM that has been dead for longer
@@ -31,7 +31,9 @@
         self.bytes_sent = 0
 
     def make(self, peer: Peer, incarnation: int) -> Membership:
-        membership = Membership(peer.name, incarnation, random.Random(peer.name))
+        membership = Membership(
+            peer.name, incarnation, random.Random(peer.name), peer.failure_domain
+        )
         membership.register(self.peers)
         membership.serve(True)
         return membership
@@ -41,12 +43,20 @@
         while self.now_s < until_s:
             self.now_s += ROUND_S
             for membership in list(self.up.values()):
-                membership.beat()
+                membership.beat(self.now_s)
                 data = membership.digest({}, self.now_s).encode()
                 for peer in membership.receivers(self.now_s):
-                    self.bytes_sent += len(data)
-                    if peer.name in self.up and self.rng.random() >= self.loss:
-                        self.up[peer.name].receive(decode_digest(data, peer.host), self.now_s)
+                    self.send(data, peer.name, membership)
+
+    def send(self, data: bytes, to: str, sender: Membership) -> None:
+        self.bytes_sent += len(data)
+        if to not in self.up or self.rng.random() < self.loss:
+            return
+        for answer in self.up[to].receive(decode_digest(data, to), self.now_s):
+            encoded = answer.encode()
+            self.bytes_sent += len(encoded)
+            if self.rng.random() >= self.loss:
+                sender.receive(decode_digest(encoded, "answer"), self.now_s)
 
     def live(self, name: str) -> set[str]:
         return {peer.name for peer in self.up[name].live(self.now_s)}
