Learn silence from requests whose time ends, and hold suspects to their target

Cause: an overdue request was placed anew without the limit that a suspected request has, so it could reach a second target; a request that ended at its time-out taught nothing about its target, so requests that must run once went on to silent targets; a configuration not known yet was answered under the reason of an unknown service. Found by reading. Change: both placements go through one step that asks for the verdict; a time-out is an outcome like others, unless the target had too little time or the caller had not sent all of the request; the reason configuration_unknown. Ruled out: taking every time-out for silence, since a caller's own time may be shorter than the work. Tests: three of the whole path; two failed before, the third guards the slow caller.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -44,6 +44,7 @@
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     LOST = "lost"
+    OVERDUE = "overdue"  # given up without an answer
     SPOILED = "spoiled"
     BROKEN_OFF = "broken_off"
 
--- a/src/chervilmill/entry/_body.py
+++ b/src/chervilmill/entry/_body.py
@@ -23,6 +23,11 @@
         """Return whether there is no body."""
         return self._has_ended and not self._size
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the caller has sent all of it."""
+        return self._has_ended
+
     @property
     def can_replay(self) -> bool:
         """Return whether the body can be sent from its beginning."""
--- a/src/chervilmill/entry/_root.py
+++ b/src/chervilmill/entry/_root.py
@@ -14,6 +14,7 @@
 from chervilmill.aio import HttpServer, RequestHead, ServerConnection, ServerLimits, WholeExchange
 from chervilmill.entry._crashes import CrashWatch
 from chervilmill.entry._directory import LookupServer, ReadinessServer, ReplicaServer
+from chervilmill.entry._dispatch import Dispatcher
 from chervilmill.entry._forward import Forwarder
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._site import ENTRY_KIND, KINDS, Site
@@ -52,9 +53,7 @@
         self._stop_asked = asyncio.Event()
         own = Peer(settings.name, settings.host, settings.failure_domain)
         self._own = own
-        self._membership = Membership(
-            settings.name, int(time.time()), rng, settings.failure_domain
-        )
+        self._membership = Membership(settings.name, int(time.time()), rng, settings.failure_domain)
         fleet = TargetFleet(settings.name, settings.region, settings.regions, rng)
         self._site = Site(fleet, self._membership, own, self._clock)
         self._pool = TargetPool()
@@ -71,17 +70,17 @@
             self._hear,
         )
         self._metrics = Metrics()
-        self._forwarder = Forwarder(
+        dispatcher = Dispatcher(
             self._site,
             self._pool,
             settings.bounds,
             self._metrics,
             rng,
             self._live_vms,
-            self._is_view_fresh,
             self._stop_asked.is_set,
             self._crashes,
         )
+        self._forwarder = Forwarder(self._site, dispatcher, self._metrics, self._is_view_fresh)
         self._lookups = LookupServer(
             own, settings.callers, settings.regions, self._membership, self._clock
         )
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -20,6 +20,7 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     CALLER_GONE = "caller_gone"
+    CONFIGURATION_UNKNOWN = "configuration_unknown"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ENTRY_LEAVING = "entry_leaving"
     HEADERS_TOO_LARGE = "headers_too_large"
@@ -74,6 +75,7 @@
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.CALLER_GONE: 499,
+    RefusalReason.CONFIGURATION_UNKNOWN: 503,
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.ENTRY_LEAVING: 503,
     RefusalReason.HEADERS_TOO_LARGE: 431,
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -7,7 +7,8 @@
 import pytest
 
 from chervilmill.aio import ExchangeError, connect
-from soak.site import DEFAULT_ROUTES, RouteRow, configuration
+from chervilmill.requests import Limited
+from soak.site import DEFAULT_ROUTES, HOST, RouteRow, configuration
 from tests.entry.harness import Scene, is_ready, play, scene, until
 
 
@@ -365,6 +366,66 @@
     play(story)
 
 
+def test_silent_target_is_left_alone_also_by_requests_that_must_run_once(tmp_path: Path) -> None:
+    """Their time ends at the silent target, and that tells as much as a request sent elsewhere."""
+
+    async def story() -> None:
+        async with scene(tmp_path) as site:
+            for number in range(20):
+                await site.ask("/order/a", "POST", b"x", key=str(number))
+            site.targets["t1"].faults.work_factor = 10_000.0
+            asked = [
+                site.ask("/order/a", "POST", b"x", deadline_ms=700, key=str(number))
+                for number in range(8)
+            ]
+            await asyncio.gather(*asked)
+            seen = site.targets["t1"].records.arrivals
+            for number in range(8):
+                answer = await site.ask("/order/a", "POST", b"x", deadline_ms=700, key=str(number))
+                assert answer.status == 200
+            assert site.targets["t1"].records.arrivals == seen
+
+    play(story)
+
+
+def test_time_that_a_slow_caller_takes_is_not_laid_to_the_target(tmp_path: Path) -> None:
+    async def story() -> None:
+        async with scene(tmp_path, targets=("t1",)) as site:
+            await site.ask("/order/a", "POST", b"x")
+            conn = await connect(site.callers, 1.0)
+            headers = [
+                (b"host", HOST.encode()),
+                (b"content-length", b"10"),
+                (b"x-chervilmill-deadline-milliseconds", b"900"),
+            ]
+            await conn.send_head(b"POST", b"/order/a", headers)
+            await conn.send_part(b"x")
+            await asyncio.sleep(1.2)
+            conn.abort()
+            record = site.vm._site.fleet.record("t1")
+            assert record is not None
+            assert not record.is_ejected(asyncio.get_running_loop().time())
+
+    play(story)
+
+
+def test_suspected_request_that_is_overdue_reaches_no_second_target(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        async with scene(tmp_path) as site:
+            for number in range(10):
+                await site.ask("/read/a", key=str(number))
+            limited = Limited("t1")
+            monkeypatch.setattr(site.vm._crashes, "verdict", lambda *_: limited)
+            site.targets["t1"].faults.work_factor = 10_000.0
+            await site.ask("/read/a", request_id="suspect", deadline_ms=1500)
+            ran = [run.request_id for run in site.targets["t2"].records.runs]
+            assert "suspect" not in ran
+
+    play(story)
+
+
 def test_homes_bind(tmp_path: Path) -> None:
     routes = (RouteRow("reads", "/read/", homes=["south"]),)
 
