Give each test process ports of its own, and count why connections to targets are opened

Cause of a test that failed once (bad chunk) and again in a loop (body too long, no request): ports were released before their use, so a worker's stand-in got the port that another worker's VM probed; its records held the readiness probe of that VM.

--- a/src/chervilmill/aio/__init__.py
+++ b/src/chervilmill/aio/__init__.py
@@ -13,15 +13,8 @@
 )
 from chervilmill.aio._exchange import WholeAnswer, WholeExchange
 from chervilmill.aio._headers import Headers, end_to_end, header_value
-from chervilmill.aio._server import (
-    BadRequestError,
-    CallerGoneError,
-    Handler,
-    HttpServer,
-    RequestHead,
-    ServerConnection,
-    ServerLimits,
-)
+from chervilmill.aio._request import BadRequestError, CallerGoneError, RequestHead, ServerLimits
+from chervilmill.aio._server import Handler, HttpServer, ServerConnection
 
 __all__ = [
     "AnswerHead",
--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -6,57 +6,18 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import h11
 
 from chervilmill.addresses import Address
 from chervilmill.aio._flow import H11Connection
-from chervilmill.aio._headers import Headers, header_value
-from chervilmill.errors import ChervilmillError
+from chervilmill.aio._headers import Headers
+from chervilmill.aio._request import BadRequestError, CallerGoneError, RequestHead, ServerLimits
 from chervilmill.logs import log_problem
 
 BACKLOG = 1024
 LINGER_S = 1.0  # for a refused caller to read its answer while it sends on
 
-
-class CallerGoneError(ChervilmillError):
-    """Report that the caller left before it had its answer."""
-
-
-class BadRequestError(ChervilmillError):
-    """Report a request that cannot be read; `status` is the answer to it."""
-
-    def __init__(self, message: str, *, step: str, peer: str, status: int) -> None:
-        super().__init__(message, step=step, peer=peer)
-        self.status = status
-
-
-@dataclass(frozen=True, slots=True)
-class RequestHead:
-    """Hold the first line and the headers of a request."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-
-    @property
-    def has_body(self) -> bool:
-        """Return whether a body follows."""
-        length = header_value(self.headers, b"content-length")
-        is_chunked = header_value(self.headers, b"transfer-encoding") is not None
-        return is_chunked or (length is not None and length != b"0")
-
-
-@dataclass(frozen=True, slots=True)
-class ServerLimits:
-    """Bound how long a caller may take; `idle_s` is also told to the caller."""
-
-    header_bytes: int
-    header_timeout_s: float
-    idle_s: float
-
-
 Handler = Callable[["ServerConnection", RequestHead], Awaitable[None]]
 
 
--- a/src/chervilmill/entry/_pool.py
+++ b/src/chervilmill/entry/_pool.py
@@ -1,6 +1,8 @@
 """Keep connections to targets for reuse, since a new one costs the target and the caller time."""
 
 import asyncio
+from collections import Counter
+from enum import Enum
 
 from chervilmill.aio import ClientConnection, connect
 from chervilmill.routing import Target
@@ -12,24 +14,41 @@
 MAX_IDLE = 8  # a target; more than its slots are seldom in use by one entry VM
 
 
+class OpenReason(Enum):
+    """Say why a connection was opened."""
+
+    FIRST = "first"  # none was kept to this lifetime of the target
+    BUSY = "busy"  # all that are kept were in use
+    CLOSED = "closed"  # the target had closed those that were idle
+    RESTED = "rested"  # those idle had rested longer than the target is known to allow
+
+
 class TargetPool:
-    """Hold idle connections by lifetime of a target; the last one used is taken first."""
+    """Hold idle connections by lifetime of a target; the last one used is taken first.
+
+    `opened` counts the connections opened, by reason.
+    """
 
     def __init__(self) -> None:
+        self.opened: Counter[OpenReason] = Counter()
         self._idle: dict[tuple[str, int], list[ClientConnection]] = {}
         self._dropped: dict[str, tuple[float, float]] = {}
 
     async def take(self, target: Target) -> ClientConnection:
         """Return an idle connection or a new one; raises ConnectError."""
         now_s = asyncio.get_running_loop().time()
-        idle = self._idle.get((target.name, target.incarnation), [])
+        idle = self._idle.get((target.name, target.incarnation))
+        reason = OpenReason.FIRST if idle is None else OpenReason.BUSY
         longest_s = self._longest_idle_s(target.service, now_s)
         while idle:
             conn = idle.pop()
-            is_open = not conn.is_lost and not conn.has_ended and now_s < conn.idle_until_s
-            if is_open and now_s - conn.idle_since_s < longest_s:
+            is_open = not conn.is_lost and not conn.has_ended
+            is_rested = now_s >= conn.idle_until_s or now_s - conn.idle_since_s >= longest_s
+            if is_open and not is_rested:
                 return conn
+            reason = OpenReason.RESTED if is_open else OpenReason.CLOSED
             conn.abort()
+        self.opened[reason] += 1
         return await connect(target.address, CONNECT_TIMEOUT_S)
 
     def put_back(self, target: Target, conn: ClientConnection) -> None:
--- a/src/chervilmill/entry/_root.py
+++ b/src/chervilmill/entry/_root.py
@@ -207,7 +207,13 @@
         while self._front.busy and loop.time() - asked_s < grace_s - END_BEFORE_GRACE_S:
             await asyncio.sleep(0.02)
         self._front.close_idle()
-        log_event("stopped", step="stop", busy=self._front.busy, store_calls=self._store.calls)
+        log_event(
+            "stopped",
+            step="stop",
+            busy=self._front.busy,
+            store_calls=self._store.calls,
+            opened={reason.value: count for reason, count in self._pool.opened.items()},
+        )
 
     def _reload(self) -> None:
         """Read the settings again; wrong ones leave those in force."""
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,10 +1,10 @@
 """Build the parts that several tests start: stand-ins, settings and daemon processes."""
 
 import os
+import random
 import socket
 import subprocess
 import sys
-from contextlib import ExitStack
 from pathlib import Path
 
 import json5
@@ -14,7 +14,9 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 TOKEN = "test-operators-token"
-_RETURNED: set[Address] = set()
+PORTS = (10_000, 32_000)
+RESERVATION_HOST = "127.0.0.2"
+_RESERVED: list[socket.socket] = []
 
 
 def free_address() -> Address:
@@ -23,19 +25,37 @@
 
 
 def free_addresses(count: int) -> list[Address]:
-    """Return loopback addresses whose ports are free now and were not returned before."""
+    """Return loopback addresses whose ports are free and which no other test process is given.
+
+    The ports are below those that the system gives to outgoing connections. Each is reserved by a
+    socket on a second loopback address that stays bound as long as this process runs.
+    """
     found: list[Address] = []
-    with ExitStack() as stack:
-        while len(found) < count:
-            sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            address = Address("127.0.0.1", sock.getsockname()[1])
-            if address not in _RETURNED:
-                _RETURNED.add(address)
-                found.append(address)
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        reservation = _bound(RESERVATION_HOST, port)
+        if reservation is None:
+            continue
+        probe = _bound("127.0.0.1", port)
+        if probe is None:
+            reservation.close()
+            continue
+        probe.close()
+        _RESERVED.append(reservation)
+        found.append(Address("127.0.0.1", port))
     return found
 
 
+def _bound(host: str, port: int) -> socket.socket | None:
+    sock = socket.socket()
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        return None
+    return sock
+
+
 def raw_settings(name: str, platform: Address, **node: str) -> dict:
     """Return decoded settings of an entry VM on free loopback ports."""
     raw = json5.loads((ROOT / "examples" / "souhrny.jsonc").read_text())
