--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "steering",
     "nodes",
     "gossip",
+    "overload",
     "faults",
     "capacity",
     "measures",
--- a/tests/overload/support.py
+++ b/bench/overload/_replay.py
@@ -7,7 +7,7 @@
 import heapq
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from chervilmill.addresses import Address
@@ -43,6 +43,9 @@
 KEPT_OBJECTS = 30
 
 
+MakeFleet = Callable[[str, str, Mapping[str, str], random.Random], TargetFleet]
+
+
 @dataclass(frozen=True, slots=True)
 class Kind:
     """Describe the requests of one route; work is that of a target that lacks the object."""
@@ -117,6 +120,7 @@
         seed: int = 1,
         returns: int = 1,
         heeds_retry_after: bool = True,
+        make_fleet: MakeFleet = TargetFleet,
     ) -> None:
         self.rng = random.Random(seed)
         self.now_s = 0.0
@@ -141,7 +145,7 @@
             for number in range(count):
                 name = f"{domain}-{number}"
                 rng = random.Random(f"{seed}/{name}")
-                fleet = TargetFleet(name, REGIONS[domain], REGIONS, rng)
+                fleet = make_fleet(name, REGIONS[domain], REGIONS, rng)
                 fleet.vms_by_region = names
                 fleet.round_trips_s = {
                     other: 2 * WAY_S[REGIONS[other] == REGIONS[domain]] for other in REGIONS
--- a/tests/overload/test_replays.py
+++ b/tests/overload/test_replays.py
@@ -1,46 +1,33 @@
 """Replay load patterns of played days against the decisions, each with the bound it is held to.
 
-Sizes are those of a site of today: 34 targets of 6 slots in three regions, one of them small for
-its callers, and 12 entry VMs. Bounds come from the sites' own marks, not from what was measured.
+Bounds come from the sites' own marks, not from what was measured.
 """
 
 import math
 import random
 
-from tests.overload.support import (
+from bench.overload import (
+    END_S,
     ORDER,
+    ORDERS_PER_S,
     READ,
+    READS_PER_S,
     REGIONS,
+    SLOTS,
+    VMS,
+    WARM_UP_S,
     Replay,
     in_time_share,
     served_share,
+    steady,
 )
 
-SLOTS = {
-    "north-a": (2, 6),
-    "north-b": (2, 6),
-    "south-a": (7, 6),
-    "south-b": (7, 6),
-    "west-a": (8, 6),
-    "west-b": (8, 6),
-}
-VMS = {"north-a": 2, "north-b": 1, "south-a": 3, "south-b": 1, "west-a": 3, "west-b": 2}
-READS_PER_S = 43.0  # a failure domain; cold, reads and orders take 1.2 times the slots
-ORDERS_PER_S = 17.0
-WARM_UP_S = 6.0
-END_S = 20.0
 MARK = 0.69  # the share of credit that the sites ask of a calm day
 
 
-def _steady(replay: Replay, factor: float = 1.0) -> None:
-    for domain in REGIONS:
-        replay.arrive(READ, domain, lambda _: READS_PER_S * factor, END_S)
-        replay.arrive(ORDER, domain, lambda _: ORDERS_PER_S * factor, END_S)
-
-
 def test_steady_overload_is_served_from_targets_that_hold_the_objects() -> None:
     replay = Replay(SLOTS, VMS)
-    _steady(replay)
+    steady(replay)
     replay.run(END_S + 5)
     assert in_time_share(replay.since(WARM_UP_S)) >= 0.9
     assert served_share(replay.since(0.0)) >= 0.95
@@ -48,7 +35,7 @@
 
 def test_region_with_few_targets_is_served_like_the_others() -> None:
     replay = Replay(SLOTS, VMS)
-    _steady(replay)
+    steady(replay)
     replay.run(END_S + 5)
     by_region = {
         region: in_time_share([c for c in replay.since(WARM_UP_S) if REGIONS[c.domain] == region])
@@ -108,7 +95,7 @@
 def test_doubled_load_serves_what_the_slots_give() -> None:
     """Goodput at an overload even of warm work is at least 95% of what the slots give."""
     replay = Replay(SLOTS, VMS)
-    _steady(replay, factor=4.0)
+    steady(replay, factor=4.0)
     replay.run(END_S + 5)
     calls = replay.since(WARM_UP_S, END_S)
     done = [call for call in calls if call.answered_s is not None]
@@ -121,14 +108,14 @@
 
 def test_callers_that_ignore_retry_after_do_not_displace_the_others() -> None:
     replay = Replay(SLOTS, VMS, returns=4, heeds_retry_after=False)
-    _steady(replay)
+    steady(replay)
     replay.run(END_S + 5)
     assert in_time_share(replay.since(WARM_UP_S)) >= MARK
 
 
 def test_crash_of_a_seventh_of_the_targets() -> None:
     replay = Replay(SLOTS, VMS)
-    _steady(replay)
+    steady(replay)
     lost = sorted(replay.targets)[::7]
 
     def crash() -> None:
@@ -148,7 +135,7 @@
 
 def test_slow_targets_lose_their_requests() -> None:
     replay = Replay(SLOTS, VMS)
-    _steady(replay)
+    steady(replay)
     slow = sorted(replay.targets)[::7]
 
     def slow_down() -> None:
@@ -165,7 +152,7 @@
 
 def test_cold_failure_domain_stays_under_its_bound() -> None:
     replay = Replay(SLOTS, VMS)
-    _steady(replay)
+    steady(replay)
     names = [name for name, one in replay.targets.items() if one.target.failure_domain == "west-b"]
 
     def return_cold() -> None:
@@ -183,7 +170,7 @@
 
 def test_joined_targets_get_their_part() -> None:
     replay = Replay(SLOTS, VMS)
-    _steady(replay)
+    steady(replay)
     replay.at(8.0, lambda: replay.add_target("t-new", "south-a", 6))
     replay.run(END_S + 5)
     usual = [len([s for s in one.starts if s >= 12.0]) for one in replay.targets.values()]
@@ -193,7 +180,7 @@
 def test_same_seed_gives_the_same_day() -> None:
     def figures() -> list[float | None]:
         replay = Replay(SLOTS, VMS, seed=5)
-        _steady(replay)
+        steady(replay)
         replay.run(8.0)
         return [call.answered_s for call in replay.calls]
 
