--- /dev/null
+++ b/tests/aio/support.py
@@ -0,0 +1,64 @@
+"""Run a server and raw or parsed clients on one event loop."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+from chervilmill.addresses import Address
+from chervilmill.aio import Handler, HttpServer, ServerLimits
+from tests.support import free_address
+
+LIMITS = ServerLimits(header_bytes=4096, header_timeout_s=0.5, idle_s=0.5)
+
+
+@asynccontextmanager
+async def serving(handler: Handler) -> AsyncIterator[tuple[HttpServer, Address]]:
+    """Yield a server and its address."""
+    server = HttpServer(handler, lambda: LIMITS)
+    address = free_address()
+    await server.listen(address)
+    try:
+        yield server, address
+    finally:
+        server.stop_accepting()
+        for conn in list(server.connections):
+            conn.abort()
+
+
+@asynccontextmanager
+async def answering(*answers: bytes) -> AsyncIterator[Address]:
+    """Yield the address of a peer that writes one of these to each request, and then closes."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for answer in answers:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    address = free_address()
+    server = await asyncio.start_server(serve, address.host, address.port)
+    try:
+        yield address
+    finally:
+        server.close()
+
+
+async def talk(address: Address, data: bytes) -> bytes:
+    """Return all that a server answers until it closes the connection."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    try:
+        writer.write(data)
+        async with asyncio.timeout(5.0):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+def play(story: Callable[[], Awaitable[None]]) -> None:
+    """Run one story on an event loop of its own."""
+
+    async def run() -> None:
+        await story()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/aio/test_client.py
@@ -0,0 +1,119 @@
+"""Play answers of peers against a client connection."""
+
+import asyncio
+
+import pytest
+
+from chervilmill.aio import (
+    ConnectError,
+    ExchangeError,
+    RequestHead,
+    ServerConnection,
+    WholeExchange,
+    connect,
+)
+from chervilmill.aio._client import DEFAULT_IDLE_S, IDLE_SHARE
+from tests.aio.support import answering, play, serving
+from tests.support import free_address
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        OK,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
+        b"HTTP/1.1 100 Continue\r\n\r\n" + OK,
+    ],
+)
+def test_whole_answer_is_returned(answer: bytes) -> None:
+    async def story() -> None:
+        async with answering(answer) as address:
+            got = await WholeExchange(address)("GET", "/", b"", 2.0)
+            assert (got.status, got.body) == (200, b"ok")
+
+    play(story)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok",
+        b"no answer at all\r\n\r\n",
+    ],
+)
+def test_answer_that_ends_early_is_an_error(answer: bytes) -> None:
+    async def story() -> None:
+        async with answering(answer) as address:
+            with pytest.raises(ExchangeError) as raised:
+                await WholeExchange(address)("GET", "/", b"", 2.0)
+            assert raised.value.peer
+
+    play(story)
+
+
+def test_silent_peer_is_an_error_that_names_it() -> None:
+    async def say_nothing(conn: ServerConnection, head: RequestHead) -> None:
+        await asyncio.sleep(5.0)
+
+    async def story() -> None:
+        async with serving(say_nothing) as (_, address):
+            with pytest.raises(ExchangeError, match=str(address)):
+                await WholeExchange(address)("POST", "/", b"body", 0.2)
+
+    play(story)
+
+
+def test_address_without_a_listener_is_no_connection() -> None:
+    async def story() -> None:
+        with pytest.raises(ConnectError):
+            await connect(free_address(), 0.5)
+
+    play(story)
+
+
+@pytest.mark.parametrize(
+    ("header", "idle_s"),
+    [
+        (b"", DEFAULT_IDLE_S),
+        (b"Keep-Alive: timeout=10\r\n", 10.0),
+        (b"Keep-Alive: max=3, timeout=2\r\n", 2.0),
+        (b"Keep-Alive: timeout=soon\r\n", DEFAULT_IDLE_S),
+    ],
+)
+def test_connection_rests_for_a_share_of_the_stated_time_out(header: bytes, idle_s: float) -> None:
+    async def story() -> None:
+        answer = OK.replace(b"\r\n\r\n", b"\r\n" + header + b"\r\n")
+        async with answering(answer, OK) as address:
+            conn = await connect(address, 1.0)
+            await conn.send_head(b"GET", b"/", [(b"host", b"x")])
+            conn.end_body()
+            await conn.read_head()
+            while await conn.read_part() is not None:
+                pass
+            assert conn.finish(100.0)
+            assert conn.idle_until_s == pytest.approx(100.0 + idle_s * IDLE_SHARE)
+            conn.abort()
+
+    play(story)
+
+
+def test_bytes_that_nobody_asked_for_end_the_connection() -> None:
+    async def story() -> None:
+        async with answering(OK + OK, OK) as address:
+            conn = await connect(address, 1.0)
+            await conn.send_head(b"GET", b"/", [(b"host", b"x")])
+            conn.end_body()
+            await conn.read_head()
+            while await conn.read_part() is not None:
+                pass
+            await asyncio.sleep(0.05)
+            assert not conn.finish(0.0)
+            conn.abort()
+
+    play(story)
--- /dev/null
+++ b/tests/aio/test_server.py
@@ -0,0 +1,115 @@
+"""Play requests of callers against a server connection."""
+
+import asyncio
+
+import pytest
+
+from chervilmill.aio import RequestHead, ServerConnection
+from tests.aio.support import LIMITS, play, serving, talk
+
+GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+LAST = b"GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+
+async def _echo(conn: ServerConnection, head: RequestHead) -> None:
+    body = b""
+    while head.has_body and (part := await conn.read_part()) is not None:
+        body += part
+    await conn.answer(200, [], head.target + b" " + body)
+
+
+def test_requests_of_one_connection_are_answered_in_order() -> None:
+    async def story() -> None:
+        async with serving(_echo) as (_, address):
+            answer = await talk(address, GET + LAST)
+            assert answer.index(b"/a ") < answer.index(b"/b ")
+            assert answer.count(b"HTTP/1.1 200") == 2
+
+    play(story)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"Content-Length: 5\r\n\r\nhello",
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    ],
+)
+def test_body_is_read_however_it_is_framed(body: bytes) -> None:
+    async def story() -> None:
+        async with serving(_echo) as (_, address):
+            head = b"POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            assert (await talk(address, head + body)).endswith(b"/a hello")
+
+    play(story)
+
+
+def test_body_that_the_handler_leaves_is_not_taken_for_a_request() -> None:
+    async def refuse(conn: ServerConnection, head: RequestHead) -> None:
+        await conn.answer(503, [], b"")
+
+    async def story() -> None:
+        async with serving(refuse) as (_, address):
+            smuggled = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(GET) + GET
+            answer = await talk(address, smuggled + LAST)
+            assert answer.count(b"HTTP/1.1 503") == 2
+
+    play(story)
+
+
+def test_idle_connection_is_closed_without_an_answer() -> None:
+    async def story() -> None:
+        async with serving(_echo) as (_, address):
+            began_s = asyncio.get_running_loop().time()
+            assert await talk(address, b"") == b""
+            assert asyncio.get_running_loop().time() - began_s >= LIMITS.idle_s
+
+    play(story)
+
+
+def test_caller_that_leaves_cancels_its_handler() -> None:
+    ended: list[str] = []
+
+    async def wait(conn: ServerConnection, head: RequestHead) -> None:
+        try:
+            await asyncio.sleep(30.0)
+        except asyncio.CancelledError:
+            ended.append("cancelled")
+            raise
+
+    async def story() -> None:
+        async with serving(wait) as (server, address):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(GET)
+            while not server.busy:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while not ended:
+                await asyncio.sleep(0.01)
+            assert server.busy == 0
+
+    play(story)
+
+
+def test_server_that_closes_says_so_with_its_answers() -> None:
+    async def story() -> None:
+        async with serving(_echo) as (server, address):
+            server.announce_close()
+            answer = await talk(address, GET)
+            assert b"connection: close" in answer.lower()
+
+    play(story)
+
+
+def test_handler_that_fails_drops_its_connection_only() -> None:
+    async def fail(conn: ServerConnection, head: RequestHead) -> None:
+        if head.target == b"/a":
+            raise RuntimeError("planted")
+        await conn.answer(200, [], b"")
+
+    async def story() -> None:
+        async with serving(fail) as (_, address):
+            assert await talk(address, GET) == b""
+            assert (await talk(address, LAST)).startswith(b"HTTP/1.1 200")
+
+    play(story)
