Expect a queue also at a target that has not answered yet

Cause: the wait at a target was its queue times the mean work learnt there, which is 0 until its first answer; so a VM that had just started saw no wait anywhere, admitted all callers that had waited, and filled the targets' queues. Change: until the first answer, those ahead are taken to need the work guessed for the request.

--- a/bench/overload/_replay.py
+++ b/bench/overload/_replay.py
@@ -41,6 +41,7 @@
 }
 WAY_S = {True: 0.001, False: 0.055}  # one way, within a region and between two
 KEPT_OBJECTS = 30
+CONNECT_AGAIN_S = 0.3  # between attempts of callers whose VM is away
 
 
 MakeFleet = Callable[[str, str, Mapping[str, str], random.Random], TargetFleet]
@@ -136,24 +137,46 @@
                 1, (), {SERVICE: ServicePolicy(SERVICE, "/", 390, 3.0, 6.9)}, CallerLimits()
             )
         )
+        self._seed = seed
+        self._make_fleet = make_fleet
+        self._away_until_s = 0.0
         self.vms: dict[str, list[tuple[TargetFleet, CallerAges]]] = {}
         names: dict[str, list[str]] = {}
         for domain, count in vms.items():
             for number in range(count):
                 names.setdefault(REGIONS[domain], []).append(f"{domain}-{number}")
-        for domain, count in vms.items():
+        self._names = names
+        self._start_vms(0)
+        for domain, (count, size) in slots.items():
             for number in range(count):
-                name = f"{domain}-{number}"
-                rng = random.Random(f"{seed}/{name}")
-                fleet = make_fleet(name, REGIONS[domain], REGIONS, rng)
-                fleet.vms_by_region = names
+                self.add_target(f"t-{domain}-{number}", domain, size)
+
+    def _start_vms(self, incarnation: int) -> None:
+        for region, names in self._names.items():
+            for name in names:
+                domain = name.rpartition("-")[0]
+                rng = random.Random(f"{self._seed}/{incarnation}/{name}")
+                fleet = self._make_fleet(name, region, REGIONS, rng)
+                fleet.vms_by_region = self._names
                 fleet.round_trips_s = {
-                    other: 2 * WAY_S[REGIONS[other] == REGIONS[domain]] for other in REGIONS
+                    other: 2 * WAY_S[REGIONS[other] == region] for other in REGIONS
                 }
                 self.vms.setdefault(domain, []).append((fleet, CallerAges()))
-        for domain, (count, size) in slots.items():
-            for number in range(count):
-                self.add_target(f"t-{domain}-{number}", domain, size)
+
+    def restart_vms(self, at_s: float, away_s: float) -> None:
+        """Have all VMs end at a moment and come back knowing nothing; callers try until then."""
+
+        def begin() -> None:
+            self._away_until_s = at_s + away_s
+
+        def end() -> None:
+            self.vms.clear()
+            self._start_vms(1)
+            changes = [TargetChanged(one.target, None) for one in self.targets.values()]
+            self._apply(changes, lambda: None)
+
+        self.at(at_s, begin)
+        self.at(at_s + away_s, end)
 
     def add_target(self, name: str, domain: str, slots: int, cold_s: float = 0.0) -> None:
         """Add a target that every VM knows of at once."""
@@ -201,6 +224,11 @@
                 fleet.apply(list(changes), self.view, self.now_s)  # type: ignore[arg-type]
 
     def _ask(self, call: Call) -> None:
+        if self.now_s < self._away_until_s:
+            again_s = self._away_until_s + self.rng.uniform(0.0, CONNECT_AGAIN_S)
+            if again_s - call.began_s < call.kind.patience_s:
+                self.at(again_s, lambda: self._ask(call))
+            return
         fleet, ages = self.rng.choice(self.vms[call.domain])
         left_s = call.kind.patience_s - (self.now_s - call.began_s)
         call.attempts += 1
--- a/src/chervilmill/overload/_choice.py
+++ b/src/chervilmill/overload/_choice.py
@@ -97,5 +97,5 @@
     unproven_rank = None if is_proven else rank
     work_s = times.expected_s(request.work, unproven_rank)
     work_s *= record.slowness(now_s)
-    wait_s = record.wait_s(now_s, usual_others)
+    wait_s = record.wait_s(now_s, usual_others, work_s / record.slowness(now_s))
     return Candidate(record, round_trip_s + wait_s + work_s, wait_s, work_s, unproven_rank)
--- a/src/chervilmill/overload/_target_record.py
+++ b/src/chervilmill/overload/_target_record.py
@@ -86,12 +86,16 @@
         """Return the share of requests of late that the target failed."""
         return self._failure * _decay(now_s - self._failure_at_s, FAILURE_HALF_LIFE_S)
 
-    def wait_s(self, now_s: float, usual_others: float = 0.0) -> float:
-        """Return how long a request would queue at the target."""
+    def wait_s(self, now_s: float, usual_others: float = 0.0, first_guess_s: float = 0.0) -> float:
+        """Return how long a request would queue at the target.
+
+        Until the target has answered, those ahead are taken to need `first_guess_s` of work each.
+        """
         ahead = self.load(now_s, usual_others) + 1 - self.target.slots
         if ahead <= 0:
             return 0.0
-        return ahead / self.target.slots * self.mean_work_s * self.slowness(now_s)
+        work_s = self.mean_work_s or first_guess_s
+        return ahead / self.target.slots * work_s * self.slowness(now_s)
 
     def is_idle(self, now_s: float, usual_others: float = 0.0) -> bool:
         """Return whether the target has slots to spare for work that will be late."""
--- a/tests/overload/test_replays.py
+++ b/tests/overload/test_replays.py
@@ -177,6 +177,19 @@
     assert len([s for s in replay.targets["t-new"].starts if s >= 12.0]) >= 0.3 * sorted(usual)[17]
 
 
+def test_all_is_in_time_again_soon_after_a_loss_of_all_vms() -> None:
+    """VMs that know nothing yet must not fill the targets' queues with the callers that waited.
+
+    The targets still hold their objects, and serve a calm day's share within a second or so.
+    """
+    replay = Replay(SLOTS, VMS)
+    steady(replay, factor=1.5)
+    replay.restart_vms(at_s=8.0, away_s=2.0)
+    replay.run(END_S + 5)
+    assert in_time_share(replay.since(11.0, 12.0)) >= MARK
+    assert in_time_share(replay.since(12.0, END_S)) >= 0.9
+
+
 def test_same_seed_gives_the_same_day() -> None:
     def figures() -> list[float | None]:
         replay = Replay(SLOTS, VMS, seed=5)
