Share the fleet of memberships and the runner of stories among bench and tests

Cause: the fleet on a virtual clock stood three times (bench/gossip.py and two tests of peers), each with its own sending and losing of datagrams and of answers; 'play' stood twice. Change: bench/_gossip_fleet.py, used by all three; tests/support.py holds 'play'. Assertions, bounds and seeds are as before. Ruled out: keeping 'missing' beside 'views'; one is the complement of the other.

--- a/tests/aio/support.py
+++ b/tests/aio/support.py
@@ -1,7 +1,7 @@
 """Run a server and raw or parsed clients on one event loop."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 from chervilmill.addresses import Address
@@ -53,12 +53,3 @@
             return await reader.read()
     finally:
         writer.close()
-
-
-def play(story: Callable[[], Awaitable[None]]) -> None:
-    """Run one story on an event loop of its own."""
-
-    async def run() -> None:
-        await story()
-
-    asyncio.run(run())
--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -13,8 +13,8 @@
     connect,
 )
 from chervilmill.aio._client import DEFAULT_IDLE_S, IDLE_SHARE
-from tests.aio.support import answering, play, serving
-from tests.support import free_address
+from tests.aio.support import answering, serving
+from tests.support import free_address, play
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
--- a/tests/aio/test_server.py
+++ b/tests/aio/test_server.py
@@ -5,7 +5,8 @@
 import pytest
 
 from chervilmill.aio import RequestHead, ServerConnection
-from tests.aio.support import LIMITS, play, serving, talk
+from tests.aio.support import LIMITS, serving, talk
+from tests.support import play
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 LAST = b"GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -184,12 +184,3 @@
     async with asyncio.timeout(limit_s):
         while not await check():
             await asyncio.sleep(0.02)
-
-
-def play(story: Callable[[], Awaitable[None]]) -> None:
-    """Run one story on an event loop of its own."""
-
-    async def run() -> None:
-        await story()
-
-    asyncio.run(run())
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tests.entry.harness import Scene, play, scene
+from tests.entry.harness import Scene, scene
+from tests.support import play
 
 HEAD = b"Host: site.example\r\nX-Chervilmill-Request-Id: bad\r\n"
 
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -10,8 +10,8 @@
 from soak.site import DEFAULT_ROUTES, RouteRow, VmPorts, configuration, settings, write_settings
 from soak.store import StandInStore
 from soak.target import StandInTarget
-from tests.entry.harness import Scene, is_ready, play, until
-from tests.support import free_address
+from tests.entry.harness import Scene, is_ready, until
+from tests.support import free_address, play
 
 ADDED = (*DEFAULT_ROUTES, RouteRow("more", "/more/"))
 
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -9,8 +9,8 @@
 from chervilmill.aio import ClientConnection, ConnectError, RequestHead, ServerConnection
 from chervilmill.entry._pool import MAX_IDLE, OpenReason, TargetPool
 from chervilmill.routing import Target
-from tests.aio.support import play, serving
-from tests.support import free_address
+from tests.aio.support import serving
+from tests.support import free_address, play
 
 
 async def _answer(conn: ServerConnection, head: RequestHead) -> None:
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -9,7 +9,8 @@
 from chervilmill.aio import ExchangeError, connect
 from chervilmill.requests import Limited
 from soak.site import DEFAULT_ROUTES, HOST, RouteRow, configuration
-from tests.entry.harness import Scene, is_ready, play, scene, until
+from tests.entry.harness import Scene, is_ready, scene, until
+from tests.support import play
 
 
 def test_answer_is_the_targets_own(tmp_path: Path) -> None:
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from bench._gossip_fleet import GossipFleet
 from chervilmill.peers import (
     Digest,
     KindReplica,
     MalformedDigestError,
     Membership,
     MemberState,
-    Peer,
 )
 from chervilmill.peers._digest import decode_digest
 from chervilmill.peers._membership import ROUND_S
@@ -19,52 +19,12 @@
 DETECTED_S = 7.0  # a look-up names no VM that has been dead for longer
 
 
-class _Fleet:
-    """Hold memberships and who is up; a round is half a second."""
-
-    def __init__(self, count: int, loss: float = 0.0) -> None:
-        self.now_s = 0.0
-        self.loss = loss
-        self.rng = random.Random(4)
-        self.peers = [Peer(f"vm-{n}", f"10.0.0.{n}", "a") for n in range(count)]
-        self.up = {peer.name: self.make(peer, 1) for peer in self.peers}
-        self.bytes_sent = 0
-
-    def make(self, peer: Peer, incarnation: int) -> Membership:
-        membership = Membership(
-            peer.name, incarnation, random.Random(peer.name), peer.failure_domain
-        )
-        membership.register(self.peers)
-        membership.serve(True)
-        return membership
-
-    def play(self, seconds: float) -> None:
-        until_s = self.now_s + seconds
-        while self.now_s < until_s:
-            self.now_s += ROUND_S
-            for membership in list(self.up.values()):
-                membership.beat(self.now_s)
-                data = membership.digest({}, self.now_s).encode()
-                for peer in membership.receivers(self.now_s):
-                    self.send(data, peer.name, membership)
-
-    def send(self, data: bytes, to: str, sender: Membership) -> None:
-        self.bytes_sent += len(data)
-        if to not in self.up or self.rng.random() < self.loss:
-            return
-        for answer in self.up[to].receive(decode_digest(data, to), self.now_s):
-            encoded = answer.encode()
-            self.bytes_sent += len(encoded)
-            if self.rng.random() >= self.loss:
-                sender.receive(decode_digest(encoded, "answer"), self.now_s)
-
-    def live(self, name: str) -> set[str]:
-        return {peer.name for peer in self.up[name].live(self.now_s)}
+SEED = 4
 
 
 @pytest.mark.parametrize(("count", "loss"), [(2, 0.0), (12, 0.0), (12, 0.2), (83, 0.02)])
 def test_all_find_each_other_and_none_is_thought_dead(count: int, loss: float) -> None:
-    fleet = _Fleet(count, loss)
+    fleet = GossipFleet(count, SEED, loss=loss)
     fleet.play(5.0)
     for _ in range(20):
         fleet.play(ROUND_S)
@@ -73,7 +33,7 @@
 
 @pytest.mark.parametrize("count", [12, 83])
 def test_dead_vm_is_dropped_by_all_in_time(count: int) -> None:
-    fleet = _Fleet(count)
+    fleet = GossipFleet(count, SEED)
     fleet.play(5.0)
     del fleet.up["vm-1"]
     fleet.play(DETECTED_S)
@@ -83,7 +43,7 @@
 @pytest.mark.parametrize("incarnation", [2, 1, 0])
 def test_vm_that_starts_anew_is_found_again(incarnation: int) -> None:
     """Also where its clock was set back, so that its incarnation does not rise."""
-    fleet = _Fleet(12)
+    fleet = GossipFleet(12, SEED)
     fleet.play(5.0)
     del fleet.up["vm-1"]
     fleet.play(5.0)
@@ -93,7 +53,7 @@
 
 
 def test_vm_that_leaves_is_out_while_it_runs() -> None:
-    fleet = _Fleet(12)
+    fleet = GossipFleet(12, SEED)
     fleet.play(5.0)
     fleet.up["vm-1"].serve(False)
     fleet.play(2.5)
@@ -104,7 +64,7 @@
 def test_bytes_grow_with_the_fleet_and_no_faster_a_datagram_than_it() -> None:
     sent = {}
     for count in (12, 83):
-        fleet = _Fleet(count)
+        fleet = GossipFleet(count, SEED)
         fleet.play(5.0)
         begin = fleet.bytes_sent
         fleet.play(10.0)
--- a/tests/peers/test_membership_at_scale.py
+++ b/tests/peers/test_membership_at_scale.py
@@ -1,12 +1,11 @@
 """Lose, part and cut off entry VMs of larger fleets, on the virtual clock."""
 
 import random
-from collections.abc import Callable
 
 import pytest
 
-from chervilmill.peers import Membership, MemberState, Peer
-from chervilmill.peers._digest import decode_digest
+from bench._gossip_fleet import GossipFleet
+from chervilmill.peers import Membership, Peer
 from chervilmill.peers._membership import ROUND_S
 from chervilmill.peers._news import MAX_TOLD
 from chervilmill.peers._ring import WATCHERS, WatchRing
@@ -15,68 +14,14 @@
 PACKET_BYTES = 1400  # a larger datagram is split on its way, and lost with any of its parts
 BYTES_PER_S = 3000  # of heartbeats a VM, at any size
 
-Link = Callable[[str, str], bool]
-
-
-class _Fleet:
-    """Hold memberships in failure domains of equal size; `carries` tells which links work."""
-
-    def __init__(self, count: int, domains: int, loss: float = 0.02) -> None:
-        self.now_s = 0.0
-        self.loss = loss
-        self.rng = random.Random(7)
-        self.peers = [Peer(f"vm-{n}", f"10.0.0.{n}", f"d{n % domains}") for n in range(count)]
-        self.up = {peer.name: self._make(peer) for peer in self.peers}
-        self.carries: Link = lambda _, __: True
-        self.bytes_sent = 0
-        self.largest = 0
-
-    def play(self, seconds: float) -> None:
-        until_s = self.now_s + seconds
-        while self.now_s < until_s:
-            self.now_s += ROUND_S
-            for name, membership in list(self.up.items()):
-                membership.beat(self.now_s)
-                data = membership.digest({}, self.now_s).encode()
-                for peer in membership.receivers(self.now_s):
-                    self._send(data, name, peer.name)
-
-    def kill(self, *names: str) -> None:
-        for name in names:
-            del self.up[name]
-
-    def views(self, name: str) -> list[str]:
-        """Return the VMs that name a VM as serving."""
-        return [
-            other
-            for other, membership in self.up.items()
-            if other != name and membership.state(name, self.now_s) is MemberState.SERVING
-        ]
-
-    def _make(self, peer: Peer) -> Membership:
-        membership = Membership(peer.name, 1, random.Random(peer.name), peer.failure_domain)
-        membership.register(self.peers)
-        membership.serve(True)
-        return membership
-
-    def _send(self, data: bytes, sender: str, to: str) -> None:
-        if not self._arrives(data, sender, to):
-            return
-        for answer in self.up[to].receive(decode_digest(data, sender), self.now_s):
-            encoded = answer.encode()
-            if self._arrives(encoded, to, sender):
-                self.up[sender].receive(decode_digest(encoded, to), self.now_s)
-
-    def _arrives(self, data: bytes, sender: str, to: str) -> bool:
-        self.bytes_sent += len(data)
-        self.largest = max(self.largest, len(data))
-        is_carried = to in self.up and self.carries(sender, to)
-        return is_carried and self.rng.random() >= self.loss
+
+def _fleet(count: int, domains: int, loss: float = 0.02) -> GossipFleet:
+    return GossipFleet(count, 7, domains=domains, loss=loss)
 
 
 @pytest.mark.parametrize(("count", "domains"), [(12, 3), (83, 7), (200, 12)])
 def test_loss_of_a_failure_domain_is_known_to_all_in_time(count: int, domains: int) -> None:
-    fleet = _Fleet(count, domains)
+    fleet = _fleet(count, domains)
     fleet.play(6.0)
     lost = [peer.name for peer in fleet.peers if peer.failure_domain == "d1"]
     fleet.kill(*lost)
@@ -87,7 +32,7 @@
 
 @pytest.mark.parametrize("survivors", [1, 2, 5])
 def test_few_survivors_of_a_fleet_know_in_time(survivors: int) -> None:
-    fleet = _Fleet(30, 5)
+    fleet = _fleet(30, 5)
     fleet.play(6.0)
     lost = [peer.name for peer in fleet.peers[survivors:]]
     fleet.kill(*lost)
@@ -97,7 +42,7 @@
 
 def test_one_way_cut_leaves_the_vm_in_all_views_but_its_own() -> None:
     """What it sends arrives, so that it is alive; what it hears nothing of may look dead to it."""
-    fleet = _Fleet(40, 5)
+    fleet = _fleet(40, 5)
     fleet.play(6.0)
     fleet.carries = lambda _, to: to != "vm-3"
     for _ in range(20):
@@ -106,7 +51,7 @@
 
 
 def test_cut_between_two_vms_makes_neither_dead() -> None:
-    fleet = _Fleet(40, 5, loss=0.0)
+    fleet = _fleet(40, 5, loss=0.0)
     fleet.play(6.0)
     fleet.carries = lambda sender, to: {sender, to} != {"vm-3", "vm-4"}
     for _ in range(20):
@@ -115,7 +60,7 @@
 
 
 def test_parted_halves_drop_each_other_and_find_each_other_again() -> None:
-    fleet = _Fleet(40, 4)
+    fleet = _fleet(40, 4)
     fleet.play(6.0)
     near = {peer.name for peer in fleet.peers if peer.failure_domain in ("d0", "d1")}
     fleet.carries = lambda sender, to: (sender in near) == (to in near)
@@ -127,7 +72,7 @@
 
 
 def test_vm_that_stood_still_takes_none_for_dead_when_it_goes_on() -> None:
-    fleet = _Fleet(30, 5)
+    fleet = _fleet(30, 5)
     fleet.play(6.0)
     paused = fleet.up.pop("vm-3")
     fleet.play(20.0)
@@ -141,7 +86,7 @@
 def test_bytes_do_not_grow_with_the_fleet_and_datagrams_fit_a_packet() -> None:
     sent = {}
     for count in (12, 200):
-        fleet = _Fleet(count, 6)
+        fleet = _fleet(count, 6)
         fleet.play(10.0)
         begin = fleet.bytes_sent
         fleet.play(10.0)
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,10 +1,12 @@
 """Build the parts that several tests start: stand-ins, settings and daemon processes."""
 
+import asyncio
 import os
 import random
 import socket
 import subprocess
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import json5
@@ -56,6 +58,15 @@
     return sock
 
 
+def play(story: Callable[[], Awaitable[None]]) -> None:
+    """Run one story on an event loop of its own."""
+
+    async def run() -> None:
+        await story()
+
+    asyncio.run(run())
+
+
 def raw_settings(name: str, platform: Address, **node: str) -> dict:
     """Return decoded settings of an entry VM on free loopback ports."""
     raw = json5.loads((ROOT / "examples" / "souhrny.jsonc").read_text())
