--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -31,17 +31,20 @@
         pass
 
 
+async def _use_and_put_back(pool: TargetPool, target: Target) -> ClientConnection:
+    conn = await pool.take(target)
+    await _use(conn)
+    pool.put_back(target, conn)
+    return conn
+
+
 def test_connections_are_counted_by_why_they_were_opened() -> None:
     async def story() -> None:
         async with _target() as target:
             pool = TargetPool()
-            first = await pool.take(target)
-            await _use(first)
-            pool.put_back(target, first)
+            first = await _use_and_put_back(pool, target)
             assert await pool.take(target) is first
-            second = await pool.take(target)
-            await _use(second)
-            pool.put_back(target, second)
+            await _use_and_put_back(pool, target)
             await asyncio.sleep(0.7)  # the server's idle time-out is over
             await pool.take(target)
             assert pool.opened == {OpenReason.FIRST: 1, OpenReason.BUSY: 1, OpenReason.CLOSED: 1}
@@ -53,9 +56,7 @@
     async def story() -> None:
         async with _target() as target:
             pool = TargetPool()
-            conn = await pool.take(target)
-            await _use(conn)
-            pool.put_back(target, conn)
+            conn = await _use_and_put_back(pool, target)
             conn.idle_until_s = 0.0
             assert await pool.take(target) is not conn
             assert pool.opened[OpenReason.RESTED] == 1
@@ -67,9 +68,7 @@
     async def story() -> None:
         async with _target() as target:
             pool = TargetPool()
-            conn = await pool.take(target)
-            await _use(conn)
-            pool.put_back(target, conn)
+            conn = await _use_and_put_back(pool, target)
             anew = Target("t", 2, "app", target.address, "north-a", 6, False, 0.0)
             assert await pool.take(anew) is not conn
             pool.drop(anew)
