Close a stand-in's listener before its connections when it crashes

Cause: the crash of a target stand-in was begun in a thread of its own, which cut the connections first and closed the listener last. An entry VM tells a crash from a lost answer by a refused connection within 50 ms. Ruled out: a hedge of the crash request (no delay is known before 50 answers); 45 runs of the tests beside eight busy processes did not show it. Shown by: a sleep of 0.2 s before the abort, with which all three tests of the quarantine failed in three runs of three. Change: the listener is closed by the crash itself, before any connection ends, as where a process ends. A new test connects right after the crash: it failed in three runs of three before, passes now. Conclusion: the stand-in was wrong, the bound of two targets stays.

--- a/src/chervilmill/http/_server.py
+++ b/src/chervilmill/http/_server.py
@@ -164,8 +164,18 @@
             self._before_stop()
         self._server.stop()
 
+    def close_listener(self) -> None:
+        """Refuse new connections from now on; open ones go on."""
+        if self._server.socket is not None:
+            self._server.socket.close()
+
     def abort(self) -> None:
-        """Cut every connection, also amid an answer, and close the listener."""
+        """Close the listener and cut every connection, also amid an answer.
+
+        In this order, so that whoever loses a connection is refused the next one, as where a
+        process ends.
+        """
+        self.close_listener()
         for conn in tuple(self._server.opened):
             conn.cut()
         self.stop()
--- a/src/chervilmill/standins/target_server.py
+++ b/src/chervilmill/standins/target_server.py
@@ -40,6 +40,7 @@
                 return
             self._state.is_away = True
             self._state.crashes += 1
+        self._server.close_listener()
         self._crashing = threading.Thread(target=self._be_away, name="crash", daemon=True)
         self._crashing.start()
 
--- a/tests/standins/test_target_server.py
+++ b/tests/standins/test_target_server.py
@@ -1,5 +1,6 @@
 """Check that the target stand-in shows each fault that others rely on."""
 
+import socket
 import threading
 from collections.abc import Iterator
 
@@ -132,3 +133,10 @@
 def test_unknown_behaviour_is_refused(target: Target) -> None:
     with pytest.raises(ValueError, match="colour"):
         target.state.behave({"colour": "green"})
+
+
+def test_crash_refuses_connections_before_any_connection_ends(target: Target) -> None:
+    """A process that ends does both at once; callers tell a crash by the refusal."""
+    target.server.crash()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((target.pool.host, target.pool.port), timeout=TIMEOUT_S)
