--- a/bench/overload/__init__.py
+++ b/bench/overload/__init__.py
@@ -50,9 +50,7 @@
     "Replay",
     "figures",
     "in_time_share",
-    "one_queue_in_time",
     "served_share",
-    "slots_of",
     "steady",
 ]
 
