Let callers that return too late find a shorter queue

Cause: a caller that came back was allowed the wait of a newcomer counted from its return, although its objective counts from its first attempt. Change: who returns goes before newcomers while its answer can be in time, less 5% for a misjudged wait; after that it may wait three quarters as long, which an overload fills.

--- a/bench/overload/__init__.py
+++ b/bench/overload/__init__.py
@@ -50,7 +50,9 @@
     "Replay",
     "figures",
     "in_time_share",
+    "one_queue_in_time",
     "served_share",
+    "slots_of",
     "steady",
 ]
 
--- a/src/chervilmill/overload/_admission.py
+++ b/src/chervilmill/overload/_admission.py
@@ -2,8 +2,9 @@
 
 Load patterns: steady overload, waves and bursts, where a request that would wait past its objective
 only takes the slot of one that could meet it; callers that come back, who go before newcomers since
-they have waited already; work that is over its objective even without a wait, which is late
-wherever it goes and waits only briefly for a slot.
+they have waited already, as long as their answers can be in time, and find a shorter queue after
+that; work that is over its objective even without a wait, which is late wherever it goes and waits
+only briefly for a slot.
 """
 
 import random
@@ -14,6 +15,8 @@
 URGENT_PRIORITY = 1  # routes of this rank and below may use the whole objective
 LESS_URGENT_SHARE = 0.9  # of the objective, so that urgent requests find the shorter queue
 NEWCOMER_SHARE = 0.95  # of the objective, so that callers that were refused find the shorter queue
+RETURN_SHARE = 0.95  # of the objective since the first attempt; the rest is for a misjudged wait
+LATE_RETURN_SHARE = 0.75  # of the wait that would be allowed in time; an overload fills it
 LATE_WAIT_SHARE = 0.05  # of the objective, for work that cannot meet it
 MIN_RETURN_S = 0.1  # below this, a refused caller meets the same queue again
 MAX_RETURN_S = 1.0  # beyond this, most callers have no time left
@@ -78,13 +81,18 @@
     All are allowed the wait of those with the longest way, lest callers near a target fill its
     queue up to a length that callers of a region with few targets cannot bear.
 
-    A caller that was refused before may wait as long as if it were new, although its answer is late
-    then, and longer than a newcomer of the same kind.
+    A caller that was refused before may wait longer than a newcomer of the same kind, as far as its
+    answer is in time: its objective counts from its first attempt. Past that it finds a shorter
+    queue, lest it make others late that are in time yet; without overload there is none.
     """
     share = 1.0 if asked.priority <= URGENT_PRIORITY else LESS_URGENT_SHARE
     share *= 1.0 if asked.age_s > 0 else NEWCOMER_SHARE
-    in_time_s = asked.objective_s * share - asked.longest_way_s - candidate.work_s
-    return max(in_time_s, asked.objective_s * LATE_WAIT_SHARE)
+    allowed_s = asked.objective_s * share - asked.longest_way_s - candidate.work_s
+    if asked.age_s > 0:
+        way_s = candidate.unwaited_s - candidate.work_s
+        left_s = asked.objective_s * RETURN_SHARE - asked.age_s - way_s - candidate.work_s
+        allowed_s = min(allowed_s, max(left_s, allowed_s * LATE_RETURN_SHARE))
+    return max(allowed_s, asked.objective_s * LATE_WAIT_SHARE)
 
 
 def _return_s(excess_s: float, rng: random.Random) -> float:
--- a/tests/overload/test_replays.py
+++ b/tests/overload/test_replays.py
@@ -18,7 +18,9 @@
     WARM_UP_S,
     Replay,
     in_time_share,
+    one_queue_in_time,
     served_share,
+    slots_of,
     steady,
 )
 
@@ -106,6 +108,15 @@
     assert max(waited) <= READ.patience_s + 0.5
 
 
+def test_returning_callers_take_no_slot_from_those_in_time() -> None:
+    """Three quarters of what one queue with all slots would answer in time at this load."""
+    replay = Replay(SLOTS, VMS)
+    steady(replay, factor=4)
+    replay.run(END_S + 5)
+    best = one_queue_in_time(replay.calls, slots_of(replay), seed=1)
+    assert in_time_share(replay.since(WARM_UP_S, END_S)) >= 0.75 * best
+
+
 def test_callers_that_ignore_retry_after_do_not_displace_the_others() -> None:
     replay = Replay(SLOTS, VMS, returns=4, heeds_retry_after=False)
     steady(replay)
