--- /dev/null
+++ b/tests/entry/test_sync.py
@@ -0,0 +1,65 @@
+"""Follow a store whose objects change faster than each change is worth a call."""
+
+import asyncio
+import json
+import time
+from contextlib import suppress
+
+from chervilmill.aio import WholeAnswer
+from chervilmill.entry._sync import StoreSync
+from chervilmill.peers import KindReplica, ReplicaChange
+from chervilmill.platform import PlatformStore
+
+KIND = "servers"
+PLAYED_S = 2.0
+READS_PER_S = 6000 / 800 / 3  # the store's, for each of three watches of each of 800 VMs
+
+
+class _BusyStore:
+    """Change an object every 10 ms, and answer a watch as soon as something has changed."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self._began_s = time.monotonic()
+
+    @property
+    def revision(self) -> int:
+        return 1 + int((time.monotonic() - self._began_s) / 0.01)
+
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> WholeAnswer:
+        self.calls += 1
+        if "watch=" not in path:
+            return _answer({"items": [], "as-of": self.revision})
+        since = int(path.split("watch=")[1].split("&")[0])
+        while self.revision == since:
+            await asyncio.sleep(0.001)
+        now = self.revision
+        events = [
+            {"object": {"metadata": {"name": f"t-{n}", "revision": n}, "specification": {}}}
+            for n in range(since + 1, now + 1)
+        ]
+        return _answer({"events": events, "as-of": now})
+
+
+def _answer(value: object) -> WholeAnswer:
+    return WholeAnswer(200, json.dumps(value).encode())
+
+
+def test_changes_in_quick_succession_come_with_few_calls_and_none_is_lost() -> None:
+    store = _BusyStore()
+    replica = KindReplica(KIND)
+    seen: list[str] = []
+
+    def note(kind: str, change: ReplicaChange, was_away: bool) -> None:
+        seen.extend(one.name for one in change.written)
+
+    async def play() -> None:
+        sync = StoreSync(PlatformStore(store, "store"), {KIND: replica}, note)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(sync.run(KIND), PLAYED_S)
+
+    asyncio.run(play())
+    assert store.calls <= 2 + READS_PER_S * PLAYED_S
+    assert len(seen) == len(set(seen)) > 100
+    numbers = [int(name.removeprefix("t-")) for name in seen]
+    assert numbers == list(range(numbers[0], numbers[-1] + 1))
