Leave connections alone that are older than one that broke, and say what was never sent

Cause of the first: the connection used last is taken first; where it proves broken, those that rested longer are broken too, and each cost one more request, of those that must run once the only run. Cause of the second: time that ended was answered as "may have run" whatever the attempt had done, and an attempt left while connecting counted as sent. Ruled out: closing idle connections after any loss (answers lost by a target at work would each cost connections, which are priced); opening a connection for every order (dear, and needless). Change: a connection that rested and breaks within 0.2 s closes the idle ones to its target. An attempt knows whether it was sent; what was not is refused as not run, 503, when its time ends.

--- a/soak/target.py
+++ b/soak/target.py
@@ -78,6 +78,7 @@
         self._waiting = 0
         self._free = asyncio.Semaphore(slots)
         self._held: OrderedDict[bytes, None] = OrderedDict()
+        self._broken: set[ServerConnection] = set()
         self._server = HttpServer(self._handle, lambda: LIMITS)
 
     async def listen(self, address: Address) -> None:
@@ -90,6 +91,10 @@
         for conn in list(self._server.connections):
             conn.abort()
 
+    def break_idle(self) -> None:
+        """Reset each connection that is open now with the next request on it, which is not run."""
+        self._broken = set(self._server.connections)
+
     def entry(self, service: str, address: Address, domain: str, born: int) -> dict[str, object]:
         """Return what the target registers in the store."""
         return {
@@ -105,6 +110,9 @@
         }
 
     async def _handle(self, conn: ServerConnection, head: RequestHead) -> None:
+        if conn in self._broken:
+            conn.abort()
+            return
         self.records.arrivals += 1
         expected = header_value(head.headers, EXPECTED)
         if expected is not None and expected != self.name.encode():
--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -82,7 +82,7 @@
 
 
 class Attempt:
-    """Carry one request to one target."""
+    """Carry one request to one target; `is_sent` says that the target may have some of it."""
 
     def __init__(
         self, caller: ServerConnection, outgoing: Outgoing, pool: TargetPool, target: Target
@@ -91,6 +91,12 @@
         self._outgoing = outgoing
         self._pool = pool
         self._target = target
+        self.is_sent = False
+
+    @property
+    def given_up(self) -> AttemptResult:
+        """Return how the attempt ended if it ends now, without an answer."""
+        return AttemptResult(AttemptEnd.OVERDUE if self.is_sent else AttemptEnd.NOT_SENT)
 
     async def run(self, patience_s: float) -> AttemptResult:
         """Return how the attempt ended; the caller has the answer where it was ANSWERED."""
@@ -102,6 +108,7 @@
             return AttemptResult(AttemptEnd.NOT_SENT, detail=str(exc))
         connect_s = loop.time() - began_s if conn.exchanges == 0 else None
         is_done = False
+        self.is_sent = True
         idle_s = loop.time() - conn.idle_since_s if conn.exchanges else None
         try:
             result = await self._exchange(conn, patience_s, connect_s)
@@ -110,6 +117,7 @@
         except ExchangeError as exc:
             broke_soon = loop.time() - began_s < DROP_SHOWS_S
             if idle_s is not None and not conn.has_answered and broke_soon:
+                self._pool.drop(self._target)
                 self._pool.learn_dropped(self._target, idle_s)
             end = AttemptEnd.BROKEN_OFF if self._caller.has_begun_answer else AttemptEnd.LOST
             return AttemptResult(end, detail=str(exc), connect_s=connect_s)
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -78,9 +78,13 @@
             self._metrics.count_retry(progress.service, _RETRY_REASONS[last.end])
         return self._failed(progress, last, SHED_RETURN_S)
 
-    def time_out(self, progress: Progress) -> None:
-        """Take in that a request's time has ended."""
+    def time_out(self, progress: Progress) -> Refusal:
+        """Take in that a request's time has ended and return the answer to its caller."""
+        may_still_run = progress.may_still_run
         self._outcomes.time_out(progress, asyncio.get_running_loop().time())
+        if may_still_run:
+            return Refusal(RefusalReason.DEADLINE_EXCEEDED)
+        return Refusal(RefusalReason.NO_TARGET, SHED_RETURN_S, "not sent within its time")
 
     def _place(self, progress: Progress) -> Admitted | Refused | Refusal:
         """Choose a target among those that may run the request."""
@@ -130,10 +134,11 @@
         left_s = progress.deadline_s - sent_s
         round_trip_s = self._site.fleet.round_trips_s.get(record.target.failure_domain, 0.0)
         attempt = Attempt(progress.caller, progress.outgoing, self._pool, record.target)
+        progress.attempt = attempt
         running = asyncio.create_task(attempt.run(max(0.001, left_s - round_trip_s / 2)))
         try:
             if await self._is_left(progress, candidate, running):
-                result = AttemptResult(AttemptEnd.OVERDUE)
+                result = attempt.given_up
             else:
                 result = await running
         finally:
@@ -141,6 +146,7 @@
             if not running.done():
                 running.cancel()
                 await asyncio.gather(running, return_exceptions=True)
+        progress.attempt = None
         self._outcomes.learn(progress, candidate, result, loop.time())
         return result
 
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -58,8 +58,7 @@
             async with asyncio.timeout(limit_s):
                 refusal = await self._dispatcher.run(progress)
         except TimeoutError:
-            self._dispatcher.time_out(progress)
-            refusal = Refusal(RefusalReason.DEADLINE_EXCEEDED)
+            refusal = self._dispatcher.time_out(progress)
         except asyncio.CancelledError:
             self._log_end(progress, "caller gone", 0)
             raise
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -56,11 +56,12 @@
         A target that had too little time, or not the whole request, says nothing about itself by
         that.
         """
-        candidate = progress.last
-        if progress.sent_s is None or candidate is None or not progress.outgoing.body.is_whole:
+        candidate, attempt = progress.last, progress.attempt
+        if attempt is None or candidate is None or not progress.outgoing.body.is_whole:
             return
-        if now_s - progress.sent_s >= overdue_after_s(progress, candidate):
-            self.learn(progress, candidate, AttemptResult(AttemptEnd.OVERDUE), now_s)
+        sent_s = progress.sent_s if progress.sent_s is not None else now_s
+        if now_s - sent_s >= overdue_after_s(progress, candidate):
+            self.learn(progress, candidate, attempt.given_up, now_s)
 
     def _learn_target(
         self, candidate: Candidate, result: AttemptResult, sent_s: float, now_s: float
--- a/src/chervilmill/entry/_pool.py
+++ b/src/chervilmill/entry/_pool.py
@@ -75,7 +75,10 @@
         return longest_s if now_s < until_s else float("inf")
 
     def drop(self, target: Target) -> None:
-        """Close the idle connections to earlier lifetimes under a target's name."""
+        """Close the idle connections to a target, of all its lifetimes.
+
+        Where the one used last turns out to be broken, those that rested longer are broken too.
+        """
         for key in [key for key in self._idle if key[0] == target.name]:
             for conn in self._idle.pop(key):
                 conn.abort()
--- a/src/chervilmill/entry/_progress.py
+++ b/src/chervilmill/entry/_progress.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from chervilmill.aio import ServerConnection
-from chervilmill.entry._attempt import Outgoing
+from chervilmill.entry._attempt import Attempt, Outgoing
 from chervilmill.overload import Admitted, Candidate, PlacementRequest, Workload
 from chervilmill.platform import RequestFacts
 from chervilmill.reasons import RefusalReason
@@ -15,7 +15,8 @@
     """Hold a request; `sent_s` is when the present attempt began, or None without one, and
     `status` that of the answer given.
 
-    `next` is the target to which an overdue request moves, if one was found.
+    `attempt` is the one under way, and `next` the target to which an overdue request moves, if one
+    was found.
     """
 
     caller: ServerConnection
@@ -34,8 +35,14 @@
     last: Candidate | None = None
     status: int = 0
     may_have_run: bool = False
+    attempt: Attempt | None = None
     next: Admitted | None = None
 
+    @property
+    def may_still_run(self) -> bool:
+        """Return whether a target may have run the request, or may be about to."""
+        return self.may_have_run or (self.attempt is not None and self.attempt.is_sent)
+
     @property
     def placement(self) -> PlacementRequest:
         """Return what decides which target is the best."""
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -1,6 +1,7 @@
 """Run an entry VM with stand-ins of the store and of targets on one event loop."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -48,6 +49,7 @@
     readiness: Address
     targets: dict[str, StandInTarget] = field(default_factory=dict)
     addresses: dict[str, Address] = field(default_factory=dict)
+    unreachable: list[socket.socket] = field(default_factory=list)
     serial: int = 0
 
     async def add_target(
@@ -62,6 +64,21 @@
         self.store.put("servers", name, target.entry(service, address, domain, 1))
         return target
 
+    async def add_unreachable(self, name: str, service: str = "app") -> None:
+        """Register a target whose host does not answer to connections."""
+        address = free_address()
+        listener = socket.socket()
+        listener.bind((address.host, address.port))
+        listener.listen(0)
+        self.unreachable.append(listener)
+        for _ in range(2):  # the queue of those not yet accepted holds one, and drops the rest
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((address.host, address.port))
+            self.unreachable.append(filler)
+        entry = StandInTarget(name).entry(service, address, "north-a", 1)
+        self.store.put("servers", name, entry)
+
     async def settle(self) -> None:
         """Let what was written to the store arrive."""
         await asyncio.sleep(WATCH_PAUSE_S + 0.15)
@@ -164,6 +181,8 @@
         store.stop()
         for target in made.targets.values():
             target.crash()
+        for sock in made.unreachable:
+            sock.close()
 
 
 async def is_ready(address: Address) -> bool:
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -8,9 +8,10 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import RequestHead
-from chervilmill.entry._attempt import AttemptEnd, AttemptResult, Outgoing
+from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult, Outgoing
 from chervilmill.entry._crashes import CrashWatch
 from chervilmill.entry._outcome import OVERDUE, OutcomeLearner, overdue_after_s
+from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._progress import Progress
 from chervilmill.overload import Candidate, TargetFleet
 from chervilmill.platform import RequestFacts
@@ -36,6 +37,12 @@
         return self.candidate.record.is_ejected(SENT_S + 1.0)
 
 
+def _attempt(target: Target, *, is_sent: bool = True) -> Attempt:
+    attempt = Attempt(None, None, TargetPool(), target)  # type: ignore[arg-type]
+    attempt.is_sent = is_sent
+    return attempt
+
+
 def _scene(*, is_whole: bool = True, answered_s: float = 0.0) -> _Scene:
     fleet = TargetFleet("vm", "north", {"north-a": "north"}, random.Random(1))
     target = Target("t", 1, "app", Address("127.0.0.1", 1), "north-a", 6, False, 0.0)
@@ -72,6 +79,7 @@
         fingerprint=b"f",
         sent_s=SENT_S,
         last=candidate,
+        attempt=_attempt(target),
     )
     crashes = CrashWatch()
     crashes.set_targets({"t": "north-a", "u": "north-b"})
@@ -122,7 +130,7 @@
 
 def test_time_that_ends_between_attempts_tells_nothing() -> None:
     scene = _scene()
-    scene.progress.sent_s = None
+    scene.progress.attempt = None
     scene.learner.time_out(scene.progress, SENT_S + 1.0)
     assert not scene.is_left_alone
 
@@ -144,3 +152,12 @@
     scene.learner.learn(scene.progress, scene.candidate, refused, SENT_S + 1.5)
     verdict = scene.crashes.verdict(b"f", SENT_S + 2.0, lambda _: True)
     assert verdict == Limited("u")
+
+
+@pytest.mark.parametrize("is_sent", [True, False])
+def test_request_whose_time_ends_while_it_connects_has_not_run(is_sent: bool) -> None:
+    scene = _scene()
+    scene.progress.attempt = _attempt(scene.candidate.record.target, is_sent=is_sent)
+    assert scene.progress.may_still_run is is_sent
+    scene.learner.time_out(scene.progress, SENT_S + 1.0)
+    assert scene.progress.may_have_run is is_sent
--- a/tests/entry/test_target_troubles.py
+++ b/tests/entry/test_target_troubles.py
@@ -138,3 +138,30 @@
             assert "suspect" not in ran
 
     play(story)
+
+
+def test_request_that_reaches_no_target_in_its_time_is_refused_as_not_run(tmp_path: Path) -> None:
+    """The target's host drops what is sent to it, as behind a cut; connecting takes too long."""
+
+    async def story() -> None:
+        async with scene(tmp_path, targets=()) as site:
+            await site.add_unreachable("t1")
+            await site.settle()
+            answer = await site.ask("/order/a", "POST", b"order", "one", deadline_ms=300)
+            assert answer.status == 503
+            assert float(answer.headers[b"retry-after"]) > 0
+
+    play(story)
+
+
+def test_connections_older_than_one_that_broke_are_not_used(tmp_path: Path) -> None:
+    """Each would cost a request that must run once its only run."""
+
+    async def story() -> None:
+        async with scene(tmp_path, targets=("t1",)) as site:
+            await asyncio.gather(*(site.ask("/read/a") for _ in range(4)))
+            site.targets["t1"].break_idle()
+            ends = [(await site.ask("/order/a", "POST", b"order")).status for _ in range(4)]
+            assert ends == [502, 200, 200, 200]
+
+    play(story)
