--- a/tests/aio/support.py
+++ b/tests/aio/support.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 
 from chervilmill.addresses import Address
-from chervilmill.aio import Handler, HttpServer, ServerLimits
+from chervilmill.aio import ClientConnection, Handler, HttpServer, ServerLimits
 from tests.support import free_address
 
 LIMITS = ServerLimits(header_bytes=4096, header_timeout_s=0.5, idle_s=0.5)
@@ -53,3 +53,12 @@
             return await reader.read()
     finally:
         writer.close()
+
+
+async def exchange(conn: ClientConnection) -> None:
+    """Send a request and read its whole answer."""
+    await conn.send_head(b"GET", b"/", [(b"host", b"x")])
+    conn.end_body()
+    await conn.read_head()
+    while await conn.read_part() is not None:
+        pass
--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -13,7 +13,7 @@
     connect,
 )
 from chervilmill.aio._client import DEFAULT_IDLE_S, IDLE_SHARE
-from tests.aio.support import answering, serving
+from tests.aio.support import answering, exchange, serving
 from tests.support import free_address, play
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -91,11 +91,7 @@
         answer = OK.replace(b"\r\n\r\n", b"\r\n" + header + b"\r\n")
         async with answering(answer, OK) as address:
             conn = await connect(address, 1.0)
-            await conn.send_head(b"GET", b"/", [(b"host", b"x")])
-            conn.end_body()
-            await conn.read_head()
-            while await conn.read_part() is not None:
-                pass
+            await exchange(conn)
             assert conn.finish(100.0)
             assert conn.idle_until_s == pytest.approx(100.0 + idle_s * IDLE_SHARE)
             conn.abort()
@@ -107,11 +103,7 @@
     async def story() -> None:
         async with answering(OK + OK, OK) as address:
             conn = await connect(address, 1.0)
-            await conn.send_head(b"GET", b"/", [(b"host", b"x")])
-            conn.end_body()
-            await conn.read_head()
-            while await conn.read_part() is not None:
-                pass
+            await exchange(conn)
             await asyncio.sleep(0.05)
             assert not conn.finish(0.0)
             conn.abort()
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -9,7 +9,7 @@
 from chervilmill.aio import ClientConnection, ConnectError, RequestHead, ServerConnection
 from chervilmill.entry._pool import MAX_IDLE, OpenReason, TargetPool
 from chervilmill.routing import Target
-from tests.aio.support import serving
+from tests.aio.support import exchange, serving
 from tests.support import free_address, play
 
 
@@ -23,17 +23,9 @@
         yield Target("t", 1, "app", address, "north-a", 6, False, 0.0)
 
 
-async def _use(conn: ClientConnection) -> None:
-    await conn.send_head(b"GET", b"/", [(b"host", b"x")])
-    conn.end_body()
-    await conn.read_head()
-    while await conn.read_part() is not None:
-        pass
-
-
 async def _use_and_put_back(pool: TargetPool, target: Target) -> ClientConnection:
     conn = await pool.take(target)
-    await _use(conn)
+    await exchange(conn)
     pool.put_back(target, conn)
     return conn
 
@@ -83,7 +75,7 @@
             pool = TargetPool()
             conns = [await pool.take(target) for _ in range(MAX_IDLE + 2)]
             for conn in conns:
-                await _use(conn)
+                await exchange(conn)
                 pool.put_back(target, conn)
             taken = [await pool.take(target) for _ in range(MAX_IDLE + 2)]
             assert len(set(taken) & set(conns)) == MAX_IDLE
