Log how a crash is, or is not, attributed to a request

Only 'request suspected' named the fingerprint of a request, so the logs of the incident on crashing requests could not tell apart a crash that is seen too late, one that is dropped, and a report that never arrives. 'attempt failed' and the refusal of a quarantined request now name the fingerprint; 'loss not attributed' shows a crash seen after the confirmation time, 'suspicion received' what a peer reported.

--- a/src/chervilmill/entry/_crashes.py
+++ b/src/chervilmill/entry/_crashes.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from chervilmill.aio import RequestHead, header_value
-from chervilmill.logs import log_problem
+from chervilmill.logs import log_event, log_problem
 from chervilmill.requests import (
     CrashReport,
     LimitedToTarget,
@@ -60,6 +60,13 @@
         """
         for lost_s, fingerprint in self._lost.pop(target, []):
             if now_s - lost_s >= CRASH_CONFIRMATION_S:
+                log_event(
+                    "loss not attributed",
+                    step="crash",
+                    peer=target,
+                    fingerprint=fingerprint.hex(),
+                    lost_s_ago=round(now_s - lost_s, 3),
+                )
                 continue
             for report in self._quarantine.record_crash(target, fingerprint, now_s):
                 self._queue_report(report)
@@ -85,7 +92,14 @@
     def receive_reports(self, crashes: tuple[CrashReport, ...], now_s: float) -> None:
         """Record the reports in the digest of another entry VM."""
         for report in crashes:
-            self._quarantine.receive_report(report, now_s)
+            if self._quarantine.receive_report(report, now_s):
+                log_event(
+                    "suspicion received",
+                    step="crash",
+                    fingerprint=report.fingerprint.hex(),
+                    crashes=report.crashes,
+                    limited_to=report.limited_to,
+                )
 
     def _queue_report(self, report: CrashReport) -> None:
         self._pending_reports[report.fingerprint] = (report, REPORT_ROUNDS)
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -109,9 +109,10 @@
         return self._site_state.fleet.place(query, self._site_state.view, now_s)
 
     def _refuse_quarantined(self, progress: Progress) -> Refusal:
+        detail = f"quarantined fingerprint {progress.fingerprint.hex()}"
         if progress.may_have_run:
-            return Refusal(RefusalReason.TARGET_FAILED, detail="quarantined")
-        return Refusal(RefusalReason.QUARANTINED)
+            return Refusal(RefusalReason.TARGET_FAILED, detail=detail)
+        return Refusal(RefusalReason.QUARANTINED, detail=detail)
 
     def _is_usable(self, name: str) -> bool:
         record = self._site_state.fleet.record(name)
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -46,6 +46,7 @@
             "attempt failed",
             step="send",
             request=progress.request_headers.request_id,
+            fingerprint=progress.fingerprint.hex(),
             target=record.target.name,
             end=result.end.value,
             status=result.status,
--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -135,16 +135,17 @@
         involved = {interrupted} if is_recorded else {interrupted, *self._running.get(target, [])}
         return [self._record_suspect(candidate, target, now_s) for candidate in sorted(involved)]
 
-    def receive_report(self, report: CrashReport, now_s: float) -> None:
-        """Apply the report of another entry VM.
+    def receive_report(self, report: CrashReport, now_s: float) -> bool:
+        """Apply the report of another entry VM and return whether it changed anything.
 
         The report is ignored if at least as many crashes of the request are already known.
         """
         known = self._unexpired_suspect(report.fingerprint, now_s)
         if known is not None and known.crashes >= report.crashes:
-            return
+            return False
         expires_s = now_s + min(report.expires_in_s, QUARANTINE_TTL_S)
         self._suspects[report.fingerprint] = _Suspect(report.crashes, report.limited_to, expires_s)
+        return True
 
     def _record_suspect(self, fingerprint: bytes, target: str, now_s: float) -> CrashReport:
         known = self._unexpired_suspect(fingerprint, now_s)
