Reproduce the incident on crashing requests with tests that fail

Each way in which a crash shows has a case of its own. A VM that starts later never learns of a quarantine.

--- a/soak/target.py
+++ b/soak/target.py
@@ -4,6 +4,7 @@
 import hashlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from enum import Enum
 
 from chervilmill.addresses import Address
 from chervilmill.aio import HttpServer, RequestHead, ServerConnection, ServerLimits, header_value
@@ -19,9 +20,21 @@
 INSTANCE = b"x-chervilmill-instance-id"
 LIMITS = ServerLimits(header_bytes=65_536, header_timeout_s=5.0, idle_s=10.0)
 MAX_CACHED_OBJECTS = 30
+MIDWAY_S = 0.1  # entry VMs relay an answer that is slower than their buffering
 CACHED_WORK_SHARE = 0.3  # work of a request whose object is cached, relative to others
 
 
+CRASHING_PATH_END = "/crash"  # a request for such a path crashes its target
+
+
+class CrashMode(Enum):
+    """How a crash shows to the entry VM that sent the request."""
+
+    RESET = "reset"
+    SILENT = "silent"  # like a host without power: connections stay open and nothing is answered
+    MIDWAY = "midway"  # reset after the first half of an answer
+
+
 @dataclass(slots=True)
 class TargetFaults:
     """Faults of a target; each count is the number of next requests that meet the fault.
@@ -74,6 +87,8 @@
         self.name = name
         self.slots = slots
         self.faults = TargetFaults()
+        self.crash_mode = CrashMode.RESET
+        self.has_crashed = False
         self.records = TargetRecords()
         self._work_s = work_s
         self._queue_limit = queue
@@ -90,6 +105,7 @@
 
     def crash(self) -> None:
         """Stop accepting connections and reset all open ones."""
+        self.has_crashed = True
         self._server.stop_accepting()
         for conn in list(self._server.connections):
             conn.abort()
@@ -116,6 +132,8 @@
         if conn in self._marked_to_reset:
             conn.abort()
             return
+        if self.has_crashed:
+            await _be_silent()
         self.records.arrivals += 1
         expected = header_value(head.headers, EXPECTED)
         if expected is not None and expected != self.name.encode():
@@ -150,6 +168,9 @@
         deadline_ms = int(deadline) if deadline else None
         method, path = head.method.decode(), head.target.decode()
         self.records.runs.append(RunRecord(request_id, method, path, digest, deadline_ms, at_s))
+        if path.endswith(CRASHING_PATH_END):
+            await self._crash_while_running(conn)
+            return
         try:
             await asyncio.sleep(self._work_duration_s(head))
         except asyncio.CancelledError:
@@ -157,6 +178,16 @@
             raise
         await self._answer(conn, head, request_id, digest)
 
+    async def _crash_while_running(self, conn: ServerConnection) -> None:
+        if self.crash_mode is CrashMode.SILENT:
+            self.has_crashed = True
+            await _be_silent()
+        if self.crash_mode is CrashMode.MIDWAY:
+            await conn.start_answer(200, [(SEAL, b"half"), (b"content-length", b"8")])
+            await conn.send_part(b"half")
+            await asyncio.sleep(MIDWAY_S)
+        self.crash()
+
     async def _answer(
         self, conn: ServerConnection, head: RequestHead, request_id: str, digest: str
     ) -> None:
@@ -205,3 +236,8 @@
 
     def _load_header(self) -> bytes:
         return f"{self._running},{self._waiting},{self.slots}".encode()
+
+
+async def _be_silent() -> None:
+    """Wait until the exchange is cancelled."""
+    await asyncio.Event().wait()
--- a/src/chervilmill/standins/target_run.py
+++ b/src/chervilmill/standins/target_run.py
@@ -4,10 +4,10 @@
 import json
 import time
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any, Protocol
+from typing import Any, NoReturn, Protocol
 
 from chervilmill.http import Environ, StartResponse, close_connection, exchange_of
-from chervilmill.standins.target_state import AnswerFault, TargetState
+from chervilmill.standins.target_state import AnswerFault, CrashMode, TargetState
 
 READ_BYTES = 64 * 1024
 POLL_INTERVAL_S = 0.01
@@ -138,9 +138,8 @@
         state = self._state
         method = self._environ["REQUEST_METHOD"]
         self._report_start(method)
-        if state.crash_path and self._path.startswith(state.crash_path):
-            self._crash()
-            self._exchange.drop()
+        if self._is_crashing and state.crash_mode is not CrashMode.MIDWAY:
+            self._crash_target()
         late_s = state.late_s if self._fault is AnswerFault.LATE else 0.0
         value = None
         if method == "PUT":
@@ -157,6 +156,20 @@
             return self._digest_answer()
         return self._json_answer("200 OK", value)
 
+    @property
+    def _is_crashing(self) -> bool:
+        crash_path = self._state.crash_path
+        return bool(crash_path) and self._path.startswith(crash_path)
+
+    def _crash_target(self) -> NoReturn:
+        if self._state.crash_mode is not CrashMode.SILENT:
+            self._crash()
+            self._exchange.drop()
+        with self._state.lock:
+            self._state.crashes += 1
+        self._wait_unless_cancelled(self._state.crash_away_s)
+        self._exchange.drop()
+
     def _drop_cancelled(self) -> None:
         with self._state.lock:
             self._state.cancelled += 1
@@ -210,6 +223,8 @@
             if index == len(parts) - 1:
                 self._release_slot()
             yield part
+            if self._is_crashing:
+                self._crash_target()
             if self._fault is AnswerFault.SHORT:
                 self._exchange.drop()
             if self._fault is AnswerFault.STALLED and self._wait_unless_cancelled(
--- a/src/chervilmill/standins/target_state.py
+++ b/src/chervilmill/standins/target_state.py
@@ -18,6 +18,14 @@
     LEAVING = "leaving"
 
 
+class CrashMode(Enum):
+    """How the crash of a target shows: at once, midway in the answer, or as silence."""
+
+    RESET = "reset"
+    MIDWAY = "midway"
+    SILENT = "silent"
+
+
 class AnswerFault(Enum):
     """A fault injected into one answer.
 
@@ -47,7 +55,7 @@
     - `work_s` is the time before an answer begins. On a cold target that time is multiplied by
       `cold_factor`, and the factor falls linearly to 1 within `cold_start_s`;
     - `crash_path` is a path prefix: a matching request crashes the target, which then stays down
-      for `crash_away_s`;
+      for `crash_away_s`. `crash_mode` is how the crash shows;
     - `faults` apply to the next answers, one fault to each answer. `late_s` is how long a late
       answer is delayed or a stalled answer pauses;
     - `is_failing` makes the target answer 500. `health` and `load` replace the true health and
@@ -66,6 +74,7 @@
     cold_factor: float = 4.0
     crash_path: str = "/crash"
     crash_away_s: float = 1.0
+    crash_mode: CrashMode = CrashMode.RESET
     faults: deque[AnswerFault] = field(default_factory=deque)
     late_s: float = 1.0
     is_failing: bool = False
@@ -124,6 +133,8 @@
                     )
                 if name == "faults":
                     value = deque(AnswerFault(item) for item in value)
+                if name == "crash_mode":
+                    value = CrashMode(value)
                 setattr(self, name, value)
 
     def restart(self) -> None:
--- a/tests/callers/test_quarantine.py
+++ b/tests/callers/test_quarantine.py
@@ -1,5 +1,6 @@
 """Test that a crashing request takes down at most two targets, and that no other is refused."""
 
+import pytest
 import urllib3
 
 from tests.callers.harness import Entry, in_thread, running
@@ -29,6 +30,24 @@
         assert entry.get("/digest").status == 200
 
 
+def crash_with_deadline(entry: Entry, deadline_ms: int) -> str:
+    """Send a request that crashes its target, and return how it ended."""
+    try:
+        resp = entry.get("/crash/1", X_Deadline_Ms=str(deadline_ms))
+        return str(resp.json()["reason"])
+    except urllib3.exceptions.ProtocolError:
+        return "broke off"
+
+
+@pytest.mark.parametrize(("crash_mode", "most_crashes"), [("midway", 2), ("silent", 3)])
+def test_crash_without_a_refused_request_is_not_counted(crash_mode: str, most_crashes: int) -> None:
+    """A crash that breaks an answer off, or that shows as silence, must count too."""
+    with running(targets=6, crash_away_s=5.0, crash_mode=crash_mode) as ([entry], states):
+        reasons = [crash_with_deadline(entry, 300) for _ in range(8)]
+        assert sum(state.crashes for state in states) <= most_crashes
+        assert reasons[-1] == "quarantined"
+
+
 def test_news_keep_other_entry_vms_from_losing_more() -> None:
     with running(targets=6, entries=2, crash_away_s=5.0) as (entries, states):
         crash(entries[0])
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -6,6 +6,7 @@
 from chervilmill.addresses import Address
 from chervilmill.entry._entry_vm import EntryVm
 from chervilmill.platform import EntrySettings, read_settings
+from chervilmill.requests import Quarantined
 from soak.proxy import Proxy
 from soak.site import DEFAULT_ROUTES, RouteRow, VmPorts, configuration, settings, write_settings
 from soak.store import StandInStore
@@ -51,6 +52,17 @@
             await until(lambda site=site: is_ready(site.readiness_address))  # type: ignore[misc]
         await until(self._know_each_other)
 
+    async def restart_second(self) -> None:
+        """End the second VM at once, as a kill does, and start it again."""
+        self._running[1].cancel()
+        await asyncio.gather(self._running[1], return_exceptions=True)
+        site = self.sites[1]
+        site.vm.abort()
+        settings_path = self._folder / "vm-2.json"
+        site.vm = EntryVm(read_settings(settings_path), settings_path)
+        self._running[1] = asyncio.create_task(site.vm.run())
+        await until(lambda: is_ready(site.readiness_address))
+
     async def stop(self) -> None:
         """Stop both VMs, the target, the links and the store."""
         for task in self._running:
@@ -123,3 +135,35 @@
             await pair.stop()
 
     run_async(scenario)
+
+
+def test_vm_that_starts_later_runs_a_quarantined_request(tmp_path: Path) -> None:
+    """A VM that starts long after a request was quarantined must learn of it from its peers."""
+    fingerprint = b"f" * 16
+
+    async def scenario() -> None:
+        pair = _Pair(tmp_path)
+        try:
+            await pair.start()
+            first = pair.sites[0].vm._crashes
+            for target in ("t1", "t2", "t3"):
+                now_s = asyncio.get_running_loop().time()
+                first.set_targets({"t1": "north-a", "t2": "north-b", "t3": "south-a"})
+                first.verdict(fingerprint, now_s, lambda name, down=target: name == down)
+                first.record_loss(fingerprint, target, now_s)
+                first.record_crash(target, now_s)
+            now_s = asyncio.get_running_loop().time()
+            assert isinstance(first.verdict(fingerprint, now_s, lambda _: True), Quarantined)
+            await asyncio.sleep(5.0)  # every report has been sent as often as it is
+            await pair.restart_second()
+
+            async def is_refused() -> bool:
+                now_s = asyncio.get_running_loop().time()
+                verdict = pair.sites[1].vm._crashes.verdict(fingerprint, now_s, lambda _: True)
+                return isinstance(verdict, Quarantined)
+
+            await until(is_refused, 2.0)
+        finally:
+            await pair.stop()
+
+    run_async(scenario)
