--- a/src/chervilmill/callers/_attempt_run.py
+++ b/src/chervilmill/callers/_attempt_run.py
@@ -159,7 +159,7 @@
             return self._deadline_failure()
         self._count_dropped(exc)
         is_crash = self._suspects.record_broken_exchange(
-            self._attempt.fingerprint, self._target, self._slots
+            self._attempt.fingerprint, self._target, self._slots, self._started_s
         )
         self._end_attempt(AttemptEnd.UNREACHABLE if is_crash else AttemptEnd.FAILED)
         failure = self._new_failure(
--- a/src/chervilmill/callers/_crash_news.py
+++ b/src/chervilmill/callers/_crash_news.py
@@ -7,11 +7,10 @@
 
 from chervilmill.callers._service_state import ServiceState
 from chervilmill.logs import log_problem
-from chervilmill.requests import CrashReport
+from chervilmill.requests import QUARANTINE_TTL_S, CrashReport, Lifetime, ReportedLoss
 
 CRASH_TOPIC = "crash"
 FINGERPRINT_BYTES = 16
-MAX_CRASHES = 2
 
 
 class ReceivedItem(Protocol):
@@ -41,29 +40,36 @@
 
 
 def publish_crash(channel: BroadcastChannel, service: str, report: CrashReport) -> None:
-    """Log a suspected or quarantined request and publish it to the other entry VMs."""
+    """Log a suspected or quarantined request and publish its losses to the other entry VMs.
+
+    Each loss is an item of its own, so that no report replaces what another entry VM published.
+    """
     log_problem(
-        "request crashed a target",
+        "request suspected",
+        step="crash",
         service=service,
         fingerprint=report.fingerprint.hex(),
-        crashes=report.crashes,
+        losses=len(report.losses),
+        crashes=sum(loss.is_crash for loss in report.losses),
         limited_to=report.limited_to,
     )
-    key = f"{service}/{report.fingerprint.hex()}"
-    value = cbor2.dumps((report.crashes, report.limited_to, report.expires_in_s))
-    channel.publish(CRASH_TOPIC, key, value, report.expires_in_s)
+    for loss in report.losses:
+        lifetime = loss.lifetime
+        name = f"{service}/{report.fingerprint.hex()}/{lifetime.target}/{lifetime.incarnation}"
+        value = cbor2.dumps((loss.age_s, loss.is_crash, loss.was_limited, report.limited_to))
+        channel.publish(CRASH_TOPIC, name, value, QUARANTINE_TTL_S)
 
 
 def receive_crashes(channel: BroadcastChannel, services: Mapping[str, ServiceState]) -> None:
     """Pass crash reports of other entry VMs to the service that each report concerns."""
 
     def receive(item: ReceivedItem) -> None:
-        service, _, fingerprint = item.key.partition("/")
+        service, _, name = item.key.partition("/")
         state = services.get(service)
         if state is None:
             return
         try:
-            report = _decode_report(fingerprint, item.value)
+            report = _decode_report(name, item.value)
         except (cbor2.CBORDecodeError, ValueError, TypeError) as exc:
             log_problem("news dropped", step="decode", peer=CRASH_TOPIC, error=str(exc))
             return
@@ -72,12 +78,15 @@
     channel.on_broadcast(CRASH_TOPIC, receive)
 
 
-def _decode_report(fingerprint: str, value: bytes) -> CrashReport:
+def _decode_report(name: str, value: bytes) -> CrashReport:
     """Return the decoded report, or raise CBORDecodeError, ValueError or TypeError."""
-    crashes, limited_to, expires_in_s = cbor2.loads(value)
-    fingerprint_bytes = bytes.fromhex(fingerprint)
-    if len(fingerprint_bytes) != FINGERPRINT_BYTES or crashes not in range(1, MAX_CRASHES + 1):
-        raise ValueError(f"invalid fingerprint {fingerprint!r} or crash count {crashes!r}")
-    if not isinstance(limited_to, str) or not float(expires_in_s) >= 0:
-        raise ValueError(f"invalid target {limited_to!r} or duration {expires_in_s!r}")
-    return CrashReport(fingerprint_bytes, crashes, limited_to, float(expires_in_s))
+    fingerprint_hex, target, incarnation = name.split("/")
+    age_s, is_crash, was_limited, limited_to = cbor2.loads(value)
+    fingerprint = bytes.fromhex(fingerprint_hex)
+    if len(fingerprint) != FINGERPRINT_BYTES or not isinstance(limited_to, str):
+        raise ValueError(f"invalid fingerprint {fingerprint_hex!r} or target {limited_to!r}")
+    if not float(age_s) >= 0:
+        raise ValueError(f"invalid age {age_s!r}")
+    lifetime = Lifetime(target, int(incarnation))
+    loss = ReportedLoss(lifetime, float(age_s), bool(is_crash), bool(was_limited))
+    return CrashReport(fingerprint, (loss,), limited_to)
--- a/src/chervilmill/callers/_suspects.py
+++ b/src/chervilmill/callers/_suspects.py
@@ -8,9 +8,17 @@
 from chervilmill.callers._slots import TargetSlots
 from chervilmill.coordination import Vm
 from chervilmill.reasons import Ran, RefusalReason
-from chervilmill.requests import CrashReport, LimitedToTarget, Quarantine, Quarantined
+from chervilmill.requests import (
+    CrashReport,
+    Lifetime,
+    LimitedToTarget,
+    Quarantine,
+    Quarantined,
+    Standing,
+)
 
 REACHABILITY_CHECK_PAUSES_S = (0.0, 0.01, 0.04)
+NO_TARGET_RETRY_AFTER_MS = 1000
 
 ReportListener = Callable[[CrashReport], None]
 ReachabilityCheck = Callable[[Vm], bool]
@@ -19,7 +27,7 @@
 class Suspects:
     """The quarantine of one service; thread-safe.
 
-    A broken exchange counts as a crash only if the target is unreachable right after it.
+    A run without an answer counts as a loss. It counts as a crash once the target is unreachable.
     """
 
     def __init__(
@@ -37,15 +45,26 @@
     def only_target(self, fingerprint: bytes, slots: TargetSlots) -> str | None:
         """Return the only target where a suspect may run, or None if the request is no suspect.
 
-        Raise Refusal if the request is quarantined.
+        Raise Refusal if the request is quarantined or no target accepts it.
         """
+        now_s = self._clock()
         with self._lock:
-            verdict = self._quarantine.verdict(fingerprint, self._clock(), slots.is_open)
+            if self._quarantine.judgement(fingerprint, now_s).standing is Standing.CLEAR:
+                return None
+        domains = slots.domains()
+        with self._lock:
+            self._quarantine.set_targets(domains)
+            verdict = self._quarantine.verdict(fingerprint, now_s, slots.is_open)
         if isinstance(verdict, Quarantined):
             detail = "earlier runs of this request crashed their targets"
             retry_after_ms = int(1000 * verdict.expires_in_s) + 1
             raise Refusal(RefusalReason.QUARANTINED, Ran.NOT_RUN, detail, retry_after_ms)
-        return verdict.target if isinstance(verdict, LimitedToTarget) else None
+        if not isinstance(verdict, LimitedToTarget):
+            return None
+        if not verdict.target:
+            detail = "no target is open for a request that may have crashed its target"
+            raise Refusal(RefusalReason.TARGETS_BUSY, Ran.NOT_RUN, detail, NO_TARGET_RETRY_AFTER_MS)
+        return verdict.target
 
     def record_start(self, fingerprint: bytes, target: str) -> None:
         """Record that a run begins."""
@@ -55,19 +74,44 @@
     def record_end(self, fingerprint: bytes, target: str, *, is_answered: bool) -> None:
         """Record that a run has ended."""
         with self._lock:
-            self._quarantine.record_end(fingerprint, target, is_answered=is_answered)
+            self._quarantine.record_end(
+                fingerprint, target, is_answered=is_answered, now_s=self._clock()
+            )
+
+    def record_loss(self, fingerprint: bytes, target: str, sent_s: float) -> None:
+        """Record that a run sent at a time of this clock ended without a whole answer."""
+        now_s = self._clock()
+        with self._lock:
+            self._quarantine.record_loss(fingerprint, Lifetime(target), sent_s, now_s)
+            reports = self._reports([fingerprint], now_s)
+        self._send(reports)
 
-    def record_broken_exchange(self, fingerprint: bytes, target: Vm, slots: TargetSlots) -> bool:
+    def record_broken_exchange(
+        self, fingerprint: bytes, target: Vm, slots: TargetSlots, sent_s: float
+    ) -> bool:
         """Record an exchange that broke off and return whether the target crashed."""
+        self.record_loss(fingerprint, target.name, sent_s)
         if not self._is_down(target):
             return False
+        self.record_unreachable(target, slots)
+        return True
+
+    def record_unreachable(self, target: Vm, slots: TargetSlots) -> None:
+        """Record that a target accepts no connections."""
         domains = slots.domains() | {target.name: target.failure_domain}
+        now_s = self._clock()
         with self._lock:
             self._quarantine.set_targets(domains)
-            reports = self._quarantine.record_crash(target.name, fingerprint, self._clock())
-        for report in reports:
-            self._on_report(report)
-        return True
+            lost = self._quarantine.record_crash(target.name, None, now_s)
+            reports = self._reports(lost, now_s)
+        self._send(reports)
+
+    def receive_report(self, report: CrashReport, slots: TargetSlots) -> None:
+        """Apply the crash report of another entry VM."""
+        domains = slots.domains()
+        with self._lock:
+            self._quarantine.set_targets(domains)
+            self._quarantine.receive_report(report, self._clock())
 
     def _is_down(self, target: Vm) -> bool:
         """Return whether a target is unreachable.
@@ -80,8 +124,16 @@
                 return True
         return False
 
-    def receive_report(self, report: CrashReport, slots: TargetSlots) -> None:
-        """Apply the crash report of another entry VM."""
-        with self._lock:
-            self._quarantine.set_targets(slots.domains())
-            self._quarantine.receive_report(report, self._clock())
+    def _reports(self, fingerprints: list[bytes], now_s: float) -> list[CrashReport]:
+        """Return the reports on those requests that are limited or quarantined."""
+        limited = [
+            fingerprint
+            for fingerprint in fingerprints
+            if self._quarantine.judgement(fingerprint, now_s).standing > Standing.CLEAR
+        ]
+        found = [self._quarantine.report(fingerprint, now_s) for fingerprint in limited]
+        return [report for report in found if report is not None]
+
+    def _send(self, reports: list[CrashReport]) -> None:
+        for report in reports:
+            self._on_report(report)
--- a/src/chervilmill/entry/_crashes.py
+++ b/src/chervilmill/entry/_crashes.py
@@ -1,39 +1,48 @@
 """Detect requests that crash their targets and keep them away from further targets.
 
-A broken connection alone is not a crash, as links fail and answers get lost too. It counts as a
-crash if the target soon afterwards refuses connections or registers a new lifetime. An entry VM
-reports the crashes that it detects to the others in its next digests.
+An entry VM reports the losses that it sees to the others. A request that may crash its targets is
+passed on by each VM that learns of it, and reported again from time to time, so that VMs that start
+later or were cut off learn of it too.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from chervilmill.aio import RequestHead, header_value
-from chervilmill.logs import log_event, log_problem
+from chervilmill.logs import log_problem
+from chervilmill.peers import TableCursor, UpdateQueue
 from chervilmill.requests import (
     CrashReport,
+    Lifetime,
     LimitedToTarget,
     Quarantine,
+    Standing,
     Verdict,
     request_fingerprint,
 )
 
-# A lost request becomes a suspect if a crash of its target is seen within this time. A crashed
-# target restarts and registers again after some seconds.
-CRASH_CONFIRMATION_S = 4.0
-REPORT_ROUNDS = 6  # number of digests that repeat each report
-MAX_REPORTS_PER_DIGEST = 16  # keeps a digest within one packet
+MAX_SUSPICIONS_PER_ROUND = 16
+MAX_LOSSES_PER_ROUND = 8
+REPEATED_PER_ROUND = 4
+MAX_REPORTS_FOR_NEWCOMER = 64
 
 
 class CrashTracker:
-    """Tracks recently lost requests and the requests suspected of crashing their targets."""
+    """Tracks the lost requests known to this VM and queues the reports for the others.
+
+    `fleet_size` is the number of live entry VMs, which decides how often a report is passed on.
+    """
 
     def __init__(self) -> None:
+        self.fleet_size = 1
         self._quarantine = Quarantine()
-        self._lost: dict[str, list[tuple[float, bytes]]] = {}
-        self._pending_reports: dict[bytes, tuple[CrashReport, int]] = {}
+        self._suspicions: UpdateQueue[bytes] = UpdateQueue(MAX_SUSPICIONS_PER_ROUND)
+        self._losses: UpdateQueue[bytes] = UpdateQueue(MAX_LOSSES_PER_ROUND)
+        self._repeated: TableCursor[bytes] = TableCursor()
+        self._domains: dict[str, str] = {}
 
     def set_targets(self, domains: dict[str, str]) -> None:
         """Set the failure domain of each target, by name."""
+        self._domains = domains
         self._quarantine.set_targets(domains)
 
     def verdict(
@@ -42,67 +51,81 @@
         """Decide whether a request may run, and whether at one target only."""
         return self._quarantine.verdict(fingerprint, now_s, is_usable)
 
-    def record_answer(self, fingerprint: bytes, target: str) -> None:
+    def record_answer(self, fingerprint: bytes, target: str, now_s: float) -> None:
         """Record that a target answered a request, which clears the request as a suspect."""
-        self._quarantine.record_end(fingerprint, target, is_answered=True)
+        self._quarantine.record_end(fingerprint, target, is_answered=True, now_s=now_s)
+
+    def record_loss(
+        self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, now_s: float
+    ) -> None:
+        """Record that a request was sent to a target and has no answer."""
+        if self._quarantine.record_loss(fingerprint, lifetime, sent_s, now_s):
+            self._queue_report(fingerprint, now_s, lifetime.target)
 
-    def record_loss(self, fingerprint: bytes, target: str, now_s: float) -> None:
-        """Record that a request was sent to a target and got no answer."""
-        recent = [
-            loss for loss in self._lost.get(target, []) if now_s - loss[0] < CRASH_CONFIRMATION_S
-        ]
-        self._lost[target] = [*recent, (now_s, fingerprint)]
+    def record_lifetime_change(self, target: str, now_s: float) -> None:
+        """Record that a target is gone or has started; only one known before can have crashed."""
+        if target in self._domains:
+            self.record_crash(target, now_s)
 
     def record_crash(self, target: str, now_s: float) -> None:
-        """Record that a target is down or has started a new lifetime.
-
-        The requests recently lost at this target become suspects.
-        """
-        for lost_s, fingerprint in self._lost.pop(target, []):
-            if now_s - lost_s >= CRASH_CONFIRMATION_S:
-                log_event(
-                    "loss not attributed",
-                    step="crash",
-                    peer=target,
-                    fingerprint=fingerprint.hex(),
-                    lost_s_ago=round(now_s - lost_s, 3),
-                )
-                continue
-            for report in self._quarantine.record_crash(target, fingerprint, now_s):
-                self._queue_report(report)
-                log_problem(
-                    "request suspected",
-                    step="crash",
-                    peer=target,
-                    fingerprint=report.fingerprint.hex(),
-                    crashes=report.crashes,
-                    limited_to=report.limited_to,
-                )
-
-    def next_reports(self) -> tuple[CrashReport, ...]:
-        """Return the reports to send in the next digest, and count this round for each."""
-        batch = list(self._pending_reports.items())[:MAX_REPORTS_PER_DIGEST]
-        for fingerprint, (report, rounds) in batch:
-            if rounds <= 1:
-                del self._pending_reports[fingerprint]
-            else:
-                self._pending_reports[fingerprint] = (report, rounds - 1)
-        return tuple(report for _, (report, _) in batch)
-
-    def receive_reports(self, crashes: tuple[CrashReport, ...], now_s: float) -> None:
-        """Record the reports in the digest of another entry VM."""
-        for report in crashes:
-            if self._quarantine.receive_report(report, now_s):
-                log_event(
-                    "suspicion received",
-                    step="crash",
-                    fingerprint=report.fingerprint.hex(),
-                    crashes=report.crashes,
-                    limited_to=report.limited_to,
-                )
-
-    def _queue_report(self, report: CrashReport) -> None:
-        self._pending_reports[report.fingerprint] = (report, REPORT_ROUNDS)
+        """Record that a target is down."""
+        for fingerprint in self._quarantine.record_crash(target, None, now_s):
+            self._queue_report(fingerprint, now_s, target)
+
+    @property
+    def has_new_reports(self) -> bool:
+        """Return whether reports wait that the other VMs may not know yet."""
+        return bool(self._suspicions) or bool(self._losses)
+
+    def next_reports(self, now_s: float) -> tuple[CrashReport, ...]:
+        """Return the reports to send in this round, and count this round for each."""
+        chosen = dict.fromkeys(self._suspicions.next_updates())
+        chosen.update(dict.fromkeys(self._losses.next_updates()))
+        repeated = self._repeated.next_slice(self._quarantine.limited, REPEATED_PER_ROUND)
+        for fingerprint in repeated:
+            if self._quarantine.judgement(fingerprint, now_s).standing > Standing.CLEAR:
+                chosen[fingerprint] = None
+        return self._reports(chosen, now_s)
+
+    def reports_for_newcomer(self, now_s: float) -> tuple[CrashReport, ...]:
+        """Return the reports on all suspected and quarantined requests, up to a limit."""
+        limited = self._quarantine.limited
+        worst_first = sorted(limited, key=lambda fingerprint: -limited[fingerprint])
+        return self._reports(worst_first[:MAX_REPORTS_FOR_NEWCOMER], now_s)
+
+    def receive_reports(self, reports: tuple[CrashReport, ...], now_s: float) -> None:
+        """Merge the reports of another entry VM; pass on what is new here and limits a request."""
+        for report in reports:
+            if not self._quarantine.receive_report(report, now_s):
+                self._suspicions.decrement(report.fingerprint)
+            elif self._log_standing(report.fingerprint, now_s, "peer") > Standing.CLEAR:
+                self._suspicions.add(report.fingerprint, self.fleet_size)
+
+    def _reports(self, fingerprints: Iterable[bytes], now_s: float) -> tuple[CrashReport, ...]:
+        found = [self._quarantine.report(fingerprint, now_s) for fingerprint in fingerprints]
+        return tuple(report for report in found if report is not None)
+
+    def _queue_report(self, fingerprint: bytes, now_s: float, target: str) -> None:
+        """Queue the report on a request; a single loss is told to a few VMs only."""
+        if self._log_standing(fingerprint, now_s, target) > Standing.CLEAR:
+            self._suspicions.add(fingerprint, self.fleet_size)
+        else:
+            self._losses.add(fingerprint, 1)
+
+    def _log_standing(self, fingerprint: bytes, now_s: float, peer: str) -> Standing:
+        """Log the standing of a request if it allows less than before, and return it."""
+        known = self._quarantine.limited.get(fingerprint, Standing.CLEAR)
+        judgement = self._quarantine.judgement(fingerprint, now_s)
+        if judgement.standing > known:
+            log_problem(
+                f"request {judgement.standing.name.lower()}",
+                step="crash",
+                peer=peer,
+                fingerprint=fingerprint.hex(),
+                crashes=judgement.crashes,
+                losses=judgement.losses,
+            )
+        return judgement.standing
 
 
 def fingerprint_request(head: RequestHead, caller: str, affinity: str, service: str) -> bytes:
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -70,7 +70,7 @@
             self._membership,
             settings.gossip_port,
             self._sync.revisions,
-            self._crashes.next_reports,
+            self._crashes,
             self._handle_digest,
         )
         self._metrics = Metrics()
@@ -181,6 +181,7 @@
             if region is not None:
                 vms.setdefault(region, []).append(peer.name)
         self._site_state.fleet.vms_by_region = vms
+        self._crashes.fleet_size = sum(len(names) for names in vms.values())
 
     def _set_serving(self, is_serving: bool) -> None:
         self._readiness.is_ready = is_serving
@@ -190,17 +191,17 @@
     def _handle_lifetime_change(self, target: Target) -> None:
         """Discard state of an earlier lifetime of a target that is gone, new or restarted.
 
-        Requests recently lost at the target count as crashes.
+        Unless the target was leaving, requests recently lost there may have crashed it.
         """
         self._pool.close_idle(target)
-        self._crashes.record_crash(target.name, self._clock())
+        if not target.is_draining:
+            self._crashes.record_lifetime_change(target.name, self._clock())
         domains = {
             known.name: known.failure_domain for known in self._site_state.view.targets.values()
         }
         self._crashes.set_targets(domains)
 
     def _handle_digest(self, digest: Digest) -> None:
-        self._crashes.receive_reports(digest.crashes, self._clock())
         peer = self._membership.peer(digest.sender)
         if peer is not None:
             host = Address(peer.host, self._settings.peer_address.port)
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -5,6 +5,7 @@
 from chervilmill.entry._progress import Progress
 from chervilmill.logs import log_failure
 from chervilmill.overload import Candidate, TargetFleet
+from chervilmill.requests import Lifetime
 
 # An attempt is overdue once it has taken this many times its expected time, and at least the
 # objective of its route. A target that has answered nothing else meanwhile then counts as silent.
@@ -38,7 +39,7 @@
         if result.load is not None:
             self._fleet.record_load(record, result.load.running + result.load.waiting, now_s)
         self._update_target(candidate, result, sent_s, now_s)
-        self._update_crashes(progress, candidate, result, now_s)
+        self._update_crashes(progress, candidate, result, sent_s, now_s)
         if _is_success(result):
             self._fleet.record_answer(progress.affinity_workload, candidate, took_s, now_s)
             return
@@ -78,16 +79,28 @@
             record.eject(now_s)
 
     def _update_crashes(
-        self, progress: Progress, candidate: Candidate, result: AttemptResult, now_s: float
+        self,
+        progress: Progress,
+        candidate: Candidate,
+        result: AttemptResult,
+        sent_s: float,
+        now_s: float,
     ) -> None:
         target = candidate.record.target.name
         match result.end:
             case AttemptEnd.NOT_SENT:
                 self._crashes.record_crash(target, now_s)
             case AttemptEnd.LOST | AttemptEnd.OVERDUE:
-                self._crashes.record_loss(progress.fingerprint, target, now_s)
+                self._record_loss(progress, candidate, sent_s, now_s)
             case AttemptEnd.ANSWERED:
-                self._crashes.record_answer(progress.fingerprint, target)
+                self._crashes.record_answer(progress.fingerprint, target, now_s)
+
+    def _record_loss(
+        self, progress: Progress, candidate: Candidate, sent_s: float, now_s: float
+    ) -> None:
+        target = candidate.record.target
+        lifetime = Lifetime(target.name, target.incarnation)
+        self._crashes.record_loss(progress.fingerprint, lifetime, sent_s, now_s)
 
 
 def overdue_after_s(progress: Progress, candidate: Candidate) -> float:
--- a/src/chervilmill/peers/__init__.py
+++ b/src/chervilmill/peers/__init__.py
@@ -6,7 +6,8 @@
 """
 
 from chervilmill.peers._digest import Digest, HeartbeatEntry, MalformedDigestError
-from chervilmill.peers._endpoint import GossipEndpoint
+from chervilmill.peers._dissemination import TableCursor, UpdateQueue
+from chervilmill.peers._endpoint import GossipEndpoint, ReportExchange
 from chervilmill.peers._membership import Membership, MemberState, Peer, peer_key
 from chervilmill.peers._replica import KindReplica, ReplicaChange
 
@@ -20,5 +21,8 @@
     "Membership",
     "Peer",
     "ReplicaChange",
+    "ReportExchange",
+    "TableCursor",
+    "UpdateQueue",
     "peer_key",
 ]
--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -5,10 +5,10 @@
 import cbor2
 
 from chervilmill.errors import ChervilmillError
-from chervilmill.requests import CrashReport
 
 _SERVING_FLAG = 1
 _SUSPECTED_FLAG = 2
+_UNUSED: list[object] = []  # earlier versions expect a list in this place
 _AGE_UNIT_S = 0.1  # a fifth of a gossip round
 
 
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Digest:
-    """Heartbeats, reports of requests that crash targets, and the store revisions known.
+    """Heartbeats and the store revisions known.
 
     The first heartbeat is the sender's own. `revisions` holds, by kind of object, the store
     revision of the last change known to the sender. `wants_reply` asks the receiver for a heartbeat
@@ -46,30 +46,21 @@
     sender: int
     heartbeats: tuple[HeartbeatEntry, ...]
     revisions: dict[str, int]
-    crashes: tuple[CrashReport, ...] = ()
     wants_reply: bool = False
 
     def encode(self) -> bytes:
         """Return the digest as a datagram."""
         rows = [_encode_heartbeat(entry) for entry in self.heartbeats]
-        crashes = [
-            [report.fingerprint, report.crashes, report.limited_to, report.expires_in_s]
-            for report in self.crashes
-        ]
-        return cbor2.dumps([self.sender, rows, self.revisions, crashes, self.wants_reply])
+        return cbor2.dumps([self.sender, rows, self.revisions, _UNUSED, self.wants_reply])
 
 
 def decode_digest(data: bytes, peer: str) -> Digest:
     """Return the digest in a datagram, or raise MalformedDigestError."""
     try:
-        sender, rows, revisions, crashes, wants_reply = cbor2.loads(data)
+        sender, rows, revisions, _, wants_reply = cbor2.loads(data)
         heartbeats = tuple(_decode_heartbeat(row) for row in rows)
         known_revisions = {str(kind): int(revision) for kind, revision in revisions.items()}
-        crash_reports = tuple(
-            CrashReport(bytes(fingerprint), int(count), str(limited_to), float(expires_in_s))
-            for fingerprint, count, limited_to, expires_in_s in crashes
-        )
-        return Digest(int(sender), heartbeats, known_revisions, crash_reports, bool(wants_reply))
+        return Digest(int(sender), heartbeats, known_revisions, bool(wants_reply))
     except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as exc:
         raise MalformedDigestError(repr(exc), step="read digest", peer=peer) from exc
 
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 from chervilmill.addresses import Address
 from chervilmill.errors import ChervilmillError
 from chervilmill.logs import log_problem
+from chervilmill.peers._crash_reports import decode_reports, encode_reports
 from chervilmill.peers._digest import Digest, decode_digest
 from chervilmill.peers._membership import ROUND_S, Membership
 from chervilmill.requests import CrashReport
@@ -14,6 +15,27 @@
 LEAVING_REPEATS = 3  # a single datagram may get lost
 
 
+class ReportExchange(Protocol):
+    """What this VM knows of requests that may crash their targets."""
+
+    @property
+    def has_new_reports(self) -> bool:
+        """Return whether reports wait that the other VMs may not know yet."""
+        ...
+
+    def next_reports(self, now_s: float) -> tuple[CrashReport, ...]:
+        """Return the reports to send in this round."""
+        ...
+
+    def reports_for_newcomer(self, now_s: float) -> tuple[CrashReport, ...]:
+        """Return the reports to send to a VM that has just started or was cut off."""
+        ...
+
+    def receive_reports(self, reports: tuple[CrashReport, ...], now_s: float) -> None:
+        """Merge the reports of another VM."""
+        ...
+
+
 class GossipEndpoint(asyncio.DatagramProtocol):
     """The UDP endpoint of one VM: sends digests to a few peers each round and receives theirs."""
 
@@ -22,13 +44,13 @@
         membership: Membership,
         port: int,
         revisions: Callable[[], dict[str, int]],
-        crashes: Callable[[], tuple[CrashReport, ...]],
+        reports: ReportExchange,
         on_digest: Callable[[Digest], None],
     ) -> None:
         self._membership = membership
         self._port = port
         self._revisions = revisions
-        self._crashes = crashes
+        self._reports = reports
         self._on_digest = on_digest
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -42,15 +64,23 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | int, ...]) -> None:
-        """Merge a received digest and reply if needed; log and drop any other datagram."""
+        """Merge received reports or a digest, and reply if needed; log and drop all else."""
+        now_s = asyncio.get_running_loop().time()
+        host = str(addr[0])
         try:
-            digest = decode_digest(data, str(addr[0]))
+            reports = decode_reports(data, host)
+            if reports is not None:
+                self._reports.receive_reports(reports, now_s)
+                return
+            digest = decode_digest(data, host)
         except ChervilmillError as exc:
             log_problem("datagram dropped", step=exc.step, peer=exc.peer, reason=exc.message)
             return
-        replies = self._membership.receive(digest, asyncio.get_running_loop().time())
-        for reply in replies:
-            self._send(reply.encode(), str(addr[0]))
+        if self._membership.is_joining(digest, now_s):
+            for datagram in encode_reports(self._reports.reports_for_newcomer(now_s)):
+                self._send(datagram, host)
+        for reply in self._membership.receive(digest, now_s):
+            self._send(reply.encode(), host)
         self._on_digest(digest)
 
     def error_received(self, exc: Exception) -> None:
@@ -83,16 +113,19 @@
 
     def _make_digest(self) -> Digest:
         now_s = asyncio.get_running_loop().time()
-        return self._membership.digest(self._revisions(), now_s, self._crashes())
+        return self._membership.digest(self._revisions(), now_s)
 
     def _send_round(self, *, to_all: bool = False) -> None:
         now_s = asyncio.get_running_loop().time()
+        if self._reports.has_new_reports:
+            self._membership.raise_fanout()
+        reports = self._reports.next_reports(now_s)
         receivers = self._membership.receivers(now_s, to_all=to_all)
         if not receivers:
             return
-        data = self._make_digest().encode()
-        for peer in receivers:
-            self._send(data, peer.host)
+        for datagram in (self._make_digest().encode(), *encode_reports(reports)):
+            for peer in receivers:
+                self._send(datagram, peer.host)
 
     def _send(self, data: bytes, host: str) -> None:
         if self._transport is not None:
--- a/src/chervilmill/peers/_membership.py
+++ b/src/chervilmill/peers/_membership.py
@@ -20,7 +20,6 @@
 from chervilmill.peers._digest import Digest, HeartbeatEntry
 from chervilmill.peers._dissemination import MAX_UPDATES_PER_DIGEST, TableCursor, UpdateQueue
 from chervilmill.peers._ring import WatchRing
-from chervilmill.requests import CrashReport
 
 ROUND_S = 0.5  # SUSPECT_AFTER_S spans three rounds
 RANDOM_FANOUT = 1  # random peers that receive a digest each round, besides the watchers
@@ -87,8 +86,8 @@
         self._records: dict[int, _PeerRecord] = {}
         self._peers: dict[int, Peer] = {}
         self._rng = rng
-        self._updates = UpdateQueue()
-        self._table_cursor = TableCursor()
+        self._updates: UpdateQueue[int] = UpdateQueue()
+        self._table_cursor: TableCursor[int] = TableCursor()
         self._ring = WatchRing({})
         self._ring_keys: frozenset[int] = frozenset()
         self._watched: frozenset[int] = frozenset()
@@ -116,13 +115,15 @@
         self._rebuild_ring(now_s)
         self._update_watched(now_s)
 
-    def digest(
-        self, revisions: dict[str, int], now_s: float, crashes: tuple[CrashReport, ...] = ()
-    ) -> Digest:
+    def raise_fanout(self) -> None:
+        """Send to more peers in the next rounds, as there is something new to tell."""
+        self._queue_update(self._key)  # adds no entry
+
+    def digest(self, revisions: dict[str, int], now_s: float) -> Digest:
         """Return the digest to send in this round."""
-        if revisions != self._revisions or crashes:
+        if revisions != self._revisions:
             self._revisions = dict(revisions)
-            self._queue_update(self._key)  # adds no entry, but raises the fan-out
+            self.raise_fanout()
         updated = [key for key in self._updates.next_updates() if key in self._records]
         table_slice = [
             key
@@ -133,10 +134,18 @@
             self._key,
             (self._own_entry(), *self._entries([*updated, *table_slice], now_s)),
             revisions,
-            crashes,
             wants_reply=bool(self._probed),
         )
 
+    def is_joining(self, digest: Digest, now_s: float) -> bool:
+        """Return whether a digest, not yet received, is of a lifetime that is new or dead here."""
+        known = self._records.get(digest.sender)
+        own = next((entry for entry in digest.heartbeats if entry.key == digest.sender), None)
+        if own is None:
+            return False
+        is_new = known is None or known.incarnation != own.incarnation
+        return is_new or self._state(digest.sender, now_s) is MemberState.DEAD
+
     def receive(self, digest: Digest, now_s: float) -> tuple[Digest, ...]:
         """Merge the digest of another VM and return the replies to send.
 
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -13,6 +13,7 @@
 )
 from chervilmill.requests._hedge import HedgeDelay
 from chervilmill.requests._kinds import RequestKind, kind_of
+from chervilmill.requests._losses import QUARANTINE_TTL_S, Judgement, Lifetime, Standing
 from chervilmill.requests._order_model import (
     EMPTY_SHARD,
     MAX_OUTCOME_BYTES,
@@ -55,6 +56,7 @@
     LimitedToTarget,
     Quarantine,
     Quarantined,
+    ReportedLoss,
     Unrestricted,
     Verdict,
     request_fingerprint,
@@ -103,6 +105,11 @@
     "Priority",
     "Quarantine",
     "Quarantined",
+    "QUARANTINE_TTL_S",
+    "Judgement",
+    "Lifetime",
+    "ReportedLoss",
+    "Standing",
     "Verdict",
     "ReadShard",
     "ReleaseClaim",
--- /dev/null
+++ b/src/chervilmill/requests/_losses.py
@@ -0,0 +1,186 @@
+"""Record the runs of a request that ended without an answer, and judge the request by them.
+
+Entry VMs merge their records by union. All of them therefore reach the same state, whatever the
+order in which the reports arrive, and a crash counts wherever it happened.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from chervilmill.requests._crash_signs import OUTAGE_WINDOW_S
+
+# A loss counts until a crash of its target would have been seen: three missed heartbeats and the
+# time that the store and its watchers need.
+UNCONFIRMED_TTL_S = 10.0
+CRASH_TTL_S = 60.0
+QUARANTINE_TTL_S = 600.0
+# A request is limited to one target, or quarantined, from this many losses or crashes on.
+SUSPECT_LOSSES = 2
+SUSPECT_CRASHES = 1
+QUARANTINE_LOSSES = 3
+QUARANTINE_CRASHES = 2
+CONCLUSIVE_CRASHES = 3
+
+
+class Standing(IntEnum):
+    """What the losses of a request allow it; a higher value allows less."""
+
+    CLEAR = 0
+    SUSPECTED = 1
+    QUARANTINED = 2
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Lifetime:
+    """One lifetime of a target; `incarnation` is 0 where lifetimes cannot be told apart."""
+
+    target: str
+    incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """A run that ended without an answer.
+
+    `is_crash` says that the lifetime of the target ended too. `was_limited` says that the request
+    was limited to this target, so that no other suspect ran there.
+    """
+
+    at_s: float
+    is_crash: bool = False
+    was_limited: bool = False
+
+    def merge(self, other: "Loss") -> "Loss":
+        """Return the union of what two entry VMs know of the same run."""
+        return Loss(
+            min(self.at_s, other.at_s),
+            self.is_crash or other.is_crash,
+            self.was_limited or other.was_limited,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Judgement:
+    """The standing of a request and when it ends, if nothing else is lost until then."""
+
+    standing: Standing
+    until_s: float = 0.0
+    crashes: int = 0
+    losses: int = 0
+
+
+class LossRecord:
+    """The losses of one request, and the target to which the request is limited.
+
+    An answer clears the record: losses up to `cleared_s` no longer count, also where a peer reports
+    them again.
+    """
+
+    __slots__ = ("cleared_s", "limited_to", "losses")
+
+    def __init__(self) -> None:
+        self.losses: dict[Lifetime, Loss] = {}
+        self.limited_to = ""
+        self.cleared_s = float("-inf")
+
+    def lifetime_at(self, lifetime: Lifetime, sent_s: float) -> Lifetime:
+        """Return the lifetime that a request reached, given the latest one known.
+
+        After a crash this is a later one, also where the new lifetime is not known yet.
+        """
+        known = self.losses.get(lifetime)
+        while known is not None and known.is_crash and sent_s - known.at_s >= OUTAGE_WINDOW_S:
+            lifetime = replace(lifetime, incarnation=lifetime.incarnation + 1)
+            known = self.losses.get(lifetime)
+        return lifetime
+
+    def add(self, lifetime: Lifetime, loss: Loss) -> bool:
+        """Add or merge a loss and return whether anything changed."""
+        if loss.at_s <= self.cleared_s:
+            return False
+        known = self.losses.get(lifetime)
+        merged = loss if known is None else known.merge(loss)
+        self.losses[lifetime] = merged
+        return merged != known
+
+    def confirm(self, target: str) -> bool:
+        """Record that a target crashed and return whether this changes a loss."""
+        unconfirmed = [
+            (lifetime, loss)
+            for lifetime, loss in self.losses.items()
+            if lifetime.target == target and not loss.is_crash
+        ]
+        for lifetime, loss in unconfirmed:
+            self.losses[lifetime] = replace(loss, is_crash=True)
+        return bool(unconfirmed)
+
+    def clear(self, now_s: float) -> None:
+        """Forget all losses up to now."""
+        self.losses.clear()
+        self.limited_to = ""
+        self.cleared_s = now_s
+
+    def prune(self, now_s: float) -> None:
+        """Remove the losses that have expired."""
+        ttl_s = _crash_ttl_s([loss for loss in self.losses.values() if loss.is_crash])
+        self.losses = {
+            lifetime: loss
+            for lifetime, loss in self.losses.items()
+            if now_s - loss.at_s < (ttl_s if loss.is_crash else UNCONFIRMED_TTL_S)
+        }
+
+    def is_expired(self, now_s: float) -> bool:
+        """Return whether the record says nothing any more."""
+        return not self.losses and now_s - self.cleared_s >= CRASH_TTL_S
+
+    def judge(
+        self, lost_domain_of: Callable[[str], str | None], is_outage: Callable[[str], bool]
+    ) -> Judgement:
+        """Return the standing of the request; call `prune` first.
+
+        `lost_domain_of` returns the failure domain with which a target was lost, or None. All
+        losses in a lost domain count as one. `is_outage` returns whether a target crashed together
+        with others that the request did not use. A crash that either explains counts as a loss.
+        """
+        crash_ends: list[float] = []
+        loss_ends: dict[object, float] = {}
+        crashes = [loss for loss in self.losses.values() if loss.is_crash]
+        crash_ttl_s = _crash_ttl_s(crashes)
+        for lifetime, loss in self.losses.items():
+            domain = lost_domain_of(lifetime.target)
+            is_explained = domain is not None or is_outage(lifetime.target)
+            counts_as_crash = loss.is_crash and not is_explained
+            end_s = loss.at_s + (crash_ttl_s if loss.is_crash else UNCONFIRMED_TTL_S)
+            cause = domain if domain is not None else lifetime
+            loss_ends[cause] = max(loss_ends.get(cause, end_s), end_s)
+            if counts_as_crash:
+                crash_ends.append(end_s)
+        return _judge(sorted(crash_ends), sorted(loss_ends.values()))
+
+
+def _judge(crash_ends: list[float], loss_ends: list[float]) -> Judgement:
+    """Judge by the times, in order, at which each crash and each loss stops counting."""
+    limits = (
+        (Standing.QUARANTINED, QUARANTINE_CRASHES, QUARANTINE_LOSSES),
+        (Standing.SUSPECTED, SUSPECT_CRASHES, SUSPECT_LOSSES),
+    )
+    for standing, min_crashes, min_losses in limits:
+        ends = [*_nth_last(crash_ends, min_crashes), *_nth_last(loss_ends, min_losses)]
+        if ends:
+            return Judgement(standing, max(ends), len(crash_ends), len(loss_ends))
+    return Judgement(Standing.CLEAR, 0.0, len(crash_ends), len(loss_ends))
+
+
+def _nth_last(ends: list[float], count: int) -> Iterator[float]:
+    if len(ends) >= count:
+        yield ends[-count]
+
+
+def _crash_ttl_s(crashes: list[Loss]) -> float:
+    """Return how long crashes count: long if they leave no doubt about the request."""
+    has_limited = any(loss.was_limited for loss in crashes)
+    is_conclusive = len(crashes) >= CONCLUSIVE_CRASHES or (
+        len(crashes) >= QUARANTINE_CRASHES and has_limited
+    )
+    return QUARANTINE_TTL_S if is_conclusive else CRASH_TTL_S
--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -1,35 +1,50 @@
-"""Keep a request that crashes its targets from crashing more than two of them.
-
-Every request that was running at a target when that target crashed becomes a suspect. A suspect may
-run at one target only, if possible in another failure domain and shared with no other suspect. A
-second crash there therefore distinguishes the request that causes the crashes from requests that
-merely ran at the same time. An answer clears a suspect.
+"""Keep a request that crashes its targets from crashing further ones.
+
+Each run that ends without an answer counts against its request, also before the target is known to
+have crashed: a crash may show only seconds later, when the entry of the target expires. After a
+crash, or after two losses, the request is a suspect. It may run at one target only, if possible in
+another failure domain and shared with no other suspect. A further crash there tells the request
+that causes the crashes from requests that merely ran at the same time. After two crashes, or three
+losses, the request is quarantined. An answer clears a suspect. Losses without a crash are soon
+forgotten.
 """
 
-from collections.abc import Callable, Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 import xxhash
 
-SUSPECT_TTL_S = 60.0
-QUARANTINE_TTL_S = 600.0
-DOMAIN_LOSS_WINDOW_S = 2.0
-DOMAIN_LOSS_CRASHES = 3
-MAX_SUSPECTS = 10_000
+from chervilmill.requests._crash_signs import CrashSigns
+from chervilmill.requests._losses import (
+    QUARANTINE_CRASHES,
+    Judgement,
+    Lifetime,
+    Loss,
+    LossRecord,
+    Standing,
+)
+
+MAX_RECORDS = 10_000
+EVICTED_SHARE = 0.1  # of the records, so that not every new record searches all of them
 
 
 @dataclass(frozen=True, slots=True)
-class CrashReport:
-    """A message to the other entry VMs about a suspect or a quarantined request.
+class ReportedLoss:
+    """A loss as one entry VM reports it to others, with its age in place of a clock reading."""
 
-    `limited_to` is the only target where a suspect may run. `expires_in_s` is the time until the
-    suspicion or the quarantine expires, counted from when the message was sent.
-    """
+    lifetime: Lifetime
+    age_s: float
+    is_crash: bool
+    was_limited: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """What one entry VM knows of a request that may crash its targets, for the others."""
 
     fingerprint: bytes
-    crashes: int
-    limited_to: str
-    expires_in_s: float
+    losses: tuple[ReportedLoss, ...]
+    limited_to: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitedToTarget:
-    """The verdict that a request may run at one target only."""
+    """The verdict that a request may run at one target only; an empty name means that none can."""
 
     target: str
 
@@ -54,32 +69,32 @@
 Verdict = Unrestricted | LimitedToTarget | Quarantined
 
 
-@dataclass(frozen=True, slots=True)
-class _Suspect:
-    crashes: int
-    limited_to: str
-    expires_s: float
-
-
 def request_fingerprint(service: str, method: str, path: str, content: bytes = b"") -> bytes:
     """Return the fingerprint by which resends of the same request are recognised."""
     return xxhash.xxh3_128_digest(f"{service}\n{method}\n{path}\n".encode() + content)
 
 
 class Quarantine:
-    """The suspects and recent crashes known to one entry VM, with the running requests.
+    """The losses known to one entry VM, with the requests that run at targets.
 
     All times are in seconds of the same clock.
     """
 
-    __slots__ = ("_crashes", "_domains", "_running", "_suspects")
+    __slots__ = ("_domains", "_limited", "_records", "_running", "_signs", "_unconfirmed")
 
     def __init__(self) -> None:
-        self._suspects: dict[bytes, _Suspect] = {}
+        self._records: dict[bytes, LossRecord] = {}
         self._running: dict[str, list[bytes]] = {}
-        self._crashes: list[tuple[float, str]] = []
+        self._limited: dict[bytes, Standing] = {}
+        self._unconfirmed: dict[str, set[bytes]] = {}  # by target
+        self._signs = CrashSigns()
         self._domains: Mapping[str, str] = {}
 
+    @property
+    def limited(self) -> Mapping[bytes, Standing]:
+        """Return the suspected and quarantined requests, as of their last judgements."""
+        return self._limited
+
     def set_targets(self, domains: Mapping[str, str]) -> None:
         """Set the targets and their failure domains."""
         self._domains = domains
@@ -87,144 +102,192 @@
     def verdict(
         self, fingerprint: bytes, now_s: float, is_usable: Callable[[str], bool]
     ) -> Verdict:
-        """Return where a request may run.
+        """Return where a request may run, among the targets that it can use.
 
         A suspect whose target is not usable is moved to another target.
         """
-        suspect = self._unexpired_suspect(fingerprint, now_s)
-        if suspect is None:
+        record = self._live_record(fingerprint, now_s)
+        if record is None:
+            return Unrestricted()
+        judgement = self._judge(record)
+        if judgement.standing is Standing.CLEAR:
             return Unrestricted()
-        if suspect.crashes > 1:
-            return Quarantined(suspect.expires_s - now_s)
-        if suspect.limited_to in self._domains and is_usable(suspect.limited_to):
-            return LimitedToTarget(suspect.limited_to)
-        moved = replace(suspect, limited_to=self._pick_target(suspect.limited_to, now_s, is_usable))
-        self._suspects[fingerprint] = moved
-        return LimitedToTarget(moved.limited_to) if moved.limited_to else Unrestricted()
+        if judgement.standing is Standing.QUARANTINED:
+            return Quarantined(judgement.until_s - now_s)
+        if record.limited_to not in self._domains or not is_usable(record.limited_to):
+            record.limited_to = self._pick_target(fingerprint, record, now_s, is_usable)
+        return LimitedToTarget(record.limited_to)
+
+    def judgement(self, fingerprint: bytes, now_s: float) -> Judgement:
+        """Return the standing of a request; call it after each change of its losses."""
+        record = self._live_record(fingerprint, now_s)
+        judgement = self._judge(record) if record is not None else Judgement(Standing.CLEAR)
+        if judgement.standing is Standing.CLEAR:
+            self._limited.pop(fingerprint, None)
+        else:
+            self._limited[fingerprint] = judgement.standing
+        return judgement
 
     def record_start(self, fingerprint: bytes, target: str) -> None:
         """Record that a request starts to run at a target."""
         self._running.setdefault(target, []).append(fingerprint)
 
-    def record_end(self, fingerprint: bytes, target: str, *, is_answered: bool) -> None:
+    def record_end(
+        self, fingerprint: bytes, target: str, *, is_answered: bool, now_s: float
+    ) -> None:
         """Record that a request no longer runs at a target.
 
-        An answer clears a suspect, but not a quarantined request.
+        An answer clears the request, unless the request has been quarantined for crashes.
         """
         running = self._running.get(target, [])
         if fingerprint in running:
             running.remove(fingerprint)
-        suspect = self._suspects.get(fingerprint)
-        if is_answered and suspect is not None and suspect.crashes == 1:
-            del self._suspects[fingerprint]
+        record = self._live_record(fingerprint, now_s)
+        if not is_answered or record is None:
+            return
+        if self._judge(record).crashes < QUARANTINE_CRASHES:
+            record.clear(now_s)
 
-    def record_crash(self, target: str, interrupted: bytes, now_s: float) -> list[CrashReport]:
-        """Record a crash that interrupted a request; return the reports for the other entry VMs.
+    def record_loss(
+        self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, now_s: float
+    ) -> bool:
+        """Record that a run has no answer, and return whether this was not known yet.
 
-        Once DOMAIN_LOSS_CRASHES targets of a failure domain have crashed within a short time, the
-        crashes are attributed to the loss of the failure domain. The crash then makes no request a
-        suspect, and recent suspects that are limited to the failure domain are cleared.
+        `sent_s` is when the request was sent to the target. The same run may be recorded again.
         """
-        domain = self._domains.get(target, "")
-        is_recorded = any(name == target for _, name in self._recent_crashes(now_s))
-        if not is_recorded:
-            self._crashes = [*self._recent_crashes(now_s), (now_s, target)]
-        if self._is_domain_loss(domain, now_s):
-            self._clear_recent_suspects(domain, now_s)
-            return []
-        involved = {interrupted} if is_recorded else {interrupted, *self._running.get(target, [])}
-        return [self._record_suspect(candidate, target, now_s) for candidate in sorted(involved)]
+        return self._add_loss(fingerprint, lifetime, sent_s, Loss(now_s))
 
-    def receive_report(self, report: CrashReport, now_s: float) -> bool:
-        """Apply the report of another entry VM and return whether it changed anything.
+    def record_crash(self, target: str, interrupted: bytes | None, now_s: float) -> list[bytes]:
+        """Record that a target is down; return the fingerprints of the requests that it lost.
 
-        The report is ignored if at least as many crashes of the request are already known.
+        These are the requests lost at this target, the interrupted one if there is one, and at the
+        first sign of the crash also those that were running there.
         """
-        known = self._unexpired_suspect(report.fingerprint, now_s)
-        if known is not None and known.crashes >= report.crashes:
-            return False
-        expires_s = now_s + min(report.expires_in_s, QUARANTINE_TTL_S)
-        self._suspects[report.fingerprint] = _Suspect(report.crashes, report.limited_to, expires_s)
-        return True
-
-    def _record_suspect(self, fingerprint: bytes, target: str, now_s: float) -> CrashReport:
-        known = self._unexpired_suspect(fingerprint, now_s)
-        if known is not None and known.crashes > 1:
-            return CrashReport(fingerprint, known.crashes, "", known.expires_s - now_s)
-        if known is not None and known.limited_to == target:
-            suspect = _Suspect(2, target, now_s + QUARANTINE_TTL_S)
-        elif known is not None:
-            suspect = known
-        else:
-            suspect = _Suspect(1, self._pick_target(target, now_s), now_s + SUSPECT_TTL_S)
-        self._evict_if_full(now_s)
-        self._suspects[fingerprint] = suspect
-        return CrashReport(
-            fingerprint, suspect.crashes, suspect.limited_to, suspect.expires_s - now_s
+        is_new = self._signs.record(target, self._domains.get(target, ""), now_s)
+        involved = {interrupted} if interrupted is not None else set()
+        if is_new:
+            involved.update(self._running.get(target, []))
+        changed = {
+            fingerprint
+            for fingerprint in involved
+            if self._add_loss(fingerprint, Lifetime(target), now_s, Loss(now_s, is_crash=True))
+        }
+        for fingerprint in self._unconfirmed.pop(target, ()):
+            record = self._live_record(fingerprint, now_s)
+            if record is not None and record.confirm(target):
+                changed.add(fingerprint)
+        return sorted(changed)
+
+    def report(self, fingerprint: bytes, now_s: float) -> CrashReport | None:
+        """Return the report on a request for other entry VMs, or None if nothing is known of it."""
+        record = self._live_record(fingerprint, now_s)
+        if record is None or not record.losses:
+            return None
+        losses = tuple(
+            ReportedLoss(lifetime, now_s - loss.at_s, loss.is_crash, loss.was_limited)
+            for lifetime, loss in record.losses.items()
         )
+        return CrashReport(fingerprint, losses, record.limited_to)
+
+    def receive_report(self, report: CrashReport, now_s: float) -> bool:
+        """Merge the report of another entry VM and return whether it changed anything."""
+        record = self._obtain_record(report.fingerprint, now_s)
+        is_changed = False
+        for reported in report.losses:
+            at_s = now_s - max(0.0, reported.age_s)
+            loss = Loss(at_s, reported.is_crash, reported.was_limited)
+            is_changed |= self._add(report.fingerprint, record, reported.lifetime, loss)
+        record.limited_to = record.limited_to or report.limited_to
+        return is_changed
+
+    def _add_loss(self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, loss: Loss) -> bool:
+        record = self._obtain_record(fingerprint, loss.at_s)
+        was_limited = record.limited_to == lifetime.target
+        reached = record.lifetime_at(lifetime, sent_s)
+        return self._add(fingerprint, record, reached, replace(loss, was_limited=was_limited))
+
+    def _add(self, fingerprint: bytes, record: LossRecord, lifetime: Lifetime, loss: Loss) -> bool:
+        if not loss.is_crash:
+            self._unconfirmed.setdefault(lifetime.target, set()).add(fingerprint)
+        return record.add(lifetime, loss)
+
+    def _judge(self, record: LossRecord) -> Judgement:
+        used = {lifetime.target for lifetime in record.losses}
+        return record.judge(
+            lambda target: self._signs.lost_domain(target, self._domains),
+            lambda target: self._signs.is_outage(target, used),
+        )
+
+    def _live_record(self, fingerprint: bytes, now_s: float) -> LossRecord | None:
+        record = self._records.get(fingerprint)
+        if record is None:
+            return None
+        record.prune(now_s)
+        if record.is_expired(now_s):
+            del self._records[fingerprint]
+            return None
+        return record
+
+    def _obtain_record(self, fingerprint: bytes, now_s: float) -> LossRecord:
+        record = self._live_record(fingerprint, now_s)
+        if record is None:
+            self._evict_if_full(now_s)
+            record = self._records[fingerprint] = LossRecord()
+        return record
 
     def _pick_target(
-        self, crashed: str, now_s: float, is_usable: Callable[[str], bool] = lambda _: True
+        self,
+        fingerprint: bytes,
+        record: LossRecord,
+        now_s: float,
+        is_usable: Callable[[str], bool],
     ) -> str:
         """Return a target for a suspect, or an empty string if no target is usable.
 
-        Targets of other failure domains that are assigned to no other suspect are preferred.
+        Targets of other failure domains that are assigned to no other suspect are preferred. Entry
+        VMs that know the same targets choose the same one, by rendezvous hashing.
         """
-        assigned = {suspect.limited_to for suspect in self._suspects.values()}
-        crashed_targets = {name for _, name in self._recent_crashes(now_s)} | {crashed}
-        usable = [
-            name
-            for name in sorted(self._domains)
-            if name not in crashed_targets and is_usable(name)
-        ]
-        domain = self._domains.get(crashed)
-        for candidates in _candidates_by_preference(usable, assigned, domain, self._domains):
+        assigned = {other.limited_to for other in self._records.values() if other is not record}
+        crashed = {lifetime.target for lifetime in record.losses} | self._signs.recent(now_s)
+        usable = [name for name in self._domains if is_usable(name)]
+        lost_domains = {self._domains.get(lifetime.target) for lifetime in record.losses}
+        for candidates in _candidates_by_preference(
+            usable, crashed, assigned, lost_domains, self._domains
+        ):
             if candidates:
-                return candidates[len(assigned) % len(candidates)]
+                return min(candidates, key=lambda name: _rank(fingerprint, name))
         return ""
 
-    def _unexpired_suspect(self, fingerprint: bytes, now_s: float) -> _Suspect | None:
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.expires_s > now_s:
-            return suspect
-        del self._suspects[fingerprint]
-        return None
-
-    def _recent_crashes(self, now_s: float) -> list[tuple[float, str]]:
-        return [crash for crash in self._crashes if now_s - crash[0] < DOMAIN_LOSS_WINDOW_S]
-
-    def _is_domain_loss(self, domain: str, now_s: float) -> bool:
-        in_domain = [
-            name for _, name in self._recent_crashes(now_s) if self._domains.get(name) == domain
-        ]
-        return len(set(in_domain)) >= DOMAIN_LOSS_CRASHES
-
-    def _clear_recent_suspects(self, domain: str, now_s: float) -> None:
-        since_s = now_s - DOMAIN_LOSS_WINDOW_S
-        for fingerprint, suspect in list(self._suspects.items()):
-            is_recent = suspect.expires_s - _ttl_s(suspect) >= since_s
-            if is_recent and self._domains.get(suspect.limited_to) == domain:
-                del self._suspects[fingerprint]
-
     def _evict_if_full(self, now_s: float) -> None:
-        if len(self._suspects) < MAX_SUSPECTS:
+        if len(self._records) < MAX_RECORDS:
             return
-        for fingerprint in list(self._suspects):
-            self._unexpired_suspect(fingerprint, now_s)
-        while len(self._suspects) >= MAX_SUSPECTS:
-            del self._suspects[
-                min(self._suspects, key=lambda candidate: self._suspects[candidate].expires_s)
-            ]
+        for fingerprint in list(self._records):
+            self._live_record(fingerprint, now_s)
+        excess = len(self._records) - int(MAX_RECORDS * (1 - EVICTED_SHARE))
+        for fingerprint in sorted(self._records, key=self._eviction_rank)[: max(0, excess)]:
+            del self._records[fingerprint]
+            self._limited.pop(fingerprint, None)
+
+    def _eviction_rank(self, fingerprint: bytes) -> tuple[Standing, float]:
+        record = self._records[fingerprint]
+        newest_s = max((loss.at_s for loss in record.losses.values()), default=record.cleared_s)
+        return (self._judge(record).standing, newest_s)
 
 
-def _ttl_s(suspect: _Suspect) -> float:
-    return QUARANTINE_TTL_S if suspect.crashes > 1 else SUSPECT_TTL_S
+def _rank(fingerprint: bytes, target: str) -> int:
+    return xxhash.xxh3_64_intdigest(fingerprint + target.encode())
 
 
 def _candidates_by_preference(
-    usable: list[str], assigned: Collection[str], domain: str | None, domains: Mapping[str, str]
+    usable: Iterable[str],
+    crashed: Collection[str],
+    assigned: Collection[str],
+    lost_domains: Collection[str | None],
+    domains: Mapping[str, str],
 ) -> Iterator[list[str]]:
-    unassigned = [name for name in usable if name not in assigned]
-    yield [name for name in unassigned if domains[name] != domain]
+    sound = [name for name in usable if name not in crashed]
+    unassigned = [name for name in sound if name not in assigned]
+    yield [name for name in unassigned if domains[name] not in lost_domains]
     yield unassigned
-    yield usable
+    yield sound
+    yield list(usable)
