Count runs as lost when the answer breaks off, the caller leaves or the attempt is overdue

Callers saw 6 of 6 targets crash under one request, although the request was watched: a crash that shows as an answer broken off midway, as silence that outlasts the caller or a short deadline, or as an order that waits for its deadline, left no loss behind. Cause: only attempts that ended as lost or overdue were recorded, and an attempt that cannot move to another target became overdue only at its deadline. Such runs are now recorded, an overdue one as soon as it is overdue; an answer that still comes clears it. A quarantined request is told when to come back.

--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -99,20 +99,24 @@
             return Refusal(RefusalReason.DEADLINE_EXCEEDED)
         return Refusal(RefusalReason.NO_TARGET, SHED_RETRY_AFTER_S, "not sent before the deadline")
 
+    def handle_caller_gone(self, progress: Progress) -> None:
+        """Record that the caller left before its request was answered."""
+        self._outcomes.record_unanswered(progress, asyncio.get_running_loop().time())
+
     def _place(self, progress: Progress) -> Admitted | Refused | Refusal:
         """Choose a target among those that may run the request, or refuse the request."""
         now_s = asyncio.get_running_loop().time()
         verdict = self._crashes.verdict(progress.fingerprint, now_s, self._is_usable)
         if isinstance(verdict, Quarantined):
-            return self._refuse_quarantined(progress)
+            return self._refuse_quarantined(progress, verdict)
         query = self._placement_query(progress, only_target(verdict), now_s)
         return self._site_state.fleet.place(query, self._site_state.view, now_s)
 
-    def _refuse_quarantined(self, progress: Progress) -> Refusal:
+    def _refuse_quarantined(self, progress: Progress, verdict: Quarantined) -> Refusal:
         detail = f"quarantined fingerprint {progress.fingerprint.hex()}"
         if progress.may_have_run:
             return Refusal(RefusalReason.TARGET_FAILED, detail=detail)
-        return Refusal(RefusalReason.QUARANTINED, detail=detail)
+        return Refusal(RefusalReason.QUARANTINED, verdict.expires_in_s, detail)
 
     def _is_usable(self, name: str) -> bool:
         record = self._site_state.fleet.record(name)
@@ -176,19 +180,29 @@
         Only an idempotent request moves. It moves when it is overdue or when its target has been
         ejected, and only while another target can still answer in time.
         """
-        is_last = progress.sent_count + 1 >= progress.route.max_attempts
-        if progress.route.kind is not RequestKind.IDEMPOTENT or is_last:
-            return False
         loop = asyncio.get_running_loop()
         overdue_s = loop.time() + overdue_after_s(progress, candidate)
-        latest_s = progress.deadline_s - candidate.expected_answer_s
+        latest_s = self._latest_move_s(progress, candidate)
         while not running.done() and loop.time() < latest_s:
             await asyncio.wait({running}, timeout=OVERDUE_CHECK_S)
-            should_move = loop.time() >= overdue_s or candidate.record.is_ejected(loop.time())
+            is_overdue = loop.time() >= overdue_s
+            if is_overdue and not running.done():
+                self._outcomes.record_unanswered(progress, loop.time())
+            should_move = is_overdue or candidate.record.is_ejected(loop.time())
             if should_move and not running.done() and self._may_move(progress):
                 return True
+        await asyncio.wait({running}, timeout=max(0.0, overdue_s - loop.time()))
+        if not running.done():
+            self._outcomes.record_unanswered(progress, loop.time())
         return False
 
+    def _latest_move_s(self, progress: Progress, candidate: Candidate) -> float:
+        """Return until when an attempt may still move to another target."""
+        is_last = progress.sent_count + 1 >= progress.route.max_attempts
+        if progress.route.kind is not RequestKind.IDEMPOTENT or is_last:
+            return float("-inf")
+        return progress.deadline_s - candidate.expected_answer_s
+
     def _may_move(self, progress: Progress) -> bool:
         """Decide whether an overdue request moves to another target, and charge the retry budget.
 
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -62,6 +62,7 @@
         except TimeoutError:
             refusal = self._dispatcher.handle_timeout(progress)
         except asyncio.CancelledError:
+            self._dispatcher.handle_caller_gone(progress)
             self._log_end(progress, "caller gone", 0)
             raise
         if refusal is None:
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -59,7 +59,7 @@
         """Record that a request ran out of time while a target was working on it.
 
         A timeout says nothing about a target that had too little time or that had not received the
-        whole request, so nothing is recorded in these cases.
+        whole request, so nothing is recorded about the target in these cases.
         """
         candidate, attempt = progress.last_candidate, progress.attempt
         if attempt is None or candidate is None or not progress.outgoing.body.is_complete:
@@ -67,6 +67,20 @@
         sent_s = progress.sent_s if progress.sent_s is not None else now_s
         if now_s - sent_s >= overdue_after_s(progress, candidate):
             self.record_result(progress, candidate, attempt.result_if_abandoned, now_s)
+        else:
+            self.record_unanswered(progress, now_s)
+
+    def record_unanswered(self, progress: Progress, now_s: float) -> None:
+        """Record that a target has not answered a whole request that it received.
+
+        The request may have crashed the target, whether its caller still waits or not.
+        """
+        candidate, attempt = progress.last_candidate, progress.attempt
+        is_whole = progress.outgoing.body.is_complete and not progress.caller.has_begun_answer
+        if attempt is None or candidate is None or not attempt.is_sent or not is_whole:
+            return
+        sent_s = progress.sent_s if progress.sent_s is not None else now_s
+        self._record_loss(progress, candidate, sent_s, now_s)
 
     def _update_target(
         self, candidate: Candidate, result: AttemptResult, sent_s: float, now_s: float
@@ -90,7 +104,7 @@
         match result.end:
             case AttemptEnd.NOT_SENT:
                 self._crashes.record_crash(target, now_s)
-            case AttemptEnd.LOST | AttemptEnd.OVERDUE:
+            case AttemptEnd.LOST | AttemptEnd.OVERDUE | AttemptEnd.BROKEN_OFF:
                 self._record_loss(progress, candidate, sent_s, now_s)
             case AttemptEnd.ANSWERED:
                 self._crashes.record_answer(progress.fingerprint, target, now_s)
