Limit a suspect to a target that can serve it

Callers saw a harmless request refused (503) for up to a minute after a crash beside it. Cause: the one target of a suspect was chosen among the targets of all services, whatever the request's home regions, and a target of another service never admits it. The choice is now made among the targets that may run the request. test_suspect_is_kept_from_every_target_of_its_service failed before (503) and passes now.

--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -106,7 +106,9 @@
     def _place(self, progress: Progress) -> Admitted | Refused | Refusal:
         """Choose a target among those that may run the request, or refuse the request."""
         now_s = asyncio.get_running_loop().time()
-        verdict = self._crashes.verdict(progress.fingerprint, now_s, self._is_usable)
+        verdict = self._crashes.verdict(
+            progress.fingerprint, now_s, lambda name: self._is_usable(name, progress, now_s)
+        )
         if isinstance(verdict, Quarantined):
             return self._refuse_quarantined(progress, verdict)
         query = self._placement_query(progress, only_target(verdict), now_s)
@@ -118,10 +120,15 @@
             return Refusal(RefusalReason.TARGET_FAILED, detail=detail)
         return Refusal(RefusalReason.QUARANTINED, verdict.expires_in_s, detail)
 
-    def _is_usable(self, name: str) -> bool:
-        record = self._site_state.fleet.record(name)
-        now_s = asyncio.get_running_loop().time()
-        return record is not None and not record.is_ejected(now_s)
+    def _is_usable(self, name: str, progress: Progress, now_s: float) -> bool:
+        fleet = self._site_state.fleet
+        record = fleet.record(name)
+        if record is None or record.is_ejected(now_s):
+            return False
+        allowed = fleet.allowed_targets(
+            progress.service, progress.route.home_regions, self._site_state.view
+        )
+        return record.target in allowed
 
     def _placement_query(
         self, progress: Progress, allowed_target: str | None, now_s: float
