Recognise a request that a route sends to another service

Callers saw 6 of 8 targets crash under one request on a route with a traffic split over four services: the fingerprint of a request named its service, so each service learnt anew. A route that is moved to another service has the same effect. The fingerprint now names the host instead. test_request_that_a_split_sends_to_other_services_starts_anew failed before (6 crashes, bound 2) and passes now; tests/entry: 104 passed.

--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -132,7 +132,7 @@
             caller_deadline_s=began_s + caller_timeout_s,
             age_s=self._ages.age_s(route.name, caller_timeout_s),
             fingerprint=fingerprint_request(
-                head, caller.host.rpartition(":")[0], request_headers.affinity, service
+                head, caller.host.rpartition(":")[0], request_headers.affinity
             ),
         )
 
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -126,3 +126,20 @@
             assert (await site.ask("/order/beside", "POST", b"x")).status == 200
 
     run_async(scenario)
+
+
+def test_request_that_a_split_sends_to_other_services_starts_anew(tmp_path: Path) -> None:
+    """Each service of a traffic split would lose targets of its own to the same request."""
+    services = tuple(f"app-{number}" for number in range(4))
+    split: list[dict[str, object]] = [{"service": name, "weight": 1} for name in services]
+    routes = (RouteRow("orders", "/order/", "unsafe", split=split),)
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=(), routes=routes, services=services) as site:
+            for name in services:
+                for number in range(2):
+                    await site.add_target(f"{name}-{number}", name)
+            await site.settle()
+            assert await _resend_until_refused(site, CrashMode.RESET) <= MAX_CRASHED
+
+    run_async(scenario)
