Count silent targets and answers broken off midway in the front end of our own interface

Callers of our own interface saw a request go on to further targets where its crash breaks an answer off (6 of 6 targets) or shows as silence (8 of 8 requests): only an exchange without an answer, whose target refused connections within 50 ms, counted. Runs without a whole answer now count as losses, and any refused connection to a target confirms those that it lost. Single losses stay with the entry VM; suspects and quarantined requests are broadcast as before, which also serves VMs that join.

test_crash_without_a_refused_request_is_not_counted failed before (6 crashes for a bound of 2, 8 for 3) and passes now; tests of callers, faults, daemon, stand-ins and pages: 270 passed.

--- a/src/chervilmill/callers/_attempt_run.py
+++ b/src/chervilmill/callers/_attempt_run.py
@@ -149,6 +149,7 @@
 
     def _failure_for_error(self, exc: TargetError) -> AttemptFailure:
         if isinstance(exc, TargetUnreachableError):
+            self._suspects.record_unreachable(self._target, self._slots)
             self._end_attempt(AttemptEnd.UNREACHABLE)
             return self._new_failure(
                 Failure.CONNECT_FAILED, RefusalReason.TARGET_FAILED, Ran.NOT_RUN, str(exc)
@@ -171,12 +172,15 @@
     def _cancelled_failure(self, exc: ExchangeCancelledError) -> AttemptFailure:
         if self._attempt.cancellation.reason is CancelReason.DEADLINE:
             return self._deadline_failure()
+        if self._attempt.cancellation.reason is CancelReason.CALLER_GONE:
+            self._record_loss()
         self._end_attempt(AttemptEnd.CANCELLED)
         return self._new_failure(
             Failure.CANCELLED, RefusalReason.CALLER_GONE, Ran.UNKNOWN, str(exc)
         )
 
     def _deadline_failure(self) -> AttemptFailure:
+        self._record_loss()
         self._metrics.count_dropped(self._attempt.req.service, DropReason.STALLED)
         is_stalled = time.monotonic() - self._started_s >= STALL_THRESHOLD_S
         self._end_attempt(AttemptEnd.FAILED if is_stalled else AttemptEnd.CANCELLED)
@@ -200,11 +204,18 @@
     def _end_answer(self, end: AttemptEnd) -> None:
         reason = self._attempt.cancellation.reason
         if reason is CancelReason.DEADLINE:
+            self._record_loss()
             self._metrics.count_dropped(self._attempt.req.service, DropReason.STALLED)
         elif end is AttemptEnd.FAILED:
             self._metrics.count_dropped(self._attempt.req.service, DropReason.SHORT)
+            self._suspects.record_broken_exchange(
+                self._attempt.fingerprint, self._target, self._slots, self._started_s
+            )
         self._end_attempt(end)
 
+    def _record_loss(self) -> None:
+        self._suspects.record_loss(self._attempt.fingerprint, self._target.name, self._started_s)
+
     def _end_attempt(self, end: AttemptEnd) -> None:
         is_answered = end is AttemptEnd.ANSWERED
         self._suspects.record_end(
