End a quarantine that rests on inconclusive losses after some seconds

Two crashes at shared targets, or losses without a crash, now quarantine for 10 s after the last loss; then the request is a suspect again, and one run at a target of its own decides. Three crashes, or two of which one was at its own target, stay conclusive. An answer that still comes ends any quarantine.

test_request_that_two_crashes_beside_it_quarantined_is_served_again states the case.

--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -125,10 +125,10 @@
         record = fleet.record(name)
         if record is None or record.is_ejected(now_s):
             return False
-        allowed = fleet.allowed_targets(
-            progress.service, progress.route.home_regions, self._site_state.view
+        home_regions = progress.route.home_regions
+        return fleet.is_allowed(
+            record.target, progress.service, home_regions, self._site_state.view
         )
-        return record.target in allowed
 
     def _placement_query(
         self, progress: Progress, allowed_target: str | None, now_s: float
--- a/src/chervilmill/overload/_fleet.py
+++ b/src/chervilmill/overload/_fleet.py
@@ -89,16 +89,19 @@
         """Record a request of a caller."""
         self._spill_budget.deposit()
 
-    def allowed_targets(
-        self, service: str, home_regions: frozenset[str], view: SiteView
-    ) -> list[Target]:
-        """Return the targets that may run a request for a service with these home regions."""
-        usable = self._usable_targets(service, view)
-        return [target for target in usable if self._is_in_home_region(target, home_regions)]
+    def is_allowed(
+        self, target: Target, service: str, home_regions: frozenset[str], view: SiteView
+    ) -> bool:
+        """Return whether a target may run a request for a service with these home regions."""
+        is_usable = view.is_usable(target, service)
+        return is_usable and self._is_in_home_region(target, home_regions)
 
     def place(self, query: PlacementQuery, view: SiteView, now_s: float) -> Admitted | Refused:
         """Choose a target for a request, or refuse the request."""
-        allowed = self.allowed_targets(query.service, query.home_regions, view)
+        usable = self._usable_targets(query.service, view)
+        allowed = [
+            target for target in usable if self._is_in_home_region(target, query.home_regions)
+        ]
         if query.only_target is not None:
             allowed = [target for target in allowed if target.name == query.only_target]
             region = self._regions.get(allowed[0].failure_domain) if allowed else None
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -51,16 +51,7 @@
     decode_cached_shard,
 )
 from chervilmill.requests._owners import owner_of
-from chervilmill.requests._quarantine import (
-    CrashReport,
-    LimitedToTarget,
-    Quarantine,
-    Quarantined,
-    ReportedLoss,
-    Unrestricted,
-    Verdict,
-    request_fingerprint,
-)
+from chervilmill.requests._quarantine import Quarantine
 from chervilmill.requests._retry import (
     FailedAttempt,
     Failure,
@@ -72,6 +63,15 @@
 from chervilmill.requests._target_policy import AllowedDomains, TargetInfo, TargetPolicy
 from chervilmill.requests._target_state import AttemptEnd, ReportedLoad, TargetCondition
 from chervilmill.requests._upload_pacer import UploadPacer
+from chervilmill.requests._verdicts import (
+    CrashReport,
+    LimitedToTarget,
+    Quarantined,
+    ReportedLoss,
+    Unrestricted,
+    Verdict,
+    request_fingerprint,
+)
 from chervilmill.requests._write_pacer import WritePacer
 
 __all__ = [
--- a/src/chervilmill/requests/_losses.py
+++ b/src/chervilmill/requests/_losses.py
@@ -4,7 +4,7 @@
 order in which the reports arrive, and a crash counts wherever it happened.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, replace
 from enum import IntEnum
 
@@ -15,12 +15,16 @@
 UNCONFIRMED_TTL_S = 10.0
 CRASH_TTL_S = 60.0
 QUARANTINE_TTL_S = 600.0
+# A quarantine that rests on inconclusive losses ends this long after the last of them. The request
+# is then a suspect, and one further run decides.
+INCONCLUSIVE_TTL_S = 10.0
 # A request is limited to one target, or quarantined, from this many losses or crashes on.
 SUSPECT_LOSSES = 2
 SUSPECT_CRASHES = 1
 QUARANTINE_LOSSES = 3
 QUARANTINE_CRASHES = 2
 CONCLUSIVE_CRASHES = 3
+CONCLUSIVE_EXPLAINED_CRASHES = 4  # crashes in outages included
 
 
 class Standing(IntEnum):
@@ -31,7 +35,7 @@
     QUARANTINED = 2
 
 
-@dataclass(frozen=True, slots=True, order=True)
+@dataclass(frozen=True, slots=True)
 class Lifetime:
     """One lifetime of a target; `incarnation` is 0 where lifetimes cannot be told apart."""
 
@@ -123,11 +127,10 @@
 
     def prune(self, now_s: float) -> None:
         """Remove the losses that have expired."""
-        ttl_s = _crash_ttl_s([loss for loss in self.losses.values() if loss.is_crash])
         self.losses = {
             lifetime: loss
             for lifetime, loss in self.losses.items()
-            if now_s - loss.at_s < (ttl_s if loss.is_crash else UNCONFIRMED_TTL_S)
+            if now_s - loss.at_s < (QUARANTINE_TTL_S if loss.is_crash else UNCONFIRMED_TTL_S)
         }
 
     def is_expired(self, now_s: float) -> bool:
@@ -135,52 +138,60 @@
         return not self.losses and now_s - self.cleared_s >= CRASH_TTL_S
 
     def judge(
-        self, lost_domain_of: Callable[[str], str | None], is_outage: Callable[[str], bool]
+        self,
+        now_s: float,
+        lost_domain_of: Callable[[str], str | None],
+        is_outage: Callable[[str], bool],
     ) -> Judgement:
-        """Return the standing of the request; call `prune` first.
+        """Return the standing of the request.
 
         `lost_domain_of` returns the failure domain with which a target was lost, or None. All
         losses in a lost domain count as one. `is_outage` returns whether a target crashed together
         with others that the request did not use. A crash that either explains counts as a loss.
         """
-        crash_ends: list[float] = []
-        loss_ends: dict[object, float] = {}
-        crashes = [loss for loss in self.losses.values() if loss.is_crash]
-        crash_ttl_s = _crash_ttl_s(crashes)
-        for lifetime, loss in self.losses.items():
-            domain = lost_domain_of(lifetime.target)
-            is_explained = domain is not None or is_outage(lifetime.target)
-            counts_as_crash = loss.is_crash and not is_explained
-            end_s = loss.at_s + (crash_ttl_s if loss.is_crash else UNCONFIRMED_TTL_S)
-            cause = domain if domain is not None else lifetime
-            loss_ends[cause] = max(loss_ends.get(cause, end_s), end_s)
-            if counts_as_crash:
-                crash_ends.append(end_s)
-        return _judge(sorted(crash_ends), sorted(loss_ends.values()))
-
-
-def _judge(crash_ends: list[float], loss_ends: list[float]) -> Judgement:
-    """Judge by the times, in order, at which each crash and each loss stops counting."""
-    limits = (
-        (Standing.QUARANTINED, QUARANTINE_CRASHES, QUARANTINE_LOSSES),
-        (Standing.SUSPECTED, SUSPECT_CRASHES, SUSPECT_LOSSES),
-    )
-    for standing, min_crashes, min_losses in limits:
-        ends = [*_nth_last(crash_ends, min_crashes), *_nth_last(loss_ends, min_losses)]
-        if ends:
-            return Judgement(standing, max(ends), len(crash_ends), len(loss_ends))
-    return Judgement(Standing.CLEAR, 0.0, len(crash_ends), len(loss_ends))
-
-
-def _nth_last(ends: list[float], count: int) -> Iterator[float]:
-    if len(ends) >= count:
-        yield ends[-count]
-
-
-def _crash_ttl_s(crashes: list[Loss]) -> float:
-    """Return how long crashes count: long if they leave no doubt about the request."""
-    has_limited = any(loss.was_limited for loss in crashes)
-    is_conclusive = len(crashes) >= CONCLUSIVE_CRASHES or (
-        len(crashes) >= QUARANTINE_CRASHES and has_limited
-    )
-    return QUARANTINE_TTL_S if is_conclusive else CRASH_TTL_S
+        causes: dict[Lifetime, object] = {
+            lifetime: lost_domain_of(lifetime.target) or lifetime for lifetime in self.losses
+        }
+        explained = {
+            lifetime
+            for lifetime, cause in causes.items()
+            if cause is not lifetime or is_outage(lifetime.target)
+        }
+        if self._is_conclusive(causes, explained):
+            crashed_s = max(loss.at_s for loss in self.losses.values() if loss.is_crash)
+            until_s = crashed_s + QUARANTINE_TTL_S
+            return Judgement(Standing.QUARANTINED, until_s, *self._count(self.losses, explained))
+        live = {
+            lifetime: loss
+            for lifetime, loss in self.losses.items()
+            if now_s - loss.at_s < (CRASH_TTL_S if loss.is_crash else UNCONFIRMED_TTL_S)
+        }
+        crashes, _ = self._count(live, explained)
+        losses = len({causes[lifetime] for lifetime in live})
+        if crashes >= QUARANTINE_CRASHES or losses >= QUARANTINE_LOSSES:
+            until_s = max(loss.at_s for loss in live.values()) + INCONCLUSIVE_TTL_S
+            if now_s < until_s:
+                return Judgement(Standing.QUARANTINED, until_s, crashes, losses)
+        is_suspect = crashes >= SUSPECT_CRASHES or losses >= SUSPECT_LOSSES
+        return Judgement(Standing.SUSPECTED if is_suspect else Standing.CLEAR, 0.0, crashes, losses)
+
+    def _is_conclusive(
+        self, causes: Mapping[Lifetime, object], explained: Collection[Lifetime]
+    ) -> bool:
+        """Return whether the crashes leave no doubt that the request causes them."""
+        crashed = [lifetime for lifetime, loss in self.losses.items() if loss.is_crash]
+        unexplained = [lifetime for lifetime in crashed if lifetime not in explained]
+        has_limited = any(self.losses[lifetime].was_limited for lifetime in unexplained)
+        return (
+            len(unexplained) >= CONCLUSIVE_CRASHES
+            or (len(unexplained) >= QUARANTINE_CRASHES and has_limited)
+            or len({causes[lifetime] for lifetime in crashed}) >= CONCLUSIVE_EXPLAINED_CRASHES
+        )
+
+    @staticmethod
+    def _count(losses: Mapping[Lifetime, Loss], explained: Collection[Lifetime]) -> tuple[int, int]:
+        """Return the numbers of unexplained crashes and of losses."""
+        crashes = sum(
+            loss.is_crash and lifetime not in explained for lifetime, loss in losses.items()
+        )
+        return crashes, len(losses)
--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -5,75 +5,35 @@
 crash, or after two losses, the request is a suspect. It may run at one target only, if possible in
 another failure domain and shared with no other suspect. A further crash there tells the request
 that causes the crashes from requests that merely ran at the same time. After two crashes, or three
-losses, the request is quarantined. An answer clears a suspect. Losses without a crash are soon
-forgotten.
+losses, the request is quarantined: for long if they are conclusive, otherwise for some seconds,
+after which it is a suspect again. An answer clears it. Losses without a crash are soon forgotten.
 """
 
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
-from dataclasses import dataclass, replace
-
-import xxhash
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from chervilmill.requests._crash_signs import CrashSigns
 from chervilmill.requests._losses import (
-    QUARANTINE_CRASHES,
     Judgement,
     Lifetime,
     Loss,
     LossRecord,
     Standing,
 )
+from chervilmill.requests._suspect_targets import choose_suspect_target
+from chervilmill.requests._verdicts import (
+    CrashReport,
+    LimitedToTarget,
+    Quarantined,
+    ReportedLoss,
+    Unrestricted,
+    Verdict,
+)
 
 MAX_RECORDS = 10_000
 EVICTED_SHARE = 0.1  # of the records, so that not every new record searches all of them
 
 
-@dataclass(frozen=True, slots=True)
-class ReportedLoss:
-    """A loss as one entry VM reports it to others, with its age in place of a clock reading."""
-
-    lifetime: Lifetime
-    age_s: float
-    is_crash: bool
-    was_limited: bool
-
-
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """What one entry VM knows of a request that may crash its targets, for the others."""
-
-    fingerprint: bytes
-    losses: tuple[ReportedLoss, ...]
-    limited_to: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Unrestricted:
-    """The verdict that a request may run at any target."""
-
-
-@dataclass(frozen=True, slots=True)
-class LimitedToTarget:
-    """The verdict that a request may run at one target only; an empty name means that none can."""
-
-    target: str
-
-
-@dataclass(frozen=True, slots=True)
-class Quarantined:
-    """The verdict that a request is refused until its quarantine expires."""
-
-    expires_in_s: float
-
-
-Verdict = Unrestricted | LimitedToTarget | Quarantined
-
-
-def request_fingerprint(service: str, method: str, path: str, content: bytes = b"") -> bytes:
-    """Return the fingerprint by which resends of the same request are recognised."""
-    return xxhash.xxh3_128_digest(f"{service}\n{method}\n{path}\n".encode() + content)
-
-
 class Quarantine:
     """The losses known to one entry VM, with the requests that run at targets.
 
@@ -109,7 +69,7 @@
         record = self._live_record(fingerprint, now_s)
         if record is None:
             return Unrestricted()
-        judgement = self._judge(record)
+        judgement = self._judge(record, now_s)
         if judgement.standing is Standing.CLEAR:
             return Unrestricted()
         if judgement.standing is Standing.QUARANTINED:
@@ -121,7 +81,7 @@
     def judgement(self, fingerprint: bytes, now_s: float) -> Judgement:
         """Return the standing of a request; call it after each change of its losses."""
         record = self._live_record(fingerprint, now_s)
-        judgement = self._judge(record) if record is not None else Judgement(Standing.CLEAR)
+        judgement = self._judge(record, now_s) if record is not None else Judgement(Standing.CLEAR)
         if judgement.standing is Standing.CLEAR:
             self._limited.pop(fingerprint, None)
         else:
@@ -137,16 +97,15 @@
     ) -> None:
         """Record that a request no longer runs at a target.
 
-        An answer clears the request, unless the request has been quarantined for crashes.
+        An answer clears the request, since a request that crashes its targets gets none.
         """
         running = self._running.get(target, [])
         if fingerprint in running:
             running.remove(fingerprint)
         record = self._live_record(fingerprint, now_s)
-        if not is_answered or record is None:
-            return
-        if self._judge(record).crashes < QUARANTINE_CRASHES:
+        if is_answered and record is not None and record.losses:
             record.clear(now_s)
+            self._limited.pop(fingerprint, None)
 
     def record_loss(
         self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, now_s: float
@@ -211,9 +170,10 @@
             self._unconfirmed.setdefault(lifetime.target, set()).add(fingerprint)
         return record.add(lifetime, loss)
 
-    def _judge(self, record: LossRecord) -> Judgement:
+    def _judge(self, record: LossRecord, now_s: float) -> Judgement:
         used = {lifetime.target for lifetime in record.losses}
         return record.judge(
+            now_s,
             lambda target: self._signs.lost_domain(target, self._domains),
             lambda target: self._signs.is_outage(target, used),
         )
@@ -242,21 +202,13 @@
         now_s: float,
         is_usable: Callable[[str], bool],
     ) -> str:
-        """Return a target for a suspect, or an empty string if no target is usable.
-
-        Targets of other failure domains that are assigned to no other suspect are preferred. Entry
-        VMs that know the same targets choose the same one, by rendezvous hashing.
-        """
         assigned = {other.limited_to for other in self._records.values() if other is not record}
         crashed = {lifetime.target for lifetime in record.losses} | self._signs.recent(now_s)
-        usable = [name for name in self._domains if is_usable(name)]
         lost_domains = {self._domains.get(lifetime.target) for lifetime in record.losses}
-        for candidates in _candidates_by_preference(
-            usable, crashed, assigned, lost_domains, self._domains
-        ):
-            if candidates:
-                return min(candidates, key=lambda name: _rank(fingerprint, name))
-        return ""
+        usable = [name for name in self._domains if is_usable(name)]
+        return choose_suspect_target(
+            fingerprint, usable, crashed, assigned, lost_domains, self._domains
+        )
 
     def _evict_if_full(self, now_s: float) -> None:
         if len(self._records) < MAX_RECORDS:
@@ -264,30 +216,13 @@
         for fingerprint in list(self._records):
             self._live_record(fingerprint, now_s)
         excess = len(self._records) - int(MAX_RECORDS * (1 - EVICTED_SHARE))
-        for fingerprint in sorted(self._records, key=self._eviction_rank)[: max(0, excess)]:
+        for fingerprint in sorted(
+            self._records, key=lambda fingerprint: self._eviction_rank(fingerprint, now_s)
+        )[: max(0, excess)]:
             del self._records[fingerprint]
             self._limited.pop(fingerprint, None)
 
-    def _eviction_rank(self, fingerprint: bytes) -> tuple[Standing, float]:
+    def _eviction_rank(self, fingerprint: bytes, now_s: float) -> tuple[Standing, float]:
         record = self._records[fingerprint]
         newest_s = max((loss.at_s for loss in record.losses.values()), default=record.cleared_s)
-        return (self._judge(record).standing, newest_s)
-
-
-def _rank(fingerprint: bytes, target: str) -> int:
-    return xxhash.xxh3_64_intdigest(fingerprint + target.encode())
-
-
-def _candidates_by_preference(
-    usable: Iterable[str],
-    crashed: Collection[str],
-    assigned: Collection[str],
-    lost_domains: Collection[str | None],
-    domains: Mapping[str, str],
-) -> Iterator[list[str]]:
-    sound = [name for name in usable if name not in crashed]
-    unassigned = [name for name in sound if name not in assigned]
-    yield [name for name in unassigned if domains[name] not in lost_domains]
-    yield unassigned
-    yield sound
-    yield list(usable)
+        return (self._judge(record, now_s).standing, newest_s)
--- a/src/chervilmill/routing/_view.py
+++ b/src/chervilmill/routing/_view.py
@@ -106,10 +106,12 @@
 
     def usable_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that may receive requests."""
-        return [
-            target
-            for target in self.targets.values()
-            if target.service == service
+        return [target for target in self.targets.values() if self.is_usable(target, service)]
+
+    def is_usable(self, target: Target, service: str) -> bool:
+        """Return whether a target may receive requests for a service."""
+        return (
+            target.service == service
             and not target.is_draining
             and target.failure_domain not in self.evacuated
-        ]
+        )
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -251,3 +251,25 @@
     for number in range(100):
         vm.quarantine.record_loss(f"r{number}".encode(), Lifetime("t3"), 1.0, 1.0)
     assert isinstance(vm.verdict(CRASHING, 2.0), Quarantined)
+
+
+def test_request_that_two_crashes_beside_it_quarantined_is_served_again() -> None:
+    """Two crashes at targets that it shared prove nothing; one further run decides."""
+    [vm] = entry_vms(1)
+    for target in ("t0", "t1"):
+        vm.quarantine.record_start(INNOCENT, target)
+        vm.quarantine.record_crash(target, None, 0.0)
+        vm.quarantine.record_end(INNOCENT, target, is_answered=False, now_s=0.0)
+    assert isinstance(vm.verdict(INNOCENT, 1.0), Quarantined)
+    limited = vm.verdict(INNOCENT, 11.0)
+    assert isinstance(limited, LimitedToTarget)
+    assert vm.run(INNOCENT, 11.0) == limited.target
+    assert isinstance(vm.verdict(INNOCENT, 11.1), Unrestricted)
+
+
+def test_late_answer_ends_a_quarantine() -> None:
+    [vm] = entry_vms(1)
+    for target in ("t0", "t1", "t2"):
+        _lose(vm, target, 0.0)
+    vm.quarantine.record_end(CRASHING, "t2", is_answered=True, now_s=0.5)
+    assert isinstance(vm.verdict(CRASHING, 0.6), Unrestricted)
