Do not take a crash for proof while other requests were lost with the target

A crash at a suspect's own target now proves something only if no other request is known to be lost there; otherwise four crashes are needed, and until then each quarantine ends after 10 s.

--- a/src/chervilmill/callers/_crash_news.py
+++ b/src/chervilmill/callers/_crash_news.py
@@ -56,7 +56,7 @@
     for loss in report.losses:
         lifetime = loss.lifetime
         name = f"{service}/{report.fingerprint.hex()}/{lifetime.target}/{lifetime.incarnation}"
-        value = cbor2.dumps((loss.age_s, loss.is_crash, loss.was_limited, report.limited_to))
+        value = cbor2.dumps((loss.age_s, loss.is_crash, loss.was_alone, report.limited_to))
         channel.publish(CRASH_TOPIC, name, value, QUARANTINE_TTL_S)
 
 
@@ -81,12 +81,12 @@
 def _decode_report(name: str, value: bytes) -> CrashReport:
     """Return the decoded report, or raise CBORDecodeError, ValueError or TypeError."""
     fingerprint_hex, target, incarnation = name.split("/")
-    age_s, is_crash, was_limited, limited_to = cbor2.loads(value)
+    age_s, is_crash, was_alone, limited_to = cbor2.loads(value)
     fingerprint = bytes.fromhex(fingerprint_hex)
     if len(fingerprint) != FINGERPRINT_BYTES or not isinstance(limited_to, str):
         raise ValueError(f"invalid fingerprint {fingerprint_hex!r} or target {limited_to!r}")
     if not float(age_s) >= 0:
         raise ValueError(f"invalid age {age_s!r}")
     lifetime = Lifetime(target, int(incarnation))
-    loss = ReportedLoss(lifetime, float(age_s), bool(is_crash), bool(was_limited))
+    loss = ReportedLoss(lifetime, float(age_s), bool(is_crash), bool(was_alone))
     return CrashReport(fingerprint, (loss,), limited_to)
--- a/src/chervilmill/entry/_crashes.py
+++ b/src/chervilmill/entry/_crashes.py
@@ -20,8 +20,9 @@
     request_fingerprint,
 )
 
-MAX_SUSPICIONS_PER_ROUND = 16
-MAX_LOSSES_PER_ROUND = 8
+MAX_QUARANTINES_PER_ROUND = 8
+MAX_SUSPICIONS_PER_ROUND = 12
+MAX_LOSSES_PER_ROUND = 4
 REPEATED_PER_ROUND = 4
 MAX_REPORTS_FOR_NEWCOMER = 64
 
@@ -35,8 +36,12 @@
     def __init__(self) -> None:
         self.fleet_size = 1
         self._quarantine = Quarantine()
-        self._suspicions: UpdateQueue[bytes] = UpdateQueue(MAX_SUSPICIONS_PER_ROUND)
-        self._losses: UpdateQueue[bytes] = UpdateQueue(MAX_LOSSES_PER_ROUND)
+        # Each in a queue of its own, so that a flood of suspects delays no quarantine.
+        self._queues: dict[Standing, UpdateQueue[bytes]] = {
+            Standing.QUARANTINED: UpdateQueue(MAX_QUARANTINES_PER_ROUND),
+            Standing.SUSPECTED: UpdateQueue(MAX_SUSPICIONS_PER_ROUND),
+            Standing.CLEAR: UpdateQueue(MAX_LOSSES_PER_ROUND),
+        }
         self._repeated: TableCursor[bytes] = TableCursor()
         self._domains: dict[str, str] = {}
 
@@ -75,12 +80,12 @@
     @property
     def has_new_reports(self) -> bool:
         """Return whether reports wait that the other VMs may not know yet."""
-        return bool(self._suspicions) or bool(self._losses)
+        return any(self._queues.values())
 
     def next_reports(self, now_s: float) -> tuple[CrashReport, ...]:
         """Return the reports to send in this round, and count this round for each."""
-        chosen = dict.fromkeys(self._suspicions.next_updates())
-        chosen.update(dict.fromkeys(self._losses.next_updates()))
+        queued = [queue.next_updates() for queue in self._queues.values()]
+        chosen = dict.fromkeys(fingerprint for batch in queued for fingerprint in batch)
         repeated = self._repeated.next_slice(self._quarantine.limited, REPEATED_PER_ROUND)
         for fingerprint in repeated:
             if self._quarantine.judgement(fingerprint, now_s).standing > Standing.CLEAR:
@@ -97,9 +102,12 @@
         """Merge the reports of another entry VM; pass on what is new here and limits a request."""
         for report in reports:
             if not self._quarantine.receive_report(report, now_s):
-                self._suspicions.decrement(report.fingerprint)
-            elif self._log_standing(report.fingerprint, now_s, "peer") > Standing.CLEAR:
-                self._suspicions.add(report.fingerprint, self.fleet_size)
+                for queue in self._queues.values():
+                    queue.decrement(report.fingerprint)
+                continue
+            standing = self._log_standing(report.fingerprint, now_s, "peer")
+            if standing > Standing.CLEAR:
+                self._queues[standing].add(report.fingerprint, self.fleet_size)
 
     def _reports(self, fingerprints: Iterable[bytes], now_s: float) -> tuple[CrashReport, ...]:
         found = [self._quarantine.report(fingerprint, now_s) for fingerprint in fingerprints]
@@ -107,10 +115,9 @@
 
     def _queue_report(self, fingerprint: bytes, now_s: float, target: str) -> None:
         """Queue the report on a request; a single loss is told to a few VMs only."""
-        if self._log_standing(fingerprint, now_s, target) > Standing.CLEAR:
-            self._suspicions.add(fingerprint, self.fleet_size)
-        else:
-            self._losses.add(fingerprint, 1)
+        standing = self._log_standing(fingerprint, now_s, target)
+        fleet_size = self.fleet_size if standing > Standing.CLEAR else 1
+        self._queues[standing].add(fingerprint, fleet_size)
 
     def _log_standing(self, fingerprint: bytes, now_s: float, peer: str) -> Standing:
         """Log the standing of a request if it allows less than before, and return it."""
--- a/src/chervilmill/peers/_crash_reports.py
+++ b/src/chervilmill/peers/_crash_reports.py
@@ -12,7 +12,7 @@
 _KIND = "crash reports"  # digests begin with a number
 _AGE_UNIT_S = 0.1
 _CRASH_FLAG = 1
-_LIMITED_FLAG = 2
+_ALONE_FLAG = 2
 
 
 def encode_reports(reports: tuple[CrashReport, ...]) -> Iterator[bytes]:
@@ -47,7 +47,7 @@
                 loss.lifetime.target,
                 loss.lifetime.incarnation,
                 round(loss.age_s / _AGE_UNIT_S),
-                _CRASH_FLAG * loss.is_crash + _LIMITED_FLAG * loss.was_limited,
+                _CRASH_FLAG * loss.is_crash + _ALONE_FLAG * loss.was_alone,
             ]
             for loss in losses[:MAX_LOSSES_PER_REPORT]
         ],
@@ -68,5 +68,5 @@
         Lifetime(str(target), int(incarnation)),
         int(age_units) * _AGE_UNIT_S,
         bool(flags & _CRASH_FLAG),
-        bool(flags & _LIMITED_FLAG),
+        bool(flags & _ALONE_FLAG),
     )
--- a/src/chervilmill/requests/_losses.py
+++ b/src/chervilmill/requests/_losses.py
@@ -18,13 +18,13 @@
 # A quarantine that rests on inconclusive losses ends this long after the last of them. The request
 # is then a suspect, and one further run decides.
 INCONCLUSIVE_TTL_S = 10.0
+REPORT_DELAY_S = 0.2  # at most, for a report on its way and for its rounded ages
 # A request is limited to one target, or quarantined, from this many losses or crashes on.
 SUSPECT_LOSSES = 2
 SUSPECT_CRASHES = 1
 QUARANTINE_LOSSES = 3
 QUARANTINE_CRASHES = 2
-CONCLUSIVE_CRASHES = 3
-CONCLUSIVE_EXPLAINED_CRASHES = 4  # crashes in outages included
+CONCLUSIVE_CRASHES = 4  # crashes in outages included
 
 
 class Standing(IntEnum):
@@ -47,21 +47,20 @@
 class Loss:
     """A run that ended without an answer.
 
-    `is_crash` says that the lifetime of the target ended too. `was_limited` says that the request
-    was limited to this target, so that no other suspect ran there.
+    `is_crash` says that the lifetime of the target ended too. `was_alone` says that the request was
+    limited to this target and no other request is known to have been lost there.
     """
 
     at_s: float
     is_crash: bool = False
-    was_limited: bool = False
+    was_alone: bool = False
 
     def merge(self, other: "Loss") -> "Loss":
-        """Return the union of what two entry VMs know of the same run."""
-        return Loss(
-            min(self.at_s, other.at_s),
-            self.is_crash or other.is_crash,
-            self.was_limited or other.was_limited,
-        )
+        """Return this loss with what another entry VM knows of the same run.
+
+        The time stays, as each report is a little late: else a loss would change with each report.
+        """
+        return Loss(self.at_s, self.is_crash or other.is_crash, self.was_alone or other.was_alone)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +77,7 @@
     """The losses of one request, and the target to which the request is limited.
 
     An answer clears the record: losses up to `cleared_s` no longer count, also where a peer reports
-    them again.
+    them again. A reported loss seems later by the time that its report took.
     """
 
     __slots__ = ("cleared_s", "limited_to", "losses")
@@ -101,22 +100,27 @@
 
     def add(self, lifetime: Lifetime, loss: Loss) -> bool:
         """Add or merge a loss and return whether anything changed."""
-        if loss.at_s <= self.cleared_s:
+        if loss.at_s <= self.cleared_s + REPORT_DELAY_S:
             return False
         known = self.losses.get(lifetime)
         merged = loss if known is None else known.merge(loss)
         self.losses[lifetime] = merged
         return merged != known
 
-    def confirm(self, target: str) -> bool:
-        """Record that a target crashed and return whether this changes a loss."""
+    def confirm(self, target: str, *, is_alone: bool) -> bool:
+        """Record that a target crashed and return whether this changes a loss.
+
+        `is_alone` says that the target lost no other request.
+        """
         unconfirmed = [
             (lifetime, loss)
             for lifetime, loss in self.losses.items()
             if lifetime.target == target and not loss.is_crash
         ]
         for lifetime, loss in unconfirmed:
-            self.losses[lifetime] = replace(loss, is_crash=True)
+            self.losses[lifetime] = replace(
+                loss, is_crash=True, was_alone=loss.was_alone and is_alone
+            )
         return bool(unconfirmed)
 
     def clear(self, now_s: float) -> None:
@@ -180,12 +184,12 @@
     ) -> bool:
         """Return whether the crashes leave no doubt that the request causes them."""
         crashed = [lifetime for lifetime, loss in self.losses.items() if loss.is_crash]
-        unexplained = [lifetime for lifetime in crashed if lifetime not in explained]
-        has_limited = any(self.losses[lifetime].was_limited for lifetime in unexplained)
+        has_alone = any(self.losses[lifetime].was_alone for lifetime in crashed)
+        unexplained = len(set(crashed).difference(explained))
         return (
-            len(unexplained) >= CONCLUSIVE_CRASHES
-            or (len(unexplained) >= QUARANTINE_CRASHES and has_limited)
-            or len({causes[lifetime] for lifetime in crashed}) >= CONCLUSIVE_EXPLAINED_CRASHES
+            len({causes[lifetime] for lifetime in crashed}) >= CONCLUSIVE_CRASHES
+            or unexplained >= QUARANTINE_CRASHES
+            and has_alone
         )
 
     @staticmethod
--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -9,11 +9,13 @@
 after which it is a suspect again. An answer clears it. Losses without a crash are soon forgotten.
 """
 
+from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from chervilmill.requests._crash_signs import CrashSigns
 from chervilmill.requests._losses import (
+    UNCONFIRMED_TTL_S,
     Judgement,
     Lifetime,
     Loss,
@@ -34,6 +36,15 @@
 EVICTED_SHARE = 0.1  # of the records, so that not every new record searches all of them
 
 
+@dataclass(frozen=True, slots=True)
+class _Unconfirmed:
+    """A loss that a crash of its target would confirm."""
+
+    fingerprint: bytes
+    target: str
+    known_s: float
+
+
 class Quarantine:
     """The losses known to one entry VM, with the requests that run at targets.
 
@@ -46,7 +57,7 @@
         self._records: dict[bytes, LossRecord] = {}
         self._running: dict[str, list[bytes]] = {}
         self._limited: dict[bytes, Standing] = {}
-        self._unconfirmed: dict[str, set[bytes]] = {}  # by target
+        self._unconfirmed: deque[_Unconfirmed] = deque()
         self._signs = CrashSigns()
         self._domains: Mapping[str, str] = {}
 
@@ -131,9 +142,11 @@
             for fingerprint in involved
             if self._add_loss(fingerprint, Lifetime(target), now_s, Loss(now_s, is_crash=True))
         }
-        for fingerprint in self._unconfirmed.pop(target, ()):
+        lost = {loss.fingerprint for loss in self._unconfirmed if loss.target == target}
+        is_alone = len(lost | involved) <= 1
+        for fingerprint in lost:
             record = self._live_record(fingerprint, now_s)
-            if record is not None and record.confirm(target):
+            if record is not None and record.confirm(target, is_alone=is_alone):
                 changed.add(fingerprint)
         return sorted(changed)
 
@@ -143,7 +156,7 @@
         if record is None or not record.losses:
             return None
         losses = tuple(
-            ReportedLoss(lifetime, now_s - loss.at_s, loss.is_crash, loss.was_limited)
+            ReportedLoss(lifetime, now_s - loss.at_s, loss.is_crash, loss.was_alone)
             for lifetime, loss in record.losses.items()
         )
         return CrashReport(fingerprint, losses, record.limited_to)
@@ -154,21 +167,31 @@
         is_changed = False
         for reported in report.losses:
             at_s = now_s - max(0.0, reported.age_s)
-            loss = Loss(at_s, reported.is_crash, reported.was_limited)
-            is_changed |= self._add(report.fingerprint, record, reported.lifetime, loss)
+            loss = Loss(at_s, reported.is_crash, reported.was_alone)
+            is_changed |= self._add(report.fingerprint, record, reported.lifetime, loss, now_s)
         record.limited_to = record.limited_to or report.limited_to
         return is_changed
 
     def _add_loss(self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, loss: Loss) -> bool:
         record = self._obtain_record(fingerprint, loss.at_s)
-        was_limited = record.limited_to == lifetime.target
+        was_alone = record.limited_to == lifetime.target
         reached = record.lifetime_at(lifetime, sent_s)
-        return self._add(fingerprint, record, reached, replace(loss, was_limited=was_limited))
+        loss = replace(loss, was_alone=was_alone)
+        return self._add(fingerprint, record, reached, loss, loss.at_s)
+
+    def _add(
+        self, fingerprint: bytes, record: LossRecord, lifetime: Lifetime, loss: Loss, now_s: float
+    ) -> bool:
+        is_changed = record.add(lifetime, loss)
+        if is_changed and not loss.is_crash:
+            self._drop_old_unconfirmed(now_s)
+            self._unconfirmed.append(_Unconfirmed(fingerprint, lifetime.target, now_s))
+        return is_changed
 
-    def _add(self, fingerprint: bytes, record: LossRecord, lifetime: Lifetime, loss: Loss) -> bool:
-        if not loss.is_crash:
-            self._unconfirmed.setdefault(lifetime.target, set()).add(fingerprint)
-        return record.add(lifetime, loss)
+    def _drop_old_unconfirmed(self, now_s: float) -> None:
+        """Drop the losses that no crash can confirm any more, and their records if empty."""
+        while self._unconfirmed and now_s - self._unconfirmed[0].known_s >= UNCONFIRMED_TTL_S:
+            self._live_record(self._unconfirmed.popleft().fingerprint, now_s)
 
     def _judge(self, record: LossRecord, now_s: float) -> Judgement:
         used = {lifetime.target for lifetime in record.losses}
--- a/src/chervilmill/requests/_verdicts.py
+++ b/src/chervilmill/requests/_verdicts.py
@@ -14,7 +14,7 @@
     lifetime: Lifetime
     age_s: float
     is_crash: bool
-    was_limited: bool
+    was_alone: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/callers/test_links.py
+++ b/tests/callers/test_links.py
@@ -61,7 +61,7 @@
         receive_crashes(channel, entry.services)
         fingerprint = bytes(range(16))
         losses = tuple(
-            ReportedLoss(Lifetime(name), 1.0, is_crash=True, was_limited=False)
+            ReportedLoss(Lifetime(name), 1.0, is_crash=True, was_alone=False)
             for name in ("target-0", "target-1")
         )
         publish_crash(channel, "souhrny", CrashReport(fingerprint, losses))
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Test that requests that crash targets are told apart from requests that ran alongside."""
 
 import itertools
+from dataclasses import replace
 
 import pytest
 
@@ -273,3 +274,23 @@
         _lose(vm, target, 0.0)
     vm.quarantine.record_end(CRASHING, "t2", is_answered=True, now_s=0.5)
     assert isinstance(vm.verdict(CRASHING, 0.6), Unrestricted)
+
+
+def test_repeated_report_changes_nothing() -> None:
+    """It arrives later than it was sent, and its ages are rounded."""
+    [author, reader] = entry_vms(2)
+    _lose(author, "t0", 0.0)
+    for sent_s, delay_s in ((1.0, 0.0), (1.33, 0.1), (2.5, 0.04)):
+        report = author.quarantine.report(CRASHING, sent_s)
+        assert report is not None
+        losses = tuple(replace(loss, age_s=round(loss.age_s, 1)) for loss in report.losses)
+        sent = replace(report, losses=losses)
+        assert reader.quarantine.receive_report(sent, sent_s + delay_s) is (sent_s == 1.0)
+
+
+def test_lost_requests_leave_nothing_behind() -> None:
+    [vm] = entry_vms(1)
+    for number in range(1000):
+        vm.quarantine.record_loss(f"r{number}".encode(), Lifetime("t3"), number, float(number))
+    assert len(vm.quarantine._records) <= 11
+    assert len(vm.quarantine._unconfirmed) <= 11
