Report a crash as proof only once it has happened

A harmless suspect that shared its target with a request that crashes targets could still be refused for 10 minutes: its loss was reported as the only one at the target before the other request's loss was known, and the peers' reports then undid the correction.

--- a/src/chervilmill/requests/_losses.py
+++ b/src/chervilmill/requests/_losses.py
@@ -55,6 +55,11 @@
     is_crash: bool = False
     was_alone: bool = False
 
+    @property
+    def is_crash_alone(self) -> bool:
+        """Return whether the target crashed and no other request was lost with it."""
+        return self.is_crash and self.was_alone
+
     def merge(self, other: "Loss") -> "Loss":
         """Return this loss with what another entry VM knows of the same run.
 
@@ -184,7 +189,7 @@
     ) -> bool:
         """Return whether the crashes leave no doubt that the request causes them."""
         crashed = [lifetime for lifetime, loss in self.losses.items() if loss.is_crash]
-        has_alone = any(self.losses[lifetime].was_alone for lifetime in crashed)
+        has_alone = any(loss.is_crash_alone for loss in self.losses.values())
         unexplained = len(set(crashed).difference(explained))
         return (
             len({causes[lifetime] for lifetime in crashed}) >= CONCLUSIVE_CRASHES
--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -156,7 +156,7 @@
         if record is None or not record.losses:
             return None
         losses = tuple(
-            ReportedLoss(lifetime, now_s - loss.at_s, loss.is_crash, loss.was_alone)
+            ReportedLoss(lifetime, now_s - loss.at_s, loss.is_crash, loss.is_crash_alone)
             for lifetime, loss in record.losses.items()
         )
         return CrashReport(fingerprint, losses, record.limited_to)
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -294,3 +294,22 @@
         vm.quarantine.record_loss(f"r{number}".encode(), Lifetime("t3"), number, float(number))
     assert len(vm.quarantine._records) <= 11
     assert len(vm.quarantine._unconfirmed) <= 11
+
+
+def test_early_report_does_not_turn_a_shared_crash_into_proof() -> None:
+    """The report leaves before another request is known to have been lost with the target."""
+    author, peer = entry_vms(2)
+    author.run(CRASHING, 0.0)
+    limited = author.verdict(CRASHING, 1.0)
+    assert isinstance(limited, LimitedToTarget)
+    _lose(author, limited.target, 1.0)
+    early = author.quarantine.report(CRASHING, 1.1)
+    assert early is not None
+    peer.quarantine.receive_report(early, 1.1)
+    author.quarantine.record_loss(INNOCENT, Lifetime(limited.target), 1.0, 1.2)
+    author.quarantine.record_crash(limited.target, None, 1.3)
+    echo = peer.quarantine.report(CRASHING, 1.4)
+    assert echo is not None
+    author.quarantine.receive_report(echo, 1.4)
+    assert isinstance(author.verdict(CRASHING, 1.5), Quarantined)
+    assert isinstance(author.verdict(CRASHING, 12.0), LimitedToTarget)
