--- a/soak/run.py
+++ b/soak/run.py
@@ -78,11 +78,14 @@
             await asyncio.sleep(STARTUP_S)
             end_s = loop.time() + self.options.seconds
             last_s = end_s + RECOVERY_S + OBSERVATION_S
+            seed = str(self.options.seed)
+            callers = self._make_callers(Caller, self.options.callers, "c", seed)
+            crashing = self._make_callers(
+                CrashingCaller, CRASHING_CALLERS, "crash", f"{seed}/crash"
+            )
             caller_tasks = [
-                asyncio.create_task(caller.run(last_s)) for caller in self._make_callers()
-            ]
-            caller_tasks += [
-                asyncio.create_task(caller.run(end_s)) for caller in self._make_crashing_callers()
+                *(asyncio.create_task(caller.run(last_s)) for caller in callers),
+                *(asyncio.create_task(caller.run(end_s)) for caller in crashing),
             ]
             while loop.time() < end_s:
                 await self._start_random_action()
@@ -96,32 +99,20 @@
         finally:
             self._tear_down()
 
-    def _make_callers(self) -> list[Caller]:
-        lookup_addresses = [vm.lookup_address for vm in self._vms]
-        domains = sorted(REGION_BY_DOMAIN)
-        return [
-            Caller(
-                f"c{n}",
-                lookup_addresses,
-                domains[n % len(domains)],
-                self.history,
-                f"{self.options.seed}/{n}",
-            )
-            for n in range(self.options.callers)
-        ]
-
-    def _make_crashing_callers(self) -> list[CrashingCaller]:
+    def _make_callers(
+        self, caller_type: type[Caller], count: int, prefix: str, seed: str
+    ) -> list[Caller]:
         lookup_addresses = [vm.lookup_address for vm in self._vms]
         domains = sorted(REGION_BY_DOMAIN)
         return [
-            CrashingCaller(
-                f"crash{n}",
+            caller_type(
+                f"{prefix}{n}",
                 lookup_addresses,
                 domains[n % len(domains)],
                 self.history,
-                f"{self.options.seed}/crash/{n}",
+                f"{seed}/{n}",
             )
-            for n in range(CRASHING_CALLERS)
+            for n in range(count)
         ]
 
     async def _set_up(self) -> None:
