Name caller and path of a failed attempt in the log

On-call could not tell whether two attempts with different fingerprints were resends of one request, which is the third hypothesis on the record of crashing requests.

--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -12,6 +12,7 @@
 OVERDUE_FACTOR = 3.0
 # Sent by a target that is not the one named in the request.
 MISDIRECTED_STATUS = 421
+MAX_LOGGED_PATH_CHARS = 120
 
 
 class OutcomeRecorder:
@@ -48,6 +49,8 @@
             step="send",
             request=progress.request_headers.request_id,
             fingerprint=progress.fingerprint.hex(),
+            caller=progress.caller.host,
+            path=progress.path[:MAX_LOGGED_PATH_CHARS],
             target=record.target.name,
             end=result.end.value,
             status=result.status,
--- a/src/chervilmill/entry/_progress.py
+++ b/src/chervilmill/entry/_progress.py
@@ -45,6 +45,11 @@
         """Return whether a target may have run the request or may still run it."""
         return self.may_have_run or (self.attempt is not None and self.attempt.is_sent)
 
+    @property
+    def path(self) -> str:
+        """Return the path of the request with its query."""
+        return self.outgoing.head.target.decode("latin-1")
+
     @property
     def affinity_workload(self) -> AffinityWorkload:
         """Return the parameters by which targets are compared for this request."""
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -67,7 +67,7 @@
     body = SimpleNamespace(is_complete=is_complete)
     request_headers = RequestHeaders("id", "", None)
     progress = Progress(
-        caller=SimpleNamespace(has_begun_answer=False),  # type: ignore[arg-type]
+        caller=SimpleNamespace(has_begun_answer=False, host="127.0.0.1:1"),  # type: ignore[arg-type]
         request_headers=request_headers,
         outgoing=OutgoingRequest(RequestHead(b"POST", b"/", []), request_headers, body),  # type: ignore[arg-type]
         route=route,
