Play crashing requests at the rate of the record, in the model and on processes

The record has two targets lost in one attempt of the caller, several times a second. The model and the soak had one a send, about twice a second, so they did not exercise it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -32,6 +32,11 @@
     parser.add_argument(
         "--sound-store", action="store_true", help="leave the store undisturbed all the time"
     )
+    parser.add_argument(
+        "--only-crashes",
+        action="store_true",
+        help="disrupt nothing but targets, by one request that crashes them several times a second",
+    )
     parser.add_argument("--keep", type=Path, help="keep settings and logs in this folder")
     args = parser.parse_args()
     seeds = range(args.seed, args.seed + args.seeds)
@@ -52,6 +57,7 @@
         args.callers,
         args.network,
         disturbs_store=not args.sound_store,
+        only_crashes=args.only_crashes,
     )
     with tempfile.TemporaryDirectory() as temporary:
         folder = (args.keep or Path(temporary)) / f"seed-{seed}"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -149,3 +149,36 @@
             self._timeout_s = self._rng.uniform(0.2, REQUEST_TIMEOUT_S / 2)
             await self._send_request(kind, method, prefix + self._name + CRASHING_PATH_END, body)
         self._close_connection()
+
+
+class RatedCrashingCaller(Caller):
+    """A caller that sends one request, which crashes its targets, at a fixed rate.
+
+    It waits for each answer, but sends the next request before that answer arrives.
+    """
+
+    rate_per_s = 4.0
+
+    async def run(self, until_s: float) -> None:
+        """Send the request through any entry VM until a time of the event loop's clock."""
+        loop = asyncio.get_running_loop()
+        sending: list[asyncio.Task[int | None]] = []
+        while loop.time() < until_s:
+            sender = Caller(
+                f"{self._name}.{len(sending)}",
+                self._lookup_addresses,
+                self._domain,
+                self._history,
+                f"{self._name}/{len(sending)}",
+            )
+            sending.append(asyncio.create_task(self._send_once(sender)))
+            await asyncio.sleep(1 / self.rate_per_s)
+        await asyncio.gather(*sending)
+
+    async def _send_once(self, sender: Caller) -> int | None:
+        await sender._look_up()
+        status = await sender._send_request(
+            "safe", "GET", f"/read/{self._name}{CRASHING_PATH_END}", b""
+        )
+        sender._close_connection()
+        return status
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from chervilmill.addresses import Address
-from soak.callers import Caller, CrashingCaller
+from soak.callers import Caller, CrashingCaller, RatedCrashingCaller
 from soak.checks import Breach, breaches
 from soak.proxy import Proxy
 from soak.records import ExclusionSpan, History, TargetRun, VmStart
@@ -37,7 +37,8 @@
     """Parameters of one soak; `network` is the n of its loopback addresses 127.n.0.0.
 
     Without `disturbs_store`, the promises that hold only while the store is sound are checked all
-    the time.
+    the time. With `only_crashes`, the sole disruption is a request that crashes each of its targets
+    and comes several times a second.
     """
 
     seed: int
@@ -47,6 +48,7 @@
     callers: int = 8
     network: int = 77
     disturbs_store: bool = True
+    only_crashes: bool = False
 
 
 class Soak:
@@ -80,15 +82,14 @@
             last_s = end_s + RECOVERY_S + OBSERVATION_S
             seed = str(self.options.seed)
             callers = self._make_callers(Caller, self.options.callers, "c", seed)
-            crashing = self._make_callers(
-                CrashingCaller, CRASHING_CALLERS, "crash", f"{seed}/crash"
-            )
+            crashing = self._make_crashing_callers(seed)
             caller_tasks = [
                 *(asyncio.create_task(caller.run(last_s)) for caller in callers),
                 *(asyncio.create_task(caller.run(end_s)) for caller in crashing),
             ]
             while loop.time() < end_s:
-                await self._start_random_action()
+                if not self.options.only_crashes:
+                    await self._start_random_action()
                 await asyncio.sleep(self._rng.uniform(0.2, 2.0))
             while not all(task.done() for task in self._tasks):
                 await asyncio.gather(*self._tasks)
@@ -115,6 +116,11 @@
             for n in range(count)
         ]
 
+    def _make_crashing_callers(self, seed: str) -> list[Caller]:
+        if self.options.only_crashes:
+            return self._make_callers(RatedCrashingCaller, 1, "crash", seed)
+        return self._make_callers(CrashingCaller, CRASHING_CALLERS, "crash", f"{seed}/crash")
+
     async def _set_up(self) -> None:
         net = self.options.network
         store = Address(f"127.{net}.9.1", STORE_PORT)
--- a/tests/entry/crash_fleet.py
+++ b/tests/entry/crash_fleet.py
@@ -25,7 +25,8 @@
     the mean time until this VM finds that the target refuses connections, or None if it never
     does. All VMs see the new lifetime of a target `back_s` after its crash. Between the times of
     `cut_s`, the two halves of the fleet receive nothing from each other. `other_losses_per_s` is
-    the rate at which each VM loses other requests at targets that crash for other reasons.
+    the rate at which each VM loses other requests at targets that crash for other reasons. A VM
+    sends the request to up to `sends_per_attempt` targets, each as soon as the one before is lost.
     """
 
     vms: int = 12
@@ -38,6 +39,7 @@
     restart_every_s: float | None = None
     cut_s: tuple[float, float] = (0.0, 0.0)
     other_losses_per_s: float = 0.0
+    sends_per_attempt: int = 1
     duration_s: float = 40.0
 
 
@@ -91,7 +93,7 @@
             if now_s >= next_s["request"]:
                 next_s["request"] += case.period_s
                 for vm in self._rng.sample(self._vms, case.at_once):
-                    self._ask(vm, now_s)
+                    self._ask(vm, now_s, case.sends_per_attempt)
             self._lose_others(now_s)
             now_s = round(now_s + STEP_S, 3)
 
@@ -101,7 +103,7 @@
         tracker.set_targets({name: target.domain for name, target in self._targets.items()})
         return tracker
 
-    def _ask(self, vm: CrashTracker, now_s: float) -> None:
+    def _ask(self, vm: CrashTracker, now_s: float, sends_left: int) -> None:
         running = [name for name, target in self._targets.items() if target.is_up(now_s)]
         verdict = vm.verdict(FINGERPRINT, now_s, lambda name: self._targets[name].is_up(now_s))
         if isinstance(verdict, Quarantined) or not running:
@@ -113,6 +115,9 @@
         if self._third_crash_s is not None and now_s > self._third_crash_s + STABLE_S:
             self.late_sends += 1
         self._crash(vm, name, now_s)
+        if sends_left > 1:
+            retry_s = now_s + self.case.loss_seen_s
+            self._due.append((retry_s, lambda at_s: self._ask(vm, at_s, sends_left - 1)))
 
     def _crash(self, vm: CrashTracker, name: str, now_s: float) -> None:
         self.crashes += 1
--- a/tests/entry/test_crash_series.py
+++ b/tests/entry/test_crash_series.py
@@ -26,6 +26,13 @@
     "halves_of_the_fleet_are_parted": CrashCase(cut_s=(0.0, 15.0)),
     "reports_of_other_crashes_come_first": CrashCase(other_losses_per_s=10.0),
     "hundred_vms": CrashCase(vms=100, targets=300, period_s=0.2),
+    "two_targets_an_attempt": CrashCase(loss_seen_s=0.1, sends_per_attempt=2),
+    "two_targets_an_attempt_four_times_a_second": CrashCase(
+        period_s=0.25, loss_seen_s=0.1, sends_per_attempt=2, refusal_s=None, back_s=4.5
+    ),
+    "two_targets_an_attempt_while_vms_restart": CrashCase(
+        period_s=0.25, loss_seen_s=0.1, sends_per_attempt=2, refusal_s=1.0, restart_every_s=3.0
+    ),
 }
 
 
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -18,6 +18,8 @@
     SoakOptions(1104, seconds=20.0, network=104),
     # A request crashed silent targets for as long as it came again.
     SoakOptions(4, seconds=15.0, network=105, disturbs_store=False),
+    # A request that took two targets in each attempt took all of a service.
+    SoakOptions(14, seconds=16.0, vms=6, targets=16, callers=6, network=109, only_crashes=True),
 ]
 
 
