--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -143,3 +143,19 @@
             assert await _resend_until_refused(site, CrashMode.RESET) <= MAX_CRASHED
 
     run_async(scenario)
+
+
+def test_resend_with_another_affinity_counts_as_another_request(tmp_path: Path) -> None:
+    """A resend is recognised by its path, caller and body; other headers may differ."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=TARGETS) as site:
+            for target in site.targets.values():
+                target.crash_mode = CrashMode.RESET
+            for number in range(RESENDS):
+                await site.ask("/order/crash", "POST", b"x", key=f"object-{number}")
+                await _expire_crashed(site)
+            crashed = sum(target.has_crashed for target in site.targets.values())
+            assert crashed <= MAX_CRASHED
+
+    run_async(scenario)
