Recognise a crashing request whose resends name another object

Callers saw a request that crashed its targets go on to further targets when its resends had another affinity value.

Cause: the fingerprint took in a header that a resend may change. A resend is promised to keep its path, caller and body.

A resend that changes from a stated length to chunks is still another request, as the fingerprint precedes the body.

--- a/src/chervilmill/entry/_crashes.py
+++ b/src/chervilmill/entry/_crashes.py
@@ -135,15 +135,16 @@
         return judgement.standing
 
 
-def fingerprint_request(head: RequestHead, caller: str, affinity: str) -> bytes:
+def fingerprint_request(head: RequestHead, caller: str) -> bytes:
     """Return a fingerprint that a request shares with the caller's resends of it.
 
-    The service is left out, as a route may send the same request to several services. The
-    fingerprint is needed before the body is read, so it includes only the body's length.
+    The service is left out, as a route may send the same request to several services, and so are
+    the headers that a resend may change. The fingerprint is needed before the body is read, so it
+    includes only the body's length.
     """
     host = header_value(head.headers, b"host") or b""
     length = header_value(head.headers, b"content-length") or b""
-    content = b"\n".join([caller.encode(), affinity.encode(), length])
+    content = b"\n".join([caller.encode(), length])
     method, path = head.method.decode("latin-1"), head.target.decode("latin-1")
     return request_fingerprint(host.decode("latin-1"), method, path, content)
 
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -131,9 +131,7 @@
             deadline_s=began_s + min(caller_timeout_s, route.timeout_s),
             caller_deadline_s=began_s + caller_timeout_s,
             age_s=self._ages.age_s(route.name, caller_timeout_s),
-            fingerprint=fingerprint_request(
-                head, caller.host.rpartition(":")[0], request_headers.affinity
-            ),
+            fingerprint=fingerprint_request(head, caller.host.rpartition(":")[0]),
         )
 
     async def _refuse(
