Log the limits that targets name

The logs could not tell an entry VM that has not seen the limit of a target from one that does not keep it. The adapter reads the limit, with and without the prefix of the other headers, as the record does not show which it has. Each change has a line with the limit and where it is known from; a malformed limit has a line and changes nothing. Nothing is decided by it yet.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -40,6 +41,10 @@
 ANSWER_BUFFER_BYTES = 64 * 1024
 # Answers to other requests that are skipped before the connection is closed.
 MAX_MISMATCHED_ANSWERS = 2
+# Sent by a target that is not the one named in the request.
+MISDIRECTED_STATUS = 421
+
+OnAnswer = Callable[[AnswerHeaders], None]
 
 
 class AttemptEnd(Enum):
@@ -89,16 +94,23 @@
 class Attempt:
     """One try to have a request answered by one target.
 
-    `is_sent` is True once the target may have received any part of the request.
+    `is_sent` is True once the target may have received any part of the request. `on_answer` is
+    called with the headers of the answer, before its body arrives.
     """
 
     def __init__(
-        self, caller: ServerConnection, outgoing: OutgoingRequest, pool: TargetPool, target: Target
+        self,
+        caller: ServerConnection,
+        outgoing: OutgoingRequest,
+        pool: TargetPool,
+        target: Target,
+        on_answer: OnAnswer,
     ) -> None:
         self._caller = caller
         self._outgoing = outgoing
         self._pool = pool
         self._target = target
+        self._on_answer = on_answer
         self.is_sent = False
 
     @property
@@ -150,6 +162,8 @@
         else:
             answer = await self._send_body_and_read(conn)
         answer_headers = read_answer(answer.status, answer.headers)
+        if answer.status != MISDIRECTED_STATUS:
+            self._on_answer(answer_headers)
         if answer_headers.proves_not_run:
             await _discard_body(conn)
             return AttemptResult(
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -6,6 +6,7 @@
 
 from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult
 from chervilmill.entry._crashes import CrashTracker, only_target
+from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._outcome import OutcomeRecorder, overdue_after_s
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._progress import Progress, Refusal
@@ -50,6 +51,7 @@
         count_live_vms: Callable[[], int],
         is_stopping: Callable[[], bool],
         crashes: CrashTracker,
+        limits: LimitTracker,
     ) -> None:
         self._site_state = site_state
         self._pool = pool
@@ -59,7 +61,7 @@
         self._count_live_vms = count_live_vms
         self._is_stopping = is_stopping
         self._crashes = crashes
-        self._outcomes = OutcomeRecorder(site_state.fleet, crashes)
+        self._outcomes = OutcomeRecorder(site_state.fleet, crashes, limits)
         self._retry_budgets: dict[str, RetryBudgetShare] = {}
 
     def count_request(self, service: str) -> None:
@@ -162,7 +164,15 @@
         progress.last_candidate, progress.sent_s = candidate, sent_s
         left_s = progress.deadline_s - sent_s
         round_trip_s = self._site_state.fleet.round_trips_s.get(record.target.failure_domain, 0.0)
-        attempt = Attempt(progress.caller, progress.outgoing, self._pool, record.target)
+        attempt = Attempt(
+            progress.caller,
+            progress.outgoing,
+            self._pool,
+            record.target,
+            lambda headers: self._outcomes.record_answer_headers(
+                record.target, headers, loop.time()
+            ),
+        )
         progress.attempt = attempt
         running = asyncio.create_task(attempt.run(max(0.001, left_s - round_trip_s / 2)))
         try:
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -16,6 +16,7 @@
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.entry._dispatch import Dispatcher
 from chervilmill.entry._forward import Forwarder
+from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.entry._site_state import ENTRY_KIND, KINDS, SiteState
@@ -83,6 +84,7 @@
             self._count_live_vms,
             self._stop_requested.is_set,
             self._crashes,
+            LimitTracker(self._site_state.fleet.limits),
         )
         self._forwarder = Forwarder(
             self._site_state, dispatcher, self._metrics, self._is_view_fresh
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -1,26 +1,36 @@
 """Update what is known of targets and requests from the results of attempts."""
 
-from chervilmill.entry._attempt import AttemptEnd, AttemptResult
+from chervilmill.entry._attempt import MISDIRECTED_STATUS, AttemptEnd, AttemptResult
 from chervilmill.entry._crashes import CrashTracker
+from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._progress import Progress
 from chervilmill.logs import log_failure
 from chervilmill.overload import Candidate, TargetFleet
+from chervilmill.platform import AnswerHeaders
 from chervilmill.requests import Lifetime
+from chervilmill.routing import Target
 
 # An attempt is overdue once it has taken this many times its expected time, and at least the
 # objective of its route. A target that has answered nothing else meanwhile then counts as silent.
 OVERDUE_FACTOR = 3.0
-# Sent by a target that is not the one named in the request.
-MISDIRECTED_STATUS = 421
 MAX_LOGGED_PATH_CHARS = 120
 
 
 class OutcomeRecorder:
-    """Records the results of attempts with the target fleet and the crash tracker."""
+    """Records the results of attempts with the target fleet and the trackers."""
 
-    def __init__(self, fleet: TargetFleet, crashes: CrashTracker) -> None:
+    def __init__(self, fleet: TargetFleet, crashes: CrashTracker, limits: LimitTracker) -> None:
         self._fleet = fleet
         self._crashes = crashes
+        self._limits = limits
+
+    def record_answer_headers(self, target: Target, headers: AnswerHeaders, now_s: float) -> None:
+        """Record what the headers of an answer say of its target.
+
+        Only an answer that the target vouches for can withdraw a limit.
+        """
+        if headers.limit is not None or headers.is_sealed:
+            self._limits.record_answer(_lifetime(target), headers.limit, now_s)
 
     def record_result(
         self, progress: Progress, candidate: Candidate, result: AttemptResult, now_s: float
@@ -115,8 +125,7 @@
     def _record_loss(
         self, progress: Progress, candidate: Candidate, sent_s: float, now_s: float
     ) -> None:
-        target = candidate.record.target
-        lifetime = Lifetime(target.name, target.incarnation)
+        lifetime = _lifetime(candidate.record.target)
         self._crashes.record_loss(progress.fingerprint, lifetime, sent_s, now_s)
 
 
@@ -125,5 +134,9 @@
     return max(OVERDUE_FACTOR * candidate.expected_answer_s, progress.route.objective_s)
 
 
+def _lifetime(target: Target) -> Lifetime:
+    return Lifetime(target.name, target.incarnation)
+
+
 def _is_success(result: AttemptResult) -> bool:
     return result.end is AttemptEnd.ANSWERED and result.status < 500
--- a/src/chervilmill/overload/__init__.py
+++ b/src/chervilmill/overload/__init__.py
@@ -19,6 +19,12 @@
 from chervilmill.overload._retry_budget_share import RetryBudgetShare
 from chervilmill.overload._service_times import ServiceTimes, Workload
 from chervilmill.overload._spill_budget import SpillBudget
+from chervilmill.overload._target_limits import (
+    LimitReport,
+    StatedLimit,
+    TargetLimits,
+    parse_limit,
+)
 from chervilmill.overload._target_record import TargetRecord
 
 __all__ = [
@@ -29,6 +35,7 @@
     "CallerAgeEstimator",
     "Candidate",
     "ColdRateLimiter",
+    "LimitReport",
     "PlacementOptions",
     "PlacementQuery",
     "Refused",
@@ -36,10 +43,13 @@
     "RetryBudgetShare",
     "ServiceTimes",
     "SpillBudget",
+    "StatedLimit",
     "TargetFleet",
+    "TargetLimits",
     "TargetRecord",
     "Workload",
     "admit",
     "choose_candidates",
     "desired_region_shares",
+    "parse_limit",
 ]
--- a/src/chervilmill/overload/_fleet.py
+++ b/src/chervilmill/overload/_fleet.py
@@ -12,6 +12,7 @@
 from chervilmill.overload._region_shares import RegionShares, desired_region_shares, region_at
 from chervilmill.overload._service_times import ServiceTimes
 from chervilmill.overload._spill_budget import SpillBudget
+from chervilmill.overload._target_limits import TargetLimits
 from chervilmill.overload._target_record import TargetRecord
 from chervilmill.routing import (
     Configuration,
@@ -66,6 +67,7 @@
         self._others_per_slot_by_group: dict[str, tuple[float, float]] = {}
         self._usable_by_service: dict[str, list[Target]] = {}
         self.service_times = ServiceTimes()
+        self.limits = TargetLimits()
         self.round_trips_s: dict[str, float] = {}
         self.vms_by_region: dict[str, list[str]] = {region: [vm]}
 
--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -3,9 +3,11 @@
 The HTTP library passes header names in lower case.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from chervilmill.overload import StatedLimit, parse_limit
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 _REQUEST_ID_HEADER = b"x-chervilmill-request-id"
@@ -14,6 +16,8 @@
 _SEAL_HEADER = b"x-chervilmill-response-seal"
 _EXPECTED_INSTANCE_HEADER = b"x-chervilmill-expected-instance"
 _LOAD_HEADER = b"x-chervilmill-server-load"  # running, waiting, slots; not a CPU load
+# The platform's pages name the second without the prefix of the others.
+_LIMIT_HEADERS = (b"x-chervilmill-server-limit", b"server-limit")
 _NOT_RUN_HEADER = b"x-chervilmill-request-not-run"
 _RETRY_AFTER_HEADER = b"retry-after"
 
@@ -47,7 +51,7 @@
     """The values in the headers of a target's answer.
 
     `is_sealed` says that the target vouches for the answer. `proves_not_run` is True only if the
-    target states that it did not run the request.
+    target states that it did not run the request. `limit` is None if the answer names no limit.
     """
 
     request_id: str
@@ -55,6 +59,7 @@
     proves_not_run: bool
     has_content_encoding: bool
     load: LoadReport | None
+    limit: StatedLimit | None = None
 
 
 def read_request(headers: Headers) -> RequestHeaders:
@@ -76,6 +81,7 @@
         proves_not_run=_NOT_RUN_HEADER in by_name or status == 421,
         has_content_encoding=by_name.get(b"content-encoding", b"identity").lower() != b"identity",
         load=_parse_load(by_name.get(_LOAD_HEADER)),
+        limit=_find_limit(by_name),
     )
 
 
@@ -99,6 +105,11 @@
     return value.decode("latin-1") if value else ""
 
 
+def _find_limit(by_name: Mapping[bytes, bytes]) -> StatedLimit | None:
+    stated = [by_name[name] for name in _LIMIT_HEADERS if name in by_name]
+    return parse_limit(_decode_text(stated[0])) if stated else None
+
+
 def _parse_milliseconds(value: bytes | None) -> float | None:
     if value is None or not value.strip().isdigit():
         return None
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -10,6 +10,7 @@
 from chervilmill.aio import RequestHead
 from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult, OutgoingRequest
 from chervilmill.entry._crashes import CrashTracker
+from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._outcome import OVERDUE_FACTOR, OutcomeRecorder, overdue_after_s
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._progress import Progress
@@ -38,7 +39,7 @@
 
 
 def _attempt(target: Target, *, is_sent: bool = True) -> Attempt:
-    attempt = Attempt(None, None, TargetPool(), target)  # type: ignore[arg-type]
+    attempt = Attempt(None, None, TargetPool(), target, lambda _: None)  # type: ignore[arg-type]
     attempt.is_sent = is_sent
     return attempt
 
@@ -83,7 +84,9 @@
     )
     crashes = CrashTracker()
     crashes.set_targets({"t": "north-a", "u": "north-b"})
-    return _Setup(OutcomeRecorder(fleet, crashes), progress, candidate, crashes)
+    return _Setup(
+        OutcomeRecorder(fleet, crashes, LimitTracker(fleet.limits)), progress, candidate, crashes
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -68,3 +68,30 @@
     assert (b"x-chervilmill-deadline-milliseconds", b"1500") in target_headers("i-1", 1.5)
     assert refusal_headers(0.25) == [(b"retry-after", b"0.25")]
     assert refusal_headers(None) == []
+
+
+@pytest.mark.parametrize("name", [b"x-chervilmill-server-limit", b"server-limit"])
+@pytest.mark.parametrize(
+    ("value", "per_s"),
+    [
+        (b"4.1", 4.1),
+        (b" 2 ", 2.0),
+        (b"0", 0.0),
+        (b"", None),
+        (b"-1", None),
+        (b"1e9", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"4,1", None),
+        (b"9" * 400, None),
+        (b"\xd9\xa3", None),
+    ],
+)
+def test_limit_is_a_decimal_number(name: bytes, value: bytes, per_s: float | None) -> None:
+    limit = read_answer(200, [(name, value)]).limit
+    assert limit is not None
+    assert limit.per_s == per_s
+
+
+def test_answer_without_a_limit_names_none() -> None:
+    assert read_answer(200, []).limit is None
