--- a/soak/target.py
+++ b/soak/target.py
@@ -18,6 +18,7 @@
 EXPECTED = b"x-chervilmill-expected-instance"
 SEAL = b"x-chervilmill-response-seal"
 LOAD = b"x-chervilmill-server-load"
+LIMIT = b"x-chervilmill-server-limit"
 NOT_RUN = b"x-chervilmill-request-not-run"
 INSTANCE = b"x-chervilmill-instance-id"
 LIMITS = ServerLimits(header_bytes=65_536, header_timeout_s=5.0, idle_s=10.0)
@@ -88,6 +89,8 @@
         self.faults = TargetFaults()
         self.crash_mode = CrashMode.RESET
         self.has_crashed = False
+        self.limit: bytes | None = None  # in requests a second, named in each answer
+        self.limit_header = LIMIT
         self.on_crash: Callable[[], None] = lambda: None  # when a request crashes the target
         self.records = TargetRecords()
         self._work_s = work_s
@@ -223,8 +226,10 @@
         body: bytes,
     ) -> None:
         echo = header_value(head.headers, REQUEST_ID)
-        id_header = [(REQUEST_ID, echo)] if echo else []
-        await conn.answer(status, [*headers, *id_header, (b"keep-alive", b"timeout=10")], body)
+        own = [(REQUEST_ID, echo)] if echo else []
+        if self.limit is not None:
+            own.append((self.limit_header, self.limit))
+        await conn.answer(status, [*headers, *own, (b"keep-alive", b"timeout=10")], body)
 
     def _work_duration_s(self, head: RequestHead) -> float:
         key = header_value(head.headers, AFFINITY)
--- a/src/chervilmill/standins/target_run.py
+++ b/src/chervilmill/standins/target_run.py
@@ -260,6 +260,8 @@
         headers = [("X-Request-Id", request_id), ("X-Target-State", state.mode.value)]
         if state.reports_load:
             headers.append(("X-Target-Load", f"{state.in_flight}/{state.slots}"))
+        if state.limit is not None:
+            headers.append(("X-Target-Limit", state.limit))
         return headers
 
 
--- a/src/chervilmill/standins/target_state.py
+++ b/src/chervilmill/standins/target_state.py
@@ -58,6 +58,7 @@
       for `crash_away_s`. `crash_mode` is how the crash shows;
     - `faults` apply to the next answers, one fault to each answer. `late_s` is how long a late
       answer is delayed or a stalled answer pauses;
+    - `limit` is the text of the limit that the target names in its answers, if any;
     - `is_failing` makes the target answer 500. `health` and `load` replace the true health and
       load reports by misleading ones.
     """
@@ -77,6 +78,7 @@
     crash_mode: CrashMode = CrashMode.RESET
     faults: deque[AnswerFault] = field(default_factory=deque)
     late_s: float = 1.0
+    limit: str | None = None
     is_failing: bool = False
     is_leaving: bool = False
     reports_load: bool = True
