Keep the limits that targets name over all entry VMs together

Operators saw a target that named a limit of 4.1 requests a second get 44 in 4 s (allowed 30); the tests had 30 at a limit of 2.0 (allowed 17).

Cause: nothing read the limit, so the rate did not change when a target named one. Ruled out by the record: shares that are too large, and retries that pass by the limit, as the rate would have fallen.

Each entry VM learns a limit from the answers of the target and from the other VMs, for one lifetime of the target; the newest statement counts. A few VMs, the same in every view, divide the limit. Their number follows from what the promise allows beyond the limit, so that what they have saved together stays within it at any size of the fleet. All sends pass the same limiter: retries, moves, the only target of a suspect, and cold targets, which had it before. A request goes to another target at once, or is told when this VM has room again. A VM that has just started counts all registered VMs as live until it has heard from them.

--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -81,9 +81,7 @@
             if isinstance(decision, Refusal):
                 return decision
             if isinstance(decision, Refused):
-                return self._final_refusal(
-                    progress, last, decision.retry_after_s, decision.expected_s
-                )
+                return self._final_refusal(progress, last, decision)
             last = await self._send(progress, decision.candidate)
             if last.end is AttemptEnd.ANSWERED:
                 progress.status = last.status
@@ -91,7 +89,7 @@
             if not self._may_retry(progress, last):
                 break
             self._metrics.count_retry(progress.service, _RETRY_REASONS[last.end])
-        return self._final_refusal(progress, last, SHED_RETRY_AFTER_S)
+        return self._final_refusal(progress, last, Refused(SHED_RETRY_AFTER_S))
 
     def handle_timeout(self, progress: Progress) -> Refusal:
         """Record that a request ran out of time and return the refusal for its caller."""
@@ -127,10 +125,10 @@
         record = fleet.record(name)
         if record is None or record.is_ejected(now_s):
             return False
-        home_regions = progress.route.home_regions
+        view, home_regions = self._site_state.view, progress.route.home_regions
         return fleet.is_allowed(
-            record.target, progress.service, home_regions, self._site_state.view
-        )
+            record.target, progress.service, home_regions, view
+        ) and fleet.is_sender(record, view.configuration, now_s)
 
     def _placement_query(
         self, progress: Progress, allowed_target: str | None, now_s: float
@@ -262,8 +260,7 @@
         self,
         progress: Progress,
         last: AttemptResult | None,
-        retry_after_s: float,
-        expected_s: float | None = None,
+        refused: Refused,
     ) -> Refusal:
         """Return the refusal for a request that no target answered."""
         detail = last.detail if last else ""
@@ -272,8 +269,13 @@
         reason = RefusalReason.TARGETS_BUSY if last is None else RefusalReason.NO_TARGET
         if last is None:
             left_s = progress.deadline_s - asyncio.get_running_loop().time()
-            detail = f"expected in {expected_s} s, left {left_s:.3f} s, age {progress.age_s:.3f} s"
-        return Refusal(reason, retry_after_s, detail)
+            detail = (
+                f"expected in {refused.expected_s} s, left {left_s:.3f} s,"
+                f" age {progress.age_s:.3f} s"
+            )
+        if refused.is_rate_limited:
+            detail = "targets take no more requests a second"
+        return Refusal(reason, refused.retry_after_s, detail)
 
     def _retry_budget(self, service: str) -> RetryBudgetShare:
         budget = self._retry_budgets.get(service)
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -23,7 +23,19 @@
 from chervilmill.logs import log_event, log_problem
 from chervilmill.metrics import Metrics
 from chervilmill.overload import TargetFleet
-from chervilmill.peers import Digest, GossipEndpoint, KindReplica, Membership, Peer
+from chervilmill.peers import (
+    DEAD_AFTER_S,
+    Digest,
+    GossipEndpoint,
+    KindReplica,
+    Membership,
+    Peer,
+    ReportChannel,
+    decode_limits,
+    decode_reports,
+    encode_limits,
+    encode_reports,
+)
 from chervilmill.platform import (
     EntrySettings,
     PlatformStore,
@@ -54,6 +66,7 @@
         self._settings = settings
         self._settings_path = settings_path
         self._clock = time.monotonic
+        self._started_s = self._clock()
         rng = random.Random()
         self._stop_requested = asyncio.Event()
         own = Peer(settings.name, settings.host, settings.failure_domain)
@@ -64,6 +77,7 @@
         self._pool = TargetPool()
         self._site_state.on_lifetime_change = self._handle_lifetime_change
         self._crashes = CrashTracker()
+        self._limits = LimitTracker(fleet.limits)
         self._replicas = {kind: KindReplica(kind) for kind in KINDS}
         self._store = PlatformStore(HttpClient(settings.store), str(settings.store))
         self._sync = ReplicaSync(self._store, self._replicas, self._site_state.apply_change)
@@ -71,7 +85,10 @@
             self._membership,
             settings.gossip_port,
             self._sync.revisions,
-            self._crashes,
+            [
+                ReportChannel(self._crashes, encode_reports, decode_reports),
+                ReportChannel(self._limits, encode_limits, decode_limits),
+            ],
             self._handle_digest,
         )
         self._metrics = Metrics()
@@ -84,7 +101,7 @@
             self._count_live_vms,
             self._stop_requested.is_set,
             self._crashes,
-            LimitTracker(self._site_state.fleet.limits),
+            self._limits,
         )
         self._forwarder = Forwarder(
             self._site_state, dispatcher, self._metrics, self._is_view_fresh
@@ -175,15 +192,26 @@
             self._update_vms_by_region()
 
     def _update_vms_by_region(self) -> None:
-        """Update the live entry VMs of each region, which share the rate limits of cold targets."""
+        """Update the live entry VMs of each region, which share the rates of targets.
+
+        A VM that has just started has not heard from its peers yet, so all of them count as live.
+        """
         regions = self._settings.regions
         vms: dict[str, list[str]] = {self._settings.region: [self._own.name]}
-        for peer in self._membership.serving_peers(self._clock()):
+        now_s = self._clock()
+        has_heard = now_s - self._started_s >= DEAD_AFTER_S
+        peers = (
+            self._membership.serving_peers(now_s)
+            if has_heard
+            else self._membership.registered_peers()
+        )
+        for peer in peers:
             region = regions.get(peer.failure_domain)
             if region is not None:
                 vms.setdefault(region, []).append(peer.name)
         self._site_state.fleet.vms_by_region = vms
-        self._crashes.fleet_size = sum(len(names) for names in vms.values())
+        fleet_size = sum(len(names) for names in vms.values())
+        self._crashes.fleet_size = self._limits.fleet_size = fleet_size
 
     def _set_serving(self, is_serving: bool) -> None:
         self._readiness.is_ready = is_serving
--- a/src/chervilmill/overload/__init__.py
+++ b/src/chervilmill/overload/__init__.py
@@ -13,16 +13,22 @@
     PlacementOptions,
     choose_candidates,
 )
-from chervilmill.overload._cold_rate import ColdRateLimiter
 from chervilmill.overload._fleet import PlacementQuery, TargetFleet
 from chervilmill.overload._region_shares import RegionShares, desired_region_shares
 from chervilmill.overload._retry_budget_share import RetryBudgetShare
 from chervilmill.overload._service_times import ServiceTimes, Workload
+from chervilmill.overload._shared_rate import (
+    SharedRate,
+    SharedRateLimiter,
+    cold_rate,
+    limited_rate,
+)
 from chervilmill.overload._spill_budget import SpillBudget
 from chervilmill.overload._target_limits import (
     LimitReport,
     StatedLimit,
     TargetLimits,
+    is_limit,
     parse_limit,
 )
 from chervilmill.overload._target_record import TargetRecord
@@ -34,7 +40,6 @@
     "AffinityWorkload",
     "CallerAgeEstimator",
     "Candidate",
-    "ColdRateLimiter",
     "LimitReport",
     "PlacementOptions",
     "PlacementQuery",
@@ -42,6 +47,8 @@
     "RegionShares",
     "RetryBudgetShare",
     "ServiceTimes",
+    "SharedRate",
+    "SharedRateLimiter",
     "SpillBudget",
     "StatedLimit",
     "TargetFleet",
@@ -50,6 +57,9 @@
     "Workload",
     "admit",
     "choose_candidates",
+    "cold_rate",
     "desired_region_shares",
+    "is_limit",
+    "limited_rate",
     "parse_limit",
 ]
--- a/src/chervilmill/overload/_admission.py
+++ b/src/chervilmill/overload/_admission.py
@@ -55,10 +55,12 @@
     """The decision to refuse the request, with the time after which a slot is expected to be free.
 
     `expected_s` is the time in which the best target would have answered, or None without a target.
+    `is_rate_limited` says that targets have slots, but take no more requests a second.
     """
 
     retry_after_s: float
     expected_s: float | None = None
+    is_rate_limited: bool = False
 
 
 def admit(
--- a/src/chervilmill/overload/_fleet.py
+++ b/src/chervilmill/overload/_fleet.py
@@ -5,15 +5,28 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
-from chervilmill.overload._admission import AdmissionRequest, Admitted, Refused, admit
+from chervilmill.overload._admission import (
+    MAX_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+    AdmissionRequest,
+    Admitted,
+    Refused,
+    admit,
+)
 from chervilmill.overload._affinity import AffinityRanking
 from chervilmill.overload._candidates import AffinityWorkload, Candidate, choose_candidates
-from chervilmill.overload._cold_rate import ColdRateLimiter
 from chervilmill.overload._region_shares import RegionShares, desired_region_shares, region_at
 from chervilmill.overload._service_times import ServiceTimes
+from chervilmill.overload._shared_rate import (
+    SharedRate,
+    SharedRateLimiter,
+    cold_rate,
+    limited_rate,
+)
 from chervilmill.overload._spill_budget import SpillBudget
 from chervilmill.overload._target_limits import TargetLimits
 from chervilmill.overload._target_record import TargetRecord
+from chervilmill.requests import Lifetime
 from chervilmill.routing import (
     Configuration,
     EvacuationChanged,
@@ -63,7 +76,7 @@
         self._ranking = AffinityRanking()
         self._shares_by_group: dict[str, RegionShares] = {}
         self._spill_budget = SpillBudget()
-        self._cold_limiter = ColdRateLimiter(vm)
+        self._limiter = SharedRateLimiter(vm)
         self._others_per_slot_by_group: dict[str, tuple[float, float]] = {}
         self._usable_by_service: dict[str, list[Target]] = {}
         self.service_times = ServiceTimes()
@@ -79,7 +92,7 @@
                 self._update_record(change.target, now_s, is_new=change.previous is None)
             elif isinstance(change, TargetRemoved):
                 self._records.pop(change.target.name, None)
-                self._cold_limiter.forget(change.target.name)
+                self._limiter.forget(change.target.name)
             elif isinstance(change, EvacuationChanged) and not change.is_evacuated:
                 self._mark_domain_cold(change.failure_domain, view.configuration, now_s)
 
@@ -112,17 +125,19 @@
         if region is None:
             return Refused(NO_TARGET_RETRY_AFTER_S)
         decision = self._place_in_region(region, query, allowed, view.configuration, now_s)
-        if isinstance(decision, Admitted) or not self._spill_budget.can_withdraw():
-            return decision or Refused(NO_TARGET_RETRY_AFTER_S)
-        return self._place_in_other_region(region, query, allowed, view, now_s) or (
-            decision or Refused(NO_TARGET_RETRY_AFTER_S)
-        )
+        if not isinstance(decision, Admitted) and self._spill_budget.can_withdraw():
+            decision = self._place_in_other_region(region, query, allowed, view, now_s) or decision
+        return decision or self._refuse_without_room(query, allowed, view.configuration, now_s)
+
+    def is_sender(self, record: TargetRecord, cfg: Configuration | None, now_s: float) -> bool:
+        """Return whether this VM may send requests to a target, now or after a while."""
+        return math.isfinite(self._room_in_s(record, cfg, now_s))
 
     def start(self, candidate: Candidate, key: str, now_s: float) -> int:
         """Record a request that is sent to a candidate, and return its serial number there."""
         target = candidate.record.target
-        if candidate.record.is_cold(now_s):
-            self._cold_limiter.count(target.name, target.incarnation)
+        if candidate.record.is_cold(now_s) or self._limit_per_s(target, now_s) is not None:
+            self._limiter.count(target.name, target.incarnation, now_s)
         return candidate.record.start(key, candidate.expected_answer_s, now_s)
 
     def record_load(self, record: TargetRecord, total: int, now_s: float) -> None:
@@ -236,9 +251,7 @@
             if target.name not in query.excluded_targets
         ]
         reachable = [record for record in records if not record.is_ejected(now_s)] or records
-        available = [
-            record for record in reachable if self._may_receive(record, region, cfg, now_s)
-        ]
+        available = [record for record in reachable if self._may_receive(record, cfg, now_s)]
         options = choose_candidates(
             available,
             query.affinity_workload,
@@ -273,17 +286,64 @@
                 return decision
         return None
 
-    def _may_receive(
-        self, record: TargetRecord, region: str, cfg: Configuration | None, now_s: float
-    ) -> bool:
-        """Return whether a target is warm, or this VM may send it a cold request."""
+    def _may_receive(self, record: TargetRecord, cfg: Configuration | None, now_s: float) -> bool:
+        """Return whether this VM may send a request to a target now."""
+        return self._room_in_s(record, cfg, now_s) <= 0
+
+    def _room_in_s(self, record: TargetRecord, cfg: Configuration | None, now_s: float) -> float:
+        """Return the time until this VM may send a request to a target, or infinity if never."""
+        rate = self._shared_rate(record, cfg, now_s)
+        if rate is None:
+            return 0.0
+        target = record.target
+        region = self._regions.get(target.failure_domain, "")
+        vms = self.vms_by_region.get(region) or self._all_vms()
+        return self._limiter.wait_s(target.name, target.incarnation, rate, vms, now_s)
+
+    def _shared_rate(
+        self, record: TargetRecord, cfg: Configuration | None, now_s: float
+    ) -> SharedRate | None:
+        """Return the rate that all entry VMs share at a target, or None if it is unlimited."""
+        per_s = self._limit_per_s(record.target, now_s)
+        limited = limited_rate(per_s) if per_s is not None else None
         if not record.is_cold(now_s):
-            return True
+            return limited
         policy = cfg.services.get(record.target.service) if cfg else None
-        if policy is None:
-            return False
-        vms = self.vms_by_region.get(region) or self.vms_by_region[self._region]
-        target = record.target
-        return self._cold_limiter.may_send(
-            target.name, target.incarnation, policy.cold_rate_per_s, vms, now_s
-        )
+        cold = cold_rate(policy.cold_rate_per_s if policy is not None else 0.0)
+        return cold.strictest(limited) if limited is not None else cold
+
+    def _limit_per_s(self, target: Target, now_s: float) -> float | None:
+        if self.limits.is_empty:
+            return None
+        return self.limits.per_s(Lifetime(target.name, target.incarnation), now_s)
+
+    def _refuse_without_room(
+        self,
+        query: PlacementQuery,
+        targets: Sequence[Target],
+        cfg: Configuration | None,
+        now_s: float,
+    ) -> Refused:
+        """Refuse a request for which no target has room.
+
+        The caller may return when this VM has room at a target whose rate is limited. If other VMs
+        alone may send there, it may return after the average time in which a request fits for each
+        VM.
+        """
+        records = [
+            self._records[target.name]
+            for target in targets
+            if target.name not in query.excluded_targets
+        ]
+        rates = [self._shared_rate(record, cfg, now_s) for record in records]
+        total_per_s = sum(rate.per_s for rate in rates if rate is not None)
+        if not total_per_s:
+            return Refused(NO_TARGET_RETRY_AFTER_S)
+        room_in_s = min(self._room_in_s(record, cfg, now_s) for record in records)
+        if math.isinf(room_in_s):
+            room_in_s = len(self._all_vms()) / total_per_s
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, room_in_s))
+        return Refused(retry_after_s, is_rate_limited=True)
+
+    def _all_vms(self) -> list[str]:
+        return [name for names in self.vms_by_region.values() for name in names]
--- a/src/chervilmill/overload/_target_limits.py
+++ b/src/chervilmill/overload/_target_limits.py
@@ -4,6 +4,7 @@
 tell each other, and the newest statement of the target counts.
 """
 
+import math
 import re
 from dataclasses import dataclass
 
@@ -37,6 +38,11 @@
     return StatedLimit(float(stripped) if is_number else None, text)
 
 
+def is_limit(value: object) -> bool:
+    """Return whether a decoded value can be a limit in requests a second."""
+    return isinstance(value, float) and math.isfinite(value) and value >= 0
+
+
 @dataclass(frozen=True, slots=True)
 class LimitReport:
     """What a target last said, for other entry VMs, with its age in place of a clock reading.
@@ -67,6 +73,11 @@
     def __init__(self) -> None:
         self._statements: dict[Lifetime, _Statement] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no target has named a limit."""
+        return not self._statements
+
     def per_s(self, lifetime: Lifetime, now_s: float) -> float | None:
         """Return the limit in requests a second, or None if the target names none."""
         statement = self._statements.get(lifetime)
--- a/src/chervilmill/peers/__init__.py
+++ b/src/chervilmill/peers/__init__.py
@@ -5,13 +5,16 @@
 single VM.
 """
 
+from chervilmill.peers._crash_reports import decode_reports, encode_reports
 from chervilmill.peers._digest import Digest, HeartbeatEntry, MalformedDigestError
 from chervilmill.peers._dissemination import TableCursor, UpdateQueue
-from chervilmill.peers._endpoint import GossipEndpoint, ReportExchange
-from chervilmill.peers._membership import Membership, MemberState, Peer, peer_key
+from chervilmill.peers._endpoint import GossipEndpoint, ReportChannel, ReportExchange
+from chervilmill.peers._limit_reports import decode_limits, encode_limits
+from chervilmill.peers._membership import DEAD_AFTER_S, Membership, MemberState, Peer, peer_key
 from chervilmill.peers._replica import KindReplica, ReplicaChange
 
 __all__ = [
+    "DEAD_AFTER_S",
     "Digest",
     "GossipEndpoint",
     "HeartbeatEntry",
@@ -21,8 +24,13 @@
     "Membership",
     "Peer",
     "ReplicaChange",
+    "ReportChannel",
     "ReportExchange",
     "TableCursor",
     "UpdateQueue",
+    "decode_limits",
+    "decode_reports",
+    "encode_limits",
+    "encode_reports",
     "peer_key",
 ]
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -1,41 +1,72 @@
 """Send and receive digests of the gossip protocol over UDP."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Protocol, cast
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+from typing import Any, Generic, Protocol, TypeVar, cast
 
 from chervilmill.addresses import Address
 from chervilmill.errors import ChervilmillError
 from chervilmill.logs import log_problem
-from chervilmill.peers._crash_reports import decode_reports, encode_reports
 from chervilmill.peers._digest import Digest, decode_digest
 from chervilmill.peers._membership import ROUND_S, Membership
-from chervilmill.requests import CrashReport
 
 LEAVING_REPEATS = 3  # a single datagram may get lost
 
 
-class ReportExchange(Protocol):
-    """What this VM knows of requests that may crash their targets."""
+Report = TypeVar("Report")
+
+
+class ReportExchange(Protocol[Report]):
+    """What this VM knows of one matter and shares with the other VMs, as reports."""
 
     @property
     def has_new_reports(self) -> bool:
         """Return whether reports wait that the other VMs may not know yet."""
         ...
 
-    def next_reports(self, now_s: float) -> tuple[CrashReport, ...]:
+    def next_reports(self, now_s: float) -> tuple[Report, ...]:
         """Return the reports to send in this round."""
         ...
 
-    def reports_for_newcomer(self, now_s: float) -> tuple[CrashReport, ...]:
+    def reports_for_newcomer(self, now_s: float) -> tuple[Report, ...]:
         """Return the reports to send to a VM that has just started or was cut off."""
         ...
 
-    def receive_reports(self, reports: tuple[CrashReport, ...], now_s: float) -> None:
+    def receive_reports(self, reports: tuple[Report, ...], now_s: float) -> None:
         """Merge the reports of another VM."""
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class ReportChannel(Generic[Report]):
+    """An exchange and the datagrams that carry its reports.
+
+    `decode` returns None for a datagram of another kind, and raises MalformedDigestError for one
+    that cannot be read.
+    """
+
+    exchange: ReportExchange[Report]
+    encode: Callable[[tuple[Report, ...]], Iterator[bytes]]
+    decode: Callable[[bytes, str], tuple[Report, ...] | None]
+
+    def datagrams_for_round(self, now_s: float) -> Iterator[bytes]:
+        """Yield the datagrams to send in this round."""
+        yield from self.encode(self.exchange.next_reports(now_s))
+
+    def datagrams_for_newcomer(self, now_s: float) -> Iterator[bytes]:
+        """Yield the datagrams to send to a VM that has just started or was cut off."""
+        yield from self.encode(self.exchange.reports_for_newcomer(now_s))
+
+    def receive(self, data: bytes, peer: str, now_s: float) -> bool:
+        """Merge the reports in a datagram and return whether it was of this kind."""
+        reports = self.decode(data, peer)
+        if reports is None:
+            return False
+        self.exchange.receive_reports(reports, now_s)
+        return True
+
+
 class GossipEndpoint(asyncio.DatagramProtocol):
     """The UDP endpoint of one VM: sends digests to a few peers each round and receives theirs."""
 
@@ -44,13 +75,13 @@
         membership: Membership,
         port: int,
         revisions: Callable[[], dict[str, int]],
-        reports: ReportExchange,
+        channels: Sequence[ReportChannel[Any]],
         on_digest: Callable[[Digest], None],
     ) -> None:
         self._membership = membership
         self._port = port
         self._revisions = revisions
-        self._reports = reports
+        self._channels = channels
         self._on_digest = on_digest
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -68,17 +99,16 @@
         now_s = asyncio.get_running_loop().time()
         host = str(addr[0])
         try:
-            reports = decode_reports(data, host)
-            if reports is not None:
-                self._reports.receive_reports(reports, now_s)
+            if any(channel.receive(data, host, now_s) for channel in self._channels):
                 return
             digest = decode_digest(data, host)
         except ChervilmillError as exc:
             log_problem("datagram dropped", step=exc.step, peer=exc.peer, reason=exc.message)
             return
         if self._membership.is_joining(digest, now_s):
-            for datagram in encode_reports(self._reports.reports_for_newcomer(now_s)):
-                self._send(datagram, host)
+            for channel in self._channels:
+                for datagram in channel.datagrams_for_newcomer(now_s):
+                    self._send(datagram, host)
         for reply in self._membership.receive(digest, now_s):
             self._send(reply.encode(), host)
         self._on_digest(digest)
@@ -117,13 +147,17 @@
 
     def _send_round(self, *, to_all: bool = False) -> None:
         now_s = asyncio.get_running_loop().time()
-        if self._reports.has_new_reports:
+        if any(channel.exchange.has_new_reports for channel in self._channels):
             self._membership.raise_fanout()
-        reports = self._reports.next_reports(now_s)
+        reports = [
+            datagram
+            for channel in self._channels
+            for datagram in channel.datagrams_for_round(now_s)
+        ]
         receivers = self._membership.receivers(now_s, to_all=to_all)
         if not receivers:
             return
-        for datagram in (self._make_digest().encode(), *encode_reports(reports)):
+        for datagram in (self._make_digest().encode(), *reports):
             for peer in receivers:
                 self._send(datagram, peer.host)
 
--- a/src/chervilmill/peers/_membership.py
+++ b/src/chervilmill/peers/_membership.py
@@ -170,6 +170,10 @@
         """Return the state of a VM; a VM without any known heartbeat counts as dead."""
         return self._state(peer_key(name), now_s)
 
+    def registered_peers(self) -> list[Peer]:
+        """Return all peers, whether they are alive or not."""
+        return [peer for key, peer in self._peers.items() if key != self._key]
+
     def serving_peers(self, now_s: float) -> list[Peer]:
         """Return the peers that take callers."""
         return [
--- a/tests/entry/test_target_limits.py
+++ b/tests/entry/test_target_limits.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chervilmill.entry._entry_vm import TICK_S
 from soak.target import StandInTarget
 from tests.entry.harness import SiteUnderTest, running_site
 from tests.support import run_async
@@ -47,3 +48,45 @@
             assert set(statuses) == {200}, "the other target has room"
 
     run_async(scenario)
+
+
+def test_vm_that_has_just_started_takes_all_rates_for_itself(tmp_path: Path) -> None:
+    """Until it has heard from its peers, it must not take them for dead."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path) as site:
+            for number in range(3):
+                peer = {"host": f"127.0.9.{number}", "failure_domain": "north-a"}
+                site.store.put("entry-vms", f"peer-{number}", peer)
+            await site.settle()
+            await asyncio.sleep(2 * TICK_S)
+            assert len(site.vm._site_state.fleet.vms_by_region["north"]) == 4
+
+    run_async(scenario)
+
+
+def test_request_that_no_target_takes_is_told_when_to_return(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=("t1",)) as site:
+            site.targets["t1"].limit = b"4.0"
+            await site.ask("/read/1")
+            refused = [await site.ask("/read/1") for _ in range(3)][-1]
+            assert refused.status == 503
+            assert 0.1 <= float(refused.headers[b"retry-after"]) <= 0.25
+            await asyncio.sleep(float(refused.headers[b"retry-after"]) + 0.05)
+            assert (await site.ask("/read/1")).status == 200
+
+    run_async(scenario)
+
+
+def test_withdrawn_limit_no_longer_holds(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=("t1",)) as site:
+            target = site.targets["t1"]
+            target.limit = b"2.0"
+            await site.ask("/read/1")
+            target.limit = None
+            await asyncio.sleep(0.6)
+            assert {(await site.ask("/read/1")).status for _ in range(10)} == {200}
+
+    run_async(scenario)
--- a/tests/overload/test_parts.py
+++ b/tests/overload/test_parts.py
@@ -8,12 +8,13 @@
 from chervilmill.overload import (
     AffinityRanking,
     CallerAgeEstimator,
-    ColdRateLimiter,
     RegionShares,
     RetryBudgetShare,
     ServiceTimes,
+    SharedRateLimiter,
     TargetRecord,
     Workload,
+    cold_rate,
     desired_region_shares,
 )
 from chervilmill.routing import Target, unit_hash
@@ -83,13 +84,13 @@
 @pytest.mark.parametrize("vms", [1, 2, 3, 5, 28])
 def test_cold_rate_holds_over_all_vms(vms: int) -> None:
     names = [f"vm-{number}" for number in range(vms)]
-    limiters = [ColdRateLimiter(name) for name in names]
+    limiters = [SharedRateLimiter(name) for name in names]
     sent: list[float] = []
     for tick in range(400):
         now_s = tick / 100
         for limiter in limiters:
-            if limiter.may_send("t", 1, 6.9, names, now_s):
-                limiter.count("t", 1)
+            if limiter.wait_s("t", 1, cold_rate(6.9), names, now_s) <= 0:
+                limiter.count("t", 1, now_s)
                 sent.append(now_s)
     busiest = max(sum(a <= b < a + 1.0 for b in sent) for a in sent)
     assert busiest <= 6.9 * 1.5 + 5
--- a/tests/peers/test_endpoint.py
+++ b/tests/peers/test_endpoint.py
@@ -8,6 +8,7 @@
 import cbor2
 import pytest
 
+from chervilmill.overload import LimitReport
 from chervilmill.peers import (
     Digest,
     GossipEndpoint,
@@ -15,6 +16,7 @@
     Membership,
     MemberState,
     Peer,
+    ReportChannel,
 )
 from chervilmill.peers._crash_reports import (
     MAX_LOSSES_PER_REPORT,
@@ -22,6 +24,7 @@
     encode_reports,
 )
 from chervilmill.peers._endpoint import LEAVING_REPEATS
+from chervilmill.peers._limit_reports import REPORTS_PER_DATAGRAM, decode_limits, encode_limits
 from chervilmill.peers._membership import ROUND_S
 from chervilmill.requests import CrashReport, Lifetime, ReportedLoss
 from tests.support import free_address
@@ -61,7 +64,11 @@
         self.received: list[Digest] = []
         self.reports = _Reports()
         self.endpoint = GossipEndpoint(
-            self.membership, port, lambda: {"config": 7}, self.reports, self.received.append
+            self.membership,
+            port,
+            lambda: {"config": 7},
+            [ReportChannel(self.reports, encode_reports, decode_reports)],
+            self.received.append,
         )
 
     def state(self, other: "_Node") -> MemberState:
@@ -160,3 +167,26 @@
             await _wait_until_all_see(nodes, nodes[1], MemberState.SERVING)
 
     asyncio.run(scenario())
+
+
+def test_largest_datagram_of_limits_fits_a_packet() -> None:
+    lifetime = Lifetime("t" * 40, 1_800_000_000_000)
+    limits = (LimitReport(lifetime, 4.1, 2.0), LimitReport(lifetime, None, 30.0))
+    reports = limits * REPORTS_PER_DATAGRAM
+    datagrams = list(encode_limits(reports))
+    assert max(map(len, datagrams)) <= MAX_DATAGRAM_BYTES
+    decoded = tuple(report for data in datagrams for report in decode_limits(data, "x") or ())
+    assert decoded == reports
+
+
+@pytest.mark.parametrize(
+    "row",
+    [["t", 1, -2.0, 1], ["t", 1, "2", 1], ["t", 1, float("inf"), 1], ["t", 1, 2.0, -1], ["t", 1]],
+)
+def test_malformed_limits_are_refused(row: list[object]) -> None:
+    with pytest.raises(MalformedDigestError):
+        decode_limits(cbor2.dumps(["limits", [row]]), "127.0.0.1")
+
+
+def test_datagram_of_another_kind_holds_no_limits() -> None:
+    assert decode_limits(cbor2.dumps(["crash reports", []]), "127.0.0.1") is None
