Keep the limits that targets name in the front end of our own interface

A target that named a limit of 2.0 requests a second got 31 in 4 s through our own interface (allowed 17).

A target names it in X-Target-Limit. The limiter of the other front door decides here too; the entry VMs of the target's region share the limit and tell each other of changes by broadcast items. A request that only the limits keep from its targets is refused at once, with the time after which this node has room, in place of waiting in the queue.

--- a/bench/overload/_replay.py
+++ b/bench/overload/_replay.py
@@ -168,7 +168,7 @@
                 domain = name.rpartition("-")[0]
                 rng = random.Random(f"{self._seed}/{incarnation}/{name}")
                 fleet = self._make_fleet(name, region, REGIONS, rng)
-                fleet.vms_by_region = self._vm_names_by_region
+                fleet.rates.vms_by_region = self._vm_names_by_region
                 fleet.round_trips_s = {
                     other: 2 * ONE_WAY_S[REGIONS[other] == region] for other in REGIONS
                 }
--- a/src/chervilmill/callers/__init__.py
+++ b/src/chervilmill/callers/__init__.py
@@ -14,6 +14,7 @@
 from chervilmill.callers._retries import Retries
 from chervilmill.callers._service_state import ServiceState, build_services
 from chervilmill.callers._steered_requests import SteeredRequests
+from chervilmill.callers._target_limits import publish_limit, receive_limits
 from chervilmill.callers._upload_links import Links
 from chervilmill.callers._watch import CallerWatch
 
@@ -36,5 +37,7 @@
     "ServiceState",
     "build_services",
     "publish_crash",
+    "publish_limit",
     "receive_crashes",
+    "receive_limits",
 ]
--- a/src/chervilmill/callers/_attempt_run.py
+++ b/src/chervilmill/callers/_attempt_run.py
@@ -33,6 +33,7 @@
 
 ATTEMPT_HEADER = "X-Attempt"
 LOAD_HEADER = "x-target-load"
+LIMIT_HEADER = "x-target-limit"
 RAN_HEADER = "x-ran"
 STATE_HEADER = "x-target-state"
 STALL_THRESHOLD_S = 1.0
@@ -107,6 +108,8 @@
             self._links.end_upload(link)
 
     def _record_target_headers(self, answer: Answer) -> None:
+        limits = [value for name, value in answer.headers if name.lower() == LIMIT_HEADER]
+        self._slots.record_limit(self._target.name, limits[0] if limits else None)
         for name, value in answer.headers:
             if name.lower() == LOAD_HEADER:
                 self._record_load(value)
--- a/src/chervilmill/callers/_crash_news.py
+++ b/src/chervilmill/callers/_crash_news.py
@@ -1,10 +1,10 @@
 """Share reports of requests that crash targets with the other entry VMs."""
 
-from collections.abc import Callable, Mapping
-from typing import Protocol
+from collections.abc import Mapping
 
 import cbor2
 
+from chervilmill.callers._broadcast import BroadcastChannel, ReceivedItem
 from chervilmill.callers._service_state import ServiceState
 from chervilmill.logs import log_problem
 from chervilmill.requests import QUARANTINE_TTL_S, CrashReport, Lifetime, ReportedLoss
@@ -13,32 +13,6 @@
 FINGERPRINT_BYTES = 16
 
 
-class ReceivedItem(Protocol):
-    """A broadcast item from another entry VM."""
-
-    @property
-    def key(self) -> str:
-        """Return the key of the item."""
-        ...
-
-    @property
-    def value(self) -> bytes:
-        """Return the encoded value of the item."""
-        ...
-
-
-class BroadcastChannel(Protocol):
-    """A channel that distributes broadcast items among entry VMs."""
-
-    def publish(self, topic: str, key: str, value: bytes, lifetime_s: float) -> None:
-        """Send an item to every node."""
-        ...
-
-    def on_broadcast(self, topic: str, listener: Callable[[ReceivedItem], None]) -> None:
-        """Call a listener with every new item of a topic."""
-        ...
-
-
 def publish_crash(channel: BroadcastChannel, service: str, report: CrashReport) -> None:
     """Log a suspected or quarantined request and publish its losses to the other entry VMs.
 
--- a/src/chervilmill/callers/_service_state.py
+++ b/src/chervilmill/callers/_service_state.py
@@ -1,5 +1,6 @@
 """Build the state that the requests of one service share."""
 
+import functools
 import random
 import threading
 from collections.abc import Callable, Mapping
@@ -7,10 +8,12 @@
 
 from chervilmill.callers._slots import ServiceTargets, TargetSlots
 from chervilmill.callers._suspects import ReachabilityCheck, Suspects
+from chervilmill.overload import LimitReport
 from chervilmill.requests import CrashReport, HedgeDelay, RetryBudget
 from chervilmill.settings import Settings
 
 ServiceReportListener = Callable[[str, CrashReport], None]
+ServiceLimitListener = Callable[[str, LimitReport], None]
 
 
 class RetryState:
@@ -30,12 +33,17 @@
     suspects: Suspects
     retry_state: RetryState
 
+    def receive_limit(self, report: LimitReport) -> None:
+        """Apply a limit that another entry VM reports."""
+        self.slots.receive_limit(report)
+
 
 def build_services(
     settings: Settings,
     directory: ServiceTargets,
     is_reachable: ReachabilityCheck,
     on_report: ServiceReportListener,
+    on_limit: ServiceLimitListener,
     rng: random.Random,
 ) -> Mapping[str, ServiceState]:
     """Return the state of each service in the settings, by service name."""
@@ -49,13 +57,10 @@
                 node.name,
                 node.region,
                 random.Random(rng.random()),
+                functools.partial(on_limit, service.name),
             ),
-            suspects=Suspects(is_reachable, _with_service(service.name, on_report)),
+            suspects=Suspects(is_reachable, functools.partial(on_report, service.name)),
             retry_state=RetryState(),
         )
         for service in settings.services
     }
-
-
-def _with_service(service: str, on_report: ServiceReportListener) -> Callable[[CrashReport], None]:
-    return lambda report: on_report(service, report)
--- a/src/chervilmill/callers/_slots.py
+++ b/src/chervilmill/callers/_slots.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from chervilmill.callers._target_limits import ServiceLimits
 from chervilmill.coordination import Vm
+from chervilmill.overload import LimitReport
 from chervilmill.requests import (
     AdmissionQueue,
     AllowedDomains,
@@ -88,6 +90,7 @@
         node: str,
         region: str,
         rng: random.Random,
+        on_limit_change: Callable[[LimitReport], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.service = service
@@ -97,7 +100,9 @@
         self._region = region
         self._rng = rng
         self._clock = clock
-        self._policy = TargetPolicy(node)
+        self._limits = ServiceLimits(service, node, region)
+        self._on_limit_change = on_limit_change
+        self._policy = TargetPolicy(node, self._limits.may_send)
         self._queue = AdmissionQueue()
         self._waiters: dict[int, _Waiter] = {}
         self._by_name: dict[str, Vm] = {}
@@ -107,7 +112,8 @@
     def take(self, request: SlotRequest) -> Vm:
         """Take a slot and return its target, or raise NoFreeSlot.
 
-        A request waits only if a slot is expected to become free before its deadline.
+        A request waits only if a slot is expected to become free before its deadline. It doesn't
+        wait for a target to take more requests a second.
         """
         with self._lock:
             now_s = self._clock()
@@ -117,6 +123,7 @@
             name = None if len(self._queue) else self._take_now(request, now_s)
             if name is not None:
                 return self._by_name[name]
+            self._refuse_if_rate_limited(request, now_s)
             waiter = self._enqueue(request, now_s)
         return self._wait_for_slot(waiter)
 
@@ -135,6 +142,18 @@
         with self._lock:
             self._policy.record_load(target, load, self._clock())
 
+    def record_limit(self, target: str, text: str | None) -> None:
+        """Record the limit that a target named in an answer, or that the answer names none."""
+        with self._lock:
+            report = self._limits.record_answer(target, text, self._clock())
+        if report is not None:
+            self._on_limit_change(report)
+
+    def receive_limit(self, report: LimitReport) -> None:
+        """Apply a limit that another entry VM reports."""
+        with self._lock:
+            self._limits.receive(report, self._clock())
+
     def set_condition(self, target: str, condition: TargetCondition) -> None:
         """Record the condition that a target reported in an answer."""
         with self._lock:
@@ -164,7 +183,8 @@
     def is_open(self, target: str) -> bool:
         """Return whether a target accepts requests from this node."""
         with self._lock:
-            return self._policy.is_open(target, self._clock())
+            now_s = self._clock()
+            return self._policy.is_open(target, now_s) and self._limits.is_sender(target, now_s)
 
     def domains(self) -> dict[str, str]:
         """Return the failure domain of each listed target."""
@@ -185,8 +205,16 @@
         )
         if name is not None:
             self._queue.slot_taken()
+            self._limits.count(name, now_s)
         return name
 
+    def _refuse_if_rate_limited(self, request: SlotRequest, now_s: float) -> None:
+        """Raise NoFreeSlot if only the rates of its targets keep a request from them."""
+        blocked = self._policy.rate_limited(now_s, request.excluded, request.only, request.domains)
+        retry_after_s = self._limits.retry_after_s(blocked, now_s)
+        if retry_after_s is not None:
+            raise NoFreeSlot(retry_after_s)
+
     def _enqueue(self, request: SlotRequest, now_s: float) -> _Waiter:
         waiting = QueuedRequest(request.priority, now_s, request.deadline_s)
         refusal = self._queue.join(waiting, now_s)
@@ -224,7 +252,9 @@
             return
         self._refreshed_s = now_s
         targets = self._directory.targets(self.service)
-        entries = [vm.name for vm in self._directory.entry_vms() if vm.region == self._region]
+        entry_vms = self._directory.entry_vms()
+        entries = [vm.name for vm in entry_vms if vm.region == self._region]
+        self._limits.set_fleet(targets, entry_vms)
         infos = [
             TargetInfo(
                 vm.name, self._slots_per_target, vm.region == self._region, vm.failure_domain
--- a/src/chervilmill/daemon/_daemon.py
+++ b/src/chervilmill/daemon/_daemon.py
@@ -1,5 +1,6 @@
 """Construct the components of a node and control their start and stop."""
 
+import functools
 import math
 import random
 import threading
@@ -21,7 +22,9 @@
     SteeredRequests,
     build_services,
     publish_crash,
+    publish_limit,
     receive_crashes,
+    receive_limits,
 )
 from chervilmill.coordination import (
     ConfigurationCache,
@@ -43,7 +46,6 @@
     status_routes,
 )
 from chervilmill.reasons import DropReason
-from chervilmill.requests import CrashReport
 from chervilmill.settings import Settings
 from chervilmill.steering import (
     Headroom,
@@ -107,10 +109,12 @@
             settings,
             self.directory,
             self._targets.is_reachable,
-            self._on_crash,
+            functools.partial(publish_crash, self.nodes),
+            functools.partial(publish_limit, self.nodes),
             random.Random(),
         )
         receive_crashes(self.nodes, self._services)
+        receive_limits(self.nodes, self._services)
         self._prober = Prober([state.slots for state in self._services.values()], self._targets)
         self._lookup_entry_vms = _LookupEntryVms(self.directory, settings.node.name)
         self._steering_model = SteeringModel(settings, self.directory)
@@ -289,9 +293,6 @@
     def _count_extra_bytes(self) -> None:
         self.metrics.count_dropped("", DropReason.EXTRA_BYTES)
 
-    def _on_crash(self, service: str, report: CrashReport) -> None:
-        publish_crash(self.nodes, service, report)
-
 
 def _max_connections_per_target(settings: Settings) -> int:
     return max(service.connections_per_target for service in settings.services)
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -77,7 +77,7 @@
         self._pool = TargetPool()
         self._site_state.on_lifetime_change = self._handle_lifetime_change
         self._crashes = CrashTracker()
-        self._limits = LimitTracker(fleet.limits)
+        self._limits = LimitTracker(fleet.rates.limits)
         self._replicas = {kind: KindReplica(kind) for kind in KINDS}
         self._store = PlatformStore(HttpClient(settings.store), str(settings.store))
         self._sync = ReplicaSync(self._store, self._replicas, self._site_state.apply_change)
@@ -209,7 +209,7 @@
             region = regions.get(peer.failure_domain)
             if region is not None:
                 vms.setdefault(region, []).append(peer.name)
-        self._site_state.fleet.vms_by_region = vms
+        self._site_state.fleet.rates.vms_by_region = vms
         fleet_size = sum(len(names) for names in vms.values())
         self._crashes.fleet_size = self._limits.fleet_size = fleet_size
 
--- a/src/chervilmill/overload/__init__.py
+++ b/src/chervilmill/overload/__init__.py
@@ -25,12 +25,14 @@
 )
 from chervilmill.overload._spill_budget import SpillBudget
 from chervilmill.overload._target_limits import (
+    LIMIT_TTL_S,
     LimitReport,
     StatedLimit,
     TargetLimits,
     is_limit,
     parse_limit,
 )
+from chervilmill.overload._target_rates import RatedTarget, TargetRates
 from chervilmill.overload._target_record import TargetRecord
 
 __all__ = [
@@ -40,9 +42,11 @@
     "AffinityWorkload",
     "CallerAgeEstimator",
     "Candidate",
+    "LIMIT_TTL_S",
     "LimitReport",
     "PlacementOptions",
     "PlacementQuery",
+    "RatedTarget",
     "Refused",
     "RegionShares",
     "RetryBudgetShare",
@@ -53,6 +57,7 @@
     "StatedLimit",
     "TargetFleet",
     "TargetLimits",
+    "TargetRates",
     "TargetRecord",
     "Workload",
     "admit",
--- a/src/chervilmill/overload/_fleet.py
+++ b/src/chervilmill/overload/_fleet.py
@@ -5,26 +5,13 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
-from chervilmill.overload._admission import (
-    MAX_RETRY_AFTER_S,
-    MIN_RETRY_AFTER_S,
-    AdmissionRequest,
-    Admitted,
-    Refused,
-    admit,
-)
+from chervilmill.overload._admission import AdmissionRequest, Admitted, Refused, admit
 from chervilmill.overload._affinity import AffinityRanking
 from chervilmill.overload._candidates import AffinityWorkload, Candidate, choose_candidates
 from chervilmill.overload._region_shares import RegionShares, desired_region_shares, region_at
 from chervilmill.overload._service_times import ServiceTimes
-from chervilmill.overload._shared_rate import (
-    SharedRate,
-    SharedRateLimiter,
-    cold_rate,
-    limited_rate,
-)
 from chervilmill.overload._spill_budget import SpillBudget
-from chervilmill.overload._target_limits import TargetLimits
+from chervilmill.overload._target_rates import RatedTarget, TargetRates
 from chervilmill.overload._target_record import TargetRecord
 from chervilmill.requests import Lifetime
 from chervilmill.routing import (
@@ -76,13 +63,11 @@
         self._ranking = AffinityRanking()
         self._shares_by_group: dict[str, RegionShares] = {}
         self._spill_budget = SpillBudget()
-        self._limiter = SharedRateLimiter(vm)
         self._others_per_slot_by_group: dict[str, tuple[float, float]] = {}
         self._usable_by_service: dict[str, list[Target]] = {}
         self.service_times = ServiceTimes()
-        self.limits = TargetLimits()
+        self.rates = TargetRates(vm, region)
         self.round_trips_s: dict[str, float] = {}
-        self.vms_by_region: dict[str, list[str]] = {region: [vm]}
 
     def apply(self, changes: Iterable[ViewChange], view: SiteView, now_s: float) -> None:
         """Update the records with changes of the site."""
@@ -92,7 +77,7 @@
                 self._update_record(change.target, now_s, is_new=change.previous is None)
             elif isinstance(change, TargetRemoved):
                 self._records.pop(change.target.name, None)
-                self._limiter.forget(change.target.name)
+                self.rates.forget(change.target.name)
             elif isinstance(change, EvacuationChanged) and not change.is_evacuated:
                 self._mark_domain_cold(change.failure_domain, view.configuration, now_s)
 
@@ -135,10 +120,11 @@
 
     def start(self, candidate: Candidate, key: str, now_s: float) -> int:
         """Record a request that is sent to a candidate, and return its serial number there."""
-        target = candidate.record.target
-        if candidate.record.is_cold(now_s) or self._limit_per_s(target, now_s) is not None:
-            self._limiter.count(target.name, target.incarnation, now_s)
-        return candidate.record.start(key, candidate.expected_answer_s, now_s)
+        record = candidate.record
+        lifetime = _lifetime(record.target)
+        if record.is_cold(now_s) or self.rates.limits.per_s(lifetime, now_s) is not None:
+            self.rates.count(lifetime, now_s)
+        return record.start(key, candidate.expected_answer_s, now_s)
 
     def record_load(self, record: TargetRecord, total: int, now_s: float) -> None:
         """Record how many requests a target reported to have."""
@@ -291,31 +277,18 @@
         return self._room_in_s(record, cfg, now_s) <= 0
 
     def _room_in_s(self, record: TargetRecord, cfg: Configuration | None, now_s: float) -> float:
-        """Return the time until this VM may send a request to a target, or infinity if never."""
-        rate = self._shared_rate(record, cfg, now_s)
-        if rate is None:
+        if not record.is_cold(now_s) and self.rates.limits.is_empty:
             return 0.0
+        return self.rates.room_in_s(self._rated(record, cfg, now_s), now_s)
+
+    def _rated(self, record: TargetRecord, cfg: Configuration | None, now_s: float) -> RatedTarget:
         target = record.target
+        cold_per_s = None
+        if record.is_cold(now_s):
+            policy = cfg.services.get(target.service) if cfg else None
+            cold_per_s = policy.cold_rate_per_s if policy is not None else 0.0
         region = self._regions.get(target.failure_domain, "")
-        vms = self.vms_by_region.get(region) or self._all_vms()
-        return self._limiter.wait_s(target.name, target.incarnation, rate, vms, now_s)
-
-    def _shared_rate(
-        self, record: TargetRecord, cfg: Configuration | None, now_s: float
-    ) -> SharedRate | None:
-        """Return the rate that all entry VMs share at a target, or None if it is unlimited."""
-        per_s = self._limit_per_s(record.target, now_s)
-        limited = limited_rate(per_s) if per_s is not None else None
-        if not record.is_cold(now_s):
-            return limited
-        policy = cfg.services.get(record.target.service) if cfg else None
-        cold = cold_rate(policy.cold_rate_per_s if policy is not None else 0.0)
-        return cold.strictest(limited) if limited is not None else cold
-
-    def _limit_per_s(self, target: Target, now_s: float) -> float | None:
-        if self.limits.is_empty:
-            return None
-        return self.limits.per_s(Lifetime(target.name, target.incarnation), now_s)
+        return RatedTarget(_lifetime(target), region, cold_per_s)
 
     def _refuse_without_room(
         self,
@@ -324,26 +297,16 @@
         cfg: Configuration | None,
         now_s: float,
     ) -> Refused:
-        """Refuse a request for which no target has room.
-
-        The caller may return when this VM has room at a target whose rate is limited. If other VMs
-        alone may send there, it may return after the average time in which a request fits for each
-        VM.
-        """
-        records = [
-            self._records[target.name]
+        rated = [
+            self._rated(self._records[target.name], cfg, now_s)
             for target in targets
             if target.name not in query.excluded_targets
         ]
-        rates = [self._shared_rate(record, cfg, now_s) for record in records]
-        total_per_s = sum(rate.per_s for rate in rates if rate is not None)
-        if not total_per_s:
+        retry_after_s = self.rates.retry_after_s(rated, now_s)
+        if retry_after_s is None:
             return Refused(NO_TARGET_RETRY_AFTER_S)
-        room_in_s = min(self._room_in_s(record, cfg, now_s) for record in records)
-        if math.isinf(room_in_s):
-            room_in_s = len(self._all_vms()) / total_per_s
-        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, room_in_s))
         return Refused(retry_after_s, is_rate_limited=True)
 
-    def _all_vms(self) -> list[str]:
-        return [name for names in self.vms_by_region.values() for name in names]
+
+def _lifetime(target: Target) -> Lifetime:
+    return Lifetime(target.name, target.incarnation)
--- a/src/chervilmill/overload/_target_limits.py
+++ b/src/chervilmill/overload/_target_limits.py
@@ -101,6 +101,11 @@
             return False
         return self._put(report.lifetime, statement, now_s)
 
+    def forget(self, target: str) -> None:
+        """Drop the limits of a target that is gone, in all its lifetimes."""
+        for lifetime in [known for known in self._statements if known.target == target]:
+            del self._statements[lifetime]
+
     def lifetimes(self, now_s: float) -> list[Lifetime]:
         """Return the lifetimes of which something can be reported."""
         return [
--- a/src/chervilmill/requests/_target_policy.py
+++ b/src/chervilmill/requests/_target_policy.py
@@ -49,10 +49,17 @@
 
 
 class TargetPolicy:
-    """Chooses among the targets of one service by what one entry VM knows about them."""
+    """Chooses among the targets of one service by what one entry VM knows about them.
 
-    def __init__(self, entry: str) -> None:
+    `may_send` returns whether a target takes one more request from this entry VM at a time, by the
+    rate that all entry VMs share.
+    """
+
+    def __init__(
+        self, entry: str, may_send: Callable[[str, float], bool] = lambda _name, _now_s: True
+    ) -> None:
         self._entry = entry
+        self._may_send = may_send
         self._states: dict[str, TargetState] = {}
         self._in_region: frozenset[str] = frozenset()
         self._home_slots: dict[str, int] = {}
@@ -107,6 +114,7 @@
         """
         if only is not None:
             is_free = self.is_open(only, now_s) and self._has_room(only, now_s)
+            is_free = is_free and self._may_send(only, now_s)
             name = only if is_free and only not in excluded else None
         else:
             name = self._choose(now_s, rng, excluded, domains)
@@ -181,6 +189,26 @@
             name not in excluded and not self._states[name].is_leaving for name in self._reachable
         )
 
+    def rate_limited(
+        self,
+        now_s: float,
+        excluded: Collection[str] = (),
+        only: str | None = None,
+        domains: AllowedDomains | None = None,
+    ) -> list[str]:
+        """Return the targets that a request could use if their rates allowed it.
+
+        The list is empty if a rate keeps the request from none of its targets, or not from all.
+        """
+        if only is not None:
+            names = [only] if only in self._states else []
+        elif domains is not None:
+            names = self._allowed(excluded, domains)
+        else:
+            names = self._in_region_or_all(excluded)
+        names = [name for name in names if self.is_open(name, now_s)]
+        return [] if any(self._may_send(name, now_s) for name in names) else names
+
     def _choose(
         self,
         now_s: float,
@@ -190,14 +218,17 @@
     ) -> str | None:
         if domains is None:
             return self._choose_among(now_s, rng, self._in_region_or_all(excluded))
-        allowed = [
+        allowed = self._allowed(excluded, domains)
+        preferred = [name for name in allowed if self._domains[name] == domains.preferred]
+        name = self._choose_among(now_s, rng, preferred) if preferred else None
+        return name or self._choose_among(now_s, rng, allowed)
+
+    def _allowed(self, excluded: Collection[str], domains: AllowedDomains) -> list[str]:
+        return [
             name
             for name in self._reachable
             if name not in excluded and self._domains[name] in domains.allowed
         ]
-        preferred = [name for name in allowed if self._domains[name] == domains.preferred]
-        name = self._choose_among(now_s, rng, preferred) if preferred else None
-        return name or self._choose_among(now_s, rng, allowed)
 
     def _choose_among(
         self,
@@ -205,6 +236,7 @@
         rng: random.Random,
         names: Collection[str],
     ) -> str | None:
+        names = [name for name in names if self._may_send(name, now_s)]
         home = self._with_free_home_slot(now_s, names)
         if home:
             return self._least_loaded(home, now_s, rng)
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -28,6 +28,7 @@
 from chervilmill.http import HttpServer
 from chervilmill.metrics import Metrics
 from chervilmill.nodes import BroadcastItem, link_resource
+from chervilmill.overload import LimitReport
 from chervilmill.reasons import DropReason
 from chervilmill.requests import CrashReport
 from chervilmill.settings import check_settings
@@ -98,6 +99,7 @@
         settings = check_settings(raw)
         self.metrics = Metrics()
         self.crash_reports: list[CrashReport] = []
+        self.limit_reports: list[LimitReport] = []
         self.watch = CallerWatch()
         self.ledger = OrderLedger(store)
         self.directory = FixedDirectory(entries, targets)
@@ -110,6 +112,7 @@
             self.directory,
             self.client.is_reachable,
             lambda _service, report: self.crash_reports.append(report),
+            lambda _service, report: self.limit_reports.append(report),
             random.Random(1),
         )
         self.prober = Prober([service.slots for service in self.services.values()], self.client)
--- a/tests/callers/test_target_limits.py
+++ b/tests/callers/test_target_limits.py
@@ -2,8 +2,15 @@
 
 import time
 
+import cbor2
+import pytest
+
+from chervilmill.callers import publish_limit, receive_limits
+from chervilmill.callers._target_limits import LIMIT_TOPIC
+from chervilmill.overload import LimitReport
+from chervilmill.requests import Lifetime
 from chervilmill.standins.target_server import TargetState
-from tests.callers.harness import Entry, running
+from tests.callers.harness import Entry, LoopbackChannel, running
 
 STABLE_S = 4.0
 WINDOW_S = 4.0
@@ -34,3 +41,62 @@
         before = _requests(states[0])
         assert _ask_for(entry, WINDOW_S) == {200}, "the other target has room"
         assert _requests(states[0]) - before <= ALLOWED
+
+
+def test_two_entry_vms_send_more_than_the_limit_together() -> None:
+    with running(targets=2, entries=2) as (entries, states):
+        states[0].limit = "2.0"
+        _ask_for(entries[0], 1.0)
+        for report in entries[0].limit_reports:
+            entries[1].services["souhrny"].receive_limit(report)
+        before = _requests(states[0])
+        until_s = time.monotonic() + WINDOW_S
+        while time.monotonic() < until_s:
+            assert {entry.get("/digest").status for entry in entries} == {200}
+            time.sleep(PAUSE_S)
+        assert _requests(states[0]) - before <= ALLOWED
+
+
+def test_request_that_no_target_takes_is_told_when_to_return() -> None:
+    with running(targets=1) as ([entry], states):
+        states[0].limit = "4.0"
+        entry.get("/digest")
+        started_s = time.monotonic()
+        refused = [entry.get("/digest", X_Deadline_Ms="3000") for _ in range(3)][-1]
+        assert time.monotonic() - started_s < 1.0, "it is refused at once"
+        assert refused.status == 503
+        assert 100 <= refused.json()["retry_after_ms"] <= 250
+
+
+def test_limit_ends_when_answers_name_none() -> None:
+    with running(targets=1) as ([entry], states):
+        states[0].limit = "2.0"
+        entry.get("/digest")
+        states[0].limit = None
+        time.sleep(0.6)
+        assert [entry.get("/digest").status for _ in range(10)] == [200] * 10
+
+
+def test_malformed_limit_changes_nothing() -> None:
+    with running(targets=1) as ([entry], states):
+        states[0].limit = "soon"
+        assert [entry.get("/digest").status for _ in range(10)] == [200] * 10
+
+
+@pytest.mark.parametrize("per_s", [2.0, None])
+def test_limit_travels_as_a_broadcast_item(per_s: float | None) -> None:
+    class Receiver:
+        def __init__(self) -> None:
+            self.received: list[LimitReport] = []
+
+        def receive_limit(self, report: LimitReport) -> None:
+            self.received.append(report)
+
+    receiver, channel = Receiver(), LoopbackChannel()
+    receive_limits(channel, {"souhrny": receiver})
+    report = LimitReport(Lifetime("t1"), per_s, 0.0)
+    publish_limit(channel, "souhrny", report)
+    publish_limit(channel, "unknown", report)
+    for value in (b"", cbor2.dumps("2"), cbor2.dumps(-2.0), cbor2.dumps(float("nan"))):
+        channel.publish(LIMIT_TOPIC, "souhrny/t1", value, 10.0)
+    assert receiver.received == [report]
--- a/tests/entry/limit_fleet.py
+++ b/tests/entry/limit_fleet.py
@@ -62,7 +62,7 @@
         self.fleet = TargetFleet(name, region, REGIONS, random.Random(seed))
         for target in targets:
             self.fleet.apply(self.view.put_target(target), self.view, 0.0)
-        self.limits = LimitTracker(self.fleet.limits)
+        self.limits = LimitTracker(self.fleet.rates.limits)
 
 
 @dataclass(slots=True)
@@ -149,7 +149,7 @@
         for vm in self._vms:
             vms.setdefault(vm.region, []).append(vm.name)
         for vm in self._vms:
-            vm.fleet.vms_by_region = vms
+            vm.fleet.rates.vms_by_region = vms
             vm.limits.fleet_size = len(self._vms)
 
     def _ask(self, now_s: float) -> None:
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -85,7 +85,10 @@
     crashes = CrashTracker()
     crashes.set_targets({"t": "north-a", "u": "north-b"})
     return _Setup(
-        OutcomeRecorder(fleet, crashes, LimitTracker(fleet.limits)), progress, candidate, crashes
+        OutcomeRecorder(fleet, crashes, LimitTracker(fleet.rates.limits)),
+        progress,
+        candidate,
+        crashes,
     )
 
 
--- a/tests/entry/test_target_limits.py
+++ b/tests/entry/test_target_limits.py
@@ -60,7 +60,7 @@
                 site.store.put("entry-vms", f"peer-{number}", peer)
             await site.settle()
             await asyncio.sleep(2 * TICK_S)
-            assert len(site.vm._site_state.fleet.vms_by_region["north"]) == 4
+            assert len(site.vm._site_state.fleet.rates.vms_by_region["north"]) == 4
 
     run_async(scenario)
 
