Have targets name limits in the soak

The soak checks that a target runs no more requests than the limit that it names allows, over the entry VMs in touch.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -37,6 +37,7 @@
         action="store_true",
         help="disrupt nothing but targets, by one request that crashes them several times a second",
     )
+    parser.add_argument("--limits", action="store_true", help="have targets name limits")
     parser.add_argument("--keep", type=Path, help="keep settings and logs in this folder")
     args = parser.parse_args()
     seeds = range(args.seed, args.seed + args.seeds)
@@ -58,6 +59,7 @@
         args.network,
         disturbs_store=not args.sound_store,
         only_crashes=args.only_crashes,
+        names_limits=args.limits,
     )
     with tempfile.TemporaryDirectory() as temporary:
         folder = (args.keep or Path(temporary)) / f"seed-{seed}"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,6 +11,9 @@
 READY_BOUND_S = 15.0  # the recovery-s that both user sites set
 STABLE_WINDOW_S = 4.0  # stable-window-s of the site
 MAX_LATE_CRASHING_RUNS = 3
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_EXTRA_REQUESTS = 5
 MIN_SERVED_SHARE = 0.9  # of the requests sent once VMs had time to recover
 
 
@@ -120,6 +123,29 @@
             )
 
 
+def limits_are_kept(history: History) -> Iterator[Breach]:
+    """Yield a breach for each target that ran more requests than the limit that it named allows."""
+    for span in history.limits:
+        times_s = sorted(
+            run.at_s
+            for run in history.runs
+            if run.target == span.target
+            and span.from_s + STABLE_WINDOW_S <= run.at_s < span.until_s
+            and _is_in_touch(history, run)
+        )
+        most = max(
+            (
+                sum(at_s <= other_s < at_s + LIMIT_WINDOW_S for other_s in times_s)
+                for at_s in times_s
+            ),
+            default=0,
+        )
+        if most > LIMIT_OVERSHOOT * LIMIT_WINDOW_S * span.per_s + LIMIT_EXTRA_REQUESTS:
+            yield Breach(
+                "limits_are_kept", f"{span.target}: {most} in 4 s at {span.per_s} a second"
+            )
+
+
 def started_vm_is_ready(history: History) -> Iterator[Breach]:
     """Yield a breach for each entry VM that wasn't ready in time after a start."""
     for start in history.vm_starts:
@@ -154,6 +180,7 @@
     planned_stop_cuts_nothing,
     all_is_served_again,
     crashing_request_is_stopped,
+    limits_are_kept,
     started_vm_is_ready,
 )
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -57,6 +57,16 @@
     is_domain: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LimitSpan:
+    """A time span in which a target names a limit in its answers, in requests a second."""
+
+    target: str
+    per_s: float
+    from_s: float
+    until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class VmStart:
     """How long an entry VM took from a start of its process until it was ready."""
@@ -77,6 +87,7 @@
     attempts: dict[str, Attempt] = field(default_factory=dict)
     runs: list[TargetRun] = field(default_factory=list)
     exclusions: list[ExclusionSpan] = field(default_factory=list)
+    limits: list[LimitSpan] = field(default_factory=list)
     disruptions: list[tuple[float, float]] = field(default_factory=list)
     vm_disruptions: list[tuple[str, float, float]] = field(default_factory=list)
     store_disruptions: list[tuple[float, float]] = field(default_factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,7 @@
 from soak.callers import Caller, CrashingCaller, RatedCrashingCaller
 from soak.checks import Breach, breaches
 from soak.proxy import Proxy
-from soak.records import ExclusionSpan, History, TargetRun, VmStart
+from soak.records import ExclusionSpan, History, LimitSpan, TargetRun, VmStart
 from soak.site import REGION_BY_DOMAIN, VmPorts, configuration
 from soak.store import StandInStore
 from soak.target import CrashMode, StandInTarget
@@ -38,7 +38,7 @@
 
     Without `disturbs_store`, the promises that hold only while the store is sound are checked all
     the time. With `only_crashes`, the sole disruption is a request that crashes each of its targets
-    and comes several times a second.
+    and comes several times a second. With `names_limits`, targets name limits, one after the other.
     """
 
     seed: int
@@ -49,6 +49,7 @@
     network: int = 77
     disturbs_store: bool = True
     only_crashes: bool = False
+    names_limits: bool = False
 
 
 class Soak:
@@ -58,6 +59,7 @@
         self.options = options
         self.history = History()
         self._rng = random.Random(options.seed)
+        self._limit_rng = random.Random(f"{options.seed}/limits")
         self._crash_rng = random.Random(f"{options.seed}/crashes")
         # Where every crash is silent, nothing confirms one before its entry expires.
         self._crash_modes = self._crash_rng.choice([list(CrashMode), [CrashMode.SILENT]])
@@ -87,6 +89,8 @@
                 *(asyncio.create_task(caller.run(last_s)) for caller in callers),
                 *(asyncio.create_task(caller.run(end_s)) for caller in crashing),
             ]
+            if self.options.names_limits:
+                self._tasks.append(asyncio.create_task(self._name_limits(end_s)))
             while loop.time() < end_s:
                 if not self.options.only_crashes:
                     await self._start_random_action()
@@ -283,6 +287,20 @@
         self._store.delete("servers", name)
         await self._add_target(domain)
 
+    async def _name_limits(self, until_s: float) -> None:
+        """Have one target after the other name a limit, which some of them change or withdraw."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s:
+            name = self._limit_rng.choice(sorted(self._targets))
+            target = self._targets[name][0]
+            for _ in range(self._limit_rng.randint(1, 2)):
+                per_s = round(self._limit_rng.uniform(0.5, 6.0), 1)
+                from_s = loop.time()
+                target.limit = str(per_s).encode()
+                await asyncio.sleep(self._limit_rng.uniform(6.0, 9.0))
+                self.history.limits.append(LimitSpan(name, per_s, from_s, loop.time()))
+            target.limit = None
+
     async def _stop_store(self) -> None:
         with self.history.store_disturbed():
             self._store.faults.is_down = True
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,7 +5,7 @@
 import pytest
 
 from soak.checks import CHECKS, breaches
-from soak.records import Attempt, ExclusionSpan, History, TargetRun, VmStart
+from soak.records import Attempt, ExclusionSpan, History, LimitSpan, TargetRun, VmStart
 
 
 def _attempt(request_id: str, kind: str = "unsafe", status: int | None = 200) -> Attempt:
@@ -96,6 +96,15 @@
     return _crashing(late_runs=4)
 
 
+def _over_the_limit() -> History:
+    """Return 24 runs in 4 s at a limit of 3 a second, which allows 23."""
+    attempts = [_attempt(f"r{number}") for number in range(24)]
+    runs = [_run(f"r{number}", 20.0 + number / 10) for number in range(24)]
+    history = _history(attempts, runs)
+    history.limits = [LimitSpan("t1", 3.0, 10.0, 30.0)]
+    return history
+
+
 def _never_ready() -> History:
     history = _good()
     history.vm_starts = [VmStart("vm-1", 0.9), VmStart("vm-2", 16.0)]
@@ -113,6 +122,7 @@
     _cut_by_planned_work: "planned_stop_cuts_nothing",
     _not_recovered: "all_is_served_again",
     _crashes_on: "crashing_request_is_stopped",
+    _over_the_limit: "limits_are_kept",
     _never_ready: "started_vm_is_ready",
 }
 
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -7,7 +7,10 @@
 
 from soak.run import Soak, SoakOptions
 
-FIXED_SEED = [SoakOptions(1, seconds=5.0, vms=3, targets=4, callers=4, network=91)]
+FIXED_SEED = [
+    SoakOptions(1, seconds=5.0, vms=3, targets=4, callers=4, network=91),
+    SoakOptions(21, seconds=16.0, vms=4, targets=6, callers=6, network=92, names_limits=True),
+]
 SEEDS_THAT_FAILED = [
     # A kill excused failures for 4 s, but VMs on an overloaded machine took 13 s to restart.
     SoakOptions(106, seconds=12.0, network=106),
