Go on reading a caller's connection after 256 KiB of requests

Callers saw the next request on a kept connection hang until their deadline, with no line in the log: on a soak site without any fault, 60 of 1,230 requests, all on reused connections, and each for 2 s.

Cause: reading pauses while more than 256 KiB wait to be parsed, and resumes when the parser needs more data. Requests that arrive whole are parsed without such a need, so what they had was never subtracted, and after 256 KiB in all the connection was paused for good. The client side asks the parser before it waits for an answer, so it resumes there.

The count now starts anew, and reading resumes, with each exchange. Two tests failed before (many short requests, and a body that has arrived before it is read).

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -109,8 +109,7 @@
         trailing, _ = self._h11.trailing_data
         if not is_whole or trailing or self.is_lost or self.has_ended:
             return False
-        self._h11.start_next_cycle()
-        self._unparsed_bytes = 0
+        self._begin_next_cycle()
         self.idle_since_s = now_s
         self.idle_until_s = now_s + self._idle_timeout_s * IDLE_TIMEOUT_SHARE
         return True
--- a/src/chervilmill/aio/_flow.py
+++ b/src/chervilmill/aio/_flow.py
@@ -90,12 +90,21 @@
     def _next_event(self) -> Any:
         event = self._h11.next_event()
         if event is h11.NEED_DATA or event is h11.PAUSED:
-            self._unparsed_bytes = 0
-            if self._is_reading_paused and self._transport and not self.is_lost:
-                self._transport.resume_reading()
-                self._is_reading_paused = False
+            self._resume_reading()
         return event
 
+    def _begin_next_cycle(self) -> None:
+        """Let the connection carry another exchange."""
+        self._h11.start_next_cycle()
+        # A whole exchange may be parsed without a need for more data, which resumes reading.
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        self._unparsed_bytes = 0
+        if self._is_reading_paused and self._transport and not self.is_lost:
+            self._transport.resume_reading()
+            self._is_reading_paused = False
+
     async def _wait_for_change(self) -> None:
         self._changed.clear()
         await self._changed.wait()
--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -203,7 +203,7 @@
         if not is_done or self._server.is_closing:
             self.close()
             return False
-        self._h11.start_next_cycle()
+        self._begin_next_cycle()
         return True
 
     async def _discard_body(self) -> None:
--- a/tests/aio/test_server.py
+++ b/tests/aio/test_server.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from chervilmill.aio import RequestHead, ServerConnection
+from chervilmill.aio import ClientConnection, RequestHead, ServerConnection, connect
+from chervilmill.aio._flow import READ_AHEAD_BYTES
 from tests.aio.support import LIMITS, serving, talk
 from tests.support import run_async
 
@@ -114,3 +115,44 @@
             assert (await talk(address, LAST)).startswith(b"HTTP/1.1 200")
 
     run_async(scenario)
+
+
+def test_long_bodies_on_one_connection_stop_it_from_being_read() -> None:
+    """Reading pauses while too many bytes wait, and must go on with the next request."""
+
+    async def scenario() -> None:
+        async with serving(_read_late) as (_, address):
+            conn = await connect(address, 2.0)
+            for size in (READ_AHEAD_BYTES + 1, 1, 2 * READ_AHEAD_BYTES, 1):
+                async with asyncio.timeout(2.0):
+                    await _post(conn, b"x" * size)
+
+    run_async(scenario)
+
+
+def test_many_short_requests_on_one_connection_stop_it_from_being_read() -> None:
+    async def scenario() -> None:
+        async with serving(_echo) as (_, address):
+            conn = await connect(address, 2.0)
+            for _ in range(2 * READ_AHEAD_BYTES // 1000):
+                async with asyncio.timeout(2.0):
+                    await _post(conn, b"x" * 1000)
+
+    run_async(scenario)
+
+
+async def _read_late(conn: ServerConnection, head: RequestHead) -> None:
+    """Answer a request whose body has arrived before it is read."""
+    await asyncio.sleep(0.05)
+    await _echo(conn, head)
+
+
+async def _post(conn: ClientConnection, body: bytes) -> None:
+    headers = [(b"host", b"x"), (b"content-length", str(len(body)).encode())]
+    await conn.send_head(b"POST", b"/", headers)
+    await conn.send_part(body)
+    conn.end_body()
+    await conn.read_head()
+    while await conn.read_part() is not None:
+        pass
+    assert conn.finish_exchange(0.0)
