Stop the daemon and the stand-ins however many signals arrive

An operator who sent SIGTERM twice had a daemon that only SIGKILL ended.

Cause: the handler sets an event, whose lock the handler of the next signal waits for, for ever, as it runs within the first. Handlers now do nothing; the interpreter writes each signal to a pipe, and a thread that reads the pipe requests the stop. Blocking the signals and waiting for them in a thread was tried: threads that a library starts at import still had them, and the process was killed.

--- a/bench/fleet/target.py
+++ b/bench/fleet/target.py
@@ -10,7 +10,6 @@
 import itertools
 import json
 import os
-import signal
 import threading
 import time
 from collections.abc import Iterable, Iterator
@@ -19,6 +18,7 @@
 
 from chervilmill.addresses import parse_address
 from chervilmill.http import Environ, HttpServer, StartResponse, WsgiApp
+from chervilmill.signals import call_on_stop_signal
 from chervilmill.standins.target_app import TargetApp
 from chervilmill.standins.target_state import TargetState
 
@@ -96,9 +96,9 @@
     state.behave(args.behaviour)
     app = RunRecorder(TargetApp(state, lambda: os._exit(CRASH_EXIT_CODE)), args.records)
     server = HttpServer(args.address, app, threads=THREADS)
-    server.start()
     stopped = threading.Event()
-    signal.signal(signal.SIGTERM, lambda _number, _frame: stopped.set())
+    call_on_stop_signal(stopped.set)
+    server.start()
     stopped.wait()
     server.stop()
 
--- a/src/chervilmill/daemon/_main.py
+++ b/src/chervilmill/daemon/_main.py
@@ -1,7 +1,6 @@
 """Command line of the daemon."""
 
 import argparse
-import signal
 import sys
 from collections.abc import Sequence
 from enum import IntEnum
@@ -10,6 +9,7 @@
 from chervilmill.daemon._daemon import Daemon
 from chervilmill.logs import log_problem, set_up_logs
 from chervilmill.settings import Settings, load_settings
+from chervilmill.signals import call_on_stop_signal
 
 
 class ExitCode(IntEnum):
@@ -35,8 +35,7 @@
 def _run(settings: Settings) -> int:
     daemon = Daemon(settings)
     set_up_logs(settings.node.name, lambda: daemon.configuration.snapshot().revision)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda _signal_number, _frame: daemon.request_stop())
+    call_on_stop_signal(daemon.request_stop)
     try:
         daemon.start()
     except OSError as exc:
--- a/src/chervilmill/standins/process.py
+++ b/src/chervilmill/standins/process.py
@@ -1,12 +1,12 @@
 """Run a stand-in as a separate process until SIGTERM or SIGINT."""
 
 import argparse
-import signal
 import threading
 from typing import Protocol
 
 from chervilmill.addresses import Address, parse_address
 from chervilmill.logs import log_event, set_up_logs
+from chervilmill.signals import call_on_stop_signal
 
 
 class Server(Protocol):
@@ -37,8 +37,7 @@
 def run_until_stopped(name: str, server: Server) -> int:
     """Serve until SIGTERM or SIGINT and return the exit code 0."""
     stop_requested = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: stop_requested.set())
+    call_on_stop_signal(stop_requested.set)
     set_up_logs(name)
     server.start()
     log_event("stand-in started", address=str(server.address))
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -12,6 +12,7 @@
 from tests.whole_path import START_TIMEOUT_S, WholePath
 
 STOP_TIMEOUT_S = 20
+SIGNALS = 400
 BUNDLE = bytes(range(256)) * 4096
 
 
@@ -66,6 +67,12 @@
     assert whole_path.daemon.wait(STOP_TIMEOUT_S) == 0
 
 
+def test_signals_in_a_burst_block_the_daemon(whole_path: WholePath) -> None:
+    for _ in range(SIGNALS):
+        whole_path.daemon.send_signal(signal.SIGTERM)
+    assert whole_path.daemon.wait(STOP_TIMEOUT_S) == 0
+
+
 def test_leaving_node_refuses_new_requests_and_completes_old_ones(whole_path: WholePath) -> None:
     whole_path.state.behave({"work_s": 6})
     statuses: list[int] = []
