Do not end a quarantine because crashes look like an outage

Cause: entries of targets that the request had crashed one after the other expire together. Three in one failure domain looked like the loss of the domain, whose losses count as one, so that the request fell below the number of losses that quarantines it.

A quarantine now lasts as long as the caller was told, unless an answer clears the request. The new test of the decision failed before.

--- a/src/chervilmill/requests/_losses.py
+++ b/src/chervilmill/requests/_losses.py
@@ -82,15 +82,18 @@
     """The losses of one request, and the target to which the request is limited.
 
     An answer clears the record: losses up to `cleared_s` no longer count, also where a peer reports
-    them again. A reported loss seems later by the time that its report took.
+    them again. A reported loss seems later by the time that its report took. Until
+    `quarantined_until_s` the request is refused, also where an outage explains its losses later:
+    its own crashes may look like one.
     """
 
-    __slots__ = ("cleared_s", "limited_to", "losses")
+    __slots__ = ("cleared_s", "limited_to", "losses", "quarantined_until_s")
 
     def __init__(self) -> None:
         self.losses: dict[Lifetime, Loss] = {}
         self.limited_to = ""
         self.cleared_s = float("-inf")
+        self.quarantined_until_s = float("-inf")
 
     def lifetime_at(self, lifetime: Lifetime, sent_s: float) -> Lifetime:
         """Return the lifetime that a request reached, given the latest one known.
@@ -133,6 +136,7 @@
         self.losses.clear()
         self.limited_to = ""
         self.cleared_s = now_s
+        self.quarantined_until_s = float("-inf")
 
     def prune(self, now_s: float) -> None:
         """Remove the losses that have expired."""
@@ -179,8 +183,9 @@
         losses = len({causes[lifetime] for lifetime in live})
         if crashes >= QUARANTINE_CRASHES or losses >= QUARANTINE_LOSSES:
             until_s = max(loss.at_s for loss in live.values()) + INCONCLUSIVE_TTL_S
-            if now_s < until_s:
-                return Judgement(Standing.QUARANTINED, until_s, crashes, losses)
+            self.quarantined_until_s = max(self.quarantined_until_s, until_s)
+        if now_s < self.quarantined_until_s:
+            return Judgement(Standing.QUARANTINED, self.quarantined_until_s, crashes, losses)
         is_suspect = crashes >= SUSPECT_CRASHES or losses >= SUSPECT_LOSSES
         return Judgement(Standing.SUSPECTED if is_suspect else Standing.CLEAR, 0.0, crashes, losses)
 
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -313,3 +313,15 @@
     author.quarantine.receive_report(echo, 1.4)
     assert isinstance(author.verdict(CRASHING, 1.5), Quarantined)
     assert isinstance(author.verdict(CRASHING, 12.0), LimitedToTarget)
+
+
+def test_own_crashes_of_a_request_pass_for_the_loss_of_a_failure_domain() -> None:
+    """Entries of targets that crashed one after the other expire together, in one domain."""
+    quarantine = Quarantine()
+    quarantine.set_targets(DOMAINS)
+    for target, now_s in (("t1", 0.0), ("t0", 0.3), ("t3", 0.8)):
+        quarantine.record_loss(CRASHING, Lifetime(target), now_s, now_s)
+    assert quarantine.judgement(CRASHING, 1.0).standing is Standing.QUARANTINED
+    for target, now_s in (("t0", 5.0), ("t3", 5.3), ("t6", 5.3)):
+        quarantine.record_crash(target, None, now_s)
+    assert quarantine.judgement(CRASHING, 5.4).standing is Standing.QUARANTINED
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -20,6 +20,8 @@
     SoakOptions(1104, seconds=20.0, network=104),
     # A request crashed silent targets for as long as it came again.
     SoakOptions(4, seconds=15.0, network=105, disturbs_store=False),
+    # Crashes of one request looked like the loss of a failure domain, which ended its quarantine.
+    SoakOptions(3022, seconds=16.0, network=111, disturbs_store=False, names_limits=True),
     # Targets got many times the limits that they named.
     SoakOptions(41, seconds=16.0, network=110, disturbs_store=False, names_limits=True),
     # A request that took two targets in each attempt took all of a service.
