Tell callers when a limited target has room, not that another target has

A caller for whom only targets with limits were left was told to return after 0.1 s where any other target of the service had no limit, also one that is down or in a region to which no more requests may go.

Cause: the wait was the shortest over all targets, and it is 0 without a limit. Only targets with a shared rate count now. The test failed before (0.1 s in place of 0.5 s).

--- a/src/chervilmill/overload/_target_rates.py
+++ b/src/chervilmill/overload/_target_rates.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from chervilmill.overload._admission import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
@@ -59,17 +59,21 @@
         """Drop what was sent to a target that is gone."""
         self._limiter.forget(target)
 
-    def retry_after_s(self, targets: Collection[RatedTarget], now_s: float) -> float | None:
+    def retry_after_s(self, targets: Iterable[RatedTarget], now_s: float) -> float | None:
         """Return when a caller may return for whom these targets have no room.
 
-        This is when this VM has room. If only other VMs may send, it is the average time in which
-        one request fits for each VM. Return None if no target has a shared rate.
+        This is when this VM has room at a target with a shared rate. If only other VMs may send, it
+        is the average time in which one request fits for each VM. Return None if no target has a
+        shared rate.
         """
-        rates = [self._rate(target, now_s) for target in targets]
-        total_per_s = sum(rate.per_s for rate in rates if rate is not None)
+        total_per_s, room_in_s = 0.0, math.inf
+        for target in targets:
+            rate = self._rate(target, now_s)
+            if rate is not None:
+                total_per_s += rate.per_s
+                room_in_s = min(room_in_s, self.room_in_s(target, now_s))
         if not total_per_s:
             return None
-        room_in_s = min(self.room_in_s(target, now_s) for target in targets)
         if math.isinf(room_in_s):
             room_in_s = len(self._all_vms()) / total_per_s
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, room_in_s))
--- a/tests/overload/test_parts.py
+++ b/tests/overload/test_parts.py
@@ -8,15 +8,18 @@
 from chervilmill.overload import (
     AffinityRanking,
     CallerAgeEstimator,
+    RatedTarget,
     RegionShares,
     RetryBudgetShare,
     ServiceTimes,
     SharedRateLimiter,
+    TargetRates,
     TargetRecord,
     Workload,
     cold_rate,
     desired_region_shares,
 )
+from chervilmill.requests import Lifetime
 from chervilmill.routing import Target, unit_hash
 
 DEMAND = {"north": 2.0, "south": 2.0, "west": 2.0}
@@ -97,6 +100,20 @@
     assert len(sent) >= 0.5 * 6.9 * 4
 
 
+def test_caller_is_told_when_a_limited_target_has_room_not_that_another_has() -> None:
+    """The other target may be down, or in a region to which no more requests may go."""
+    rates = TargetRates("vm-0", "north")
+    limited = RatedTarget(Lifetime("t1", 1), "north")
+    rates.limits.record(limited.lifetime, 2.0, 0.0)
+    assert rates.room_in_s(limited, 0.0) == 0.0
+    rates.count(limited.lifetime, 0.0)
+    other = RatedTarget(Lifetime("t2", 1), "south")
+    assert rates.retry_after_s([limited, other], 0.0) == pytest.approx(0.5)
+    assert rates.retry_after_s([other], 0.0) is None
+    rates.vms_by_region = {"north": ["vm-1"], "south": ["vm-0"]}
+    assert rates.retry_after_s([limited, other], 0.0) == 1.0
+
+
 @pytest.mark.parametrize(("vms", "requests_per_s"), [(1, 30), (12, 30), (12, 1), (83, 20)])
 def test_retries_of_all_vms_stay_within_the_budget(vms: int, requests_per_s: int) -> None:
     """Every request fails and asks for a retry; any ten seconds stay within the budget."""
