Tell nodes that do not send to a target that its limit still holds

In the front end of our own interface, a node that sends nothing to a target with a limit forgot the limit two minutes after it was named, all such nodes at once, and would then have sent to it anew.

Cause: only changes were published, while a limit that nobody confirms is dropped. Nodes that see it in an answer now publish it again after 30 s without news of it. The test failed before: after 299 s of the same limit the other node had none. Gossip on the users' platform repeats limits with their age, and was not affected.

--- a/src/chervilmill/callers/_target_limits.py
+++ b/src/chervilmill/callers/_target_limits.py
@@ -21,6 +21,7 @@
 
 LIMIT_TOPIC = "limit"
 MAX_LOGGED_TEXT_CHARS = 40
+CONFIRMATION_INTERVAL_S = LIMIT_TTL_S / 4  # in which others are told that a limit still holds
 
 
 class ServiceLimits:
@@ -34,6 +35,7 @@
         self._service = service
         self._rates = TargetRates(node, region)
         self._regions: dict[str, str] = {}
+        self._reported_s: dict[str, float] = {}
 
     def set_fleet(self, targets: Iterable[Vm], entries: Iterable[Vm]) -> None:
         """Set the targets of the service and the entry VMs that share their limits."""
@@ -41,6 +43,7 @@
         for gone in self._regions.keys() - regions:
             self._rates.forget(gone)
             self._rates.limits.forget(gone)
+            self._reported_s.pop(gone, None)
         self._regions = regions
         vms: dict[str, list[str]] = {}
         for vm in entries:
@@ -50,7 +53,8 @@
     def record_answer(self, target: str, text: str | None, now_s: float) -> LimitReport | None:
         """Record the limit in an answer, or that it names none; a malformed one is ignored.
 
-        Return the report for the other entry VMs if the limit has changed.
+        Return the report for the other entry VMs if the limit has changed, or if it still holds and
+        they have not been told for a while.
         """
         stated = parse_limit(text) if text is not None else None
         if stated is not None and stated.per_s is None:
@@ -62,15 +66,19 @@
             )
             return None
         per_s = stated.per_s if stated is not None else None
-        if not self._rates.limits.record(Lifetime(target), per_s, now_s):
+        if self._rates.limits.record(Lifetime(target), per_s, now_s):
+            self._log_change(target, per_s, "answer")
+        elif per_s is None or now_s - self._reported_s.get(target, now_s) < CONFIRMATION_INTERVAL_S:
             return None
-        self._log_change(target, per_s, "answer")
+        self._reported_s[target] = now_s
         return LimitReport(Lifetime(target), per_s, 0.0)
 
     def receive(self, report: LimitReport, now_s: float) -> None:
         """Apply the report of another entry VM."""
+        target = report.lifetime.target
+        self._reported_s[target] = now_s
         if self._rates.limits.receive(report, now_s):
-            self._log_change(report.lifetime.target, report.per_s, "peer")
+            self._log_change(target, report.per_s, "peer")
 
     def may_send(self, target: str, now_s: float) -> bool:
         """Return whether this node may send a request to a target now."""
--- a/tests/callers/test_target_limits.py
+++ b/tests/callers/test_target_limits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from chervilmill.callers import publish_limit, receive_limits
-from chervilmill.callers._target_limits import LIMIT_TOPIC
+from chervilmill.callers._target_limits import LIMIT_TOPIC, ServiceLimits
 from chervilmill.overload import LimitReport
 from chervilmill.requests import Lifetime
 from chervilmill.standins.target_server import TargetState
@@ -83,6 +83,17 @@
         assert [entry.get("/digest").status for _ in range(10)] == [200] * 10
 
 
+def test_limit_that_holds_for_long_is_forgotten_by_vms_that_do_not_send() -> None:
+    """They get no answers of the target, so others must tell them again that it still holds."""
+    sender, other = (ServiceLimits("souhrny", name, "praha") for name in ("vm-0", "vm-1"))
+    for now_s in range(300):
+        report = sender.record_answer("t1", "2", float(now_s))
+        if report is not None:
+            other.receive(report, float(now_s))
+    other.set_fleet([], [])
+    assert other.retry_after_s(["t1"], 299.0) is not None
+
+
 @pytest.mark.parametrize("per_s", [2.0, None])
 def test_limit_travels_as_a_broadcast_item(per_s: float | None) -> None:
     class Receiver:
