Blame the content of a crashing request, whoever sends it

Cause: the fingerprint took in the caller. 20 callers asked for one object, and the record of each began at nought. Harmless requests in flight at the crashes were suspected and refused as well.

Change: a fingerprint has a half for the content and one for the caller. Losses count at both levels; a content is blamed once two callers lost runs of it. An answer clears losses up to when the answered run was sent, and is reported to the other entry VMs. A quarantined request without an answer explains the losses of others at the targets that it crashed. The first run after a quarantine counts as lost until its answer. Reports on crashes and answers are sent every 0.1 s while there are any. The same holds in the front end of our own interface, whose fingerprint had no caller and no body.

Why it works: evidence meets at what the runs have in common, and reaches the fleet before the next send.

--- a/soak/target.py
+++ b/soak/target.py
@@ -89,6 +89,7 @@
         self.faults = TargetFaults()
         self.crash_mode = CrashMode.RESET
         self.has_crashed = False
+        self.crashing_path_end = CRASHING_PATH_END
         self.limit: bytes | None = None  # in requests a second, named in each answer
         self.limit_header = LIMIT
         self.on_crash: Callable[[], None] = lambda: None  # when a request crashes the target
@@ -171,7 +172,7 @@
         deadline_ms = int(deadline) if deadline else None
         method, path = head.method.decode(), head.target.decode()
         self.records.runs.append(RunRecord(request_id, method, path, digest, deadline_ms, at_s))
-        if path.endswith(CRASHING_PATH_END):
+        if path.endswith(self.crashing_path_end):
             await self._crash_while_running(conn)
             return
         try:
--- a/src/chervilmill/callers/_crash_news.py
+++ b/src/chervilmill/callers/_crash_news.py
@@ -30,7 +30,8 @@
     for loss in report.losses:
         lifetime = loss.lifetime
         name = f"{service}/{report.fingerprint.hex()}/{lifetime.target}/{lifetime.incarnation}"
-        value = cbor2.dumps((loss.age_s, loss.is_crash, loss.was_alone, report.limited_to))
+        callers = sorted(loss.callers)
+        value = cbor2.dumps((loss.age_s, loss.is_crash, loss.was_alone, report.limited_to, callers))
         channel.publish(CRASH_TOPIC, name, value, QUARANTINE_TTL_S)
 
 
@@ -55,12 +56,14 @@
 def _decode_report(name: str, value: bytes) -> CrashReport:
     """Return the decoded report, or raise CBORDecodeError, ValueError or TypeError."""
     fingerprint_hex, target, incarnation = name.split("/")
-    age_s, is_crash, was_alone, limited_to = cbor2.loads(value)
+    age_s, is_crash, was_alone, limited_to, callers = cbor2.loads(value)
     fingerprint = bytes.fromhex(fingerprint_hex)
     if len(fingerprint) != FINGERPRINT_BYTES or not isinstance(limited_to, str):
         raise ValueError(f"invalid fingerprint {fingerprint_hex!r} or target {limited_to!r}")
     if not float(age_s) >= 0:
         raise ValueError(f"invalid age {age_s!r}")
+    if not all(isinstance(tag, bytes) for tag in callers):
+        raise ValueError(f"invalid callers {callers!r}")
     lifetime = Lifetime(target, int(incarnation))
-    loss = ReportedLoss(lifetime, float(age_s), bool(is_crash), bool(was_alone))
+    loss = ReportedLoss(lifetime, float(age_s), bool(is_crash), bool(was_alone), frozenset(callers))
     return CrashReport(fingerprint, (loss,), limited_to)
--- a/src/chervilmill/callers/_orders.py
+++ b/src/chervilmill/callers/_orders.py
@@ -31,6 +31,7 @@
     ReleaseClaim,
     SendFailure,
     order_key,
+    request_fingerprint,
 )
 from chervilmill.targets import TargetError
 
@@ -114,6 +115,9 @@
         self._body = body
         self._ledger = ledger
         self._attempts = attempts
+        self._fingerprint = request_fingerprint(
+            req.service, req.method, req.path, key.fingerprint.hex(), req.client
+        )
         self._tried: list[str] = []
         self._answer: OrderAnswer | None = None
         self._refusal: Refusal | None = None
@@ -141,7 +145,7 @@
             self._req,
             io.BytesIO(self._body),
             self._req.cancellation,
-            self._key.fingerprint,
+            self._fingerprint,
             len(self._tried) + 1,
             tuple(self._tried),
         )
--- a/src/chervilmill/callers/_retries.py
+++ b/src/chervilmill/callers/_retries.py
@@ -54,7 +54,9 @@
         with retry_state.lock:
             retry_state.budget.count_request(req.is_retry)
         body = body_of(req)
-        fingerprint = request_fingerprint(req.service, req.method, req.path)
+        fingerprint = request_fingerprint(
+            req.service, req.method, req.path, str(req.length), req.client
+        )
         tried_targets: list[str] = []
         number = 1
         may_have_run = False
--- a/src/chervilmill/callers/_suspects.py
+++ b/src/chervilmill/callers/_suspects.py
@@ -49,7 +49,7 @@
         """
         now_s = self._clock()
         with self._lock:
-            if self._quarantine.judgement(fingerprint, now_s).standing is Standing.CLEAR:
+            if not self._quarantine.has_losses(fingerprint):
                 return None
         domains = slots.domains()
         with self._lock:
@@ -68,8 +68,12 @@
 
     def record_start(self, fingerprint: bytes, target: str) -> None:
         """Record that a run begins."""
+        now_s = self._clock()
         with self._lock:
             self._quarantine.record_start(fingerprint, target)
+            lost = self._quarantine.record_trial(fingerprint, Lifetime(target), now_s)
+            reports = self._reports(lost, now_s)
+        self._send(reports)
 
     def record_end(self, fingerprint: bytes, target: str, *, is_answered: bool) -> None:
         """Record that a run has ended."""
@@ -82,8 +86,8 @@
         """Record that a run sent at a time of this clock ended without a whole answer."""
         now_s = self._clock()
         with self._lock:
-            self._quarantine.record_loss(fingerprint, Lifetime(target), sent_s, now_s)
-            reports = self._reports([fingerprint], now_s)
+            lost = self._quarantine.record_loss(fingerprint, Lifetime(target), sent_s, now_s)
+            reports = self._reports(lost, now_s)
         self._send(reports)
 
     def record_broken_exchange(
--- a/src/chervilmill/entry/_crashes.py
+++ b/src/chervilmill/entry/_crashes.py
@@ -22,8 +22,9 @@
 
 MAX_QUARANTINES_PER_ROUND = 8
 MAX_SUSPICIONS_PER_ROUND = 12
-MAX_LOSSES_PER_ROUND = 4
+MAX_LOSSES_PER_ROUND = 8
 REPEATED_PER_ROUND = 1
+RELEASE_SPREAD_S = 2.0  # far longer than a report takes to reach all entry VMs
 MAX_REPORTS_FOR_NEWCOMER = 64
 
 
@@ -31,11 +32,18 @@
     """Tracks the lost requests known to this VM and queues the reports for the others.
 
     `fleet_size` is the number of live entry VMs, which decides how often a report is passed on.
+    `on_urgent_report` is called when a report is queued that should not wait for the next round:
+    until the others know of a crash, each of them may lose a further target, and until they know of
+    an answer, they refuse harmless requests.
+
+    `release_position` is a number from 0 to 1 that differs between entry VMs and decides which of
+    them is the first to try a request whose quarantine has ended.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, release_position: float = 0.0) -> None:
         self.fleet_size = 1
-        self._quarantine = Quarantine()
+        self.on_urgent_report: Callable[[], None] = lambda: None
+        self._quarantine = Quarantine(RELEASE_SPREAD_S * release_position)
         # Each in a queue of its own, so that a flood of suspects delays no quarantine.
         self._queues: dict[Standing, UpdateQueue[bytes]] = {
             Standing.QUARANTINED: UpdateQueue(MAX_QUARANTINES_PER_ROUND),
@@ -56,16 +64,32 @@
         """Decide whether a request may run, and whether at one target only."""
         return self._quarantine.verdict(fingerprint, now_s, is_usable)
 
-    def record_answer(self, fingerprint: bytes, target: str, now_s: float) -> None:
-        """Record that a target answered a request, which clears the request as a suspect."""
-        self._quarantine.record_end(fingerprint, target, is_answered=True, now_s=now_s)
+    def record_answer(self, fingerprint: bytes, target: str, sent_s: float, now_s: float) -> None:
+        """Record that a target answered a request that was sent to it at a time.
+
+        This clears the request and its content as suspects, also on the other entry VMs.
+        """
+        cleared = self._quarantine.record_end(
+            fingerprint, target, is_answered=True, now_s=now_s, sent_s=sent_s
+        )
+        for key in cleared:
+            self._queue_cleared(key)
+
+    def record_sent(self, fingerprint: bytes, lifetime: Lifetime, now_s: float) -> None:
+        """Record that a request is sent to a target."""
+        for key in self._quarantine.record_trial(fingerprint, lifetime, now_s):
+            self._queue_report(key, now_s, lifetime.target)
+
+    def record_not_run(self, fingerprint: bytes, target: str, sent_s: float) -> None:
+        """Record that a target did not run a request that was sent to it at a time."""
+        self._quarantine.withdraw_loss(fingerprint, target, sent_s)
 
     def record_loss(
         self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, now_s: float
     ) -> None:
         """Record that a request was sent to a target and has no answer."""
-        if self._quarantine.record_loss(fingerprint, lifetime, sent_s, now_s):
-            self._queue_report(fingerprint, now_s, lifetime.target)
+        for key in self._quarantine.record_loss(fingerprint, lifetime, sent_s, now_s):
+            self._queue_report(key, now_s, lifetime.target)
 
     def record_lifetime_change(self, target: str, now_s: float) -> None:
         """Record that a target is gone or has started; only one known before can have crashed."""
@@ -105,19 +129,37 @@
                 for queue in self._queues.values():
                     queue.decrement(report.fingerprint)
                 continue
+            was_limited = report.fingerprint in self._quarantine.limited
             standing = self._log_standing(report.fingerprint, now_s, "peer")
-            if standing > Standing.CLEAR:
-                self._queues[standing].add(report.fingerprint, self.fleet_size)
+            if standing > Standing.CLEAR or self._quarantine.has_crash(report.fingerprint):
+                self._queue_urgent(report.fingerprint, standing)
+            elif was_limited:
+                self._queue_cleared(report.fingerprint)
 
     def _reports(self, fingerprints: Iterable[bytes], now_s: float) -> tuple[CrashReport, ...]:
         found = [self._quarantine.report(fingerprint, now_s) for fingerprint in fingerprints]
         return tuple(report for report in found if report is not None)
 
     def _queue_report(self, fingerprint: bytes, now_s: float, target: str) -> None:
-        """Queue the report on a request; a single loss is told to a few VMs only."""
+        """Queue the report on a request; a single loss without a crash is told to a few VMs only.
+
+        A crash is told to all, also where it does not limit a content yet: the crash that another
+        caller of the content causes may show on another VM.
+        """
         standing = self._log_standing(fingerprint, now_s, target)
-        fleet_size = self.fleet_size if standing > Standing.CLEAR else 1
-        self._queues[standing].add(fingerprint, fleet_size)
+        if standing > Standing.CLEAR or self._quarantine.has_crash(fingerprint):
+            self._queue_urgent(fingerprint, standing)
+        else:
+            self._queues[standing].add(fingerprint, 1)
+
+    def _queue_cleared(self, fingerprint: bytes) -> None:
+        self._queues[Standing.CLEAR].add(fingerprint, self.fleet_size)
+        self.on_urgent_report()
+
+    def _queue_urgent(self, fingerprint: bytes, standing: Standing) -> None:
+        queue = self._queues[max(standing, Standing.SUSPECTED)]
+        queue.add(fingerprint, self.fleet_size)
+        self.on_urgent_report()
 
     def _log_standing(self, fingerprint: bytes, now_s: float, peer: str) -> Standing:
         """Log the standing of a request if it allows less than before, and return it."""
@@ -144,9 +186,12 @@
     """
     host = header_value(head.headers, b"host") or b""
     length = header_value(head.headers, b"content-length") or b""
-    content = b"\n".join([caller.encode(), length])
-    method, path = head.method.decode("latin-1"), head.target.decode("latin-1")
-    return request_fingerprint(host.decode("latin-1"), method, path, content)
+    scope, method, path = (
+        host.decode("latin-1"),
+        head.method.decode(),
+        head.target.decode("latin-1"),
+    )
+    return request_fingerprint(scope, method, path, length.decode("latin-1"), caller)
 
 
 def only_target(verdict: Verdict) -> str | None:
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -158,6 +158,7 @@
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
         serial = self._site_state.fleet.start(candidate, key, sent_s)
+        self._outcomes.record_sent(progress, candidate, sent_s)
         progress.tried.append(record.target.name)
         progress.last_candidate, progress.sent_s = candidate, sent_s
         left_s = progress.deadline_s - sent_s
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -76,7 +76,7 @@
         self._site_state = SiteState(fleet, self._membership, own, self._clock)
         self._pool = TargetPool()
         self._site_state.on_lifetime_change = self._handle_lifetime_change
-        self._crashes = CrashTracker()
+        self._crashes = CrashTracker(rng.random())
         self._limits = LimitTracker(fleet.rates.limits)
         self._replicas = {kind: KindReplica(kind) for kind in KINDS}
         self._store = PlatformStore(HttpClient(settings.store), str(settings.store))
@@ -91,6 +91,7 @@
             ],
             self._handle_digest,
         )
+        self._crashes.on_urgent_report = self._gossip.request_urgent_round
         self._metrics = Metrics()
         dispatcher = Dispatcher(
             self._site_state,
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -32,6 +32,11 @@
         if headers.limit is not None or headers.is_sealed:
             self._limits.record_answer(_lifetime(target), headers.limit, now_s)
 
+    def record_sent(self, progress: Progress, candidate: Candidate, now_s: float) -> None:
+        """Record that a request is about to be sent to a candidate."""
+        lifetime = _lifetime(candidate.record.target)
+        self._crashes.record_sent(progress.fingerprint, lifetime, now_s)
+
     def record_result(
         self, progress: Progress, candidate: Candidate, result: AttemptResult, now_s: float
     ) -> None:
@@ -114,13 +119,15 @@
         now_s: float,
     ) -> None:
         target = candidate.record.target.name
+        if result.proves_not_run:
+            self._crashes.record_not_run(progress.fingerprint, target, sent_s)
         match result.end:
             case AttemptEnd.NOT_SENT:
                 self._crashes.record_crash(target, now_s)
             case AttemptEnd.LOST | AttemptEnd.OVERDUE | AttemptEnd.BROKEN_OFF:
                 self._record_loss(progress, candidate, sent_s, now_s)
             case AttemptEnd.ANSWERED:
-                self._crashes.record_answer(progress.fingerprint, target, now_s)
+                self._crashes.record_answer(progress.fingerprint, target, sent_s, now_s)
 
     def _record_loss(
         self, progress: Progress, candidate: Candidate, sent_s: float, now_s: float
--- a/src/chervilmill/peers/_crash_reports.py
+++ b/src/chervilmill/peers/_crash_reports.py
@@ -13,6 +13,7 @@
 _AGE_UNIT_S = 0.1
 _CRASH_FLAG = 1
 _ALONE_FLAG = 2
+_CALLER_TAG_BYTES = 4
 
 
 def encode_reports(reports: tuple[CrashReport, ...]) -> Iterator[bytes]:
@@ -48,25 +49,41 @@
                 loss.lifetime.incarnation,
                 round(loss.age_s / _AGE_UNIT_S),
                 _CRASH_FLAG * loss.is_crash + _ALONE_FLAG * loss.was_alone,
+                b"".join(sorted(loss.callers)),
             ]
             for loss in losses[:MAX_LOSSES_PER_REPORT]
         ],
+        None if report.answered_age_s is None else round(report.answered_age_s / _AGE_UNIT_S),
     ]
 
 
 def _decode_report(row: list[object]) -> CrashReport:
-    fingerprint, limited_to, rows = row
+    fingerprint, limited_to, rows, answered_units = row
     if not isinstance(fingerprint, bytes) or not isinstance(rows, list):
         raise ValueError("expected a fingerprint and a list of losses")
-    return CrashReport(fingerprint, tuple(_decode_loss(*loss) for loss in rows), str(limited_to))
+    if answered_units is not None and not isinstance(answered_units, int):
+        raise ValueError(f"invalid age {answered_units!r} of an answer")
+    losses = tuple(_decode_loss(*loss) for loss in rows)
+    answered_age_s = None if answered_units is None else _decode_age_s(answered_units)
+    return CrashReport(fingerprint, losses, str(limited_to), answered_age_s)
 
 
-def _decode_loss(target: str, incarnation: int, age_units: int, flags: int) -> ReportedLoss:
-    if int(age_units) < 0:
-        raise ValueError("negative age of a loss")
+def _decode_loss(
+    target: str, incarnation: int, age_units: int, flags: int, callers: bytes
+) -> ReportedLoss:
+    if not isinstance(callers, bytes):
+        raise ValueError(f"invalid callers {callers!r}")
+    tags = range(0, len(callers), _CALLER_TAG_BYTES)
     return ReportedLoss(
         Lifetime(str(target), int(incarnation)),
-        int(age_units) * _AGE_UNIT_S,
+        _decode_age_s(age_units),
         bool(flags & _CRASH_FLAG),
         bool(flags & _ALONE_FLAG),
+        frozenset(callers[start : start + _CALLER_TAG_BYTES] for start in tags),
     )
+
+
+def _decode_age_s(units: int) -> float:
+    if int(units) < 0:
+        raise ValueError("negative age")
+    return int(units) * _AGE_UNIT_S
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -12,6 +12,7 @@
 from chervilmill.peers._membership import ROUND_S, Membership
 
 LEAVING_REPEATS = 3  # a single datagram may get lost
+URGENT_ROUND_S = 0.1  # a fifth of a round; gathers the reports on one event
 
 
 Report = TypeVar("Report")
@@ -84,6 +85,7 @@
         self._channels = channels
         self._on_digest = on_digest
         self._transport: asyncio.DatagramTransport | None = None
+        self._urgent_round: asyncio.TimerHandle | None = None
 
     async def open(self, host: str) -> None:
         """Bind the gossip port on a host, or raise OSError."""
@@ -119,6 +121,8 @@
 
     def close(self) -> None:
         """Close the socket."""
+        if self._urgent_round is not None:
+            self._urgent_round.cancel()
         if self._transport is not None:
             self._transport.close()
 
@@ -129,6 +133,24 @@
             self._send_round()
             await asyncio.sleep(ROUND_S)
 
+    def request_urgent_round(self) -> None:
+        """Send new reports at shorter intervals than the rounds, while there are any."""
+        if self._urgent_round is None:
+            loop = asyncio.get_running_loop()
+            self._urgent_round = loop.call_later(URGENT_ROUND_S, self._send_urgent_round)
+
+    def _send_urgent_round(self) -> None:
+        self._urgent_round = None
+        now_s = asyncio.get_running_loop().time()
+        new = [channel for channel in self._channels if channel.exchange.has_new_reports]
+        datagrams = [datagram for channel in new for datagram in channel.datagrams_for_round(now_s)]
+        receivers = self._membership.receivers(now_s) if datagrams else []
+        for datagram in datagrams:
+            for peer in receivers:
+                self._send(datagram, peer.host)
+        if any(channel.exchange.has_new_reports for channel in new):
+            self.request_urgent_round()
+
     async def announce_leaving(self) -> None:
         """Announce to every live peer that this VM is leaving."""
         self._membership.set_serving(False)
--- a/src/chervilmill/requests/__init__.py
+++ b/src/chervilmill/requests/__init__.py
@@ -11,6 +11,7 @@
     QueueRefusal,
     priority_of,
 )
+from chervilmill.requests._fingerprint import request_fingerprint
 from chervilmill.requests._hedge import HedgeDelay
 from chervilmill.requests._kinds import RequestKind, kind_of
 from chervilmill.requests._losses import QUARANTINE_TTL_S, Judgement, Lifetime, Standing
@@ -70,7 +71,6 @@
     ReportedLoss,
     Unrestricted,
     Verdict,
-    request_fingerprint,
 )
 from chervilmill.requests._write_pacer import WritePacer
 
--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -7,6 +7,13 @@
 that causes the crashes from requests that merely ran at the same time. After two crashes, or three
 losses, the request is quarantined: for long if they are conclusive, otherwise for some seconds,
 after which it is a suspect again. An answer clears it. Losses without a crash are soon forgotten.
+
+The same is decided of the content that a request shares with those of other callers, once at least
+two of these callers lost runs of it. Whichever allows less binds. An answer to any caller clears
+the content, but not what another caller's request did.
+
+A quarantined request that has had no answer explains the losses of others at the targets that it
+crashed, if they have had answers or lost fewer targets: they merely ran beside it.
 """
 
 from collections import deque
@@ -14,7 +21,13 @@
 from dataclasses import dataclass, replace
 
 from chervilmill.requests._crash_signs import CrashSigns
+from chervilmill.requests._fingerprint import caller_tag, content_of, is_content
 from chervilmill.requests._losses import (
+    CONCLUSIVE_CRASHES,
+    CONTENT_CALLERS,
+    CRASH_TTL_S,
+    QUARANTINE_CRASHES,
+    REPORT_DELAY_S,
     UNCONFIRMED_TTL_S,
     Judgement,
     Lifetime,
@@ -48,14 +61,26 @@
 class Quarantine:
     """The losses known to one entry VM, with the requests that run at targets.
 
-    All times are in seconds of the same clock.
+    All times are in seconds of the same clock. `release_delay_s` differs between entry VMs: a
+    request whose quarantine ends is then tried by one of them first, and the others learn from it.
     """
 
-    __slots__ = ("_domains", "_limited", "_records", "_running", "_signs", "_unconfirmed")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "_culprits",
+        "_domains",
+        "_limited",
+        "_records",
+        "_release_delay_s",
+        "_running",
+        "_signs",
+        "_unconfirmed",
+    )
+
+    def __init__(self, release_delay_s: float = 0.0) -> None:
+        self._release_delay_s = release_delay_s
         self._records: dict[bytes, LossRecord] = {}
         self._running: dict[str, list[bytes]] = {}
+        self._culprits: set[bytes] = set()
         self._limited: dict[bytes, Standing] = {}
         self._unconfirmed: deque[_Unconfirmed] = deque()
         self._signs = CrashSigns()
@@ -63,7 +88,7 @@
 
     @property
     def limited(self) -> Mapping[bytes, Standing]:
-        """Return the suspected and quarantined requests, as of their last judgements."""
+        """Return the suspected and quarantined requests and contents, as last judged."""
         return self._limited
 
     def set_targets(self, domains: Mapping[str, str]) -> None:
@@ -75,24 +100,51 @@
     ) -> Verdict:
         """Return where a request may run, among the targets that it can use.
 
-        A suspect whose target is not usable is moved to another target.
+        A suspect whose target is not usable is moved to another target. All callers of a suspected
+        content are limited to one target.
         """
-        record = self._live_record(fingerprint, now_s)
-        if record is None:
-            return Unrestricted()
-        judgement = self._judge(record, now_s)
-        if judgement.standing is Standing.CLEAR:
+        limited: list[tuple[bytes, LossRecord]] = []
+        expires_in_s = 0.0
+        for key in _levels(fingerprint):
+            record = self._live_record(key, now_s)
+            if record is None:
+                continue
+            judgement = self._judge(key, record, now_s)
+            if judgement.standing is Standing.QUARANTINED:
+                expires_in_s = max(expires_in_s, judgement.until_s - now_s)
+            elif judgement.standing is Standing.SUSPECTED:
+                limited.append((key, record))
+        if expires_in_s > 0:
+            return Quarantined(expires_in_s)
+        if not limited:
             return Unrestricted()
-        if judgement.standing is Standing.QUARANTINED:
-            return Quarantined(judgement.until_s - now_s)
+        key, record = limited[0]
         if record.limited_to not in self._domains or not is_usable(record.limited_to):
-            record.limited_to = self._pick_target(fingerprint, record, now_s, is_usable)
+            record.limited_to = self._pick_target(key, record, now_s, is_usable)
         return LimitedToTarget(record.limited_to)
 
+    def has_losses(self, fingerprint: bytes) -> bool:
+        """Return whether runs of a request or of its content have been lost."""
+        return any(key in self._records for key in _levels(fingerprint))
+
+    def has_crash(self, fingerprint: bytes) -> bool:
+        """Return whether a target is known to have crashed with a run of a request or content."""
+        record = self._records.get(fingerprint)
+        return record is not None and bool(record.crashed)
+
     def judgement(self, fingerprint: bytes, now_s: float) -> Judgement:
-        """Return the standing of a request; call it after each change of its losses."""
+        """Return the standing of a request or content; call it after each change of its losses."""
         record = self._live_record(fingerprint, now_s)
-        judgement = self._judge(record, now_s) if record is not None else Judgement(Standing.CLEAR)
+        judgement = (
+            self._judge(fingerprint, record, now_s)
+            if record is not None
+            else Judgement(Standing.CLEAR)
+        )
+        is_quarantined = judgement.standing is Standing.QUARANTINED
+        if is_quarantined and judgement.crashes >= QUARANTINE_CRASHES:
+            self._culprits.add(fingerprint)
+        else:
+            self._culprits.discard(fingerprint)
         if judgement.standing is Standing.CLEAR:
             self._limited.pop(fingerprint, None)
         else:
@@ -103,81 +155,139 @@
         """Record that a request starts to run at a target."""
         self._running.setdefault(target, []).append(fingerprint)
 
+    def record_trial(self, fingerprint: bytes, lifetime: Lifetime, sent_s: float) -> list[bytes]:
+        """Record that a request is sent to a target; call it as soon as it is sent.
+
+        The first run after a quarantine counts as lost until it is answered. Without that, other
+        runs would follow in the time until a silent target shows that it crashed again. Return
+        what has changed.
+        """
+        is_released = any(
+            record.is_released(sent_s)
+            for key in _levels(fingerprint)
+            if (record := self._records.get(key)) is not None
+        )
+        return self.record_loss(fingerprint, lifetime, sent_s, sent_s) if is_released else []
+
+    def withdraw_loss(self, fingerprint: bytes, target: str, sent_s: float) -> None:
+        """Forget that a run sent to a target was lost, which turned out not to have begun."""
+        for key in _levels(fingerprint):
+            if key in self._records:
+                self._records[key].withdraw(target, sent_s)
+
     def record_end(
-        self, fingerprint: bytes, target: str, *, is_answered: bool, now_s: float
-    ) -> None:
+        self,
+        fingerprint: bytes,
+        target: str,
+        *,
+        is_answered: bool,
+        now_s: float,
+        sent_s: float | None = None,
+    ) -> list[bytes]:
         """Record that a request no longer runs at a target.
 
-        An answer clears the request, since a request that crashes its targets gets none.
+        An answer clears the request and its content of the losses up to `sent_s`, when the run was
+        sent, or up to now. Return which of the two were limited and have been cleared.
         """
         running = self._running.get(target, [])
         if fingerprint in running:
             running.remove(fingerprint)
-        record = self._live_record(fingerprint, now_s)
-        if is_answered and record is not None and record.losses:
-            record.clear(now_s)
-            self._limited.pop(fingerprint, None)
+        if not is_answered:
+            return []
+        cleared = []
+        for key in _levels(fingerprint):
+            record = self._live_record(key, now_s)
+            if record is None or not record.losses:
+                continue
+            answered_s = now_s if sent_s is None else sent_s
+            record.withdraw(target, answered_s)
+            record.clear(answered_s)
+            was_limited = key in self._limited
+            if was_limited and self.judgement(key, now_s).standing is Standing.CLEAR:
+                cleared.append(key)
+        return cleared
 
     def record_loss(
         self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, now_s: float
-    ) -> bool:
-        """Record that a run has no answer, and return whether this was not known yet.
+    ) -> list[bytes]:
+        """Record that a run has no answer.
 
         `sent_s` is when the request was sent to the target. The same run may be recorded again.
+        Return which of the request and its content this was not known of.
         """
         return self._add_loss(fingerprint, lifetime, sent_s, Loss(now_s))
 
     def record_crash(self, target: str, interrupted: bytes | None, now_s: float) -> list[bytes]:
-        """Record that a target is down; return the fingerprints of the requests that it lost.
+        """Record that a target is down; return the fingerprints whose losses changed.
 
-        These are the requests lost at this target, the interrupted one if there is one, and at the
-        first sign of the crash also those that were running there.
+        These are of the requests lost at this target, the interrupted one if there is one, at the
+        first sign of the crash also those that were running there, and of their contents. Those
+        with the most crashes come first, as they may explain the losses of the others.
         """
         is_new = self._signs.record(target, self._domains.get(target, ""), now_s)
         involved = {interrupted} if interrupted is not None else set()
         if is_new:
             involved.update(self._running.get(target, []))
         changed = {
-            fingerprint
+            key
             for fingerprint in involved
-            if self._add_loss(fingerprint, Lifetime(target), now_s, Loss(now_s, is_crash=True))
+            for key in self._add_loss(
+                fingerprint, Lifetime(target), now_s, Loss(now_s, is_crash=True)
+            )
         }
         lost = {loss.fingerprint for loss in self._unconfirmed if loss.target == target}
-        is_alone = len(lost | involved) <= 1
+        is_alone = len({content_of(fingerprint) for fingerprint in lost | involved}) <= 1
         for fingerprint in lost:
             record = self._live_record(fingerprint, now_s)
             if record is not None and record.confirm(target, is_alone=is_alone):
                 changed.add(fingerprint)
-        return sorted(changed)
+        return sorted(changed, key=lambda key: (-len(self._records[key].crashed), key))
 
     def report(self, fingerprint: bytes, now_s: float) -> CrashReport | None:
-        """Return the report on a request for other entry VMs, or None if nothing is known of it."""
+        """Return the report for other entry VMs, or None if nothing is known."""
         record = self._live_record(fingerprint, now_s)
-        if record is None or not record.losses:
+        if record is None:
             return None
         losses = tuple(
-            ReportedLoss(lifetime, now_s - loss.at_s, loss.is_crash, loss.is_crash_alone)
+            ReportedLoss(
+                lifetime, now_s - loss.at_s, loss.is_crash, loss.is_crash_alone, loss.callers
+            )
             for lifetime, loss in record.losses.items()
         )
-        return CrashReport(fingerprint, losses, record.limited_to)
+        answered_age_s = now_s - record.cleared_s
+        if answered_age_s >= CRASH_TTL_S:
+            return CrashReport(fingerprint, losses, record.limited_to) if losses else None
+        return CrashReport(fingerprint, losses, record.limited_to, answered_age_s)
 
     def receive_report(self, report: CrashReport, now_s: float) -> bool:
         """Merge the report of another entry VM and return whether it changed anything."""
-        record = self._obtain_record(report.fingerprint, now_s)
+        known = self._live_record(report.fingerprint, now_s)
+        if known is None and not report.losses:
+            return False
+        record = known or self._obtain_record(report.fingerprint, now_s)
         is_changed = False
+        if report.answered_age_s is not None:
+            sent_s = now_s - max(0.0, report.answered_age_s) - REPORT_DELAY_S
+            is_changed = record.clear(sent_s)
         for reported in report.losses:
             at_s = now_s - max(0.0, reported.age_s)
-            loss = Loss(at_s, reported.is_crash, reported.was_alone)
+            loss = Loss(at_s, reported.is_crash, reported.was_alone, reported.callers)
             is_changed |= self._add(report.fingerprint, record, reported.lifetime, loss, now_s)
         record.limited_to = record.limited_to or report.limited_to
         return is_changed
 
-    def _add_loss(self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, loss: Loss) -> bool:
-        record = self._obtain_record(fingerprint, loss.at_s)
-        was_alone = record.limited_to == lifetime.target
-        reached = record.lifetime_at(lifetime, sent_s)
-        loss = replace(loss, was_alone=was_alone)
-        return self._add(fingerprint, record, reached, loss, loss.at_s)
+    def _add_loss(
+        self, fingerprint: bytes, lifetime: Lifetime, sent_s: float, loss: Loss
+    ) -> list[bytes]:
+        """Add a loss to a request and to its content, and return those that it changed."""
+        changed = []
+        for key in _levels(fingerprint):
+            record = self._obtain_record(key, loss.at_s)
+            callers = frozenset({caller_tag(fingerprint)}) if is_content(key) else frozenset()
+            own = replace(loss, was_alone=record.limited_to == lifetime.target, callers=callers)
+            if self._add(key, record, record.lifetime_at(lifetime, sent_s), own, loss.at_s):
+                changed.append(key)
+        return changed
 
     def _add(
         self, fingerprint: bytes, record: LossRecord, lifetime: Lifetime, loss: Loss, now_s: float
@@ -193,14 +303,42 @@
         while self._unconfirmed and now_s - self._unconfirmed[0].known_s >= UNCONFIRMED_TTL_S:
             self._live_record(self._unconfirmed.popleft().fingerprint, now_s)
 
-    def _judge(self, record: LossRecord, now_s: float) -> Judgement:
+    def _judge(self, fingerprint: bytes, record: LossRecord, now_s: float) -> Judgement:
         used = {lifetime.target for lifetime in record.losses}
         return record.judge(
             now_s,
             lambda target: self._signs.lost_domain(target, self._domains),
             lambda target: self._signs.is_outage(target, used),
+            self._explained(fingerprint, record),
+            self._release_delay_s,
+            self._is_ambiguous(fingerprint, record),
+        )
+
+    def _is_ambiguous(self, fingerprint: bytes, record: LossRecord) -> bool:
+        """Return whether another content was lost wherever this request crashed a target."""
+        crashed = record.crashed
+        if len(crashed) < CONCLUSIVE_CRASHES:
+            return False
+        content = content_of(fingerprint)
+        return any(
+            crashed <= other.losses.keys()
+            for key, other in self._records.items()
+            if content_of(key) != content
         )
 
+    def _explained(self, fingerprint: bytes, record: LossRecord) -> set[Lifetime]:
+        """Return the lifetimes lost with a request that the crashes of others explain."""
+        explained: set[Lifetime] = set()
+        records = (self._records.get(key) for key in _levels(fingerprint))
+        is_answered = any(own.is_answered_after_loss for own in records if own is not None)
+        for culprit in self._culprits - {fingerprint}:
+            other = self._records.get(culprit)
+            if other is None or other.is_answered_after_loss:
+                continue
+            if is_answered or len(other.crashed) > len(record.crashed):
+                explained.update(other.crashed.intersection(record.losses))
+        return explained
+
     def _live_record(self, fingerprint: bytes, now_s: float) -> LossRecord | None:
         record = self._records.get(fingerprint)
         if record is None:
@@ -208,6 +346,7 @@
         record.prune(now_s)
         if record.is_expired(now_s):
             del self._records[fingerprint]
+            self._culprits.discard(fingerprint)
             return None
         return record
 
@@ -215,7 +354,8 @@
         record = self._live_record(fingerprint, now_s)
         if record is None:
             self._evict_if_full(now_s)
-            record = self._records[fingerprint] = LossRecord()
+            min_callers = CONTENT_CALLERS if is_content(fingerprint) else 0
+            record = self._records[fingerprint] = LossRecord(min_callers)
         return record
 
     def _pick_target(
@@ -244,8 +384,15 @@
         )[: max(0, excess)]:
             del self._records[fingerprint]
             self._limited.pop(fingerprint, None)
+            self._culprits.discard(fingerprint)
 
     def _eviction_rank(self, fingerprint: bytes, now_s: float) -> tuple[Standing, float]:
         record = self._records[fingerprint]
         newest_s = max((loss.at_s for loss in record.losses.values()), default=record.cleared_s)
-        return (self._judge(record, now_s).standing, newest_s)
+        return (self._judge(fingerprint, record, now_s).standing, newest_s)
+
+
+def _levels(fingerprint: bytes) -> tuple[bytes, ...]:
+    """Return the content of a request and the request, or only the content if it is one."""
+    content = content_of(fingerprint)
+    return (content,) if content == fingerprint else (content, fingerprint)
--- a/src/chervilmill/requests/_verdicts.py
+++ b/src/chervilmill/requests/_verdicts.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-import xxhash
-
 from chervilmill.requests._losses import Lifetime
 
 
@@ -15,15 +13,20 @@
     age_s: float
     is_crash: bool
     was_alone: bool
+    callers: frozenset[bytes] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
 class CrashReport:
-    """What one entry VM knows of a request that may crash its targets, for the others."""
+    """What one entry VM knows of a request or a content that may crash its targets.
+
+    `answered_age_s` is the time since the latest answered run was sent, or None if none is known.
+    """
 
     fingerprint: bytes
     losses: tuple[ReportedLoss, ...]
     limited_to: str = ""
+    answered_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,8 +49,3 @@
 
 
 Verdict = Unrestricted | LimitedToTarget | Quarantined
-
-
-def request_fingerprint(service: str, method: str, path: str, content: bytes = b"") -> bytes:
-    """Return the fingerprint by which resends of the same request are recognised."""
-    return xxhash.xxh3_128_digest(f"{service}\n{method}\n{path}\n".encode() + content)
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -96,6 +96,14 @@
             for run in target.records.runs
         )
 
+    async def connect_from(self, host: str) -> ClientConnection:
+        """Return a connection to the entry VM from another loopback address."""
+        address = self.caller_address
+        _, conn = await asyncio.get_running_loop().create_connection(
+            ClientConnection, address.host, address.port, local_addr=(host, 0)
+        )
+        return conn
+
     async def ask(
         self,
         path: str,
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chervilmill.aio import ExchangeError
 from soak.site import RouteRow
 from soak.target import CrashMode
 from tests.entry.harness import SiteUnderTest, running_site
@@ -159,3 +160,50 @@
             assert crashed <= MAX_CRASHED
 
     run_async(scenario)
+
+
+async def _ask_from(site: SiteUnderTest, caller: int, path: str, body: bytes = b"x") -> int:
+    """Send a request from a caller of its own address and return the status, 0 without any."""
+    conn = await site.connect_from(f"127.0.1.{caller}")
+    try:
+        return (await site.ask(path, "POST", body, conn=conn, key="one-object")).status
+    except ExchangeError:
+        return 0
+    finally:
+        conn.abort()
+
+
+def test_object_that_crashes_targets_takes_one_more_with_each_caller(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=TARGETS) as site:
+            for target in site.targets.values():
+                target.crash_mode = CrashMode.RESET
+            for caller in range(1, RESENDS + 1):
+                await _ask_from(site, caller, "/order/crash")
+                await _expire_crashed(site)
+            crashed = sum(target.has_crashed for target in site.targets.values())
+            assert crashed <= MAX_CRASHED
+
+    run_async(scenario)
+
+
+def test_other_callers_are_refused_for_the_crashes_of_one(tmp_path: Path) -> None:
+    """One caller's request crashes its targets; the same path is harmless for everyone else."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=TARGETS) as site:
+            for target in site.targets.values():
+                target.crash_mode = CrashMode.RESET
+            for _ in range(3):
+                await _ask_from(site, 1, "/order/crash")
+                await _expire_crashed(site)
+            for target in site.targets.values():
+                target.crashing_path_end = "never"
+            assert [await _ask_from(site, caller, "/order/crash") for caller in (2, 3, 4)] == [
+                200,
+                200,
+                200,
+            ]
+            assert await _ask_from(site, 1, "/order/crash") == 503
+
+    run_async(scenario)
