Act on what targets in trouble say: that they leave, or want a pause

What happened: a target that is leaving, or that turned a request away and named a time, went on getting requests; its entry in the store was the only sign that counted, and that arrives late or not at all while the store is away.

Cause: neither header was read. In our own interface the contract had the time, and nodes ignored it.

Change: an answer that says that its target is leaving marks this lifetime as draining in the view, whatever its entry says, until a later lifetime; entry VMs tell each other, newcomers included. A pause belongs to the rates of a target, so that first sends, retries, moves, hedges and suspects all meet it. It is not told to others: a target may turn away only what one VM sends. Where all targets have asked for a pause, callers are told when the first one ends.

--- a/soak/target.py
+++ b/soak/target.py
@@ -19,6 +19,7 @@
 SEAL = b"x-chervilmill-response-seal"
 LOAD = b"x-chervilmill-server-load"
 LIMIT = b"x-chervilmill-server-limit"
+LEAVING = b"x-chervilmill-server-leaving"
 NOT_RUN = b"x-chervilmill-request-not-run"
 INSTANCE = b"x-chervilmill-instance-id"
 LIMITS = ServerLimits(header_bytes=65_536, header_timeout_s=5.0, idle_s=10.0)
@@ -92,6 +93,8 @@
         self.crashing_path_end = CRASHING_PATH_END
         self.limit: bytes | None = None  # in requests a second, named in each answer
         self.limit_header = LIMIT
+        self.leaving_header: bytes | None = None  # named in each answer once the target leaves
+        self.retry_after: bytes | None = None  # stated in each answer that turns a request away
         self.on_crash: Callable[[], None] = lambda: None  # when a request crashes the target
         self.records = TargetRecords()
         self._work_s = work_s
@@ -144,7 +147,8 @@
             await self._answer_with_id(conn, head, 421, [(INSTANCE, self.name.encode())], b"")
             return
         if self._waiting >= self._queue_limit or self.faults.consume("shed"):
-            await self._answer_with_id(conn, head, 503, [(NOT_RUN, b"1")], b"")
+            pause = [(b"retry-after", self.retry_after)] if self.retry_after is not None else []
+            await self._answer_with_id(conn, head, 503, [(NOT_RUN, b"1"), *pause], b"")
             return
         self._waiting += 1
         try:
@@ -230,6 +234,8 @@
         own = [(REQUEST_ID, echo)] if echo else []
         if self.limit is not None:
             own.append((self.limit_header, self.limit))
+        if self.leaving_header is not None:
+            own.append((self.leaving_header, b"1"))
         await conn.answer(status, [*headers, *own, (b"keep-alive", b"timeout=10")], body)
 
     def _work_duration_s(self, head: RequestHead) -> float:
--- a/src/chervilmill/callers/_attempt_run.py
+++ b/src/chervilmill/callers/_attempt_run.py
@@ -34,6 +34,7 @@
 ATTEMPT_HEADER = "X-Attempt"
 LOAD_HEADER = "x-target-load"
 LIMIT_HEADER = "x-target-limit"
+RETRY_AFTER_HEADER = "retry-after"
 RAN_HEADER = "x-ran"
 STATE_HEADER = "x-target-state"
 STALL_THRESHOLD_S = 1.0
@@ -113,6 +114,8 @@
         for name, value in answer.headers:
             if name.lower() == LOAD_HEADER:
                 self._record_load(value)
+            elif name.lower() == RETRY_AFTER_HEADER and answer.status == 503:
+                self._slots.record_pause(self._target.name, value)
             elif name.lower() == STATE_HEADER:
                 self._record_condition(value)
 
--- a/src/chervilmill/callers/_slots.py
+++ b/src/chervilmill/callers/_slots.py
@@ -149,6 +149,11 @@
         if report is not None:
             self._on_limit_change(report)
 
+    def record_pause(self, target: str, text: str) -> None:
+        """Record for how long a target that turned a request away wants no other."""
+        with self._lock:
+            self._limits.record_pause(target, text, self._clock())
+
     def receive_limit(self, report: LimitReport) -> None:
         """Apply a limit that another entry VM reports."""
         with self._lock:
--- a/src/chervilmill/callers/_target_limits.py
+++ b/src/chervilmill/callers/_target_limits.py
@@ -16,6 +16,7 @@
     TargetRates,
     is_limit,
     parse_limit,
+    parse_pause,
 )
 from chervilmill.requests import Lifetime
 
@@ -80,6 +81,16 @@
         if self._rates.limits.receive(report, now_s):
             self._log_change(target, report.per_s, "peer")
 
+    def record_pause(self, target: str, text: str, now_s: float) -> None:
+        """Record for how long a target that turned a request away wants nothing from this node."""
+        stated = parse_pause(text)
+        if stated.pause_s is None:
+            shown = stated.text[:MAX_LOGGED_TEXT_CHARS]
+            log_problem("pause refused", step="pause", peer=target, text=shown)
+            return
+        self._rates.pauses.record(Lifetime(target), stated.pause_s, now_s)
+        log_event("target pause", step="pause", target=target, pause_s=stated.pause_s)
+
     def may_send(self, target: str, now_s: float) -> bool:
         """Return whether this node may send a request to a target now."""
         return self._room_in_s(target, now_s) <= 0
@@ -98,7 +109,7 @@
         return self._rates.retry_after_s([self._rated(name) for name in targets], now_s)
 
     def _room_in_s(self, target: str, now_s: float) -> float:
-        if self._rates.limits.is_empty:
+        if self._rates.is_unlimited:
             return 0.0
         return self._rates.room_in_s(self._rated(target), now_s)
 
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -6,6 +6,7 @@
 
 from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult
 from chervilmill.entry._crashes import CrashTracker, only_target
+from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._outcome import OutcomeRecorder, overdue_after_s
 from chervilmill.entry._pool import TargetPool
@@ -52,6 +53,7 @@
         is_stopping: Callable[[], bool],
         crashes: CrashTracker,
         limits: LimitTracker,
+        leaving: LeavingTracker,
     ) -> None:
         self._site_state = site_state
         self._pool = pool
@@ -61,7 +63,7 @@
         self._count_live_vms = count_live_vms
         self._is_stopping = is_stopping
         self._crashes = crashes
-        self._outcomes = OutcomeRecorder(site_state.fleet, crashes, limits)
+        self._outcomes = OutcomeRecorder(site_state.fleet, crashes, limits, leaving)
         self._retry_budgets: dict[str, RetryBudgetShare] = {}
 
     def count_request(self, service: str) -> None:
@@ -275,7 +277,7 @@
                 f" age {progress.age_s:.3f} s"
             )
         if refused.is_rate_limited:
-            detail = "targets take no more requests a second"
+            detail = "targets take no more requests now"
         return Refusal(reason, refused.retry_after_s, detail)
 
     def _retry_budget(self, service: str) -> RetryBudgetShare:
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -16,6 +16,7 @@
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.entry._dispatch import Dispatcher
 from chervilmill.entry._forward import Forwarder
+from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._replica_sync import ReplicaSync
@@ -31,8 +32,10 @@
     Membership,
     Peer,
     ReportChannel,
+    decode_leaving,
     decode_limits,
     decode_reports,
+    encode_leaving,
     encode_limits,
     encode_reports,
 )
@@ -78,6 +81,7 @@
         self._site_state.on_lifetime_change = self._handle_lifetime_change
         self._crashes = CrashTracker(rng.random())
         self._limits = LimitTracker(fleet.rates.limits)
+        self._leaving = LeavingTracker(self._site_state.mark_leaving)
         self._replicas = {kind: KindReplica(kind) for kind in KINDS}
         self._store = PlatformStore(HttpClient(settings.store), str(settings.store))
         self._sync = ReplicaSync(self._store, self._replicas, self._site_state.apply_change)
@@ -88,6 +92,7 @@
             [
                 ReportChannel(self._crashes, encode_reports, decode_reports),
                 ReportChannel(self._limits, encode_limits, decode_limits),
+                ReportChannel(self._leaving, encode_leaving, decode_leaving),
             ],
             self._handle_digest,
         )
@@ -103,6 +108,7 @@
             self._stop_requested.is_set,
             self._crashes,
             self._limits,
+            self._leaving,
         )
         self._forwarder = Forwarder(
             self._site_state, dispatcher, self._metrics, self._is_view_fresh
@@ -212,7 +218,8 @@
                 vms.setdefault(region, []).append(peer.name)
         self._site_state.fleet.rates.vms_by_region = vms
         fleet_size = sum(len(names) for names in vms.values())
-        self._crashes.fleet_size = self._limits.fleet_size = fleet_size
+        for tracker in (self._crashes, self._limits, self._leaving):
+            tracker.fleet_size = fleet_size
 
     def _set_serving(self, is_serving: bool) -> None:
         self._readiness.is_ready = is_serving
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -2,10 +2,11 @@
 
 from chervilmill.entry._attempt import MISDIRECTED_STATUS, AttemptEnd, AttemptResult
 from chervilmill.entry._crashes import CrashTracker
+from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._progress import Progress
-from chervilmill.logs import log_failure
-from chervilmill.overload import Candidate, TargetFleet
+from chervilmill.logs import log_event, log_failure, log_problem
+from chervilmill.overload import Candidate, StatedPause, TargetFleet
 from chervilmill.platform import AnswerHeaders
 from chervilmill.requests import Lifetime
 from chervilmill.routing import Target
@@ -14,23 +15,44 @@
 # objective of its route. A target that has answered nothing else meanwhile then counts as silent.
 OVERDUE_FACTOR = 3.0
 MAX_LOGGED_PATH_CHARS = 120
+MAX_LOGGED_TEXT_CHARS = 40
 
 
 class OutcomeRecorder:
     """Records the results of attempts with the target fleet and the trackers."""
 
-    def __init__(self, fleet: TargetFleet, crashes: CrashTracker, limits: LimitTracker) -> None:
+    def __init__(
+        self,
+        fleet: TargetFleet,
+        crashes: CrashTracker,
+        limits: LimitTracker,
+        leaving: LeavingTracker,
+    ) -> None:
         self._fleet = fleet
         self._crashes = crashes
         self._limits = limits
+        self._leaving = leaving
 
     def record_answer_headers(self, target: Target, headers: AnswerHeaders, now_s: float) -> None:
         """Record what the headers of an answer say of its target.
 
         Only an answer that the target vouches for can withdraw a limit.
         """
+        lifetime = _lifetime(target)
         if headers.limit is not None or headers.is_sealed:
-            self._limits.record_answer(_lifetime(target), headers.limit, now_s)
+            self._limits.record_answer(lifetime, headers.limit, now_s)
+        if headers.is_leaving:
+            self._leaving.record_answer(lifetime, now_s)
+        if headers.pause is not None:
+            self._record_pause(lifetime, headers.pause, now_s)
+
+    def _record_pause(self, lifetime: Lifetime, stated: StatedPause, now_s: float) -> None:
+        if stated.pause_s is None:
+            text = stated.text[:MAX_LOGGED_TEXT_CHARS]
+            log_problem("pause refused", step="pause", peer=lifetime.target, text=text)
+            return
+        self._fleet.rates.pauses.record(lifetime, stated.pause_s, now_s)
+        log_event("target pause", step="pause", target=lifetime.target, pause_s=stated.pause_s)
 
     def record_sent(self, progress: Progress, candidate: Candidate, now_s: float) -> None:
         """Record that a request is about to be sent to a candidate."""
--- a/src/chervilmill/entry/_site_state.py
+++ b/src/chervilmill/entry/_site_state.py
@@ -14,6 +14,7 @@
     read_configuration,
     read_target,
 )
+from chervilmill.requests import Lifetime
 from chervilmill.routing import (
     ConfigurationApplied,
     EvacuationChanged,
@@ -71,6 +72,10 @@
         """Remove targets that did not register again in time after their entries expired."""
         self._apply_view_changes(self.view.drop_expired(self._clock()))
 
+    def mark_leaving(self, lifetime: Lifetime) -> None:
+        """Send nothing more to a lifetime of a target that says that it is leaving."""
+        self._apply_view_changes(self.view.mark_leaving(lifetime.target, lifetime.incarnation))
+
     def is_registered(self) -> bool:
         """Return whether the store holds an up-to-date object of this VM."""
         return self._registered_vms.get(self._own.name) == self._own
--- a/src/chervilmill/overload/__init__.py
+++ b/src/chervilmill/overload/__init__.py
@@ -32,6 +32,7 @@
     is_limit,
     parse_limit,
 )
+from chervilmill.overload._target_pauses import StatedPause, parse_pause
 from chervilmill.overload._target_rates import RatedTarget, TargetRates
 from chervilmill.overload._target_record import TargetRecord
 
@@ -55,6 +56,7 @@
     "SharedRateLimiter",
     "SpillBudget",
     "StatedLimit",
+    "StatedPause",
     "TargetFleet",
     "TargetLimits",
     "TargetRates",
@@ -67,4 +69,5 @@
     "is_limit",
     "limited_rate",
     "parse_limit",
+    "parse_pause",
 ]
--- a/src/chervilmill/overload/_fleet.py
+++ b/src/chervilmill/overload/_fleet.py
@@ -110,15 +110,16 @@
         else:
             region = self._choose_region(query, allowed, now_s)
         if region is None:
-            return Refused(NO_TARGET_RETRY_AFTER_S)
+            return self._refuse_without_room(query, usable, view.configuration, now_s)
         decision = self._place_in_region(region, query, allowed, view.configuration, now_s)
         if not isinstance(decision, Admitted) and self._spill_budget.can_withdraw():
             decision = self._place_in_other_region(region, query, allowed, view, now_s) or decision
         return decision or self._refuse_without_room(query, allowed, view.configuration, now_s)
 
     def is_sender(self, record: TargetRecord, cfg: Configuration | None, now_s: float) -> bool:
-        """Return whether this VM may send requests to a target, now or after a while."""
-        return math.isfinite(self._room_in_s(record, cfg, now_s))
+        """Return whether this VM may send requests to a target, now or as soon as it has room."""
+        is_paused = self.rates.pauses.left_s(_lifetime(record.target), now_s) > 0
+        return not is_paused and math.isfinite(self._room_in_s(record, cfg, now_s))
 
     def start(self, candidate: Candidate, key: str, now_s: float) -> int:
         """Record a request that is sent to a candidate, and return its serial number there."""
@@ -288,7 +289,7 @@
         return self._room_in_s(record, cfg, now_s) <= 0
 
     def _room_in_s(self, record: TargetRecord, cfg: Configuration | None, now_s: float) -> float:
-        if not record.is_cold(now_s) and self.rates.limits.is_empty:
+        if not record.is_cold(now_s) and self.rates.is_unlimited:
             return 0.0
         return self.rates.room_in_s(self._rated(record, cfg, now_s), now_s)
 
--- a/src/chervilmill/peers/__init__.py
+++ b/src/chervilmill/peers/__init__.py
@@ -9,6 +9,7 @@
 from chervilmill.peers._digest import Digest, HeartbeatEntry, MalformedDigestError
 from chervilmill.peers._dissemination import TableCursor, UpdateQueue
 from chervilmill.peers._endpoint import GossipEndpoint, ReportChannel, ReportExchange
+from chervilmill.peers._leaving_reports import decode_leaving, encode_leaving
 from chervilmill.peers._limit_reports import decode_limits, encode_limits
 from chervilmill.peers._membership import DEAD_AFTER_S, Membership, MemberState, Peer, peer_key
 from chervilmill.peers._replica import KindReplica, ReplicaChange
@@ -28,8 +29,10 @@
     "ReportExchange",
     "TableCursor",
     "UpdateQueue",
+    "decode_leaving",
     "decode_limits",
     "decode_reports",
+    "encode_leaving",
     "encode_limits",
     "encode_reports",
     "peer_key",
--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from chervilmill.overload import StatedLimit, parse_limit
+from chervilmill.overload import StatedLimit, StatedPause, parse_limit, parse_pause
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -16,8 +16,9 @@
 _SEAL_HEADER = b"x-chervilmill-response-seal"
 _EXPECTED_INSTANCE_HEADER = b"x-chervilmill-expected-instance"
 _LOAD_HEADER = b"x-chervilmill-server-load"  # running, waiting, slots; not a CPU load
-# The platform's pages name the second without the prefix of the others.
+# The platform's pages name the second of each without the prefix of the others.
 _LIMIT_HEADERS = (b"x-chervilmill-server-limit", b"server-limit")
+_LEAVING_HEADERS = (b"x-chervilmill-server-leaving", b"server-leaving")
 _NOT_RUN_HEADER = b"x-chervilmill-request-not-run"
 _RETRY_AFTER_HEADER = b"retry-after"
 
@@ -52,6 +53,8 @@
 
     `is_sealed` says that the target vouches for the answer. `proves_not_run` is True only if the
     target states that it did not run the request. `limit` is None if the answer names no limit.
+    `is_leaving` says that the target takes no new requests. `pause` is for how long a target that
+    turned the request away wants nothing from this VM, or None if it does not say.
     """
 
     request_id: str
@@ -60,6 +63,8 @@
     has_content_encoding: bool
     load: LoadReport | None
     limit: StatedLimit | None = None
+    is_leaving: bool = False
+    pause: StatedPause | None = None
 
 
 def read_request(headers: Headers) -> RequestHeaders:
@@ -82,6 +87,8 @@
         has_content_encoding=by_name.get(b"content-encoding", b"identity").lower() != b"identity",
         load=_parse_load(by_name.get(_LOAD_HEADER)),
         limit=_find_limit(by_name),
+        is_leaving=any(by_name.get(name, b"").strip() == b"1" for name in _LEAVING_HEADERS),
+        pause=_find_pause(status, by_name),
     )
 
 
@@ -110,6 +117,12 @@
     return parse_limit(_decode_text(stated[0])) if stated else None
 
 
+def _find_pause(status: int, by_name: Mapping[bytes, bytes]) -> StatedPause | None:
+    if status != 503 or _RETRY_AFTER_HEADER not in by_name:
+        return None
+    return parse_pause(_decode_text(by_name[_RETRY_AFTER_HEADER]))
+
+
 def _parse_milliseconds(value: bytes | None) -> float | None:
     if value is None or not value.strip().isdigit():
         return None
--- a/src/chervilmill/routing/_view.py
+++ b/src/chervilmill/routing/_view.py
@@ -3,14 +3,16 @@
 A configuration is replaced only by a newer version. A target that drains, is removed or is
 evacuated gets no requests from that change on. Targets whose entries expired during an outage of
 the store are kept for a short time, because live targets register again. Targets that were seen
-draining are not kept.
+draining are not kept. A target that said in an answer that it is leaving counts as draining for
+the rest of its lifetime, whatever its entry says.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from chervilmill.routing._model import Configuration, Target
 
+MAX_KNOWN_LEAVING = 4096
 REGISTER_AGAIN_S = 2.5  # live targets register again within about 2 s of the outage's end
 
 
@@ -51,13 +53,14 @@
 class SiteView:
     """The configuration, the targets and the evacuated failure domains."""
 
-    __slots__ = ("configuration", "evacuated", "targets", "_kept_until_s")
+    __slots__ = ("configuration", "evacuated", "targets", "_kept_until_s", "_leaving")
 
     def __init__(self) -> None:
         self.configuration: Configuration | None = None
         self.targets: dict[str, Target] = {}
         self.evacuated: frozenset[str] = frozenset()
         self._kept_until_s: dict[str, float] = {}
+        self._leaving: dict[tuple[str, int], None] = {}
 
     def apply_configuration(self, new: Configuration) -> list[ViewChange]:
         """Apply a configuration if it is newer than the present one."""
@@ -70,6 +73,8 @@
     def put_target(self, target: Target) -> list[ViewChange]:
         """Add or update a target from its entry."""
         self._kept_until_s.pop(target.name, None)
+        if (target.name, target.incarnation) in self._leaving:
+            target = replace(target, is_draining=True)
         present = self.targets.get(target.name)
         if present == target:
             return []
@@ -77,6 +82,17 @@
         is_same_lifetime = present is not None and present.incarnation == target.incarnation
         return [TargetChanged(target, present if is_same_lifetime else None)]
 
+    def mark_leaving(self, name: str, incarnation: int) -> list[ViewChange]:
+        """Record that a lifetime of a target is leaving, also if its entry is not known yet."""
+        if len(self._leaving) >= MAX_KNOWN_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[(name, incarnation)] = None
+        present = self.targets.get(name)
+        if present is None or present.incarnation != incarnation or present.is_draining:
+            return []
+        self.targets[name] = replace(present, is_draining=True)
+        return [TargetChanged(self.targets[name], present)]
+
     def remove_target(self, name: str) -> list[ViewChange]:
         """Remove a target whose entry was removed."""
         self._kept_until_s.pop(name, None)
--- a/tests/callers/test_target_limits.py
+++ b/tests/callers/test_target_limits.py
@@ -111,3 +111,25 @@
     for value in (b"", cbor2.dumps("2"), cbor2.dumps(-2.0), cbor2.dumps(float("nan"))):
         channel.publish(LIMIT_TOPIC, "souhrny/t1", value, 10.0)
     assert receiver.received == [report]
+
+
+def test_target_that_asked_for_a_pause_gets_requests_in_it() -> None:
+    """The stand-in turns requests away with `Retry-After: 1`."""
+    with running(targets=2) as ([entry], states):
+        states[0].shed_next = 100
+        assert _ask_for(entry, 0.8) == {200}
+        assert states[0].shed <= 1
+        states[0].shed_next = 0
+        time.sleep(0.3)
+        _ask_for(entry, 0.5)
+        assert _requests(states[0]) > states[0].shed, "the pause has ended"
+
+
+def test_node_without_another_target_tells_when_the_pause_ends() -> None:
+    with running(targets=1) as ([entry], states):
+        states[0].shed_next = 1
+        entry.get("/digest")
+        refused = entry.get("/digest")
+        assert refused.status == 503
+        assert 0.3 <= float(refused.headers["retry-after"]) <= 1.0
+        assert states[0].shed == 1
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -10,6 +10,7 @@
 from chervilmill.aio import RequestHead
 from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult, OutgoingRequest
 from chervilmill.entry._crashes import CrashTracker
+from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._outcome import OVERDUE_FACTOR, OutcomeRecorder, overdue_after_s
 from chervilmill.entry._pool import TargetPool
@@ -85,7 +86,12 @@
     crashes = CrashTracker()
     crashes.set_targets({"t": "north-a", "u": "north-b"})
     return _Setup(
-        OutcomeRecorder(fleet, crashes, LimitTracker(fleet.rates.limits)),
+        OutcomeRecorder(
+            fleet,
+            crashes,
+            LimitTracker(fleet.rates.limits),
+            LeavingTracker(lambda _: None),
+        ),
         progress,
         candidate,
         crashes,
