Count the time to register again from the return of the store

Cause: for 3 s after the return, each removal was taken for an entry that had expired in the outage, and its target was kept for 2.5 s from the removal on. Live targets register again within two seconds of the return, so the time has to count from the return. A removal learnt from a peer's copy was taken for an expired entry as well, though the peer had reached the store all along.

Evidence: test_target_that_leaves_after_an_outage_is_kept_beyond_the_time_to_ register_again needs the second removal to be kept no longer than the first; the code before keeps each for 2.5 s of its own.

Change: targets are kept until 2 s after the return, and not at all for a removal after that. Copies handed to peers say whether an outage explains what is missing from them.

What remains by nature: a VM that does not notice a silent outage learns of a removal from peers only, and a target that lapsed and registers again later than 2 s after the return is missing until then.

--- a/src/chervilmill/entry/_control_handlers.py
+++ b/src/chervilmill/entry/_control_handlers.py
@@ -77,10 +77,14 @@
 
 
 class ReplicaHandler:
-    """HTTP handler that gives peers copies of all objects of a kind."""
+    """HTTP handler that gives peers copies of all objects of a kind.
 
-    def __init__(self, replicas: dict[str, KindReplica]) -> None:
+    `is_settled` returns whether no outage of the store explains what is missing from the copies.
+    """
+
+    def __init__(self, replicas: dict[str, KindReplica], is_settled: Callable[[], bool]) -> None:
         self._replicas = replicas
+        self._is_settled = is_settled
 
     async def __call__(self, conn: ServerConnection, head: RequestHead) -> None:
         """Answer a peer's request for a copy."""
@@ -89,4 +93,5 @@
         if replica is None or not replica.as_of:
             await conn.answer(404, [], b"")
             return
-        await conn.answer(200, list(JSON_HEADERS), encode_replica(replica))
+        body = encode_replica(replica, is_settled=self._is_settled())
+        await conn.answer(200, list(JSON_HEADERS), body)
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -123,7 +123,8 @@
             settings.lookup_address: HttpServer(self._lookups, lambda: CONTROL_LIMITS),
             settings.readiness_address: HttpServer(self._readiness, lambda: CONTROL_LIMITS),
             settings.peer_address: HttpServer(
-                ReplicaHandler(self._replicas), lambda: CONTROL_LIMITS
+                ReplicaHandler(self._replicas, lambda: self._sync.is_settled),
+                lambda: CONTROL_LIMITS,
             ),
             Address(settings.host, settings.metrics_port): HttpServer(
                 self._answer_metrics, lambda: CONTROL_LIMITS
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -34,10 +34,11 @@
 RETRY_DELAY_S = 1.0  # refused calls are paid for too
 CATCH_UP_DELAY_S = 0.8  # time for a change to arrive by the watch before a peer is asked
 PEER_TIMEOUT_S = 1.5
-# How long after an outage an object may be missing because its entry expired during the outage.
-OUTAGE_END_WINDOW_S = 3.0
+# Live targets whose entries expired during an outage register again within this time of its end.
+REGISTER_AGAIN_S = 2.0
 
-OnChange = Callable[[str, ReplicaChange, bool], None]
+# Takes the kind, the change, and until when targets that it removes may register again.
+OnChange = Callable[[str, ReplicaChange, float | None], None]
 
 
 @dataclass(slots=True)
@@ -117,7 +118,7 @@
     async def _list(self, replica: KindReplica) -> None:
         listing = await self._store.list_all(replica.kind, LIST_TIMEOUT_S)
         self._record_answer()
-        self._apply_listing(replica, listing)
+        self._apply_listing(replica, listing, self._register_again_until_s())
 
     async def _watch(self, replica: KindReplica) -> None:
         result = await self._store.watch(
@@ -126,21 +127,25 @@
         self._record_answer()
         change = replica.apply_events(result)
         if change is not None and (change.written or change.removed):
-            self._on_change(replica.kind, change, self._is_outage_recent())
+            self._on_change(replica.kind, change, self._register_again_until_s())
         if result.events:
             await asyncio.sleep(WATCH_PAUSE_S)  # one call then returns all changes of the pause
 
-    def _apply_listing(self, replica: KindReplica, listing: Listing) -> None:
+    def _apply_listing(
+        self, replica: KindReplica, listing: Listing, kept_until_s: float | None
+    ) -> None:
         change = replica.apply_listing(listing)
         if change is not None:
-            self._on_change(replica.kind, change, self._is_outage_recent())
+            self._on_change(replica.kind, change, kept_until_s)
         self._loaded[replica.kind].set()
 
     async def _fetch_from_peer(self, replica: KindReplica, host: Address, wanted: int) -> None:
         try:
             await asyncio.sleep(CATCH_UP_DELAY_S)
             if replica.last_change_revision < wanted:
-                self._apply_listing(replica, await fetch_replica(host, replica.kind))
+                fetched = await fetch_replica(host, replica.kind)
+                kept_until_s = None if fetched.is_settled else self._register_again_until_s()
+                self._apply_listing(replica, fetched.listing, kept_until_s)
                 log_event(
                     "copy fetched from a peer",
                     step="catch up",
@@ -153,12 +158,18 @@
         finally:
             self._fetching.discard(replica.kind)
 
-    def _is_outage_recent(self) -> bool:
+    @property
+    def is_settled(self) -> bool:
+        """Return whether no outage of the store can explain that an entry is missing here."""
+        return self._register_again_until_s() is None
+
+    def _register_again_until_s(self) -> float | None:
+        """Return until when targets may register again, or None if they would have done so."""
         now_s = asyncio.get_running_loop().time()
-        return (
-            self._store_state.is_unreachable
-            or now_s - self._store_state.recovered_s < OUTAGE_END_WINDOW_S
-        )
+        if self._store_state.is_unreachable:
+            return now_s + REGISTER_AGAIN_S
+        until_s = self._store_state.recovered_s + REGISTER_AGAIN_S
+        return until_s if now_s < until_s else None
 
     def _record_answer(self) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -174,7 +185,15 @@
             log_problem("store is lost", step=exc.step, peer=exc.peer, kind=kind, error=exc.message)
 
 
-async def fetch_replica(host: Address, kind: str) -> Listing:
+@dataclass(frozen=True, slots=True)
+class FetchedReplica:
+    """A peer's copy; `is_settled` says that no outage explains what is missing from it."""
+
+    listing: Listing
+    is_settled: bool
+
+
+async def fetch_replica(host: Address, kind: str) -> FetchedReplica:
     """Fetch a peer's copy of all objects of a kind, or raise ChervilmillError."""
     client = HttpClient(host)
     try:
@@ -183,12 +202,15 @@
         client.close()
     try:
         raw = json.loads(answer.body)
-        return Listing(decode_objects(raw["objects"]), int(raw["as_of"]))
-    except (ValueError, KeyError, TypeError) as exc:
+        listing = Listing(decode_objects(raw["objects"]), int(raw["as_of"]))
+        return FetchedReplica(listing, raw.get("is_settled") is True)
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise StoreError(repr(exc), step="read copy", peer=str(host)) from exc
 
 
-def encode_replica(replica: KindReplica) -> bytes:
+def encode_replica(replica: KindReplica, *, is_settled: bool) -> bytes:
     """Encode a copy in the form that `fetch_replica` reads."""
     objects = encode_objects(replica.objects.values())
-    return json.dumps({"as_of": replica.as_of, "objects": objects}).encode()
+    return json.dumps(
+        {"as_of": replica.as_of, "is_settled": is_settled, "objects": objects}
+    ).encode()
--- a/src/chervilmill/entry/_site_state.py
+++ b/src/chervilmill/entry/_site_state.py
@@ -53,16 +53,16 @@
         self._registered_vms: dict[str, Peer] = {}
         self.on_lifetime_change: OnLifetimeChange = lambda _: None
 
-    def apply_change(self, kind: str, change: ReplicaChange, is_outage_recent: bool) -> None:
+    def apply_change(self, kind: str, change: ReplicaChange, kept_until_s: float | None) -> None:
         """Apply changed objects of one kind.
 
-        Targets whose entries expired during or just after an outage of the store are kept for a
-        while, since they may register again.
+        Targets whose entries expired during an outage of the store are kept until `kept_until_s`,
+        since they may register again. It is None if no outage can explain a removal.
         """
         if kind == CONFIGURATION_KIND:
             self._apply_configuration(change)
         elif kind == TARGET_KIND:
-            self._apply_targets(change, is_outage_recent)
+            self._apply_targets(change, kept_until_s)
         elif kind == EVACUATION_KIND:
             self._apply_evacuations(change)
         elif kind == ENTRY_KIND:
@@ -87,14 +87,13 @@
             except InvalidObjectError as exc:
                 log_problem("configuration refused", step=exc.step, peer=exc.peer, error=str(exc))
 
-    def _apply_targets(self, change: ReplicaChange, is_outage_recent: bool) -> None:
-        now_s = self._clock()
+    def _apply_targets(self, change: ReplicaChange, kept_until_s: float | None) -> None:
         for stored in change.written:
             self._apply_view_changes(self._put_target(stored))
         for name in change.removed:
-            if is_outage_recent:
-                self.view.keep_expired_target(name, now_s)
-            if not is_outage_recent or not self.view.is_expired(name):
+            if kept_until_s is not None:
+                self.view.keep_expired_target(name, kept_until_s)
+            if kept_until_s is None or not self.view.is_expired(name):
                 self._apply_view_changes(self.view.remove_target(name))
 
     def _put_target(self, stored: StoredObject) -> list[ViewChange]:
--- a/src/chervilmill/routing/_view.py
+++ b/src/chervilmill/routing/_view.py
@@ -13,7 +13,6 @@
 from chervilmill.routing._model import Configuration, Target
 
 MAX_KNOWN_LEAVING = 4096
-REGISTER_AGAIN_S = 2.5  # live targets register again within about 2 s of the outage's end
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,10 +98,10 @@
         present = self.targets.pop(name, None)
         return [TargetRemoved(present)] if present else []
 
-    def keep_expired_target(self, name: str, now_s: float) -> None:
+    def keep_expired_target(self, name: str, until_s: float) -> None:
         """Keep a target for a short time after its entry expired during an outage of the store."""
         if name in self.targets and not self.targets[name].is_draining:
-            self._kept_until_s.setdefault(name, now_s + REGISTER_AGAIN_S)
+            self._kept_until_s.setdefault(name, until_s)
 
     def is_expired(self, name: str) -> bool:
         """Return whether a target is kept although its entry expired."""
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -5,10 +5,14 @@
 import time
 from contextlib import suppress
 
-from chervilmill.aio import HttpAnswer
-from chervilmill.entry._replica_sync import ReplicaSync
+import pytest
+
+from chervilmill.addresses import Address
+from chervilmill.aio import ConnectError, HttpAnswer
+from chervilmill.entry import _replica_sync
+from chervilmill.entry._replica_sync import FetchedReplica, ReplicaSync
 from chervilmill.peers import KindReplica, ReplicaChange
-from chervilmill.platform import PlatformStore
+from chervilmill.platform import Listing, PlatformStore
 
 KIND = "servers"
 PLAYED_S = 2.0
@@ -50,7 +54,7 @@
     replica = KindReplica(KIND)
     seen: list[str] = []
 
-    def record(kind: str, change: ReplicaChange, is_outage_recent: bool) -> None:
+    def record(kind: str, change: ReplicaChange, kept_until_s: float | None) -> None:
         seen.extend(stored.name for stored in change.written)
 
     async def scenario() -> None:
@@ -63,3 +67,87 @@
     assert len(seen) == len(set(seen)) > 100
     numbers = [int(name.removeprefix("t-")) for name in seen]
     assert numbers == list(range(numbers[0], numbers[-1] + 1))
+
+
+class _StoreWithOutage:
+    """A store that is away at first, and from which each watch after that removes an entry."""
+
+    def __init__(self, away_s: float, removals_s: tuple[float, ...]) -> None:
+        self._began_s = time.monotonic()
+        self._away_s = away_s
+        self._removals_s = list(removals_s)
+        self._revision = 10
+
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        since_return_s = time.monotonic() - self._began_s - self._away_s
+        if "watch=" not in path:
+            items = [_entry(f"t-{n}", 1 + n) for n in range(len(self._removals_s))]
+            return _answer({"items": items, "as-of": self._revision})
+        if since_return_s < 0:
+            raise ConnectError("refused", step="connect", peer="store")
+        if not self._removals_s:
+            await asyncio.Event().wait()
+        await asyncio.sleep(max(0.0, self._removals_s.pop(0) - since_return_s))
+        self._revision += 1
+        removed = {"object": _entry(f"t-{len(self._removals_s)}", self._revision), "deleted": True}
+        return _answer({"events": [removed], "as-of": self._revision})
+
+
+def _entry(name: str, revision: int) -> dict[str, object]:
+    return {"metadata": {"name": name, "revision": revision}, "specification": {}}
+
+
+def test_target_that_leaves_after_an_outage_is_kept_beyond_the_time_to_register_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time counts from the return of the store, not from the removal of the entry."""
+    monkeypatch.setattr(_replica_sync, "REGISTER_AGAIN_S", 0.6)
+    monkeypatch.setattr(_replica_sync, "RETRY_DELAY_S", 0.02)
+    monkeypatch.setattr(_replica_sync, "WATCH_PAUSE_S", 0.0)
+    kept: list[tuple[str, float | None]] = []
+    began_s = time.monotonic()
+
+    def record(kind: str, change: ReplicaChange, kept_until_s: float | None) -> None:
+        for name in change.removed:
+            kept.append((name, None if kept_until_s is None else kept_until_s - began_s))
+
+    async def scenario() -> None:
+        store = PlatformStore(_StoreWithOutage(0.2, (0.0, 0.4, 0.9)), "store")
+        sync = ReplicaSync(store, {KIND: KindReplica(KIND)}, record)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(sync.run(KIND), 1.5)
+
+    asyncio.run(scenario())
+    assert [name for name, _ in kept] == ["t-2", "t-1", "t-0"]
+    returned_s = 0.2 + 0.6
+    assert kept[0][1] == pytest.approx(returned_s, abs=0.15)
+    assert kept[1][1] == kept[0][1]
+    assert kept[2][1] is None
+
+
+@pytest.mark.parametrize("is_settled", [True, False])
+def test_removal_that_a_peer_saw_is_taken_for_an_entry_that_expired(
+    monkeypatch: pytest.MonkeyPatch, is_settled: bool
+) -> None:
+    """A peer that could reach the store all along knows that the target has left."""
+    monkeypatch.setattr(_replica_sync, "CATCH_UP_DELAY_S", 0.01)
+    kept: list[float | None] = []
+    replica = KindReplica(KIND)
+
+    async def fetch(host: Address, kind: str) -> FetchedReplica:
+        return FetchedReplica(Listing({}, 20), is_settled)
+
+    monkeypatch.setattr(_replica_sync, "fetch_replica", fetch)
+
+    async def scenario() -> None:
+        store = PlatformStore(_StoreWithOutage(60.0, (0.0,)), "store")
+        sync = ReplicaSync(store, {KIND: replica}, lambda _, change, until_s: kept.append(until_s))
+        following = asyncio.create_task(sync.run(KIND))
+        await asyncio.sleep(0.05)
+        assert sync.is_store_unreachable
+        sync.handle_peer_revisions(Address("127.0.0.1", 1), {KIND: 20})
+        await asyncio.sleep(0.1)
+        following.cancel()
+
+    asyncio.run(scenario())
+    assert len(kept) == 2 and (kept[1] is None) is is_settled
--- a/tests/routing/test_view.py
+++ b/tests/routing/test_view.py
@@ -76,7 +76,7 @@
 def test_target_with_expired_entry_is_kept_while_it_may_register_again() -> None:
     view = SiteView()
     view.put_target(TARGET)
-    view.keep_expired_target("t", 10.0)
+    view.keep_expired_target("t", 12.5)
     assert view.is_expired("t")
     assert view.drop_expired(12.0) == []
     assert view.usable_targets("app")
@@ -86,7 +86,7 @@
 def test_target_that_registers_again_stays() -> None:
     view = SiteView()
     view.put_target(TARGET)
-    view.keep_expired_target("t", 10.0)
+    view.keep_expired_target("t", 12.5)
     view.put_target(TARGET)
     assert view.drop_expired(20.0) == []
 
@@ -94,7 +94,7 @@
 def test_draining_target_is_not_kept_after_its_entry_expires() -> None:
     view = SiteView()
     view.put_target(replace(TARGET, is_draining=True))
-    view.keep_expired_target("t", 10.0)
+    view.keep_expired_target("t", 12.5)
     assert not view.is_expired("t")
 
 
