Stop reading from targets that send bytes without end

What callers saw: a request whose target answers with interim answers, or with a body that is not its answer, without end was held until its deadline; it was told 502 though the target had stated that it had not run it. A probe of our own interface read such a body into memory, without any bound.

Cause: the body of an answer that is of no use was read to its end, and interim answers were skipped without a limit, on both front doors.

Change: 64 KiB or 0.25 s of such a body are read, then the connection is closed; more than 16 interim answers end an exchange; probes read 4 KiB, over the same checked connection. An exchange that the target cuts before its answer says so in the log, in place of the parser's words.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -11,6 +11,7 @@
 from chervilmill.errors import ChervilmillError
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for a peer that sends no Keep-Alive time-out
+MAX_INTERIM_ANSWERS = 16  # before the final answer; a peer may send them without end
 IDLE_TIMEOUT_SHARE = 0.85  # of the peer's time-out, so that no request crosses the peer's close
 
 
@@ -73,7 +74,7 @@
 
     async def read_head(self) -> AnswerHead:
         """Return the head of the final answer, or raise ExchangeError."""
-        while True:
+        for _ in range(1 + MAX_INTERIM_ANSWERS):
             event = await self._read_event()
             if isinstance(event, h11.Response):
                 self.has_answer_head = True
@@ -81,6 +82,7 @@
                 return AnswerHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise self._exchange_error("read head", "the connection ended before an answer")
+        raise self._exchange_error("read head", "too many interim answers")
 
     async def read_part(self) -> bytes | None:
         """Return the next part of the answer's body, or None at its end."""
@@ -119,13 +121,21 @@
             try:
                 event = self._next_event()
             except h11.RemoteProtocolError as exc:
-                raise self._exchange_error("read answer", str(exc)) from exc
+                message = (
+                    "the connection was closed before the answer" if self._is_cut else str(exc)
+                )
+                raise self._exchange_error("read answer", message) from exc
             if event is not h11.NEED_DATA:
                 return event
             if self.is_lost:
                 raise self._exchange_error("read answer", "the connection was reset")
             await self._wait_for_change()
 
+    @property
+    def _is_cut(self) -> bool:
+        """Return whether the peer ended the connection before any byte of the answer."""
+        return self.has_ended and not self.has_answer_head and not self._h11.trailing_data[0]
+
     def _update_idle_timeout(self, event: h11.Response) -> None:
         value = header_value(event.headers, b"keep-alive") or b""
         for item in value.split(b","):
--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -41,6 +41,9 @@
 ANSWER_BUFFER_BYTES = 64 * 1024
 # Answers to other requests that are skipped before the connection is closed.
 MAX_MISMATCHED_ANSWERS = 2
+# Of an answer that is of no use, more is not read: the connection is closed instead.
+MAX_DISCARDED_BYTES = 64 * 1024
+DISCARD_S = 0.25
 # Sent by a target that is not the one named in the request.
 MISDIRECTED_STATUS = 421
 
@@ -208,7 +211,8 @@
             answer_headers = read_answer(answer.status, answer.headers)
             if not own_id or not answer_headers.request_id or answer_headers.request_id == own_id:
                 return answer
-            await _discard_body(conn)
+            if not await _discard_body(conn):
+                break
             conn.discard_answer()
         raise ExchangeError(
             "received only answers to other requests", step="read head", peer=conn.host
@@ -260,6 +264,15 @@
     return buffered, False
 
 
-async def _discard_body(conn: ClientConnection) -> None:
-    while await conn.read_part() is not None:
-        pass
+async def _discard_body(conn: ClientConnection) -> bool:
+    """Read an answer's body, limited in time and size, and return whether that was all of it."""
+    size = 0
+    try:
+        async with asyncio.timeout(DISCARD_S):
+            while (part := await conn.read_part()) is not None:
+                size += len(part)
+                if size > MAX_DISCARDED_BYTES:
+                    return False
+    except (ExchangeError, TimeoutError):
+        return False
+    return True
--- a/src/chervilmill/targets/_client.py
+++ b/src/chervilmill/targets/_client.py
@@ -1,6 +1,7 @@
 """Exchange requests and answers with targets over persistent HTTP connections."""
 
 import http.client
+import json
 import time
 from collections.abc import Callable
 from typing import Any, NoReturn, cast
@@ -23,6 +24,7 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 MAX_CONNECT_S = 0.4
 PROBE_TIMEOUT_S = 1.0
+MAX_PROBE_BYTES = 4096
 HEALTH_PATH = "/-/health"
 _NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -96,15 +98,18 @@
 
     def probe(self, target: Vm) -> TargetCondition | None:
         """Return the condition that a target reports, or None without a usable answer in time."""
-        pool = urllib3.HTTPConnectionPool(target.address.host, target.address.port)
-        timeout = urllib3.Timeout(connect=MAX_CONNECT_S, read=PROBE_TIMEOUT_S)
+        conn = Connection(target.address, MAX_CONNECT_S)
+        deadline_s = time.monotonic() + MAX_CONNECT_S + PROBE_TIMEOUT_S
         try:
-            resp = pool.request("GET", HEALTH_PATH, timeout=timeout, retries=False)
-            return _condition_in(resp)
-        except urllib3.exceptions.HTTPError:
+            conn.connect()
+            conn.socket.settimeout(PROBE_TIMEOUT_S)
+            conn.request("GET", HEALTH_PATH, preload_content=False, decode_content=False)
+            resp = conn.getresponse()
+            return _condition_in(resp.status, _read_start(resp, deadline_s))
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
             return None
         finally:
-            pool.close()
+            conn.close()
 
     def _connect(self, target: Vm, req: TargetRequest, timeout_s: float) -> Connection:
         if not req.needs_new_connection:
@@ -120,13 +125,24 @@
         return conn
 
 
-def _condition_in(resp: urllib3.BaseHTTPResponse) -> TargetCondition | None:
-    if resp.status == 404:
+def _read_start(resp: urllib3.HTTPResponse, deadline_s: float) -> bytes:
+    """Return the start of a body, limited in size and time."""
+    start = b""
+    while len(start) < MAX_PROBE_BYTES and time.monotonic() < deadline_s:
+        part = resp.read1(MAX_PROBE_BYTES, decode_content=False)
+        if not part:
+            break
+        start += part
+    return start
+
+
+def _condition_in(status: int, body: bytes) -> TargetCondition | None:
+    if status == 404:
         return TargetCondition.LIVE
-    if resp.status != 200:
+    if status != 200:
         return None
     try:
-        return TargetCondition(resp.json()["state"])
+        return TargetCondition(json.loads(body)["state"])
     except (ValueError, KeyError, TypeError):
         return None
 
--- a/src/chervilmill/targets/_connection_pool.py
+++ b/src/chervilmill/targets/_connection_pool.py
@@ -16,16 +16,24 @@
 MAX_IDLE_S = 30.0
 MIN_IDLE_S = 0.005
 SEND_BLOCK_BYTES = 64 * 1024
+MAX_INTERIM_ANSWERS = 16  # before the final answer; a target may send them without end
 
 
-class _ExtraBytesResponse(http.client.HTTPResponse):
-    """An HTTP response that detects extra bytes after a complete answer.
+class _CheckedResponse(http.client.HTTPResponse):
+    """An HTTP response that detects extra bytes after it, and endless interim answers before it.
 
     Both the buffer and the socket are checked when the response is closed, because the buffer is
     lost at that point.
     """
 
     extra_bytes = False
+    _status_lines = 0
+
+    def _read_status(self) -> tuple[str, int, str]:
+        self._status_lines += 1
+        if self._status_lines > 1 + MAX_INTERIM_ANSWERS:
+            raise http.client.HTTPException("too many interim answers")
+        return super()._read_status()  # type: ignore[misc, no-any-return]
 
     def _close_conn(self) -> None:
         fp = self.fp
@@ -51,7 +59,7 @@
 class Connection(HTTPConnection):
     """A connection to a target; `idle_since_s` is a time on the monotonic clock."""
 
-    response_class = _ExtraBytesResponse
+    response_class = _CheckedResponse
 
     def __init__(self, address: Address, timeout_s: float) -> None:
         super().__init__(
