Reset the connection of an exchange that is given up

Cause: aborting an asyncio transport drops what asyncio has buffered and closes the socket; the kernel goes on delivering what it had taken.

Evidence: test_request_that_was_given_up_is_still_delivered fails on the code before: the peer reads a clean end in place of a reset.

Change: sockets of client connections are closed with a reset. These connections are closed only when idle or given up, so nothing else is lost.

The front end of our own interface is not changed: its exchanges are shut down by another thread, which a reset would have to go through first.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -8,6 +8,7 @@
 from chervilmill.addresses import Address
 from chervilmill.aio._flow import H11Connection
 from chervilmill.aio._headers import Headers, header_value
+from chervilmill.aio._sockets import discard_unsent_on_close
 from chervilmill.errors import ChervilmillError
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for a peer that sends no Keep-Alive time-out
@@ -48,6 +49,11 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._method = b"GET"
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport and set the options of its socket."""
+        super().connection_made(transport)
+        discard_unsent_on_close(transport)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes, or abort the connection if they arrive while no request is pending."""
         if self._h11.our_state is h11.IDLE:
--- a/src/chervilmill/aio/_sockets.py
+++ b/src/chervilmill/aio/_sockets.py
@@ -1,7 +1,8 @@
-"""Set the socket options that detect dead peers."""
+"""Set the socket options that detect dead peers and discard what a closed connection holds."""
 
 import asyncio
 import socket
+import struct
 
 # Below the grace period of a retry. A round trip between regions takes about 100 ms.
 USER_TIMEOUT_MS = 1500
@@ -20,3 +21,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def discard_unsent_on_close(transport: asyncio.BaseTransport) -> None:
+    """Make a close reset the connection, so that bytes that were not delivered are dropped.
+
+    Otherwise the kernel goes on sending them, and a request may reach its peer long after it was
+    given up.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -1,6 +1,7 @@
 """Test how client connections handle the answers of peers."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -111,3 +112,28 @@
             conn.abort()
 
     run_async(scenario)
+
+
+def test_request_that_was_given_up_is_still_delivered() -> None:
+    """The peer reads only after the client has closed, as behind a cut that ends."""
+
+    async def scenario() -> None:
+        address = free_address()
+        listener = socket.create_server((address.host, address.port))
+        listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        conn = await connect(address, 1.0)
+        peer, _ = await loop.sock_accept(listener)
+        await conn.send_head(b"POST", b"/", [(b"host", b"x"), (b"content-length", b"10000000")])
+        sending = asyncio.create_task(conn.send_part(b"x" * 10_000_000))
+        await asyncio.sleep(0.1)
+        sending.cancel()
+        conn.abort()
+        await asyncio.sleep(0.1)
+        with pytest.raises(ConnectionResetError):
+            while await loop.sock_recv(peer, 65_536):
+                pass
+        peer.close()
+        listener.close()
+
+    run_async(scenario)
