--- a/src/chervilmill/callers/_attempt_run.py
+++ b/src/chervilmill/callers/_attempt_run.py
@@ -225,7 +225,10 @@
     def _end_attempt(self, end: AttemptEnd) -> None:
         is_answered = end is AttemptEnd.ANSWERED
         self._suspects.record_end(
-            self._attempt.fingerprint, self._target.name, is_answered=is_answered
+            self._attempt.fingerprint,
+            self._target.name,
+            self._started_s,
+            is_answered=is_answered,
         )
         held_s = time.monotonic() - self._started_s
         self._slots.release(self._target.name, end, held_s, self._first_part_s)
--- a/src/chervilmill/callers/_suspects.py
+++ b/src/chervilmill/callers/_suspects.py
@@ -75,11 +75,17 @@
             reports = self._reports(lost, now_s)
         self._send(reports)
 
-    def record_end(self, fingerprint: bytes, target: str, *, is_answered: bool) -> None:
-        """Record that a run has ended."""
+    def record_end(
+        self, fingerprint: bytes, target: str, sent_s: float, *, is_answered: bool
+    ) -> None:
+        """Record that a run sent at a time of this clock has ended."""
         with self._lock:
             self._quarantine.record_end(
-                fingerprint, target, is_answered=is_answered, now_s=self._clock()
+                fingerprint,
+                target,
+                is_answered=is_answered,
+                now_s=self._clock(),
+                sent_s=sent_s,
             )
 
     def record_loss(self, fingerprint: bytes, target: str, sent_s: float) -> None:
--- a/src/chervilmill/requests/_fingerprint.py
+++ b/src/chervilmill/requests/_fingerprint.py
@@ -34,3 +34,9 @@
 def caller_tag(fingerprint: bytes) -> bytes:
     """Return a short tag that tells callers of one content apart."""
     return fingerprint[_HALF_BYTES : _HALF_BYTES + _CALLER_TAG_BYTES]
+
+
+def levels_of(fingerprint: bytes) -> tuple[bytes, ...]:
+    """Return the content of a request and the request, or only the content if it is one."""
+    content = content_of(fingerprint)
+    return (content,) if content == fingerprint else (content, fingerprint)
--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -21,9 +21,9 @@
 from dataclasses import dataclass, replace
 
 from chervilmill.requests._crash_signs import CrashSigns
-from chervilmill.requests._fingerprint import caller_tag, content_of, is_content
+from chervilmill.requests._explanations import explained_losses, is_ambiguous
+from chervilmill.requests._fingerprint import caller_tag, content_of, is_content, levels_of
 from chervilmill.requests._losses import (
-    CONCLUSIVE_CRASHES,
     CONTENT_CALLERS,
     CRASH_TTL_S,
     QUARANTINE_CRASHES,
@@ -105,7 +105,7 @@
         """
         limited: list[tuple[bytes, LossRecord]] = []
         expires_in_s = 0.0
-        for key in _levels(fingerprint):
+        for key in levels_of(fingerprint):
             record = self._live_record(key, now_s)
             if record is None:
                 continue
@@ -125,7 +125,7 @@
 
     def has_losses(self, fingerprint: bytes) -> bool:
         """Return whether runs of a request or of its content have been lost."""
-        return any(key in self._records for key in _levels(fingerprint))
+        return any(key in self._records for key in levels_of(fingerprint))
 
     def has_crash(self, fingerprint: bytes) -> bool:
         """Return whether a target is known to have crashed with a run of a request or content."""
@@ -164,14 +164,14 @@
         """
         is_released = any(
             record.is_released(sent_s)
-            for key in _levels(fingerprint)
+            for key in levels_of(fingerprint)
             if (record := self._records.get(key)) is not None
         )
         return self.record_loss(fingerprint, lifetime, sent_s, sent_s) if is_released else []
 
     def withdraw_loss(self, fingerprint: bytes, target: str, sent_s: float) -> None:
         """Forget that a run sent to a target was lost, which turned out not to have begun."""
-        for key in _levels(fingerprint):
+        for key in levels_of(fingerprint):
             if key in self._records:
                 self._records[key].withdraw(target, sent_s)
 
@@ -195,7 +195,7 @@
         if not is_answered:
             return []
         cleared = []
-        for key in _levels(fingerprint):
+        for key in levels_of(fingerprint):
             record = self._live_record(key, now_s)
             if record is None or not record.losses:
                 continue
@@ -281,7 +281,7 @@
     ) -> list[bytes]:
         """Add a loss to a request and to its content, and return those that it changed."""
         changed = []
-        for key in _levels(fingerprint):
+        for key in levels_of(fingerprint):
             record = self._obtain_record(key, loss.at_s)
             callers = frozenset({caller_tag(fingerprint)}) if is_content(key) else frozenset()
             own = replace(loss, was_alone=record.limited_to == lifetime.target, callers=callers)
@@ -309,36 +309,11 @@
             now_s,
             lambda target: self._signs.lost_domain(target, self._domains),
             lambda target: self._signs.is_outage(target, used),
-            self._explained(fingerprint, record),
+            explained_losses(fingerprint, self._records, self._culprits),
             self._release_delay_s,
-            self._is_ambiguous(fingerprint, record),
+            is_ambiguous(fingerprint, self._records),
         )
 
-    def _is_ambiguous(self, fingerprint: bytes, record: LossRecord) -> bool:
-        """Return whether another content was lost wherever this request crashed a target."""
-        crashed = record.crashed
-        if len(crashed) < CONCLUSIVE_CRASHES:
-            return False
-        content = content_of(fingerprint)
-        return any(
-            crashed <= other.losses.keys()
-            for key, other in self._records.items()
-            if content_of(key) != content
-        )
-
-    def _explained(self, fingerprint: bytes, record: LossRecord) -> set[Lifetime]:
-        """Return the lifetimes lost with a request that the crashes of others explain."""
-        explained: set[Lifetime] = set()
-        records = (self._records.get(key) for key in _levels(fingerprint))
-        is_answered = any(own.is_answered_after_loss for own in records if own is not None)
-        for culprit in self._culprits - {fingerprint}:
-            other = self._records.get(culprit)
-            if other is None or other.is_answered_after_loss:
-                continue
-            if is_answered or len(other.crashed) > len(record.crashed):
-                explained.update(other.crashed.intersection(record.losses))
-        return explained
-
     def _live_record(self, fingerprint: bytes, now_s: float) -> LossRecord | None:
         record = self._records.get(fingerprint)
         if record is None:
@@ -390,9 +365,3 @@
         record = self._records[fingerprint]
         newest_s = max((loss.at_s for loss in record.losses.values()), default=record.cleared_s)
         return (self._judge(fingerprint, record, now_s).standing, newest_s)
-
-
-def _levels(fingerprint: bytes) -> tuple[bytes, ...]:
-    """Return the content of a request and the request, or only the content if it is one."""
-    content = content_of(fingerprint)
-    return (content,) if content == fingerprint else (content, fingerprint)
