--- a/src/chervilmill/callers/_slots.py
+++ b/src/chervilmill/callers/_slots.py
@@ -150,7 +150,7 @@
             self._on_limit_change(report)
 
     def record_pause(self, target: str, text: str) -> None:
-        """Record for how long a target that turned a request away wants no other."""
+        """Record the pause that a target asked for when it rejected a request."""
         with self._lock:
             self._limits.record_pause(target, text, self._clock())
 
--- a/src/chervilmill/callers/_target_limits.py
+++ b/src/chervilmill/callers/_target_limits.py
@@ -82,7 +82,7 @@
             self._log_change(target, report.per_s, "peer")
 
     def record_pause(self, target: str, text: str, now_s: float) -> None:
-        """Record for how long a target that turned a request away wants nothing from this node."""
+        """Record the pause that a target asked for when it rejected a request."""
         stated = parse_pause(text)
         if stated.pause_s is None:
             shown = stated.text[:MAX_LOGGED_TEXT_CHARS]
--- a/src/chervilmill/entry/_site_state.py
+++ b/src/chervilmill/entry/_site_state.py
@@ -73,7 +73,7 @@
         self._apply_view_changes(self.view.drop_expired(self._clock()))
 
     def mark_leaving(self, lifetime: Lifetime) -> None:
-        """Send nothing more to a lifetime of a target that says that it is leaving."""
+        """Stop sending to a lifetime of a target that has announced that it is leaving."""
         self._apply_view_changes(self.view.mark_leaving(lifetime.target, lifetime.incarnation))
 
     def is_registered(self) -> bool:
--- a/src/chervilmill/overload/_target_pauses.py
+++ b/src/chervilmill/overload/_target_pauses.py
@@ -1,7 +1,7 @@
-"""Keep the times for which targets that turned a request away want nothing from this entry VM.
+"""Keep the pauses that targets asked this entry VM for when they rejected its requests.
 
-A pause holds for one lifetime of its target and for this VM alone: the target may have turned away
-only what this VM sent, so the others are not told.
+A pause applies to one lifetime of its target and to this VM alone: a target may reject the requests
+of one VM only, so pauses are not reported to the others.
 """
 
 import math
@@ -10,7 +10,7 @@
 
 from chervilmill.requests import Lifetime
 
-MAX_PAUSE_S = 3600.0  # a target that still wants nothing then can say so again
+MAX_PAUSE_S = 3600.0  # an overloaded target can ask again after that
 MAX_KNOWN_PAUSES = 4096
 _DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?")
 
@@ -45,14 +45,14 @@
         return not self._until_s
 
     def record(self, lifetime: Lifetime, pause_s: float, now_s: float) -> None:
-        """Record that a target wants nothing for a time; an earlier, longer pause still holds."""
+        """Record a pause from now on; an earlier one that ends later still applies."""
         if lifetime not in self._until_s and len(self._until_s) >= MAX_KNOWN_PAUSES:
             self._drop_first_to_end()
         until_s = now_s + pause_s
         self._until_s[lifetime] = max(until_s, self._until_s.get(lifetime, -math.inf))
 
     def left_s(self, lifetime: Lifetime, now_s: float) -> float:
-        """Return how long a target still wants nothing, 0 if it takes requests."""
+        """Return how long a target is still paused, 0 if it takes requests."""
         until_s = self._until_s.get(lifetime)
         if until_s is None:
             return 0.0
--- a/src/chervilmill/overload/_target_rates.py
+++ b/src/chervilmill/overload/_target_rates.py
@@ -1,4 +1,4 @@
-"""Decide when this entry VM may send to targets that want few requests, or none for a while.
+"""Decide when this entry VM may send to targets that limit their rate or asked for a pause.
 
 The rate of a target is shared by all entry VMs, and a pause is this VM's own. Every send counts,
 whether it is a first one or a retry. Where no target has room, the caller is told when to return.
--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -53,8 +53,8 @@
 
     `is_sealed` says that the target vouches for the answer. `proves_not_run` is True only if the
     target states that it did not run the request. `limit` is None if the answer names no limit.
-    `is_leaving` says that the target takes no new requests. `pause` is for how long a target that
-    turned the request away wants nothing from this VM, or None if it does not say.
+    `is_leaving` says that the target takes no new requests. `pause` is the pause that a target
+    asked for when it rejected the request, or None.
     """
 
     request_id: str
--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -170,7 +170,7 @@
         return self.record_loss(fingerprint, lifetime, sent_s, sent_s) if is_released else []
 
     def withdraw_loss(self, fingerprint: bytes, target: str, sent_s: float) -> None:
-        """Forget that a run sent to a target was lost, which turned out not to have begun."""
+        """Forget that a run sent to a target was lost, as the target did not start it."""
         for key in levels_of(fingerprint):
             if key in self._records:
                 self._records[key].withdraw(target, sent_s)
--- a/tests/entry/test_leaving_and_pauses.py
+++ b/tests/entry/test_leaving_and_pauses.py
@@ -1,4 +1,4 @@
-"""Test what targets say of themselves: that they leave, or want nothing for a while."""
+"""Test targets that announce that they leave, or ask for a pause."""
 
 import asyncio
 from pathlib import Path
