--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -137,3 +137,15 @@
         listener.close()
 
     run_async(scenario)
+
+
+def test_closed_connection_is_logged_in_the_words_of_the_parser() -> None:
+    async def scenario() -> None:
+        async with answering(b"") as address:
+            conn = await connect(address, 1.0)
+            await conn.send_head(b"GET", b"/", [(b"host", b"x")])
+            conn.end_body()
+            with pytest.raises(ExchangeError, match="closed before the answer"):
+                await conn.read_head()
+
+    run_async(scenario)
