Log how each copy of the store's objects changes, and when it is behind

The lines of an entry VM did not show whether its own call to the store was silent, the store answered with old data, or a peer's copy came late.

A VM now logs 'copy changed' with the source (watch, list, peer), and 'copy is behind' with the revisions, the time for which its own call has been open and the age of the last answer. The age is a gauge for each kind. The exchange of copies between peers moves to a module of its own.

--- a/src/chervilmill/entry/_control_handlers.py
+++ b/src/chervilmill/entry/_control_handlers.py
@@ -4,7 +4,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import RequestHead, ServerConnection
-from chervilmill.entry._replica_sync import encode_replica
+from chervilmill.entry._replica_copies import encode_replica
 from chervilmill.peers import KindReplica, Membership, Peer
 from chervilmill.platform import LOOKUP_PATH, READINESS_PATH, encode_addresses, read_lookup
 
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -297,6 +297,8 @@
         return ServerLimits(limits.header_bytes, limits.header_timeout_s, limits.idle_timeout_s)
 
     async def _answer_metrics(self, conn: ServerConnection, head: RequestHead) -> None:
+        for kind, age_s in self._sync.copy_ages_s().items():
+            self._metrics.copy_age.labels(kind).set(age_s)
         await conn.answer(
             200, [(b"content-type", b"text/plain")], generate_latest(self._metrics.registry)
         )
--- /dev/null
+++ b/src/chervilmill/entry/_replica_copies.py
@@ -0,0 +1,42 @@
+"""Exchange copies of the store's objects with peers over HTTP."""
+
+import json
+from dataclasses import dataclass
+
+from chervilmill.addresses import Address
+from chervilmill.aio import HttpClient
+from chervilmill.peers import KindReplica
+from chervilmill.platform import Listing, StoreError, decode_objects, encode_objects
+
+PEER_TIMEOUT_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class FetchedReplica:
+    """A peer's copy; `is_settled` says that no outage explains what is missing from it."""
+
+    listing: Listing
+    is_settled: bool
+
+
+async def fetch_replica(host: Address, kind: str) -> FetchedReplica:
+    """Fetch a peer's copy of all objects of a kind, or raise ChervilmillError."""
+    client = HttpClient(host)
+    try:
+        answer = await client("GET", f"/replicas/{kind}", b"", PEER_TIMEOUT_S)
+    finally:
+        client.close()
+    try:
+        raw = json.loads(answer.body)
+        listing = Listing(decode_objects(raw["objects"]), int(raw["as_of"]))
+        return FetchedReplica(listing, raw.get("is_settled") is True)
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise StoreError(repr(exc), step="read copy", peer=str(host)) from exc
+
+
+def encode_replica(replica: KindReplica, *, is_settled: bool) -> bytes:
+    """Encode a copy in the form that `fetch_replica` reads."""
+    objects = encode_objects(replica.objects.values())
+    return json.dumps(
+        {"as_of": replica.as_of, "is_settled": is_settled, "objects": objects}
+    ).encode()
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
-import json
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from enum import Enum
 
 from chervilmill.addresses import Address
-from chervilmill.aio import HttpClient
+from chervilmill.entry._replica_copies import fetch_replica
 from chervilmill.errors import ChervilmillError
 from chervilmill.logs import log_event, log_problem
 from chervilmill.peers import KindReplica, ReplicaChange
@@ -20,8 +21,6 @@
     Listing,
     PlatformStore,
     StoreError,
-    decode_objects,
-    encode_objects,
 )
 
 # The store usually answers in milliseconds, and in tenths of a second when slow.
@@ -33,7 +32,6 @@
 WATCH_PAUSE_S = 0.4
 RETRY_DELAY_S = 1.0  # refused calls are paid for too
 CATCH_UP_DELAY_S = 0.8  # time for a change to arrive by the watch before a peer is asked
-PEER_TIMEOUT_S = 1.5
 # Live targets whose entries expired during an outage register again within this time of its end.
 REGISTER_AGAIN_S = 2.0
 
@@ -41,16 +39,28 @@
 OnChange = Callable[[str, ReplicaChange, float | None], None]
 
 
+class _Source(Enum):
+    """How a change reached a copy; the values appear in logs."""
+
+    LIST = "list"
+    WATCH = "watch"
+    PEER = "peer"
+
+
 @dataclass(slots=True)
 class _StoreState:
     """Whether the store answers this VM.
 
     `recovered_s` is when the last outage ended, `last_answer_s` when the store last answered.
+    `answered_s` is the time of the last answer about each kind, and `called_s` the time since which
+    a call about the kind has been open.
     """
 
     is_unreachable: bool = False
     recovered_s: float = float("-inf")
     last_answer_s: float = float("-inf")
+    answered_s: dict[str, float] = field(default_factory=dict)
+    called_s: dict[str, float] = field(default_factory=dict)
 
 
 class ReplicaSync:
@@ -80,6 +90,11 @@
         """Return whether the store currently does not answer this VM."""
         return self._store_state.is_unreachable
 
+    def copy_ages_s(self) -> dict[str, float]:
+        """Return the time since the store last answered this VM about each kind."""
+        now_s = asyncio.get_running_loop().time()
+        return {kind: now_s - at_s for kind, at_s in self._store_state.answered_s.items()}
+
     def revisions(self) -> dict[str, int]:
         """Return the revision of the last known change of each kind."""
         return {kind: replica.last_change_revision for kind, replica in self._replicas.items()}
@@ -111,31 +126,37 @@
         for kind, replica in self._replicas.items():
             if revisions.get(kind, 0) > replica.last_change_revision and kind not in self._fetching:
                 self._fetching.add(kind)
+                self._log_behind(replica, host, revisions[kind])
                 asyncio.get_running_loop().create_task(
                     self._fetch_from_peer(replica, host, revisions[kind])
                 )
 
     async def _list(self, replica: KindReplica) -> None:
-        listing = await self._store.list_all(replica.kind, LIST_TIMEOUT_S)
-        self._record_answer()
-        self._apply_listing(replica, listing, self._register_again_until_s())
+        with self._open_call(replica.kind):
+            listing = await self._store.list_all(replica.kind, LIST_TIMEOUT_S)
+        self._record_answer(replica.kind)
+        self._apply_listing(replica, listing, self._register_again_until_s(), _Source.LIST)
 
     async def _watch(self, replica: KindReplica) -> None:
-        result = await self._store.watch(
-            replica.kind, replica.as_of, WATCH_WAIT_S, WATCH_SLACK_S, allow_stale=True
-        )
-        self._record_answer()
+        with self._open_call(replica.kind):
+            result = await self._store.watch(
+                replica.kind, replica.as_of, WATCH_WAIT_S, WATCH_SLACK_S, allow_stale=True
+            )
+        self._record_answer(replica.kind)
         change = replica.apply_events(result)
         if change is not None and (change.written or change.removed):
+            self._log_change(replica, change, _Source.WATCH)
             self._on_change(replica.kind, change, self._register_again_until_s())
         if result.events:
             await asyncio.sleep(WATCH_PAUSE_S)  # one call then returns all changes of the pause
 
     def _apply_listing(
-        self, replica: KindReplica, listing: Listing, kept_until_s: float | None
+        self, replica: KindReplica, listing: Listing, kept_until_s: float | None, source: _Source
     ) -> None:
         change = replica.apply_listing(listing)
         if change is not None:
+            if change.written or change.removed:
+                self._log_change(replica, change, source)
             self._on_change(replica.kind, change, kept_until_s)
         self._loaded[replica.kind].set()
 
@@ -145,7 +166,7 @@
             if replica.last_change_revision < wanted:
                 fetched = await fetch_replica(host, replica.kind)
                 kept_until_s = None if fetched.is_settled else self._register_again_until_s()
-                self._apply_listing(replica, fetched.listing, kept_until_s)
+                self._apply_listing(replica, fetched.listing, kept_until_s, _Source.PEER)
                 log_event(
                     "copy fetched from a peer",
                     step="catch up",
@@ -171,9 +192,46 @@
         until_s = self._store_state.recovered_s + REGISTER_AGAIN_S
         return until_s if now_s < until_s else None
 
-    def _record_answer(self) -> None:
+    @contextmanager
+    def _open_call(self, kind: str) -> Iterator[None]:
+        """Record since when a call about a kind has been open."""
+        self._store_state.called_s[kind] = asyncio.get_running_loop().time()
+        try:
+            yield
+        finally:
+            del self._store_state.called_s[kind]
+
+    def _log_change(self, replica: KindReplica, change: ReplicaChange, source: _Source) -> None:
+        log_event(
+            "copy changed",
+            step="follow",
+            kind=replica.kind,
+            source=source.value,
+            as_of=replica.as_of,
+            written=len(change.written),
+            removed=len(change.removed),
+        )
+
+    def _log_behind(self, replica: KindReplica, host: Address, wanted: int) -> None:
+        """Log that a peer knows a later change, and for how long the own call has been open."""
+        now_s = asyncio.get_running_loop().time()
+        called_s = self._store_state.called_s.get(replica.kind)
+        answered_s = self._store_state.answered_s.get(replica.kind)
+        log_event(
+            "copy is behind",
+            step="follow",
+            peer=str(host),
+            kind=replica.kind,
+            known=replica.last_change_revision,
+            wanted=wanted,
+            call_open_s=None if called_s is None else round(now_s - called_s, 3),
+            answer_age_s=None if answered_s is None else round(now_s - answered_s, 3),
+        )
+
+    def _record_answer(self, kind: str) -> None:
         now_s = asyncio.get_running_loop().time()
         self._store_state.last_answer_s = now_s
+        self._store_state.answered_s[kind] = now_s
         if self._store_state.is_unreachable:
             self._store_state.is_unreachable = False
             self._store_state.recovered_s = now_s
@@ -183,34 +241,3 @@
         if not self._store_state.is_unreachable:
             self._store_state.is_unreachable = True
             log_problem("store is lost", step=exc.step, peer=exc.peer, kind=kind, error=exc.message)
-
-
-@dataclass(frozen=True, slots=True)
-class FetchedReplica:
-    """A peer's copy; `is_settled` says that no outage explains what is missing from it."""
-
-    listing: Listing
-    is_settled: bool
-
-
-async def fetch_replica(host: Address, kind: str) -> FetchedReplica:
-    """Fetch a peer's copy of all objects of a kind, or raise ChervilmillError."""
-    client = HttpClient(host)
-    try:
-        answer = await client("GET", f"/replicas/{kind}", b"", PEER_TIMEOUT_S)
-    finally:
-        client.close()
-    try:
-        raw = json.loads(answer.body)
-        listing = Listing(decode_objects(raw["objects"]), int(raw["as_of"]))
-        return FetchedReplica(listing, raw.get("is_settled") is True)
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise StoreError(repr(exc), step="read copy", peer=str(host)) from exc
-
-
-def encode_replica(replica: KindReplica, *, is_settled: bool) -> bytes:
-    """Encode a copy in the form that `fetch_replica` reads."""
-    objects = encode_objects(replica.objects.values())
-    return json.dumps(
-        {"as_of": replica.as_of, "is_settled": is_settled, "objects": objects}
-    ).encode()
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -86,6 +86,12 @@
             "Time since the store last confirmed the configuration in force here",
             registry=self.registry,
         )
+        self.copy_age = Gauge(
+            "chervilmill_copy_age_seconds",
+            "Time since the store last answered this entry VM about a kind of object",
+            ["kind"],
+            registry=self.registry,
+        )
         self.headroom = Gauge(
             "chervilmill_headroom_ratio",
             "Unused part of a failure domain's capacity, by service",
