Reproduce requests to a target that leaves, as the call to the store is dead

In the record, three VMs made no call to the store from 23 to 30 s, without any failed call in the store's own figures: their connections were silent, and only the copy of a peer was left to them.

The test runs fleets of 12 to 195 VMs on a virtual clock, with the real membership, gossip and copies, and a modelled store. Connections are silent for a third of the VMs, one VM in twelve is refused, or all calls are swallowed for 3.4 s; datagrams and fetched copies are lost.

--- /dev/null
+++ b/tests/entry/store_fleet.py
@@ -0,0 +1,237 @@
+"""Model a fleet of entry VMs that follow the platform's store, on a virtual clock.
+
+`ReplicaSync`, `Membership` and `GossipEndpoint` are the real ones. The store and the links are
+modelled: calls and datagrams take a one-way delay, and some are lost.
+"""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from chervilmill.addresses import Address
+from chervilmill.aio import ExchangeError, HttpAnswer
+from chervilmill.entry import _replica_copies, _replica_sync
+from chervilmill.entry._replica_copies import FetchedReplica
+from chervilmill.entry._replica_sync import ReplicaSync
+from chervilmill.peers import GossipEndpoint, KindReplica, Membership, Peer, ReplicaChange
+from chervilmill.platform import Listing, PlatformStore
+
+KIND = "servers"
+DOMAINS = 6
+DELAYS_S = (0.004, 0.055)  # one way, within a region and between two
+SETTLED_S = 4.0  # after a start, all VMs know each other
+LEAVING = "t-0"
+PEER_PORT = 7720
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFault:
+    """A fault that begins at `at_s`, of VMs chosen by their numbers.
+
+    `silenced` VMs get no answer on the connections that were open at `at_s`. `refused` VMs get 503
+    from `at_s` on. `swallowed_for_s` is how long all calls that begin after `at_s` stay unanswered.
+    """
+
+    at_s: float = 5.0
+    silenced: Callable[[int], bool] = lambda _: False
+    refused: Callable[[int], bool] = lambda _: False
+    swallowed_for_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetCase:
+    """A fleet and what goes wrong in it.
+
+    Targets change one after the other at `changes_s`; the last of these changes is the leaving
+    target's. `datagram_loss` is the lost share of datagrams, and the first `lost_fetches` copies
+    that each VM fetches from peers are lost.
+    """
+
+    vms: int
+    fault: StoreFault
+    changes_s: tuple[float, ...]
+    datagram_loss: float = 0.0
+    lost_fetches: int = 0
+
+
+class _Store:
+    """The store: an object changes at each of the set times, and watches end on a change."""
+
+    def __init__(self, case: FleetCase) -> None:
+        self.case = case
+        self.events: list[tuple[int, str]] = []
+        self.changed = asyncio.Event()
+        self.calls = 0
+
+    @property
+    def revision(self) -> int:
+        return 10 + len(self.events)
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number, at_s in enumerate(self.case.changes_s):
+            await asyncio.sleep(at_s - loop.time())
+            is_last = number == len(self.case.changes_s) - 1
+            self.events.append((self.revision + 1, LEAVING if is_last else f"other-{number}"))
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+    async def answer(self, vm: int, path: str) -> HttpAnswer:
+        """Answer a call of a VM as the store and the link to it do."""
+        self.calls += 1
+        loop, fault = asyncio.get_running_loop(), self.case.fault
+        began_s, delay_s = loop.time(), DELAYS_S[vm % 2]
+        await asyncio.sleep(delay_s)
+        if fault.refused(vm) and loop.time() >= fault.at_s:
+            return HttpAnswer(503, b"")
+        if fault.at_s <= began_s < fault.at_s + fault.swallowed_for_s:
+            await asyncio.Event().wait()
+        body = await self._result(path)
+        if fault.silenced(vm) and began_s < fault.at_s <= loop.time():
+            await asyncio.Event().wait()
+        await asyncio.sleep(delay_s)
+        return HttpAnswer(200, json.dumps(body).encode())
+
+    async def _result(self, path: str) -> dict[str, Any]:
+        if "watch=" not in path:
+            items = [_entry(name, revision) for revision, name in self.events]
+            return {"items": items, "as-of": self.revision}
+        since = int(path.split("watch=")[1].split("&")[0])
+        wait_s = int(path.split("wait-ms=")[1].split("&")[0]) / 1000
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.revision <= since:
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
+        events = [
+            {"object": _entry(name, revision)} for revision, name in self.events if revision > since
+        ]
+        return {"events": events, "as-of": self.revision}
+
+
+def _entry(name: str, revision: int) -> dict[str, object]:
+    return {"metadata": {"name": name, "revision": revision}, "specification": {}}
+
+
+class _Vm:
+    """One entry VM; `learnt_s` is when it learnt that the target is leaving."""
+
+    def __init__(self, fleet: "StoreFleet", number: int) -> None:
+        self.number = number
+        self.learnt_s: float | None = None
+        self.fetches = 0
+        self._fleet = fleet
+        self.peer = Peer(f"vm-{number}", f"10.0.{number // 250}.{number % 250}", f"d{number % 6}")
+        rng = random.Random(f"{fleet.case.vms}-{number}")
+        self.membership = Membership(self.peer.name, 1, rng, self.peer.failure_domain)
+        self.membership.set_serving(True)
+        self.replica = KindReplica(KIND)
+        self.sync = self._new_sync()
+        self.endpoint = self._new_endpoint()
+
+    def _new_sync(self) -> ReplicaSync:
+        store = PlatformStore(self._call, "store")
+        return ReplicaSync(store, {KIND: self.replica}, self._record_change)
+
+    def _new_endpoint(self) -> GossipEndpoint:
+        endpoint = GossipEndpoint(
+            self.membership, PEER_PORT, self.sync.revisions, [], self._handle_digest
+        )
+        endpoint.connection_made(_Link(self._fleet, self.peer.host))
+        return endpoint
+
+    async def _call(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._fleet.store.answer(self.number, path)
+        except TimeoutError as exc:
+            raise ExchangeError("no answer", step=method, peer="store") from exc
+
+    def _record_change(self, kind: str, change: ReplicaChange, until_s: float | None) -> None:
+        if any(stored.name == LEAVING for stored in change.written):
+            self.learnt_s = asyncio.get_running_loop().time()
+
+    def _handle_digest(self, digest: Any) -> None:
+        peer = self.membership.peer(digest.sender)
+        if peer is not None:
+            self.sync.handle_peer_revisions(Address(peer.host, PEER_PORT), digest.revisions)
+
+
+class _Link(asyncio.DatagramTransport):
+    """The UDP socket of one VM."""
+
+    def __init__(self, fleet: "StoreFleet", host: str) -> None:
+        super().__init__()
+        self._fleet = fleet
+        self._host = host
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        if self._fleet.rng.random() < self._fleet.case.datagram_loss:
+            return
+        receiver = self._fleet.by_host.get(addr[0])
+        if receiver is not None:
+            delay_s = self._fleet.rng.choice(DELAYS_S)
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                delay_s, receiver.endpoint.datagram_received, bytes(data), (self._host, PEER_PORT)
+            )
+
+
+@dataclass(slots=True)
+class StoreFleet:
+    """The fleet of one case."""
+
+    case: FleetCase
+    seed: int
+    rng: random.Random = field(init=False)
+    store: _Store = field(init=False)
+    vms: list[_Vm] = field(init=False)
+    by_host: dict[str, _Vm] = field(init=False)
+
+    async def run(self, monkeypatch: pytest.MonkeyPatch, until_s: float) -> None:
+        """Run the fleet until a time."""
+        monkeypatch.setattr(_replica_sync, "fetch_replica", self._fetch)
+        self.rng = random.Random(self.seed)
+        self.store = _Store(self.case)
+        self.vms = [_Vm(self, number) for number in range(self.case.vms)]
+        self.by_host = {vm.peer.host: vm for vm in self.vms}
+        tasks = [asyncio.ensure_future(self.store.run())]
+        for vm in self.vms:
+            vm.membership.set_peers([other.peer for other in self.vms])
+            tasks.append(asyncio.ensure_future(self._start(vm)))
+        await asyncio.sleep(until_s)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def late(self, bound_s: float) -> dict[str, float | None]:
+        """Return the VMs that learnt too late that the target leaves, with the delays."""
+        left_s = self.case.changes_s[-1]
+        delays = {
+            vm.peer.name: None if vm.learnt_s is None else round(vm.learnt_s - left_s, 3)
+            for vm in self.vms
+        }
+        return {name: late for name, late in delays.items() if late is None or late > bound_s}
+
+    async def _start(self, vm: _Vm) -> None:
+        await asyncio.sleep(self.rng.random() * 0.5)
+        for seed in self.vms[:3]:
+            if seed is not vm:
+                vm.endpoint.send_digest(Address(seed.peer.host, PEER_PORT))
+        await asyncio.gather(vm.endpoint.run(), vm.sync.run(KIND))
+
+    async def _fetch(self, host: Address, kind: str) -> FetchedReplica:
+        """Copy a peer's objects; which VM asks does not matter, so losses are drawn by chance."""
+        giver = self.by_host[host.host]
+        giver.fetches += 1
+        await asyncio.sleep(4 * DELAYS_S[1])
+        if giver.fetches <= self.case.lost_fetches:
+            await asyncio.sleep(_replica_copies.PEER_TIMEOUT_S - 4 * DELAYS_S[1])
+            raise ExchangeError("no answer", step="GET", peer=str(host))
+        return FetchedReplica(Listing(dict(giver.replica.objects), giver.replica.as_of), True)
--- /dev/null
+++ b/tests/entry/test_late_news_of_targets.py
@@ -0,0 +1,48 @@
+"""Test that every entry VM learns in time that a target is leaving, whatever one call does."""
+
+import pytest
+
+from tests.entry.store_fleet import FleetCase, StoreFault, StoreFleet
+from tests.virtual_time import run_virtually
+
+DRAIN_S = 2.5  # drain-s of the user sites
+WAY_TO_TARGET_S = 0.1  # a request that was sent before the news arrives this much later at most
+SILENT_AT_S = 8.0
+SEEDS = 4
+
+
+def _one_in_three(number: int) -> bool:
+    return number % 3 == 0
+
+
+def _one_in_twelve(number: int) -> bool:
+    return number % 12 == 5
+
+
+CONNECTIONS_SILENT = StoreFault(SILENT_AT_S, silenced=_one_in_three)
+VM_REFUSED = StoreFault(SILENT_AT_S, refused=_one_in_twelve)
+CALLS_SWALLOWED = StoreFault(SILENT_AT_S, swallowed_for_s=3.4)
+
+CASES = {
+    "silent-12": FleetCase(12, CONNECTIONS_SILENT, (10.0, 10.2)),
+    "silent-83": FleetCase(83, CONNECTIONS_SILENT, (10.0, 10.2)),
+    "silent-lossy-12": FleetCase(12, CONNECTIONS_SILENT, (10.0, 10.2), 0.1),
+    "silent-fetch-lost-12": FleetCase(12, CONNECTIONS_SILENT, (10.0, 10.2), 0.0, 1),
+    "refused-12": FleetCase(12, VM_REFUSED, (10.2,)),
+    "refused-fetch-lost-12": FleetCase(12, VM_REFUSED, (10.2,), 0.0, 1),
+    "refused-195": FleetCase(195, VM_REFUSED, (10.0, 10.2)),
+    "swallowed-12": FleetCase(12, CALLS_SWALLOWED, (7.9, 15.4)),
+    "swallowed-lossy-12": FleetCase(12, CALLS_SWALLOWED, (7.9, 15.4), 0.1),
+    "swallowed-83": FleetCase(83, CALLS_SWALLOWED, (7.9, 15.4)),
+    "swallowed-195": FleetCase(195, CALLS_SWALLOWED, (7.9, 15.4)),
+}
+
+
+@pytest.mark.parametrize("case", CASES.values(), ids=CASES)
+def test_requests_reach_a_target_that_said_it_leaves(
+    monkeypatch: pytest.MonkeyPatch, case: FleetCase
+) -> None:
+    for seed in range(SEEDS if case.vms < 100 else 1):
+        fleet = StoreFleet(case, seed)
+        run_virtually(fleet.run(monkeypatch, case.changes_s[-1] + 4.0))
+        assert not fleet.late(DRAIN_S - WAY_TO_TARGET_S), seed
