Relay the requests of a VM that reaches no target to a peer that does

While some VMs are cut off from all targets, their callers were served nothing: each request waited for connections that hang or are refused, and look-ups went on naming the VM for all of that time. A refusal at once would still fail the first try, as callers keep look-ups for seconds and connections longer.

A VM on which several targets in different failure domains failed without an answer in between now probes; if no new connection succeeds, it is cut off. It announces this in its heartbeats, look-ups name it last, and it has a peer answer its requests, one hop at most and over an address that callers do not reach. The peer places them as its own, for the caller's address, so homes, limits, quarantine and admission hold. An exchange that breaks is answered 502. A request that could be sent to none of its targets is relayed as well, since old connections may live on while new ones are refused. Failures seen while cut off do not count against targets. A stop waits for relayed requests as for others.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -28,6 +28,8 @@
     AnswerHeaders,
     LoadReport,
     RequestHeaders,
+    deadline_headers,
+    proves_not_run_by_status,
     read_answer,
     target_headers,
 )
@@ -88,10 +90,17 @@
 
     def headers(self, target: Target, time_left_s: float) -> Headers:
         """Return the headers to send to a target, which has `time_left_s` to answer."""
+        return self._forwarded_headers() + target_headers(target.name, time_left_s)
+
+    def headers_without_target(self, time_left_s: float) -> Headers:
+        """Return the headers to send to a peer, which chooses the target itself."""
+        return self._forwarded_headers() + deadline_headers(time_left_s)
+
+    def _forwarded_headers(self) -> Headers:
         kept = [item for item in end_to_end(self.head.headers) if item[0] not in TARGET_HEADERS]
         if header_value(self.head.headers, b"transfer-encoding") is not None:
             kept.append((b"transfer-encoding", b"chunked"))
-        return kept + target_headers(target.name, time_left_s)
+        return kept
 
 
 class Attempt:
@@ -159,11 +168,7 @@
         head = self._outgoing.head
         headers = self._outgoing.headers(self._target, time_left_s)
         await conn.send_head(head.method, head.target, headers)
-        if self._outgoing.body.is_empty:
-            conn.end_body()
-            answer = await self._read_matching_head(conn)
-        else:
-            answer = await self._send_body_and_read(conn)
+        answer = await self._finish_request(conn)
         answer_headers = read_answer(answer.status, answer.headers)
         if answer.status != MISDIRECTED_STATUS:
             self._on_answer(answer_headers)
@@ -181,6 +186,13 @@
             AttemptEnd.ANSWERED, answer.status, load=answer_headers.load, connect_s=connect_s
         )
 
+    async def _finish_request(self, conn: ClientConnection) -> AnswerHead:
+        """Send the body, if there is one, and return the head of the answer."""
+        if self._outgoing.body.is_empty:
+            conn.end_body()
+            return await self._read_matching_head(conn)
+        return await self._send_body_and_read(conn)
+
     async def _send_body_and_read(self, conn: ClientConnection) -> AnswerHead:
         """Send the body and read the head of the answer concurrently.
 
@@ -239,7 +251,7 @@
         return "successful status without the target's seal"
     if answer_headers.has_content_encoding:
         return "content encoding that the caller did not request"
-    if answer.status in (408, 421, 429, 503):
+    if proves_not_run_by_status(answer.status):
         return "status implies that the request did not run, but the target does not state so"
     return ""
 
--- a/src/chervilmill/entry/_control_handlers.py
+++ b/src/chervilmill/entry/_control_handlers.py
@@ -34,6 +34,7 @@
         self._membership = membership
         self._clock = clock
         self.is_serving = False
+        self.is_cut_off = False
 
     async def __call__(self, conn: ServerConnection, head: RequestHead) -> None:
         """Answer a look-up."""
@@ -53,10 +54,15 @@
         """Return the hosts of the nearest serving VMs.
 
         The VMs of the caller's failure domain are enough only if there are at least two, so that
-        a caller has another VM when one fails.
+        a caller has another VM when one fails. VMs that are cut off from all targets are returned
+        only if all are.
         """
-        serving = self._membership.serving_peers(self._clock())
-        if self.is_serving:
+        now_s = self._clock()
+        with_targets = self._membership.peers_with_targets(now_s)
+        if self.is_serving and not self.is_cut_off:
+            with_targets = [self._own, *with_targets]
+        serving = with_targets or self._membership.serving_peers(now_s)
+        if not with_targets and self.is_serving:
             serving = [self._own, *serving]
         local = [peer for peer in serving if peer.failure_domain == domain]
         near = [peer for peer in serving if self._regions.get(peer.failure_domain) == region]
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -11,6 +11,8 @@
 from chervilmill.entry._outcome import OutcomeRecorder, overdue_after_s
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._progress import Progress, Refusal
+from chervilmill.entry._reach import ReachTracker
+from chervilmill.entry._relay import Relay
 from chervilmill.entry._site_state import SiteState
 from chervilmill.metrics import Metrics
 from chervilmill.overload import (
@@ -23,7 +25,7 @@
 )
 from chervilmill.platform import Bounds
 from chervilmill.reasons import RefusalReason, RetryReason
-from chervilmill.requests import Quarantined, RequestKind
+from chervilmill.requests import Quarantined, RequestKind, Verdict
 
 # Interval of the checks for an overdue attempt: a third of the shortest objective.
 OVERDUE_CHECK_S = 0.1
@@ -54,6 +56,8 @@
         crashes: CrashTracker,
         limits: LimitTracker,
         leaving: LeavingTracker,
+        reach: ReachTracker,
+        relay: Relay,
     ) -> None:
         self._site_state = site_state
         self._pool = pool
@@ -63,7 +67,9 @@
         self._count_live_vms = count_live_vms
         self._is_stopping = is_stopping
         self._crashes = crashes
-        self._outcomes = OutcomeRecorder(site_state.fleet, crashes, limits, leaving)
+        self._reach = reach
+        self._relay = relay
+        self._outcomes = OutcomeRecorder(site_state.fleet, crashes, limits, leaving, reach)
         self._retry_budgets: dict[str, RetryBudgetShare] = {}
 
     def count_request(self, service: str) -> None:
@@ -78,12 +84,14 @@
         """
         last: AttemptResult | None = None
         for _ in range(MAX_TARGETS_TRIED):
+            if self._reach.is_cut_off and self._relay.can_relay(progress):
+                return self._quarantine_refusal(progress) or await self._relay.run(progress)
             decision = progress.next_placement or self._place(progress)
             progress.next_placement = None
             if isinstance(decision, Refusal):
                 return decision
             if isinstance(decision, Refused):
-                return self._final_refusal(progress, last, decision)
+                return await self._relay_unsent(progress, last, decision)
             last = await self._send(progress, decision.candidate)
             if last.end is AttemptEnd.ANSWERED:
                 progress.status = last.status
@@ -91,7 +99,20 @@
             if not self._may_retry(progress, last):
                 break
             self._metrics.count_retry(progress.service, _RETRY_REASONS[last.end])
-        return self._final_refusal(progress, last, Refused(SHED_RETRY_AFTER_S))
+        return await self._relay_unsent(progress, last, Refused(SHED_RETRY_AFTER_S))
+
+    async def _relay_unsent(
+        self, progress: Progress, last: AttemptResult | None, refused: Refused
+    ) -> Refusal | None:
+        """Relay a request that no target could be reached for, and refuse any other.
+
+        Connections may live on while new ones fail, so some requests of a VM may be answered and
+        others not.
+        """
+        is_unsent = last is not None and last.end is AttemptEnd.NOT_SENT
+        if is_unsent and not progress.may_have_run and self._relay.can_relay(progress):
+            return await self._relay.run(progress)
+        return self._final_refusal(progress, last, refused)
 
     def handle_timeout(self, progress: Progress) -> Refusal:
         """Record that a request ran out of time and return the refusal for its caller."""
@@ -108,14 +129,23 @@
     def _place(self, progress: Progress) -> Admitted | Refused | Refusal:
         """Choose a target among those that may run the request, or refuse the request."""
         now_s = asyncio.get_running_loop().time()
-        verdict = self._crashes.verdict(
-            progress.fingerprint, now_s, lambda name: self._is_usable(name, progress, now_s)
-        )
+        verdict = self._verdict(progress, now_s)
         if isinstance(verdict, Quarantined):
             return self._refuse_quarantined(progress, verdict)
         query = self._placement_query(progress, only_target(verdict), now_s)
         return self._site_state.fleet.place(query, self._site_state.view, now_s)
 
+    def _verdict(self, progress: Progress, now_s: float) -> Verdict:
+        return self._crashes.verdict(
+            progress.fingerprint, now_s, lambda name: self._is_usable(name, progress, now_s)
+        )
+
+    def _quarantine_refusal(self, progress: Progress) -> Refusal | None:
+        verdict = self._verdict(progress, asyncio.get_running_loop().time())
+        if isinstance(verdict, Quarantined):
+            return self._refuse_quarantined(progress, verdict)
+        return None
+
     def _refuse_quarantined(self, progress: Progress, verdict: Quarantined) -> Refusal:
         detail = f"quarantined fingerprint {progress.fingerprint.hex()}"
         if progress.may_have_run:
@@ -234,6 +264,8 @@
             return False
         if self._is_stopping():
             return False
+        if self._reach.is_cut_off:
+            return self._relay.can_relay(progress)
         decision = self._place(progress)
         if not isinstance(decision, Admitted):
             return False
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +20,9 @@
 from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._pool import TargetPool
+from chervilmill.entry._reach import ReachTracker
+from chervilmill.entry._relay import Relay
+from chervilmill.entry._relayed import RelayedRequestHandler
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.entry._site_state import ENTRY_KIND, KINDS, URGENT_KINDS, SiteState
 from chervilmill.logs import log_event, log_problem
@@ -59,6 +63,7 @@
 EXIT_BEFORE_GRACE_END_S = 0.7
 # Rounds of gossip to the configured seeds while the store has not listed the other VMs yet.
 SEED_ROUNDS = 6
+RELAY_HEADER_BYTES = 256  # what a peer adds to the headers of a caller
 CONTROL_LIMITS = ServerLimits(header_bytes=16_384, header_timeout_s=3.0, idle_s=30.0)
 
 
@@ -101,6 +106,17 @@
         self._sync.on_urgent_change = self._gossip.announce_revisions
         self._crashes.on_urgent_report = self._gossip.request_urgent_round
         self._metrics = Metrics()
+        self._reach = ReachTracker(self._site_state, self._pool, rng)
+        self._reach.on_change = self._handle_reach_change
+        relay = Relay(
+            own,
+            settings.regions,
+            settings.relay_address.port,
+            lambda: self._membership.peers_with_targets(self._clock()),
+            self._count_near_vms,
+            self._metrics,
+            rng,
+        )
         dispatcher = Dispatcher(
             self._site_state,
             self._pool,
@@ -112,6 +128,8 @@
             self._crashes,
             self._limits,
             self._leaving,
+            self._reach,
+            relay,
         )
         self._forwarder = Forwarder(
             self._site_state, dispatcher, self._metrics, self._is_view_fresh
@@ -121,8 +139,12 @@
         )
         self._readiness = ReadinessHandler()
         self._caller_server = HttpServer(self._forwarder, self._caller_limits)
+        self._relay_server = HttpServer(
+            RelayedRequestHandler(self._forwarder), self._relayed_limits
+        )
         self._servers = {
             settings.caller_address: self._caller_server,
+            settings.relay_address: self._relay_server,
             settings.lookup_address: HttpServer(self._lookups, lambda: CONTROL_LIMITS),
             settings.readiness_address: HttpServer(self._readiness, lambda: CONTROL_LIMITS),
             settings.peer_address: HttpServer(
@@ -150,6 +172,7 @@
         self._spawn(self._gossip.run())
         self._spawn(self._become_ready())
         self._spawn(self._tick())
+        self._spawn(self._reach.run())
         await self._stop_requested.wait()
         await self._stop()
 
@@ -244,6 +267,19 @@
         }
         self._crashes.set_targets(domains)
 
+    def _handle_reach_change(self, is_cut_off: bool) -> None:
+        """Announce at once that this VM reaches no target, or targets again."""
+        self._lookups.is_cut_off = is_cut_off
+        self._membership.set_cut_off(is_cut_off)
+        self._gossip.announce_revisions()
+
+    def _count_near_vms(self) -> int:
+        region = self._settings.region
+        return sum(
+            self._settings.regions.get(peer.failure_domain) == region
+            for peer in self._membership.serving_peers(self._clock())
+        )
+
     def _handle_digest(self, digest: Digest) -> None:
         peer = self._membership.peer(digest.sender)
         if peer is not None:
@@ -256,17 +292,19 @@
         requested_s = loop.time()
         log_event("stopping", step="stop", busy=self._caller_server.busy_count)
         self._set_serving(False)
-        self._caller_server.announce_close()
+        for server in (self._caller_server, self._relay_server):
+            server.announce_close()
         self._spawn(self._gossip.announce_leaving())
         grace_s = self._settings.bounds.stop_grace_s
         await asyncio.sleep(max(0.0, grace_s - REFUSE_BEFORE_GRACE_END_S))
         self._forwarder.is_stopping = True
         while (
-            self._caller_server.busy_count
+            self._caller_server.busy_count + self._relay_server.busy_count
             and loop.time() - requested_s < grace_s - EXIT_BEFORE_GRACE_END_S
         ):
             await asyncio.sleep(0.02)
-        self._caller_server.close_idle()
+        for server in (self._caller_server, self._relay_server):
+            server.close_idle()
         log_event(
             "stopped",
             step="stop",
@@ -300,6 +338,10 @@
         limits = cfg.limits if cfg else CallerLimits()
         return ServerLimits(limits.header_bytes, limits.header_timeout_s, limits.idle_timeout_s)
 
+    def _relayed_limits(self) -> ServerLimits:
+        limits = self._caller_limits()
+        return replace(limits, header_bytes=limits.header_bytes + RELAY_HEADER_BYTES)
+
     async def _answer_metrics(self, conn: ServerConnection, head: RequestHead) -> None:
         for kind, age_s in self._sync.copy_ages_s().items():
             self._metrics.copy_age.labels(kind).set(age_s)
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -44,13 +44,20 @@
 
     async def __call__(self, caller: ServerConnection, head: RequestHead) -> None:
         """Answer a caller's request, with the answer of a target or with a refusal."""
+        await self.forward(caller, head, caller.host.rpartition(":")[0], is_relayed=False)
+
+    async def forward(
+        self, caller: ServerConnection, head: RequestHead, caller_host: str, *, is_relayed: bool
+    ) -> None:
+        """Answer a request of a caller that is at a host, or behind a peer that relays it."""
         began_s = asyncio.get_running_loop().time()
         request_headers = read_request(head.headers)
         found = self._find_route(head)
         if isinstance(found, Refusal):
             await self._refuse(caller, request_headers, "", found, began_s)
             return
-        progress = self._start_progress(caller, head, request_headers, found, began_s)
+        progress = self._start_progress(caller, head, request_headers, found, began_s, is_relayed)
+        progress.fingerprint = fingerprint_request(head, caller_host)
         limit_s = min(
             progress.deadline_s + TIMEOUT_SLACK_S,
             progress.caller_deadline_s - FINAL_ANSWER_MARGIN_S,
@@ -109,6 +116,7 @@
         request_headers: RequestHeaders,
         route: Route,
         began_s: float,
+        is_relayed: bool,
     ) -> Progress:
         cfg = self._site_state.view.configuration
         limits = cfg.limits if cfg else CallerLimits()
@@ -118,7 +126,8 @@
             else route.timeout_s
         )
         service = self._splitter.pick(route.name, route.split)
-        self._dispatcher.count_request(service)
+        if not is_relayed:  # counted where the caller is
+            self._dispatcher.count_request(service)
         return Progress(
             caller=caller,
             request_headers=request_headers,
@@ -131,7 +140,7 @@
             deadline_s=began_s + min(caller_timeout_s, route.timeout_s),
             caller_deadline_s=began_s + caller_timeout_s,
             age_s=self._ages.age_s(route.name, caller_timeout_s),
-            fingerprint=fingerprint_request(head, caller.host.rpartition(":")[0]),
+            is_relayed=is_relayed,
         )
 
     async def _refuse(
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -5,6 +5,7 @@
 from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._progress import Progress
+from chervilmill.entry._reach import ReachTracker
 from chervilmill.logs import log_event, log_failure, log_problem
 from chervilmill.overload import Candidate, StatedPause, TargetFleet
 from chervilmill.platform import AnswerHeaders
@@ -27,7 +28,9 @@
         crashes: CrashTracker,
         limits: LimitTracker,
         leaving: LeavingTracker,
+        reach: ReachTracker,
     ) -> None:
+        self._reach = reach
         self._fleet = fleet
         self._crashes = crashes
         self._limits = limits
@@ -76,8 +79,10 @@
             progress.may_have_run = True
         if result.load is not None:
             self._fleet.record_load(record, result.load.running + result.load.waiting, now_s)
-        self._update_target(candidate, result, sent_s, now_s)
-        self._update_crashes(progress, candidate, result, sent_s, now_s)
+        self._reach.record_result(record.target, result)
+        if not self._reach.is_cut_off:
+            self._update_target(candidate, result, sent_s, now_s)
+            self._update_crashes(progress, candidate, result, sent_s, now_s)
         if _is_success(result):
             self._fleet.record_answer(progress.affinity_workload, candidate, took_s, now_s)
             return
--- a/src/chervilmill/entry/_progress.py
+++ b/src/chervilmill/entry/_progress.py
@@ -18,7 +18,8 @@
     waiting, or the time-out of the route if that is earlier. `sent_s` is when the current attempt
     started, or None between attempts, and `attempt` is the current attempt. `sent_count` counts
     the attempts that reached a target. `next_placement` is where an overdue request moves to, if
-    another target has admitted it. `status` is the status of the answer relayed to the caller.
+    another target has admitted it. `is_relayed` says that a peer sent the request. `status` is the
+    status of the answer given to the caller.
     """
 
     caller: ServerConnection
@@ -30,7 +31,8 @@
     deadline_s: float
     caller_deadline_s: float
     age_s: float
-    fingerprint: bytes
+    fingerprint: bytes = b""
+    is_relayed: bool = False
     tried: list[str] = field(default_factory=list)
     sent_count: int = 0
     sent_s: float | None = None
--- /dev/null
+++ b/src/chervilmill/entry/_relay.py
@@ -0,0 +1,149 @@
+"""Relay requests to a peer that reaches targets.
+
+A VM that is cut off from all targets still has callers. It sends their requests to a peer, which
+places them as its own: the homes of a route, limits, quarantine and admission are the peer's to
+keep. A relayed request is not relayed again.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from chervilmill.addresses import Address
+from chervilmill.aio import ClientConnection, Headers
+from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult
+from chervilmill.entry._pool import TargetPool
+from chervilmill.entry._progress import Progress, Refusal
+from chervilmill.logs import log_event
+from chervilmill.metrics import Metrics
+from chervilmill.peers import Peer
+from chervilmill.platform import proves_not_run_by_status
+from chervilmill.reasons import RefusalReason
+from chervilmill.routing import Target
+
+MAX_PEERS_TRIED = 2
+# The peer's final answer travels back within this time, also between regions.
+ANSWER_MARGIN_S = 0.1
+RELAY_RETRY_AFTER_S = 0.15
+# With a smaller share of its region's VMs left, the rest of the fleet helps to carry its callers.
+MIN_NEAR_SHARE = 1 / 3
+CALLER_HEADER = b"entry-relayed-for"  # the address of the caller, between entry VMs only
+
+
+class _RelayAttempt(Attempt):
+    """One try to have a request answered by a peer, whose refusals are answers as well."""
+
+    hides_refusals = False
+
+    async def _exchange(
+        self, conn: ClientConnection, time_left_s: float, connect_s: float | None
+    ) -> AttemptResult:
+        head = self._outgoing.head
+        await conn.send_head(head.method, head.target, self._relayed_headers(time_left_s))
+        answer = await self._finish_request(conn)
+        if self.hides_refusals and proves_not_run_by_status(answer.status):
+            conn.abort()
+            return AttemptResult(AttemptEnd.LOST, answer.status, "refused by a peer")
+        await self._relay_answer(conn, answer)
+        return AttemptResult(AttemptEnd.ANSWERED, answer.status)
+
+    def _relayed_headers(self, time_left_s: float) -> Headers:
+        caller_host = self._caller.host.rpartition(":")[0]
+        kept = self._outgoing.headers_without_target(time_left_s)
+        return [*kept, (CALLER_HEADER, caller_host.encode())]
+
+
+class Relay:
+    """Sends requests to peers; `peers` returns those that take callers and reach targets."""
+
+    def __init__(
+        self,
+        own: Peer,
+        regions: Mapping[str, str],
+        port: int,
+        peers: Callable[[], Sequence[Peer]],
+        count_near_vms: Callable[[], int],
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._regions = regions
+        self._port = port
+        self._peers = peers
+        self._count_near_vms = count_near_vms
+        self._metrics = metrics
+        self._rng = rng
+        self._pool = TargetPool()
+        self._in_flight: dict[str, int] = {}
+
+    def can_relay(self, progress: Progress) -> bool:
+        """Return whether a peer may be asked to answer a request."""
+        return not progress.is_relayed and bool(self._candidates(progress))
+
+    async def run(self, progress: Progress) -> Refusal | None:
+        """Have a peer answer a request; return None if the caller has its answer."""
+        tried: set[str] = set()
+        detail = "no peer reaches targets"
+        for _ in range(MAX_PEERS_TRIED):
+            candidates = [peer for peer in self._candidates(progress) if peer.name not in tried]
+            if not candidates:
+                break
+            peer = self._choose(candidates)
+            tried.add(peer.name)
+            result = await self._send(progress, peer)
+            if result.end is AttemptEnd.ANSWERED:
+                progress.status = result.status
+                return None
+            detail = result.detail
+            if not result.proves_not_run:
+                progress.may_have_run = True
+                break
+        if progress.may_have_run:
+            return Refusal(RefusalReason.TARGET_FAILED, detail=detail)
+        return Refusal(RefusalReason.NO_TARGET, RELAY_RETRY_AFTER_S, detail)
+
+    async def _send(self, progress: Progress, peer: Peer) -> AttemptResult:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        address = Address(peer.host, self._port)
+        as_target = Target(peer.name, 0, "", address, peer.failure_domain, 0, False, 0.0)
+        attempt = _RelayAttempt(
+            progress.caller, progress.outgoing, self._pool, as_target, lambda _: None
+        )
+        attempt.hides_refusals = progress.may_have_run
+        progress.attempt, progress.last_candidate = attempt, None
+        self._in_flight[peer.name] = self._in_flight.get(peer.name, 0) + 1
+        try:
+            left_s = progress.caller_deadline_s - began_s - ANSWER_MARGIN_S
+            result = await attempt.run(max(0.001, left_s))
+        finally:
+            self._in_flight[peer.name] -= 1
+        progress.attempt = None
+        self._metrics.relays.labels(progress.service, result.end.value).inc()
+        log_event(
+            "request relayed",
+            step="relay",
+            request=progress.request_headers.request_id,
+            peer=peer.name,
+            end=result.end.value,
+            status=result.status,
+            detail=result.detail,
+            took_s=round(loop.time() - began_s, 4),
+        )
+        return result
+
+    def _candidates(self, progress: Progress) -> list[Peer]:
+        homes = progress.route.home_regions
+        peers = [
+            peer
+            for peer in self._peers()
+            if not homes or self._regions.get(peer.failure_domain) in homes
+        ]
+        own_region = self._regions.get(self._own.failure_domain)
+        near = [peer for peer in peers if self._regions.get(peer.failure_domain) == own_region]
+        return near if len(near) >= MIN_NEAR_SHARE * self._count_near_vms() else peers
+
+    def _choose(self, peers: Sequence[Peer]) -> Peer:
+        """Return the peer with fewer requests of this VM, of two drawn at random."""
+        drawn = self._rng.sample(peers, min(2, len(peers)))
+        return min(drawn, key=lambda peer: self._in_flight.get(peer.name, 0))
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -25,6 +25,12 @@
             ["service", "reason"],
             registry=self.registry,
         )
+        self.relays = Counter(
+            "chervilmill_relays",
+            "Requests sent to a peer that reaches targets, by service and how the exchange ended",
+            ["service", "end"],
+            registry=self.registry,
+        )
         self.dropped_answers = Counter(
             "chervilmill_dropped_answers",
             "Answers of targets that were not given to a caller whole, by service and reason",
--- a/src/chervilmill/overload/__init__.py
+++ b/src/chervilmill/overload/__init__.py
@@ -14,6 +14,7 @@
     choose_candidates,
 )
 from chervilmill.overload._fleet import PlacementQuery, TargetFleet
+from chervilmill.overload._reachability import TargetReachability
 from chervilmill.overload._region_shares import RegionShares, desired_region_shares
 from chervilmill.overload._retry_budget_share import RetryBudgetShare
 from chervilmill.overload._service_times import ServiceTimes, Workload
@@ -59,6 +60,7 @@
     "StatedPause",
     "TargetFleet",
     "TargetLimits",
+    "TargetReachability",
     "TargetRates",
     "TargetRecord",
     "Workload",
--- a/src/chervilmill/overload/_target_record.py
+++ b/src/chervilmill/overload/_target_record.py
@@ -180,6 +180,12 @@
         self._ejections += 1
         self.ejected_until_s = now_s + duration_s
 
+    def forgive(self) -> None:
+        """Forget failures that were not the target's."""
+        self.ejected_until_s = float("-inf")
+        self._ejections = 0
+        self._failure_share = 0.0
+
     def _overdue_slowness(self, now_s: float) -> float:
         if not self._in_flight:
             return 1.0
--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -8,6 +8,7 @@
 
 _SERVING_FLAG = 1
 _SUSPECTED_FLAG = 2
+_CUT_OFF_FLAG = 4
 _UNUSED: list[object] = []  # earlier versions expect a list in this place
 _AGE_UNIT_S = 0.1  # a fifth of a gossip round
 
@@ -23,7 +24,7 @@
     `key` identifies the VM, `incarnation` numbers its lifetimes and `counter` the rounds of the
     current lifetime. `age_s` is the time since the heartbeat came from the VM itself, to the sender
     or to the peer that the sender learned it from. `is_suspected` says that a watcher of the VM did
-    not receive the next heartbeat in time.
+    not receive the next heartbeat in time. `is_cut_off` says that the VM reaches no target.
     """
 
     key: int
@@ -31,6 +32,7 @@
     counter: int
     is_serving: bool
     is_suspected: bool = False
+    is_cut_off: bool = False
     age_s: float = 0.0
 
 
@@ -67,6 +69,7 @@
 
 def _encode_heartbeat(entry: HeartbeatEntry) -> list[int]:
     flags = _SERVING_FLAG * entry.is_serving + _SUSPECTED_FLAG * entry.is_suspected
+    flags += _CUT_OFF_FLAG * entry.is_cut_off
     return [entry.key, entry.incarnation, entry.counter, flags, round(entry.age_s / _AGE_UNIT_S)]
 
 
@@ -80,5 +83,6 @@
         counter,
         bool(flags & _SERVING_FLAG),
         bool(flags & _SUSPECTED_FLAG),
+        bool(flags & _CUT_OFF_FLAG),
         age_units * _AGE_UNIT_S,
     )
--- a/src/chervilmill/peers/_membership.py
+++ b/src/chervilmill/peers/_membership.py
@@ -56,6 +56,7 @@
     counter: int
     is_serving: bool
     is_suspected: bool
+    is_cut_off: bool
     alive_at_s: float
 
     @property
@@ -63,8 +64,8 @@
         return (self.incarnation, self.counter)
 
     @property
-    def status(self) -> tuple[int, bool, bool]:
-        return (self.incarnation, self.is_serving, self.is_suspected)
+    def status(self) -> tuple[int, bool, bool, bool]:
+        return (self.incarnation, self.is_serving, self.is_suspected, self.is_cut_off)
 
 
 def peer_key(name: str) -> int:
@@ -83,6 +84,7 @@
         self._incarnation = incarnation
         self._counter = 0
         self._is_serving = False
+        self._is_cut_off = False
         self._records: dict[int, _PeerRecord] = {}
         self._peers: dict[int, Peer] = {}
         self._rng = rng
@@ -104,6 +106,11 @@
         """Set whether this VM announces that it takes callers."""
         self._is_serving = is_serving
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Set whether this VM announces that it reaches no target."""
+        self._is_cut_off = is_cut_off
+        self.raise_fanout()
+
     @property
     def is_reader(self) -> bool:
         """Return whether this VM asks the store at short intervals, for all others."""
@@ -188,6 +195,14 @@
             if key != self._key and self._state(key, now_s) is MemberState.SERVING
         ]
 
+    def peers_with_targets(self, now_s: float) -> list[Peer]:
+        """Return the peers that take callers and are not cut off from all targets."""
+        return [
+            peer
+            for peer in self.serving_peers(now_s)
+            if not self._records[peer_key(peer.name)].is_cut_off
+        ]
+
     def peer(self, key: int) -> Peer | None:
         """Return the peer with a key, or None if no such peer is registered."""
         return self._peers.get(key)
@@ -298,7 +313,12 @@
         if not entry.is_suspected:
             self._probed.discard(entry.key)
         new = _PeerRecord(
-            entry.incarnation, entry.counter, entry.is_serving, entry.is_suspected, alive_at_s
+            entry.incarnation,
+            entry.counter,
+            entry.is_serving,
+            entry.is_suspected,
+            entry.is_cut_off,
+            alive_at_s,
         )
         self._records[entry.key] = new
         if record is None or new.status != record.status:
@@ -310,7 +330,13 @@
         self._updates.add(key, len(self._peers))
 
     def _own_entry(self) -> HeartbeatEntry:
-        return HeartbeatEntry(self._key, self._incarnation, self._counter, self._is_serving)
+        return HeartbeatEntry(
+            self._key,
+            self._incarnation,
+            self._counter,
+            self._is_serving,
+            is_cut_off=self._is_cut_off,
+        )
 
     def _entries(self, keys: Iterable[int], now_s: float) -> Iterator[HeartbeatEntry]:
         for key in keys:
@@ -321,6 +347,7 @@
                 record.counter,
                 record.is_serving,
                 record.is_suspected,
+                record.is_cut_off,
                 max(0.0, now_s - record.alive_at_s),
             )
 
--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -21,6 +21,7 @@
 _LEAVING_HEADERS = (b"x-chervilmill-server-leaving", b"server-leaving")
 _NOT_RUN_HEADER = b"x-chervilmill-request-not-run"
 _RETRY_AFTER_HEADER = b"retry-after"
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 TARGET_HEADERS = frozenset({_DEADLINE_HEADER, _EXPECTED_INSTANCE_HEADER})
 """Headers of a request to a target that this system sets, replacing those of the caller."""
@@ -94,11 +95,18 @@
 
 def target_headers(instance: str, time_left_s: float) -> list[tuple[bytes, bytes]]:
     """Return the headers that bind a request to one lifetime of a target and limit its run time."""
+    return [(_EXPECTED_INSTANCE_HEADER, instance.encode()), *deadline_headers(time_left_s)]
+
+
+def deadline_headers(time_left_s: float) -> list[tuple[bytes, bytes]]:
+    """Return the headers that limit the time in which a request is answered."""
     remaining_ms = max(1, int(time_left_s * 1000))
-    return [
-        (_EXPECTED_INSTANCE_HEADER, instance.encode()),
-        (_DEADLINE_HEADER, str(remaining_ms).encode()),
-    ]
+    return [(_DEADLINE_HEADER, str(remaining_ms).encode())]
+
+
+def proves_not_run_by_status(status: int) -> bool:
+    """Return whether a status alone promises callers that their request has not run."""
+    return status in _NOT_RUN_STATUSES
 
 
 def refusal_headers(retry_after_s: float | None) -> list[tuple[bytes, bytes]]:
--- a/src/chervilmill/platform/_settings.py
+++ b/src/chervilmill/platform/_settings.py
@@ -68,6 +68,11 @@
         """Return the region of this VM."""
         return self.regions[self.failure_domain]
 
+    @property
+    def relay_address(self) -> Address:
+        """Return where this VM takes requests that peers relay; gossip uses the port over UDP."""
+        return Address(self.host, self.gossip_port)
+
 
 def read_settings(path: Path) -> EntrySettings:
     """Return the settings in a file, or raise SettingsError that names the wrong field."""
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -1,7 +1,7 @@
 """Record results of attempts and check what follows for the target and the request."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import SimpleNamespace
 
 import pytest
@@ -15,7 +15,10 @@
 from chervilmill.entry._outcome import OVERDUE_FACTOR, OutcomeRecorder, overdue_after_s
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._progress import Progress
+from chervilmill.entry._reach import ReachTracker
+from chervilmill.entry._site_state import SiteState
 from chervilmill.overload import Candidate, TargetFleet
+from chervilmill.peers import Membership, Peer
 from chervilmill.platform import RequestHeaders
 from chervilmill.requests import LimitedToTarget, RequestKind
 from chervilmill.routing import Route, SiteView, Target, TargetChanged
@@ -23,6 +26,7 @@
 SENT_S = 100.0
 EXPECTED_S = 0.2
 OBJECTIVE_S = 0.5
+OWN = Peer("vm", "127.0.0.1", "north-a")
 
 
 @dataclass(slots=True)
@@ -83,6 +87,9 @@
         last_candidate=candidate,
         attempt=_attempt(target),
     )
+    site_state = SiteState(fleet, Membership("vm", 1, random.Random(1)), OWN, lambda: SENT_S)
+    site_state.view.put_target(target)
+    site_state.view.put_target(replace(target, name="u", failure_domain="north-b"))
     crashes = CrashTracker()
     crashes.set_targets({"t": "north-a", "u": "north-b"})
     return _Setup(
@@ -91,6 +98,7 @@
             crashes,
             LimitTracker(fleet.rates.limits),
             LeavingTracker(lambda _: None),
+            ReachTracker(site_state, TargetPool(), random.Random(1)),
         ),
         progress,
         candidate,
