Probe without closing idle connections, and give peers the route's time too

A probe closed the idle connections of the targets it tried, which a VM may still use where old connections live on; it now opens one of its own. A peer got the time that the caller waits, so with a shorter time-out of the route it would have answered after this VM had given up; it now gets what is left of both. A request whose body can no longer be sent from the beginning is not relayed.

--- a/src/chervilmill/entry/_pool.py
+++ b/src/chervilmill/entry/_pool.py
@@ -26,6 +26,7 @@
     FIRST = "first"  # no connection to this lifetime of the target was released yet
     BUSY = "busy"  # all connections kept for reuse were in use
     CLOSED = "closed"  # the target had closed the idle connections
+    PROBE = "probe"  # to find out whether targets can be reached at all
     RESTED = "rested"  # the connections were idle for longer than the target is known to allow
 
 
@@ -40,6 +41,11 @@
         self._idle: dict[tuple[str, int], list[ClientConnection]] = {}
         self._idle_limits: dict[str, tuple[float, float]] = {}
 
+    async def open_probe(self, target: Target) -> ClientConnection:
+        """Open a connection that no request uses, or raise ConnectError."""
+        self.opened[OpenReason.PROBE] += 1
+        return await connect(target.address, CONNECT_TIMEOUT_S)
+
     async def acquire(self, target: Target) -> ClientConnection:
         """Return an idle connection or open a new one, which may raise ConnectError."""
         now_s = asyncio.get_running_loop().time()
--- a/src/chervilmill/entry/_reach.py
+++ b/src/chervilmill/entry/_reach.py
@@ -64,9 +64,8 @@
         return [by_domain[domain] for domain in domains]
 
     async def _can_connect(self, target: Target) -> bool:
-        self._pool.close_idle(target)  # an idle connection would show nothing
         try:
-            conn = await self._pool.acquire(target)
+            conn = await self._pool.open_probe(target)
         except ConnectError:
             return False
         conn.abort()
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -78,7 +78,9 @@
 
     def can_relay(self, progress: Progress) -> bool:
         """Return whether a peer may be asked to answer a request."""
-        return not progress.is_relayed and bool(self._candidates(progress))
+        if progress.is_relayed or not progress.outgoing.body.can_replay:
+            return False
+        return bool(self._candidates(progress))
 
     async def run(self, progress: Progress) -> Refusal | None:
         """Have a peer answer a request; return None if the caller has its answer."""
@@ -114,7 +116,7 @@
         progress.attempt, progress.last_candidate = attempt, None
         self._in_flight[peer.name] = self._in_flight.get(peer.name, 0) + 1
         try:
-            left_s = progress.caller_deadline_s - began_s - ANSWER_MARGIN_S
+            left_s = progress.deadline_s - began_s - ANSWER_MARGIN_S
             result = await attempt.run(max(0.001, left_s))
         finally:
             self._in_flight[peer.name] -= 1
--- a/tests/entry/test_cut_off_from_targets.py
+++ b/tests/entry/test_cut_off_from_targets.py
@@ -1,7 +1,7 @@
 """Cut entry VMs off from all targets while callers, the store and the other VMs reach them."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -26,15 +26,21 @@
         self.is_healed = False
         self._site = site
         self._hangs = hangs
-        self._acquire = site.vm._pool.acquire
-        monkeypatch.setattr(site.vm._pool, "acquire", self._acquire_over_cut)
-
-    async def _acquire_over_cut(self, target: Target) -> ClientConnection:
-        if self.is_healed:
-            return await self._acquire(target)
-        if self._hangs:
-            await asyncio.sleep(CONNECT_TIMEOUT_S)
-        raise ConnectError("cut", step="connect", peer=target.name)
+        pool = site.vm._pool
+        monkeypatch.setattr(pool, "acquire", self._over_cut(pool.acquire))
+        monkeypatch.setattr(pool, "open_probe", self._over_cut(pool.open_probe))
+
+    def _over_cut(
+        self, connect: Callable[[Target], Awaitable[ClientConnection]]
+    ) -> Callable[[Target], Awaitable[ClientConnection]]:
+        async def try_to_connect(target: Target) -> ClientConnection:
+            if self.is_healed:
+                return await connect(target)
+            if self._hangs:
+                await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise ConnectError("cut", step="connect", peer=target.name)
+
+        return try_to_connect
 
 
 async def _served(site: SiteUnderTest, method: str) -> int:
