Name where a request came from, and let peers keep idle connections open

Found by reading. The address of the caller and whether a peer relays the request belong together and become one value. A peer closed the idle connections of relays after the callers' idle time, which an operator may set below the time for which the other side reuses them; a request on such a connection would have been answered 502.

--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -340,7 +340,11 @@
 
     def _relayed_limits(self) -> ServerLimits:
         limits = self._caller_limits()
-        return replace(limits, header_bytes=limits.header_bytes + RELAY_HEADER_BYTES)
+        return replace(
+            limits,
+            header_bytes=limits.header_bytes + RELAY_HEADER_BYTES,
+            idle_s=CONTROL_LIMITS.idle_s,
+        )
 
     async def _answer_metrics(self, conn: ServerConnection, head: RequestHead) -> None:
         for kind, age_s in self._sync.copy_ages_s().items():
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -8,7 +8,7 @@
 from chervilmill.entry._body import ReplayableBody
 from chervilmill.entry._crashes import fingerprint_request
 from chervilmill.entry._dispatch import Dispatcher
-from chervilmill.entry._progress import Progress, Refusal
+from chervilmill.entry._progress import Origin, Progress, Refusal
 from chervilmill.entry._site_state import SiteState
 from chervilmill.logs import log_event, log_failure
 from chervilmill.metrics import Metrics
@@ -44,20 +44,17 @@
 
     async def __call__(self, caller: ServerConnection, head: RequestHead) -> None:
         """Answer a caller's request, with the answer of a target or with a refusal."""
-        await self.forward(caller, head, caller.host.rpartition(":")[0], is_relayed=False)
+        await self.forward(caller, head, Origin(caller.host.rpartition(":")[0]))
 
-    async def forward(
-        self, caller: ServerConnection, head: RequestHead, caller_host: str, *, is_relayed: bool
-    ) -> None:
-        """Answer a request of a caller that is at a host, or behind a peer that relays it."""
+    async def forward(self, caller: ServerConnection, head: RequestHead, origin: Origin) -> None:
+        """Answer a request that came from a caller or from a peer that relays it."""
         began_s = asyncio.get_running_loop().time()
         request_headers = read_request(head.headers)
         found = self._find_route(head)
         if isinstance(found, Refusal):
             await self._refuse(caller, request_headers, "", found, began_s)
             return
-        progress = self._start_progress(caller, head, request_headers, found, began_s, is_relayed)
-        progress.fingerprint = fingerprint_request(head, caller_host)
+        progress = self._start_progress(caller, head, request_headers, found, began_s, origin)
         limit_s = min(
             progress.deadline_s + TIMEOUT_SLACK_S,
             progress.caller_deadline_s - FINAL_ANSWER_MARGIN_S,
@@ -116,7 +113,7 @@
         request_headers: RequestHeaders,
         route: Route,
         began_s: float,
-        is_relayed: bool,
+        origin: Origin,
     ) -> Progress:
         cfg = self._site_state.view.configuration
         limits = cfg.limits if cfg else CallerLimits()
@@ -126,7 +123,7 @@
             else route.timeout_s
         )
         service = self._splitter.pick(route.name, route.split)
-        if not is_relayed:  # counted where the caller is
+        if not origin.is_relayed:  # counted by the peer
             self._dispatcher.count_request(service)
         return Progress(
             caller=caller,
@@ -140,7 +137,8 @@
             deadline_s=began_s + min(caller_timeout_s, route.timeout_s),
             caller_deadline_s=began_s + caller_timeout_s,
             age_s=self._ages.age_s(route.name, caller_timeout_s),
-            is_relayed=is_relayed,
+            fingerprint=fingerprint_request(head, origin.caller_host),
+            is_relayed=origin.is_relayed,
         )
 
     async def _refuse(
--- a/src/chervilmill/entry/_progress.py
+++ b/src/chervilmill/entry/_progress.py
@@ -10,6 +10,14 @@
 from chervilmill.routing import Route
 
 
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """The address of a request's caller, and whether a peer relays the request."""
+
+    caller_host: str
+    is_relayed: bool = False
+
+
 @dataclass(slots=True)
 class Progress:
     """The state of a caller's request until its final answer.
@@ -31,7 +39,7 @@
     deadline_s: float
     caller_deadline_s: float
     age_s: float
-    fingerprint: bytes = b""
+    fingerprint: bytes
     is_relayed: bool = False
     tried: list[str] = field(default_factory=list)
     sent_count: int = 0
--- a/src/chervilmill/entry/_relayed.py
+++ b/src/chervilmill/entry/_relayed.py
@@ -4,6 +4,7 @@
 
 from chervilmill.aio import RequestHead, ServerConnection, header_value
 from chervilmill.entry._forward import Forwarder
+from chervilmill.entry._progress import Origin
 from chervilmill.entry._relay import CALLER_HEADER
 
 
@@ -21,5 +22,7 @@
             return
         headers = [item for item in head.headers if item[0] != CALLER_HEADER]
         await self._forwarder.forward(
-            conn, replace(head, headers=headers), caller_host.decode("latin-1"), is_relayed=True
+            conn,
+            replace(head, headers=headers),
+            Origin(caller_host.decode("latin-1"), is_relayed=True),
         )
