--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -141,7 +141,7 @@
             self._urgent_round = loop.call_later(URGENT_ROUND_S, self._send_urgent_round)
 
     def announce_revisions(self) -> None:
-        """Send a digest at shorter notice than the next round, as a copy has changed."""
+        """Send a digest before the next round, as a copy or the state of this VM has changed."""
         self._is_digest_urgent = True
         self.request_urgent_round()
 
--- a/tests/entry/test_cut_off_from_targets.py
+++ b/tests/entry/test_cut_off_from_targets.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from chervilmill.aio import ClientConnection, ConnectError
+from chervilmill.aio import ClientConnection, ConnectError, connect
 from chervilmill.routing import Target
 from tests.entry.harness import SiteUnderTest, until
 from tests.entry.pair import Pair
@@ -130,3 +130,17 @@
         assert len(pair.sites[0].vm._lookups.nearest_hosts("north-a", "north")) == 2
 
     _run_pair(tmp_path, scenario)
+
+
+def test_caller_reaches_the_address_for_relayed_requests(tmp_path: Path) -> None:
+    """Without a peer's header, a request there is refused and does not run."""
+
+    async def scenario(pair: Pair) -> None:
+        site = pair.sites[0]
+        conn = await connect(site.vm._settings.relay_address, 1.0)
+        answer = await site.ask("/read/a", conn=conn)
+        conn.abort()
+        assert answer.status == 403
+        assert not site.targets["t1"].records.arrivals
+
+    _run_pair(tmp_path, scenario)
