--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -23,9 +23,7 @@
 from chervilmill.platform import Listing, PlatformStore
 
 KIND = "servers"
-DOMAINS = 6
 DELAYS_S = (0.004, 0.055)  # one way, within a region and between two
-SETTLED_S = 4.0  # after a start, all VMs know each other
 LEAVING = "t-0"
 PEER_PORT = 7720
 _ASKING_VM: ContextVar[int] = ContextVar("asking VM")
