Do not let a target's failure clear a request that crashes targets

Callers saw targets go on ending under a request or an object that had ended three already. An answer with any status cleared it of all earlier losses, on all entry VMs, also a 500 or a 504: a run that fails early, or is cut at its deadline, ends before it would have crashed its target.

A failure and a refusal withdraw the loss that the first run after a quarantine counts as, so that a harmless request is not refused for them; our own interface did not do that for refusals.

--- a/soak/target.py
+++ b/soak/target.py
@@ -50,6 +50,7 @@
     answer_crossed: int = 0
     answer_early: int = 0
     extra: int = 0
+    fail: int = 0
     work_factor: float = 1.0
 
     def consume(self, name: str) -> bool:
@@ -89,6 +90,7 @@
         self.slots = slots
         self.faults = TargetFaults()
         self.crash_mode = CrashMode.RESET
+        self.failure_status = 500
         self.has_crashed = False
         self.crashing_path_end = CRASHING_PATH_END
         self.limit: bytes | None = None  # in requests a second, named in each answer
@@ -176,6 +178,9 @@
         deadline_ms = int(deadline) if deadline else None
         method, path = head.method.decode(), head.target.decode()
         self.records.runs.append(RunRecord(request_id, method, path, digest, deadline_ms, at_s))
+        if self.faults.consume("fail"):
+            await self._answer_with_id(conn, head, self.failure_status, [(SEAL, b"failed")], b"")
+            return
         if path.endswith(self.crashing_path_end):
             await self._crash_while_running(conn)
             return
--- a/src/chervilmill/callers/_attempt_run.py
+++ b/src/chervilmill/callers/_attempt_run.py
@@ -38,6 +38,7 @@
 RAN_HEADER = "x-ran"
 STATE_HEADER = "x-target-state"
 STALL_THRESHOLD_S = 1.0
+_FIRST_FAILURE_STATUS = 500
 _TRANSIENT_STATUSES = frozenset({502, 503, 504})
 
 
@@ -62,6 +63,7 @@
         self._attempt = attempt
         self._started_s = time.monotonic()
         self._first_part_s: float | None = None
+        self._status = 0
 
     def answer(self) -> ForwardedAnswer:
         """Return the answer once its first part has arrived, or raise AttemptFailure."""
@@ -69,6 +71,7 @@
         answer: Answer | None = None
         try:
             answer = self._send_at_pace()
+            self._status = answer.status
             self._record_target_headers(answer)
             self._check_status(answer)
             forwarded = ForwardedAnswer(answer, self._target.name, self._end_answer)
@@ -141,14 +144,14 @@
             for name, value in answer.headers
         )
         if answer.status == 503 and states_not_run:
-            self._end_attempt(AttemptEnd.SHED)
+            self._end_attempt(AttemptEnd.SHED, is_inconclusive=True)
             answer.close()
             raise self._new_failure(
                 Failure.SHED, RefusalReason.TARGETS_BUSY, Ran.NOT_RUN, "the target shed the request"
             )
         is_idempotent = self._attempt.req.kind is RequestKind.IDEMPOTENT
         if is_idempotent and answer.status in _TRANSIENT_STATUSES:
-            self._end_attempt(AttemptEnd.FAILED)
+            self._end_attempt(AttemptEnd.FAILED, is_inconclusive=True)
             answer.close()
             detail = f"the target answered with status {answer.status}"
             raise self._new_failure(Failure.LOST, RefusalReason.TARGET_FAILED, Ran.UNKNOWN, detail)
@@ -217,18 +220,20 @@
             self._suspects.record_broken_exchange(
                 self._attempt.fingerprint, self._target, self._slots, self._started_s
             )
-        self._end_attempt(end)
+        is_inconclusive = end is AttemptEnd.ANSWERED and self._status >= _FIRST_FAILURE_STATUS
+        self._end_attempt(end, is_inconclusive=is_inconclusive)
 
     def _record_loss(self) -> None:
         self._suspects.record_loss(self._attempt.fingerprint, self._target.name, self._started_s)
 
-    def _end_attempt(self, end: AttemptEnd) -> None:
-        is_answered = end is AttemptEnd.ANSWERED
+    def _end_attempt(self, end: AttemptEnd, *, is_inconclusive: bool = False) -> None:
+        """End the attempt; it is inconclusive if the target refused or failed the request."""
         self._suspects.record_end(
             self._attempt.fingerprint,
             self._target.name,
             self._started_s,
-            is_answered=is_answered,
+            is_answered=end is AttemptEnd.ANSWERED and not is_inconclusive,
+            is_inconclusive=is_inconclusive,
         )
         held_s = time.monotonic() - self._started_s
         self._slots.release(self._target.name, end, held_s, self._first_part_s)
--- a/src/chervilmill/callers/_suspects.py
+++ b/src/chervilmill/callers/_suspects.py
@@ -76,10 +76,21 @@
         self._send(reports)
 
     def record_end(
-        self, fingerprint: bytes, target: str, sent_s: float, *, is_answered: bool
+        self,
+        fingerprint: bytes,
+        target: str,
+        sent_s: float,
+        *,
+        is_answered: bool,
+        is_inconclusive: bool = False,
     ) -> None:
-        """Record that a run sent at a time of this clock has ended."""
+        """Record that a run sent at a time of this clock has ended.
+
+        It is inconclusive if the target neither completed the request nor lost it.
+        """
         with self._lock:
+            if is_inconclusive:
+                self._quarantine.withdraw_loss(fingerprint, target, sent_s)
             self._quarantine.record_end(
                 fingerprint,
                 target,
--- a/src/chervilmill/entry/_crashes.py
+++ b/src/chervilmill/entry/_crashes.py
@@ -80,8 +80,11 @@
         for key in self._quarantine.record_trial(fingerprint, lifetime, now_s):
             self._queue_report(key, now_s, lifetime.target)
 
-    def record_not_run(self, fingerprint: bytes, target: str, sent_s: float) -> None:
-        """Record that a target did not run a request that was sent to it at a time."""
+    def record_inconclusive_end(self, fingerprint: bytes, target: str, sent_s: float) -> None:
+        """Record that a target neither completed a request, sent at a time, nor lost it.
+
+        It refused the request or answered with a failure, which clears the request of nothing.
+        """
         self._quarantine.withdraw_loss(fingerprint, target, sent_s)
 
     def record_loss(
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -146,14 +146,14 @@
         now_s: float,
     ) -> None:
         target = candidate.record.target.name
-        if result.proves_not_run:
-            self._crashes.record_not_run(progress.fingerprint, target, sent_s)
+        if result.proves_not_run or _is_failure_status(result):
+            self._crashes.record_inconclusive_end(progress.fingerprint, target, sent_s)
         match result.end:
             case AttemptEnd.NOT_SENT:
                 self._crashes.record_crash(target, now_s)
             case AttemptEnd.LOST | AttemptEnd.OVERDUE | AttemptEnd.BROKEN_OFF:
                 self._record_loss(progress, candidate, sent_s, now_s)
-            case AttemptEnd.ANSWERED:
+            case AttemptEnd.ANSWERED if not _is_failure_status(result):
                 self._crashes.record_answer(progress.fingerprint, target, sent_s, now_s)
 
     def _record_loss(
@@ -174,3 +174,8 @@
 
 def _is_success(result: AttemptResult) -> bool:
     return result.end is AttemptEnd.ANSWERED and result.status < 500
+
+
+def _is_failure_status(result: AttemptResult) -> bool:
+    """Return whether the target answered that it failed, perhaps before the run was complete."""
+    return result.end is AttemptEnd.ANSWERED and result.status >= 500
--- a/tests/callers/test_quarantine.py
+++ b/tests/callers/test_quarantine.py
@@ -48,6 +48,19 @@
         assert reasons[-1] == "quarantined"
 
 
+def test_failure_answered_by_a_target_clears_a_crashing_request() -> None:
+    """A run that a target ends with a failure proves nothing."""
+    with running(targets=8, crash_away_s=5.0, crash_mode="silent") as ([entry], states):
+        for _ in range(6):
+            crash_with_deadline(entry, 300)
+            for state in states:
+                state.crash_path, state.is_failing = "", True
+            entry.get("/crash/1", X_Deadline_Ms="300")
+            for state in states:
+                state.crash_path, state.is_failing = "/crash", False
+        assert sum(state.crashes for state in states) <= 3
+
+
 def test_news_keep_other_entry_vms_from_losing_more() -> None:
     with running(targets=6, entries=2, crash_away_s=5.0) as (entries, states):
         crash(entries[0])
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -207,3 +207,26 @@
             assert await _ask_from(site, 1, "/order/crash") == 503
 
     run_async(scenario)
+
+
+@pytest.mark.parametrize("status", [500, 504])
+def test_failure_answered_by_a_target_clears_a_crashing_object(tmp_path: Path, status: int) -> None:
+    """A run that a target ends early, for an error or at the deadline, proves nothing."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=TARGETS) as site:
+            for target in site.targets.values():
+                target.crash_mode = CrashMode.RESET
+                target.failure_status = status
+            for caller in range(1, RESENDS + 1):
+                await _ask_from(site, caller, "/order/crash")
+                await _expire_crashed(site)
+                for target in site.targets.values():
+                    target.faults.fail = 1
+                await _ask_from(site, caller, "/order/crash")
+                for target in site.targets.values():
+                    target.faults.fail = 0
+            crashed = sum(target.has_crashed for target in site.targets.values())
+            assert crashed <= MAX_CRASHED
+
+    run_async(scenario)
