Relay past peers that take no relayed requests

Callers of a VM that is cut off from all targets were refused while some of its peers were of a version that does not listen for relayed requests: each request tried two peers at most, and no peer that refused was remembered.

What a peer can do needs no announcement for this.

--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -3,11 +3,14 @@
 A VM that is cut off from all targets still has callers. It sends their requests to a peer, which
 places them as its own: the homes of a route, limits, quarantine and admission are the peer's to
 keep. A relayed request is not relayed again.
+
+A peer that is alive may take no relayed requests, like one of an earlier version. Its refusal of
+the connection shows that, and for a while the others are asked first.
 """
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from chervilmill.addresses import Address
 from chervilmill.aio import ClientConnection, Headers
@@ -21,7 +24,8 @@
 from chervilmill.reasons import RefusalReason
 from chervilmill.routing import Target
 
-MAX_PEERS_TRIED = 2
+MAX_PEERS_TRIED = 4  # only connections that fail lead to a further try
+UNREACHED_S = 5.0  # for this time a peer that took no connection is asked last
 # The peer's final answer travels back within this time, also between regions.
 ANSWER_MARGIN_S = 0.1
 RELAY_RETRY_AFTER_S = 0.15
@@ -75,6 +79,7 @@
         self._rng = rng
         self._pool = TargetPool()
         self._in_flight: dict[str, int] = {}
+        self._unreached_until_s: dict[str, float] = {}
 
     def can_relay(self, progress: Progress) -> bool:
         """Return whether a peer may be asked to answer a request."""
@@ -87,7 +92,7 @@
         tried: set[str] = set()
         detail = "no peer reaches targets"
         for _ in range(MAX_PEERS_TRIED):
-            candidates = [peer for peer in self._candidates(progress) if peer.name not in tried]
+            candidates = self._candidates(progress, tried)
             if not candidates:
                 break
             peer = self._choose(candidates)
@@ -97,6 +102,9 @@
                 progress.status = result.status
                 return None
             detail = result.detail
+            if result.end is AttemptEnd.NOT_SENT:
+                now_s = asyncio.get_running_loop().time()
+                self._unreached_until_s[peer.name] = now_s + UNREACHED_S
             if not result.proves_not_run:
                 progress.may_have_run = True
                 break
@@ -134,13 +142,18 @@
         )
         return result
 
-    def _candidates(self, progress: Progress) -> list[Peer]:
+    def _candidates(self, progress: Progress, tried: Collection[str] = ()) -> list[Peer]:
         homes = progress.route.home_regions
-        peers = [
+        allowed = [
             peer
             for peer in self._peers()
-            if not homes or self._regions.get(peer.failure_domain) in homes
+            if peer.name not in tried
+            and (not homes or self._regions.get(peer.failure_domain) in homes)
         ]
+        now_s = asyncio.get_running_loop().time()
+        peers = [
+            peer for peer in allowed if self._unreached_until_s.get(peer.name, now_s) <= now_s
+        ] or allowed
         own_region = self._regions.get(self._own.failure_domain)
         near = [peer for peer in peers if self._regions.get(peer.failure_domain) == own_region]
         return near if len(near) >= MIN_NEAR_SHARE * self._count_near_vms() else peers
--- a/tests/entry/test_cut_off_from_targets.py
+++ b/tests/entry/test_cut_off_from_targets.py
@@ -7,6 +7,7 @@
 import pytest
 
 from chervilmill.aio import ClientConnection, ConnectError, connect
+from chervilmill.peers import Peer
 from chervilmill.routing import Target
 from tests.entry.harness import SiteUnderTest, until
 from tests.entry.pair import Pair
@@ -116,6 +117,24 @@
     _run_pair(tmp_path, scenario)
 
 
+def test_peers_of_an_earlier_version_refuse_the_requests_of_a_vm_without_targets(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """They are alive and reach the targets, but do not listen for relayed requests."""
+
+    async def scenario(pair: Pair) -> None:
+        site = pair.sites[1]
+        earlier = [Peer(f"earlier-{n}", f"127.0.3.{10 + n}", "north-a") for n in range(8)]
+        relay = site.vm._forwarder._dispatcher._relay
+        peers = relay._peers
+        monkeypatch.setattr(relay, "_peers", lambda: [*peers(), *earlier])
+        _Cut(site, monkeypatch, hangs=False)
+        await _ask_until_found(site)
+        assert await _served(site, "POST") >= LEAST_SERVED * TRIES
+
+    _run_pair(tmp_path, scenario)
+
+
 def test_request_goes_round_between_vms_that_reach_no_target(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
