--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import tempfile
 from pathlib import Path
 
+from soak.builds import BuildError, export_build
 from soak.checks import Breach
 from soak.run import Soak, SoakOptions
 
@@ -38,18 +39,27 @@
         help="disrupt nothing but targets, by one request that crashes them several times a second",
     )
     parser.add_argument("--limits", action="store_true", help="have targets name limits")
+    parser.add_argument(
+        "--previous",
+        metavar="COMMIT",
+        help="start with this version, upgrade the entry VMs one by one, and go back",
+    )
     parser.add_argument("--keep", type=Path, help="keep settings and logs in this folder")
     args = parser.parse_args()
     seeds = range(args.seed, args.seed + args.seeds)
     try:
-        failed_seeds = [seed for seed in seeds if not _run_seed(args, seed)]
+        with tempfile.TemporaryDirectory() as folder:
+            previous = export_build(args.previous, Path(folder)) if args.previous else None
+            failed_seeds = [seed for seed in seeds if not _run_seed(args, seed, previous)]
+    except BuildError as exc:
+        parser.error(str(exc))
     except asyncio.CancelledError:
         return TERMINATED_STATUS
     print(f"{args.seeds - len(failed_seeds)} passed, {len(failed_seeds)} failed")
     return 1 if failed_seeds else 0
 
 
-def _run_seed(args: argparse.Namespace, seed: int) -> bool:
+def _run_seed(args: argparse.Namespace, seed: int, previous: Path | None) -> bool:
     options = SoakOptions(
         seed,
         args.seconds,
@@ -60,6 +70,7 @@
         disturbs_store=not args.sound_store,
         only_crashes=args.only_crashes,
         names_limits=args.limits,
+        previous=previous,
     )
     with tempfile.TemporaryDirectory() as temporary:
         folder = (args.keep or Path(temporary)) / f"seed-{seed}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from chervilmill.addresses import Address
+from soak.builds import ROOT
 from soak.callers import Caller, CrashingCaller, RatedCrashingCaller
 from soak.checks import Breach, breaches
 from soak.proxy import Proxy
@@ -39,6 +40,8 @@
     Without `disturbs_store`, the promises that hold only while the store is sound are checked all
     the time. With `only_crashes`, the sole disruption is a request that crashes each of its targets
     and comes several times a second. With `names_limits`, targets name limits, one after the other.
+    With `previous`, the root of an earlier build, all VMs run that build at first. One after the
+    other, they are replaced by this version, and then by the earlier one again.
     """
 
     seed: int
@@ -50,6 +53,7 @@
     disturbs_store: bool = True
     only_crashes: bool = False
     names_limits: bool = False
+    previous: Path | None = None
 
 
 class Soak:
@@ -60,6 +64,7 @@
         self.history = History()
         self._rng = random.Random(options.seed)
         self._limit_rng = random.Random(f"{options.seed}/limits")
+        self._build_rng = random.Random(f"{options.seed}/builds")
         self._crash_rng = random.Random(f"{options.seed}/crashes")
         # Where every crash is silent, nothing confirms one before its entry expires.
         self._crash_modes = self._crash_rng.choice([list(CrashMode), [CrashMode.SILENT]])
@@ -91,6 +96,9 @@
             ]
             if self.options.names_limits:
                 self._tasks.append(asyncio.create_task(self._name_limits(end_s)))
+            if self.options.previous is not None:
+                replacing = self._replace_builds(self.options.previous)
+                self._tasks.append(asyncio.create_task(replacing))
             while loop.time() < end_s:
                 if not self.options.only_crashes:
                     await self._start_random_action()
@@ -140,6 +148,7 @@
             self._store_links.append(link)
             domain = sorted(REGION_BY_DOMAIN)[number % len(REGION_BY_DOMAIN)]
             vm = VmProcess(f"vm-{number}", domain, VmPorts(host, *VM_PORTS), address, self._folder)
+            vm.build = self.options.previous or vm.build
             self._vms.append(vm)
             vm.start()
 
@@ -215,8 +224,19 @@
         if not is_planned:
             self.history.disruptions.append((started_s, loop.time() + DISRUPTION_TAIL_S))
 
+    async def _replace_builds(self, previous: Path) -> None:
+        """Upgrade all VMs within the first half of the soak, and downgrade them in the second."""
+        pause_s = self.options.seconds / (2 * len(self._vms))
+        for build in (ROOT, previous):
+            for vm in self._build_rng.sample(self._vms, len(self._vms)):
+                vm.build = build
+                self.log.append(f"{asyncio.get_running_loop().time():.2f} {vm.name} runs {build}")
+                await asyncio.gather(self._restart(vm), asyncio.sleep(pause_s))
+
     async def _terminate_vm(self) -> None:
-        vm = self._rng.choice(self._vms)
+        await self._restart(self._rng.choice(self._vms))
+
+    async def _restart(self, vm: VmProcess) -> None:
         with self.history.vm_disturbed(vm.caller_address):
             vm.signal(signal.SIGTERM)
             if not await vm.wait_for_exit(STOP_GRACE_S):
--- a/soak/vms.py
+++ b/soak/vms.py
@@ -10,13 +10,15 @@
 from chervilmill.addresses import Address
 from chervilmill.aio import ConnectError, ExchangeError, HttpClient
 from chervilmill.platform import READINESS_PATH
+from soak.builds import ROOT
 from soak.site import VmPorts, settings, write_settings
 
-ROOT = Path(__file__).resolve().parent.parent
-
 
 class VmProcess:
-    """The process of one entry VM, which can be stopped and started again."""
+    """The process of one entry VM, which can be stopped and started again.
+
+    `build` is the root of the version that the next start runs.
+    """
 
     def __init__(
         self, name: str, domain: str, ports: VmPorts, store: Address, folder: Path
@@ -24,6 +26,7 @@
         self.name = name
         self.domain = domain
         self.ports = ports
+        self.build = ROOT
         self._settings_path = write_settings(
             folder / f"{name}.json", settings(name, domain, ports, store)
         )
@@ -55,7 +58,10 @@
         env = {**os.environ, "CHERVILMILL_SETTINGS": str(self._settings_path)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(ROOT / "deploy" / "entry.py")], stdout=log, stderr=log, env=env
+                [sys.executable, str(self.build / "deploy" / "entry.py")],
+                stdout=log,
+                stderr=log,
+                env=env,
             )
 
     async def wait_until_ready(self, timeout_s: float) -> float | None:
