Read datagrams to which a later version adds fields

During an upgrade to a version that adds a field to a heartbeat or a report, the VMs of this version would have dropped every datagram with it: the halves of the fleet would take each other for dead, and crashes, limits and leaving targets would be learnt by each half alone. All four kinds were unpacked by their exact number of fields.

test_field_that_a_later_version_adds_makes_a_datagram_unreadable failed for all four kinds (ValueError: too many values to unpack). A reader now takes the fields that it knows; the common part of the four decoders is one module.

--- a/src/chervilmill/peers/__init__.py
+++ b/src/chervilmill/peers/__init__.py
@@ -6,7 +6,8 @@
 """
 
 from chervilmill.peers._crash_reports import decode_reports, encode_reports
-from chervilmill.peers._digest import Digest, HeartbeatEntry, MalformedDigestError
+from chervilmill.peers._datagrams import MalformedDigestError
+from chervilmill.peers._digest import Digest, HeartbeatEntry
 from chervilmill.peers._dissemination import TableCursor, UpdateQueue
 from chervilmill.peers._endpoint import GossipEndpoint, ReportChannel, ReportExchange
 from chervilmill.peers._leaving_reports import decode_leaving, encode_leaving
--- a/src/chervilmill/peers/_crash_reports.py
+++ b/src/chervilmill/peers/_crash_reports.py
@@ -4,7 +4,7 @@
 
 import cbor2
 
-from chervilmill.peers._digest import MalformedDigestError
+from chervilmill.peers._datagrams import reading, rows_of
 from chervilmill.requests import CrashReport, Lifetime, ReportedLoss
 
 REPORTS_PER_DATAGRAM = 6
@@ -28,14 +28,9 @@
 
     Raise MalformedDigestError if the reports cannot be read.
     """
-    try:
-        message = cbor2.loads(data)
-        if not isinstance(message, list) or message[:1] != [_KIND]:
-            return None
-        _, rows = message
-        return tuple(_decode_report(row) for row in rows)
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
-        raise MalformedDigestError(repr(exc), step="read reports", peer=peer) from exc
+    with reading("read reports", peer):
+        rows = rows_of(data, _KIND)
+        return None if rows is None else tuple(_decode_report(row) for row in rows)
 
 
 def _encode_report(report: CrashReport) -> list[object]:
@@ -58,12 +53,12 @@
 
 
 def _decode_report(row: list[object]) -> CrashReport:
-    fingerprint, limited_to, rows, answered_units = row
+    fingerprint, limited_to, rows, answered_units = row[:4]
     if not isinstance(fingerprint, bytes) or not isinstance(rows, list):
         raise ValueError("expected a fingerprint and a list of losses")
     if answered_units is not None and not isinstance(answered_units, int):
         raise ValueError(f"invalid age {answered_units!r} of an answer")
-    losses = tuple(_decode_loss(*loss) for loss in rows)
+    losses = tuple(_decode_loss(*loss[:5]) for loss in rows)
     answered_age_s = None if answered_units is None else _decode_age_s(answered_units)
     return CrashReport(fingerprint, losses, str(limited_to), answered_age_s)
 
--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -4,7 +4,7 @@
 
 import cbor2
 
-from chervilmill.errors import ChervilmillError
+from chervilmill.peers._datagrams import reading
 
 _SERVING_FLAG = 1
 _SUSPECTED_FLAG = 2
@@ -13,10 +13,6 @@
 _AGE_UNIT_S = 0.1  # a fifth of a gossip round
 
 
-class MalformedDigestError(ChervilmillError):
-    """Raised for a datagram that is not a digest."""
-
-
 @dataclass(frozen=True, slots=True)
 class HeartbeatEntry:
     """The latest known heartbeat of one VM.
@@ -58,13 +54,11 @@
 
 def decode_digest(data: bytes, peer: str) -> Digest:
     """Return the digest in a datagram, or raise MalformedDigestError."""
-    try:
-        sender, rows, revisions, _, wants_reply = cbor2.loads(data)
+    with reading("read digest", peer):
+        sender, rows, revisions, _, wants_reply = cbor2.loads(data)[:5]
         heartbeats = tuple(_decode_heartbeat(row) for row in rows)
         known_revisions = {str(kind): int(revision) for kind, revision in revisions.items()}
         return Digest(int(sender), heartbeats, known_revisions, bool(wants_reply))
-    except (cbor2.CBORDecodeError, TypeError, ValueError, AttributeError) as exc:
-        raise MalformedDigestError(repr(exc), step="read digest", peer=peer) from exc
 
 
 def _encode_heartbeat(entry: HeartbeatEntry) -> list[int]:
@@ -74,7 +68,7 @@
 
 
 def _decode_heartbeat(row: list[int]) -> HeartbeatEntry:
-    key, incarnation, counter, flags, age_units = (int(value) for value in row)
+    key, incarnation, counter, flags, age_units = (int(value) for value in row[:5])
     if age_units < 0:
         raise ValueError("negative age of a heartbeat")
     return HeartbeatEntry(
--- a/src/chervilmill/peers/_leaving_reports.py
+++ b/src/chervilmill/peers/_leaving_reports.py
@@ -4,7 +4,7 @@
 
 import cbor2
 
-from chervilmill.peers._digest import MalformedDigestError
+from chervilmill.peers._datagrams import reading, rows_of
 from chervilmill.requests import Lifetime
 
 REPORTS_PER_DATAGRAM = 24  # with the longest names, fits one packet
@@ -24,11 +24,10 @@
 
     Raise MalformedDigestError if the reports cannot be read.
     """
-    try:
-        message = cbor2.loads(data)
-        if not isinstance(message, list) or message[:1] != [_KIND]:
-            return None
-        _, rows = message
-        return tuple(Lifetime(str(target), int(incarnation)) for target, incarnation in rows)
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
-        raise MalformedDigestError(repr(exc), step="read leaving", peer=peer) from exc
+    with reading("read leaving", peer):
+        rows = rows_of(data, _KIND)
+        return None if rows is None else tuple(_decode_lifetime(*row[:2]) for row in rows)
+
+
+def _decode_lifetime(target: str, incarnation: int) -> Lifetime:
+    return Lifetime(str(target), int(incarnation))
--- a/src/chervilmill/peers/_limit_reports.py
+++ b/src/chervilmill/peers/_limit_reports.py
@@ -5,7 +5,7 @@
 import cbor2
 
 from chervilmill.overload import LimitReport, is_limit
-from chervilmill.peers._digest import MalformedDigestError
+from chervilmill.peers._datagrams import reading, rows_of
 from chervilmill.requests import Lifetime
 
 REPORTS_PER_DATAGRAM = 16  # with the longest names, fits one packet
@@ -25,14 +25,9 @@
 
     Raise MalformedDigestError if the reports cannot be read.
     """
-    try:
-        message = cbor2.loads(data)
-        if not isinstance(message, list) or message[:1] != [_KIND]:
-            return None
-        _, rows = message
-        return tuple(_decode_report(*row) for row in rows)
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
-        raise MalformedDigestError(repr(exc), step="read limits", peer=peer) from exc
+    with reading("read limits", peer):
+        rows = rows_of(data, _KIND)
+        return None if rows is None else tuple(_decode_report(*row[:4]) for row in rows)
 
 
 def _encode_report(report: LimitReport) -> list[object]:
