Drop datagrams with numbers beyond all bounds as malformed

An infinite number in any field of a datagram raised OverflowError out of the receiver, past the handling of malformed datagrams: it reached the event loop's handler as an unexplained exception, without the peer. The loop itself went on.

test_odd_value_in_a_datagram_is_no_malformed_datagram puts eleven values into each field of each kind of datagram, merges what can be read and encodes what is known then; it failed for all four kinds and passes now. Truncated, huge and nested datagrams passed before as well.

--- a/src/chervilmill/peers/_datagrams.py
+++ b/src/chervilmill/peers/_datagrams.py
@@ -12,6 +12,16 @@
 
 from chervilmill.errors import ChervilmillError
 
+# What decoding and unpacking raise for values of other types or beyond all bounds.
+_MALFORMED = (
+    cbor2.CBORDecodeError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
+
 
 class MalformedDigestError(ChervilmillError):
     """Raised for a datagram that cannot be read."""
@@ -22,7 +32,7 @@
     """Raise MalformedDigestError in place of the errors that a malformed datagram causes."""
     try:
         yield
-    except (cbor2.CBORDecodeError, AttributeError, TypeError, ValueError) as exc:
+    except _MALFORMED as exc:
         raise MalformedDigestError(repr(exc), step=step, peer=peer) from exc
 
 
--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import random
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -11,13 +12,17 @@
 import cbor2
 import pytest
 
+from chervilmill.entry._crashes import CrashTracker
 from chervilmill.overload import LimitReport
 from chervilmill.peers import (
     Digest,
     HeartbeatEntry,
+    MalformedDigestError,
+    Membership,
     decode_leaving,
     decode_limits,
     decode_reports,
+    encode_reports,
 )
 from chervilmill.peers._digest import decode_digest
 from chervilmill.requests import CrashReport, Lifetime, ReportedLoss
@@ -47,6 +52,7 @@
     "limits": (LimitReport(T1, 2.5, 7 * AGE_UNIT_S), LimitReport(T2, None, 0.0)),
 }
 ADDED = {"added": [1, "by a later version"]}
+ODD_VALUES = [None, "x", b"x", -1, 2**70, float("inf"), float("nan"), [], {}, [[[]]], ADDED]
 
 
 def _expected(version: str, kind: str) -> object:
@@ -85,3 +91,46 @@
         if fields and not isinstance(fields[0], list):  # not a table of rows
             fields.append(ADDED)
     assert DECODERS[kind](cbor2.dumps(message), "x") == DECODERS[kind](data, "x")
+
+
+@pytest.mark.parametrize("kind", DECODERS)
+def test_odd_value_in_a_datagram_is_no_malformed_datagram(kind: str) -> None:
+    """Each field in turn gets each value; the datagram is read or refused, and nothing else."""
+    data = bytes.fromhex(BY_VERSION[FIRST_VERSION_THAT_ANNOUNCES_CUTS][kind])
+    for number, fields in enumerate(_lists_in(cbor2.loads(data))):
+        for place in range(len(fields)):
+            for value in ODD_VALUES:
+                message = cbor2.loads(data)
+                _lists_in(message)[number][place] = value
+                _read_or_refuse(kind, cbor2.dumps(message))
+
+
+@pytest.mark.parametrize("kind", DECODERS)
+def test_truncated_datagram_is_no_malformed_datagram(kind: str) -> None:
+    data = bytes.fromhex(BY_VERSION[FIRST_VERSION_THAT_ANNOUNCES_CUTS][kind])
+    for length in range(len(data)):
+        _read_or_refuse(kind, data[:length])
+
+
+@pytest.mark.parametrize("kind", DECODERS)
+@pytest.mark.parametrize("data", [b"\x81" * 65_000, b"\xff" * 65_000, b"\x9b" + b"\xff" * 8])
+def test_huge_or_nested_datagram_is_no_malformed_datagram(kind: str, data: bytes) -> None:
+    _read_or_refuse(kind, data)
+
+
+def _read_or_refuse(kind: str, data: bytes) -> None:
+    """Read a datagram, merge what it says and encode what is known then."""
+    try:
+        decoded = DECODERS[kind](data, "x")
+    except MalformedDigestError as exc:
+        assert exc.peer == "x"
+        return
+    if isinstance(decoded, Digest):
+        membership = Membership("vm", 1, random.Random(1))
+        membership.receive(decoded, 1.0)
+        membership.begin_round(2.0)
+        membership.digest({}, 2.0).encode()
+    elif kind == "crash reports" and decoded is not None:
+        tracker = CrashTracker()
+        tracker.receive_reports(decoded, 1.0)  # type: ignore[arg-type]
+        list(encode_reports(tracker.next_reports(2.0)))
