Read crash reports of our own interface to which a later version adds fields

The same cause as with the datagrams on the platform: a report with a field more was dropped, so that entry VMs of two versions would each have learnt of a crashing request alone. test_field_that_a_later_version_adds_makes_a_crash_report_unreadable failed before (the request was not quarantined) and passes now. Messages of the nodes keep their rule: a changed message gets a new number.

--- a/src/chervilmill/callers/_crash_news.py
+++ b/src/chervilmill/callers/_crash_news.py
@@ -56,7 +56,7 @@
 def _decode_report(name: str, value: bytes) -> CrashReport:
     """Return the decoded report, or raise CBORDecodeError, ValueError or TypeError."""
     fingerprint_hex, target, incarnation = name.split("/")
-    age_s, is_crash, was_alone, limited_to, callers = cbor2.loads(value)
+    age_s, is_crash, was_alone, limited_to, callers = cbor2.loads(value)[:5]
     fingerprint = bytes.fromhex(fingerprint_hex)
     if len(fingerprint) != FINGERPRINT_BYTES or not isinstance(limited_to, str):
         raise ValueError(f"invalid fingerprint {fingerprint_hex!r} or target {limited_to!r}")
--- a/tests/callers/test_links.py
+++ b/tests/callers/test_links.py
@@ -2,6 +2,7 @@
 
 import io
 
+import cbor2
 import pytest
 
 from chervilmill.callers import Links, publish_crash, receive_crashes
@@ -70,3 +71,16 @@
         assert isinstance(verdict, Quarantined)
         for key, value in (("souhrny/00", b"\x80"), ("souhrny/zz", b""), ("other/00", b"")):
             channel.publish("crash", key, value, 1.0)
+
+
+def test_field_that_a_later_version_adds_makes_a_crash_report_unreadable() -> None:
+    with running(targets=2) as ([entry], _):
+        channel = LoopbackChannel()
+        receive_crashes(channel, entry.services)
+        fingerprint = bytes(range(16))
+        for name in ("target-0", "target-1"):
+            value = cbor2.dumps((1.0, True, False, "", [], "added"))
+            channel.publish("crash", f"souhrny/{fingerprint.hex()}/{name}/0", value, 60.0)
+        suspects = entry.services["souhrny"].suspects
+        verdict = suspects._quarantine.verdict(fingerprint, suspects._clock(), lambda _: True)
+        assert isinstance(verdict, Quarantined)
