State the protocol version in digests, and log peers of another one

During an upgrade nothing told on-call which VMs ran which version, and no decision could ask for it. The fourth field of a digest, a list that all versions expect and none reads, now holds the sender's protocol version; a registered peer that states another one, or none, is logged once for each.

test_peer_of_another_version_goes_unnoticed covers the log line; test_datagram_of_an_earlier_version_is_not_understood that earlier digests read as version 0.

--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -9,7 +9,8 @@
 _SERVING_FLAG = 1
 _SUSPECTED_FLAG = 2
 _CUT_OFF_FLAG = 4
-_UNUSED: list[object] = []  # earlier versions expect a list in this place
+PROTOCOL_VERSION = 1  # raised with each change of what VMs send each other
+UNSTATED_PROTOCOL_VERSION = 0  # of the versions that do not state theirs
 _AGE_UNIT_S = 0.1  # a fifth of a gossip round
 
 
@@ -38,27 +39,30 @@
 
     The first heartbeat is the sender's own. `revisions` holds, by kind of object, the store
     revision of the last change known to the sender. `wants_reply` asks the receiver for a heartbeat
-    of its own.
+    of its own. `protocol_version` is the sender's.
     """
 
     sender: int
     heartbeats: tuple[HeartbeatEntry, ...]
     revisions: dict[str, int]
     wants_reply: bool = False
+    protocol_version: int = PROTOCOL_VERSION
 
     def encode(self) -> bytes:
         """Return the digest as a datagram."""
         rows = [_encode_heartbeat(entry) for entry in self.heartbeats]
-        return cbor2.dumps([self.sender, rows, self.revisions, _UNUSED, self.wants_reply])
+        versions = [self.protocol_version]
+        return cbor2.dumps([self.sender, rows, self.revisions, versions, self.wants_reply])
 
 
 def decode_digest(data: bytes, peer: str) -> Digest:
     """Return the digest in a datagram, or raise MalformedDigestError."""
     with reading("read digest", peer):
-        sender, rows, revisions, _, wants_reply = cbor2.loads(data)[:5]
+        sender, rows, revisions, versions, wants_reply = cbor2.loads(data)[:5]
         heartbeats = tuple(_decode_heartbeat(row) for row in rows)
         known_revisions = {str(kind): int(revision) for kind, revision in revisions.items()}
-        return Digest(int(sender), heartbeats, known_revisions, bool(wants_reply))
+        version = int(versions[0]) if versions else UNSTATED_PROTOCOL_VERSION
+        return Digest(int(sender), heartbeats, known_revisions, bool(wants_reply), version)
 
 
 def _encode_heartbeat(entry: HeartbeatEntry) -> list[int]:
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -7,8 +7,8 @@
 
 from chervilmill.addresses import Address
 from chervilmill.errors import ChervilmillError
-from chervilmill.logs import log_problem
-from chervilmill.peers._digest import Digest, decode_digest
+from chervilmill.logs import log_event, log_problem
+from chervilmill.peers._digest import PROTOCOL_VERSION, Digest, decode_digest
 from chervilmill.peers._membership import ROUND_S, Membership
 
 LEAVING_REPEATS = 3  # a single datagram may get lost
@@ -87,6 +87,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._urgent_round: asyncio.TimerHandle | None = None
         self._is_digest_urgent = False
+        self._other_versions: dict[int, int] = {}
 
     async def open(self, host: str) -> None:
         """Bind the gossip port on a host, or raise OSError."""
@@ -108,6 +109,7 @@
         except ChervilmillError as exc:
             log_problem("datagram dropped", step=exc.step, peer=exc.peer, reason=exc.message)
             return
+        self._log_other_version(digest, host)
         if self._membership.is_joining(digest, now_s):
             for channel in self._channels:
                 for datagram in channel.datagrams_for_newcomer(now_s):
@@ -116,6 +118,24 @@
             self._send(reply.encode(), host)
         self._on_digest(digest)
 
+    def _log_other_version(self, digest: Digest, host: str) -> None:
+        """Log that a registered peer is of another version, once for each version of it."""
+        version = digest.protocol_version
+        if version == PROTOCOL_VERSION:
+            self._other_versions.pop(digest.sender, None)
+            return
+        is_known = self._other_versions.get(digest.sender) == version
+        if is_known or self._membership.peer(digest.sender) is None:
+            return
+        self._other_versions[digest.sender] = version
+        log_event(
+            "peer of another version",
+            step="gossip",
+            peer=host,
+            protocol_version=version,
+            own_protocol_version=PROTOCOL_VERSION,
+        )
+
     def error_received(self, exc: Exception) -> None:
         """Log an undeliverable datagram; its peer becomes suspected once it is overdue."""
         log_problem("datagram not delivered", step="gossip", peer="udp", error=str(exc))
--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -65,7 +65,8 @@
             11, 3, 5, True, is_cut_off=version == FIRST_VERSION_THAT_ANNOUNCES_CUTS, age_s=0.2
         ),
     )
-    return Digest(7, heartbeats, {"servers": 12, "config": 3}, wants_reply=True)
+    revisions = {"servers": 12, "config": 3}
+    return Digest(7, heartbeats, revisions, wants_reply=True, protocol_version=0)
 
 
 def _lists_in(value: Any) -> list[list[Any]]:
--- a/tests/peers/test_endpoint.py
+++ b/tests/peers/test_endpoint.py
@@ -12,17 +12,21 @@
 from chervilmill.peers import (
     Digest,
     GossipEndpoint,
+    HeartbeatEntry,
     MalformedDigestError,
     Membership,
     MemberState,
     Peer,
     ReportChannel,
+    _endpoint,
+    peer_key,
 )
 from chervilmill.peers._crash_reports import (
     MAX_LOSSES_PER_REPORT,
     decode_reports,
     encode_reports,
 )
+from chervilmill.peers._digest import UNSTATED_PROTOCOL_VERSION
 from chervilmill.peers._endpoint import LEAVING_REPEATS
 from chervilmill.peers._limit_reports import REPORTS_PER_DATAGRAM, decode_limits, encode_limits
 from chervilmill.peers._membership import ROUND_S
@@ -205,3 +209,20 @@
 
 def test_datagram_of_another_kind_holds_no_limits() -> None:
     assert decode_limits(cbor2.dumps(["crash reports", []]), "127.0.0.1") is None
+
+
+def test_peer_of_another_version_goes_unnoticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is logged once for each version that a registered peer states."""
+    logged: list[dict[str, object]] = []
+    monkeypatch.setattr(_endpoint, "log_event", lambda *_, **fields: logged.append(fields))
+
+    async def scenario() -> None:
+        async with _gossiping_nodes(2) as nodes:
+            for version in (UNSTATED_PROTOCOL_VERSION, UNSTATED_PROTOCOL_VERSION, 2, 2):
+                for name in ("vm-1", "stranger"):
+                    heartbeat = HeartbeatEntry(peer_key(name), 1, 1, True)
+                    digest = Digest(heartbeat.key, (heartbeat,), {}, protocol_version=version)
+                    nodes[0].endpoint.datagram_received(digest.encode(), ("127.0.4.2", 1))
+
+    asyncio.run(scenario())
+    assert [fields["protocol_version"] for fields in logged] == [UNSTATED_PROTOCOL_VERSION, 2]
