Have many callers ask for a crashing object in the soak

The reported break could not show in the soak, as all of its callers share an address: records that are kept for each caller never had to start anew.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,6 +38,12 @@
         action="store_true",
         help="disrupt nothing but targets, by one request that crashes them several times a second",
     )
+    parser.add_argument(
+        "--crash-hosts",
+        type=int,
+        default=0,
+        help="send the crashing requests from this many addresses, each a caller of its own",
+    )
     parser.add_argument("--limits", action="store_true", help="have targets name limits")
     parser.add_argument(
         "--previous",
@@ -70,6 +76,7 @@
         disturbs_store=not args.sound_store,
         only_crashes=args.only_crashes,
         names_limits=args.limits,
+        crash_hosts=args.crash_hosts,
         previous=previous,
     )
     with tempfile.TemporaryDirectory() as temporary:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,19 @@
 KINDS = (("safe", "GET", "/read/"), ("unsafe", "POST", "/order/"), ("upload", "POST", "/bundle/"))
 
 
+async def _connect_from(own_host: str | None, address: Address) -> ClientConnection:
+    if own_host is None:
+        return await connect(address, CONNECT_TIMEOUT_S)
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, conn = await asyncio.get_running_loop().create_connection(
+                ClientConnection, address.host, address.port, local_addr=(own_host, 0)
+            )
+    except (OSError, TimeoutError) as exc:
+        raise ConnectError(str(exc), step="connect", peer=str(address)) from exc
+    return conn
+
+
 class Caller:
     """A caller that sends one request after another."""
 
@@ -35,6 +48,8 @@
         self._conn: ClientConnection | None = None
         self._vm = ""
         self._timeout_s = REQUEST_TIMEOUT_S
+        # The addresses from which it connects; entry VMs take each for a caller of its own.
+        self.own_hosts: tuple[str, ...] = ()
 
     async def run(self, until_s: float) -> None:
         """Send requests until a time of the event loop's clock."""
@@ -96,7 +111,8 @@
             raise ConnectError("no entry VM known", step="look up", peer="directory")
         self._vm = self._rng.choice(self._entry_vms)
         host, _, port = self._vm.rpartition(":")
-        self._conn = await connect(Address(host, int(port)), CONNECT_TIMEOUT_S)
+        own_host = self._rng.choice(self.own_hosts) if self.own_hosts else None
+        self._conn = await _connect_from(own_host, Address(host, int(port)))
         return self._conn
 
     async def _send_and_read(
@@ -171,6 +187,7 @@
                 self._history,
                 f"{self._name}/{len(sending)}",
             )
+            sender.own_hosts = self.own_hosts
             sending.append(asyncio.create_task(self._send_once(sender)))
             await asyncio.sleep(1 / self.rate_per_s)
         await asyncio.gather(*sending)
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,6 +40,7 @@
     Without `disturbs_store`, the promises that hold only while the store is sound are checked all
     the time. With `only_crashes`, the sole disruption is a request that crashes each of its targets
     and comes several times a second. With `names_limits`, targets name limits, one after the other.
+    The crashing requests come from `crash_hosts` addresses, or from that of all callers if it is 0.
     With `previous`, the root of an earlier build, all VMs run that build at first. One after the
     other, they are replaced by this version, and then by the earlier one again.
     """
@@ -53,6 +54,7 @@
     disturbs_store: bool = True
     only_crashes: bool = False
     names_limits: bool = False
+    crash_hosts: int = 0
     previous: Path | None = None
 
 
@@ -129,9 +131,15 @@
         ]
 
     def _make_crashing_callers(self, seed: str) -> list[Caller]:
-        if self.options.only_crashes:
-            return self._make_callers(RatedCrashingCaller, 1, "crash", seed)
-        return self._make_callers(CrashingCaller, CRASHING_CALLERS, "crash", f"{seed}/crash")
+        callers = (
+            self._make_callers(RatedCrashingCaller, 1, "crash", seed)
+            if self.options.only_crashes
+            else self._make_callers(CrashingCaller, CRASHING_CALLERS, "crash", f"{seed}/crash")
+        )
+        hosts = range(1, self.options.crash_hosts + 1)
+        for caller in callers:
+            caller.own_hosts = tuple(f"127.{self.options.network}.3.{number}" for number in hosts)
+        return callers
 
     async def _set_up(self) -> None:
         net = self.options.network
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -26,11 +26,24 @@
     SoakOptions(41, seconds=16.0, network=110, disturbs_store=False, names_limits=True),
     # A request that took two targets in each attempt took all of a service.
     SoakOptions(14, seconds=16.0, vms=6, targets=16, callers=6, network=109, only_crashes=True),
+    # An object that crashes targets, asked for by many callers, took targets of each caller anew.
+    SoakOptions(
+        41,
+        seconds=14.0,
+        vms=6,
+        targets=16,
+        callers=6,
+        network=113,
+        only_crashes=True,
+        crash_hosts=12,
+    ),
 ]
 
 
 @pytest.mark.parametrize(
-    "options", [*FIXED_SEED, *SEEDS_THAT_FAILED], ids=lambda options: str(options.seed)
+    "options",
+    [*FIXED_SEED, *SEEDS_THAT_FAILED],
+    ids=lambda options: f"{options.seed}{'-many-callers' if options.crash_hosts else ''}",
 )
 def test_no_promise_is_broken(tmp_path: Path, options: SoakOptions) -> None:
     soak = Soak(options, tmp_path)
