--- a/src/chervilmill/requests/_quarantine.py
+++ b/src/chervilmill/requests/_quarantine.py
@@ -97,6 +97,7 @@
     def set_targets(self, domains: Mapping[str, str]) -> None:
         """Set the targets and their failure domains."""
         self._domains = domains
+        self._signs.set_targets(domains)
 
     def verdict(
         self, fingerprint: bytes, now_s: float, is_usable: Callable[[str], bool]
@@ -312,7 +313,7 @@
         used = {lifetime.target for lifetime in record.losses}
         return record.judge(
             now_s,
-            lambda target: self._signs.lost_domain(target, self._domains),
+            self._signs.lost_domain,
             lambda target: self._signs.is_outage(target, used),
             explained_losses(fingerprint, self._records, self._culprits, self._index),
             self._release_delay_s,
