Drop crash reports of our own interface with numbers beyond all bounds

A case for it in test_a_crash_report_reaches_the_quarantine_of_its_service failed before and passes now; found when the whole change was read again.

--- a/src/chervilmill/callers/_crash_news.py
+++ b/src/chervilmill/callers/_crash_news.py
@@ -45,7 +45,7 @@
             return
         try:
             report = _decode_report(name, item.value)
-        except (cbor2.CBORDecodeError, ValueError, TypeError) as exc:
+        except (cbor2.CBORDecodeError, ArithmeticError, ValueError, TypeError) as exc:
             log_problem("news dropped", step="decode", peer=CRASH_TOPIC, error=str(exc))
             return
         state.suspects.receive_report(report, state.slots)
@@ -54,7 +54,7 @@
 
 
 def _decode_report(name: str, value: bytes) -> CrashReport:
-    """Return the decoded report, or raise CBORDecodeError, ValueError or TypeError."""
+    """Return the decoded report, or raise one of the errors that a malformed value causes."""
     fingerprint_hex, target, incarnation = name.split("/")
     age_s, is_crash, was_alone, limited_to, callers = cbor2.loads(value)[:5]
     fingerprint = bytes.fromhex(fingerprint_hex)
--- a/tests/callers/test_links.py
+++ b/tests/callers/test_links.py
@@ -69,7 +69,14 @@
         suspects = entry.services["souhrny"].suspects
         verdict = suspects._quarantine.verdict(fingerprint, suspects._clock(), lambda _: True)
         assert isinstance(verdict, Quarantined)
-        for key, value in (("souhrny/00", b"\x80"), ("souhrny/zz", b""), ("other/00", b"")):
+        huge_age = cbor2.dumps((10**400, True, False, "", []))
+        malformed = (
+            ("souhrny/00", b"\x80"),
+            ("souhrny/zz", b""),
+            ("other/00", b""),
+            (f"souhrny/{fingerprint.hex()}/target-0/0", huge_age),
+        )
+        for key, value in malformed:
             channel.publish("crash", key, value, 1.0)
 
 
