--- a/src/chervilmill/requests/_loss_index.py
+++ b/src/chervilmill/requests/_loss_index.py
@@ -8,7 +8,7 @@
 
 from chervilmill.requests._losses import Lifetime, LossRecord
 
-MIN_ADDED_BEFORE_REBUILD = 1000  # a rebuild takes as long as a few thousand additions
+MIN_ADDED_BEFORE_REBUILD = 1000  # a rebuild goes through all records
 
 
 class LossIndex:
