--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,7 +42,7 @@
     for zone in ("north-a", "north-b", "south-a"):
         site.add_vm(zone)
     for vm in site.vms[4:]:
-        await vm.wait_until_ready(6)
+        await vm.wait_until_ready()
     while len([key for key in store.objects if key[0] == "entry-vms"]) < len(site.vms):
         await asyncio.sleep(0.05)
     await asyncio.sleep(2.5)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -432,7 +432,15 @@
 
     async def open(self) -> None:
         """Let connections through, on the same port as before."""
-        self._server = await asyncio.start_server(self._pass, "127.0.0.1", self.port)
+        for tries_left in range(20, -1, -1):  # the port may be in use by a client for a moment
+            try:
+                self._server = await asyncio.start_server(self._pass, "127.0.0.1", self.port)
+                break
+            except OSError:
+                if not tries_left:
+                    raise
+                await asyncio.sleep(0.1)
+        assert self._server is not None
         self.port = self._server.sockets[0].getsockname()[1]
 
     def cut(self) -> None:
