Refuse an entry of another writer alone, whatever is wrong with it

Cause: fields were decoded without bounds. float() raised OverflowError, which did not count as a malformed entry, and ended the task that follows targets; an entry VM stops when a task ends. Numbers of thousands of digits, deep nesting and bytes that are not UTF-8 made the whole answer unreadable, and huge slots failed each request later. Change: every field is read within stated bounds; a part of an answer that cannot be decoded costs its entry; names and hosts that cannot be sent are refused; a task that follows a kind never ends by what it read. Headers with huge numbers count as unstated. Why it works: what is decoded is within bounds that later arithmetic accepts, and what is not decoded raises one error type, for one entry.

--- /dev/null
+++ b/src/chervilmill/documents.py
@@ -0,0 +1,62 @@
+"""Decode JSON documents of which single parts may be malformed.
+
+An answer of the store holds entries of many writers. A part that one writer made unreadable, such
+as a number of thousands of digits or lists nested without end, must not cost the whole document,
+so such a part is replaced by a value that no field accepts.
+"""
+
+import json
+import math
+import re
+from typing import Any
+
+MAX_NESTING_DEPTH = 32  # entries have fewer than ten levels
+MAX_INTEGER_DIGITS = 19  # of a 64-bit integer
+
+_STRUCTURE = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+_OPENING = "[{"
+
+
+def decode_document(data: bytes) -> Any:
+    """Return the value of a JSON document, or raise ValueError if its syntax is wrong.
+
+    Invalid UTF-8 becomes replacement characters, an integer of more than 64 bits becomes infinity,
+    and what is nested deeper than MAX_NESTING_DEPTH becomes null.
+    """
+    text = data.decode("utf-8", errors="replace")
+    try:
+        return _decode(text)
+    except RecursionError:
+        return _decode(_prune_nesting(text))
+
+
+def _decode(text: str) -> Any:
+    return json.loads(text, parse_int=_parse_integer, strict=False)
+
+
+def _parse_integer(digits: str) -> int | float:
+    if len(digits.removeprefix("-")) > MAX_INTEGER_DIGITS:
+        return -math.inf if digits.startswith("-") else math.inf
+    return int(digits)
+
+
+def _prune_nesting(text: str) -> str:
+    """Replace each list or object below MAX_NESTING_DEPTH by null, or raise ValueError."""
+    kept: list[str] = []
+    depth = 0
+    kept_until = 0
+    for match in _STRUCTURE.finditer(text):
+        token = match.group()
+        if token in _OPENING:
+            depth += 1
+            if depth == MAX_NESTING_DEPTH + 1:
+                kept.append(text[kept_until : match.start()])
+        elif token[0] != '"':
+            if depth == MAX_NESTING_DEPTH + 1:
+                kept.append("null")
+                kept_until = match.end()
+            depth -= 1
+    if depth > MAX_NESTING_DEPTH:
+        raise ValueError(f"the document ends {depth} levels deep")
+    kept.append(text[kept_until:])
+    return "".join(kept)
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -45,6 +45,7 @@
 )
 from chervilmill.platform import (
     EntrySettings,
+    EntryVmRegistration,
     PlatformStore,
     SettingsError,
     StoreError,
@@ -210,7 +211,7 @@
 
     async def _register(self) -> None:
         """Write this VM's object to the store, where the other VMs find it."""
-        content = {"host": self._own.host, "failure_domain": self._own.failure_domain}
+        content = EntryVmRegistration(self._own.host, self._own.failure_domain).encode()
         while not self._site_state.is_registered():
             try:
                 await self._store.put(ENTRY_KIND, self._own.name, content, REGISTER_TIMEOUT_S)
--- a/src/chervilmill/entry/_replica_copies.py
+++ b/src/chervilmill/entry/_replica_copies.py
@@ -5,6 +5,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import HttpClient
+from chervilmill.documents import decode_document
 from chervilmill.peers import KindReplica
 from chervilmill.platform import Listing, StoreError, decode_objects, encode_objects
 
@@ -27,10 +28,10 @@
     finally:
         client.close()
     try:
-        raw = json.loads(answer.body)
+        raw = decode_document(answer.body)
         listing = Listing(decode_objects(raw["objects"]), int(raw["as_of"]))
         return FetchedReplica(listing, raw.get("is_settled") is True)
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as exc:
         raise StoreError(repr(exc), step="read copy", peer=str(host)) from exc
 
 
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -19,7 +19,7 @@
 from chervilmill.entry._catch_up import CatchUp
 from chervilmill.entry._replica_copies import fetch_replica
 from chervilmill.entry._store_state import StoreState
-from chervilmill.logs import log_event
+from chervilmill.logs import log_event, log_problem
 from chervilmill.peers import KindReplica, ReplicaChange
 from chervilmill.platform import (
     HistoryGoneError,
@@ -139,6 +139,10 @@
             except StoreError as exc:
                 self._store_state.record_failure(kind, exc)
                 await asyncio.sleep(RETRY_DELAY_S)
+            except Exception as exc:  # what other writers store never ends this task
+                needs_list = True
+                log_problem("copy not followed", step="follow", peer=kind, error=repr(exc)[:256])
+                await asyncio.sleep(RETRY_DELAY_S)
 
     def handle_peer_revisions(self, host: Address, revisions: dict[str, int]) -> None:
         """Compare a peer's revisions with the copies held here, and catch up where behind."""
--- a/src/chervilmill/entry/_site_state.py
+++ b/src/chervilmill/entry/_site_state.py
@@ -12,6 +12,8 @@
     InvalidObjectError,
     StoredObject,
     read_configuration,
+    read_evacuation,
+    read_registration,
     read_target,
 )
 from chervilmill.requests import Lifetime
@@ -101,7 +103,7 @@
         try:
             target = read_target(stored)
         except InvalidObjectError as exc:
-            log_problem("entry refused", step=exc.step, peer=exc.peer, error=exc.message)
+            _log_refused_entry(exc)
             return self.view.remove_target(stored.name)
         if stored.is_being_deleted:
             return self.view.remove_target(stored.name)
@@ -112,17 +114,24 @@
         for stored in change.written:
             if stored.is_being_deleted:
                 self._evacuated.discard(stored.name)
-            else:
-                self._evacuated.add(stored.name)
+                continue
+            try:
+                self._evacuated.add(read_evacuation(stored))
+            except InvalidObjectError as exc:
+                _log_refused_entry(exc)
         self._apply_view_changes(self.view.set_evacuated(self._evacuated))
 
     def _apply_entry_vms(self, change: ReplicaChange) -> None:
         for name in change.removed:
             self._registered_vms.pop(name, None)
         for stored in change.written:
-            host, domain = stored.content.get("host"), stored.content.get("failure_domain")
-            if isinstance(host, str) and isinstance(domain, str):
-                self._registered_vms[stored.name] = Peer(stored.name, host, domain)
+            try:
+                read = read_registration(stored)
+            except InvalidObjectError as exc:
+                self._registered_vms.pop(stored.name, None)
+                _log_refused_entry(exc)
+                continue
+            self._registered_vms[stored.name] = Peer(stored.name, read.host, read.failure_domain)
         self._membership.set_peers(self._registered_vms.values())
         log_event("entry VMs known", step="register", count=len(self._registered_vms))
 
@@ -135,6 +144,10 @@
                     self.on_lifetime_change(target)
 
 
+def _log_refused_entry(exc: InvalidObjectError) -> None:
+    log_problem("entry refused", step=exc.step, peer=exc.peer, error=exc.message)
+
+
 def _log_change(change: ViewChange) -> None:
     match change:
         case ConfigurationApplied(new, previous):
--- a/src/chervilmill/peers/_datagrams.py
+++ b/src/chervilmill/peers/_datagrams.py
@@ -18,6 +18,7 @@
     ArithmeticError,
     AttributeError,
     LookupError,
+    RecursionError,
     TypeError,
     ValueError,
 )
--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -21,6 +21,7 @@
 _LEAVING_HEADERS = (b"x-chervilmill-server-leaving", b"server-leaving")
 _NOT_RUN_HEADER = b"x-chervilmill-request-not-run"
 _RETRY_AFTER_HEADER = b"retry-after"
+MAX_DIGITS = 15  # of a number that a float represents exactly
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 TARGET_HEADERS = frozenset({_DEADLINE_HEADER, _EXPECTED_INSTANCE_HEADER})
@@ -132,9 +133,8 @@
 
 
 def _parse_milliseconds(value: bytes | None) -> float | None:
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value) / 1000
+    numbers = _parse_integers([value or b""])
+    return numbers[0] / 1000 if numbers else None
 
 
 def _parse_load(value: bytes | None) -> LoadReport | None:
@@ -145,4 +145,5 @@
 
 
 def _parse_integers(parts: Iterable[bytes]) -> list[int]:
-    return [int(part) for part in parts if part.strip().isdigit()]
+    stripped = [part.strip() for part in parts]
+    return [int(part) for part in stripped if part.isdigit() and len(part) <= MAX_DIGITS]
--- a/src/chervilmill/platform/_objects.py
+++ b/src/chervilmill/platform/_objects.py
@@ -1,10 +1,26 @@
-"""Decode the objects that operators and targets keep in the platform's store."""
+"""Decode the objects that operators, targets and entry VMs keep in the platform's store.
 
+Every field is read within stated bounds, so that no value of another writer fails later, where it
+is used.
+"""
+
+import ipaddress
 from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Any
 
 from chervilmill.addresses import parse_address
 from chervilmill.errors import ChervilmillError
+from chervilmill.platform._fields import (
+    MAX_COUNT,
+    MAX_INTEGER,
+    MAX_SECONDS,
+    read_integer,
+    read_number,
+    read_text,
+    read_token,
+)
 from chervilmill.platform._store import StoredObject
 from chervilmill.requests import RequestKind
 from chervilmill.routing import (
@@ -28,50 +44,86 @@
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
+MAX_VERSION_DIGITS = 18  # of a 64-bit integer
+MAX_MESSAGE_CHARACTERS = 256
+MAX_SLOTS = 1_000_000  # far above what one VM runs concurrently
+
+
 class InvalidObjectError(ChervilmillError):
     """Raised for an object that cannot be read, for example because another writer made it."""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryVmRegistration:
+    """What an entry VM writes about itself for the others."""
+
+    host: str
+    failure_domain: str
+
+    def encode(self) -> dict[str, Any]:
+        """Return the content of the VM's object."""
+        return {"host": self.host, "failure_domain": self.failure_domain}
+
+
 def read_configuration(stored: StoredObject) -> Configuration:
     """Return the configuration in an object, or raise InvalidObjectError."""
-    try:
+    with _reading("read configuration", stored):
         return _parse_configuration(stored.content)
-    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as exc:
-        raise _invalid_object_error("read configuration", stored, exc) from exc
 
 
 def read_target(stored: StoredObject) -> Target:
     """Return the target that an object describes, or raise InvalidObjectError."""
-    try:
+    with _reading("read target", stored):
         return _parse_target(stored)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise _invalid_object_error("read target", stored, exc) from exc
 
 
-def _invalid_object_error(step: str, stored: StoredObject, exc: Exception) -> InvalidObjectError:
-    return InvalidObjectError(f"{type(exc).__name__}: {exc}", step=step, peer=stored.name)
+def read_evacuation(stored: StoredObject) -> str:
+    """Return the failure domain to evacuate, or raise InvalidObjectError."""
+    with _reading("read evacuation", stored):
+        return read_text(stored.name)
+
+
+def read_registration(stored: StoredObject) -> EntryVmRegistration:
+    """Return the registration of an entry VM, or raise InvalidObjectError."""
+    with _reading("read registration", stored):
+        read_text(stored.name)
+        host = read_token(stored.content["host"])
+        ipaddress.ip_address(host)
+        return EntryVmRegistration(host, read_text(stored.content["failure_domain"]))
+
+
+@contextmanager
+def _reading(step: str, stored: StoredObject) -> Iterator[None]:
+    """Raise InvalidObjectError in place of the errors that a malformed object causes."""
+    try:
+        yield
+    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as exc:
+        message = f"{type(exc).__name__}: {exc}"[:MAX_MESSAGE_CHARACTERS]
+        peer = ascii(stored.name[:MAX_MESSAGE_CHARACTERS])[1:-1]
+        raise InvalidObjectError(message, step=step, peer=peer) from exc
 
 
 def _parse_configuration(raw: dict[str, Any]) -> Configuration:
-    services = {row["name"]: _parse_service(row) for row in _table_rows(raw["services"])}
+    services = {read_text(row["name"]): _parse_service(row) for row in _table_rows(raw["services"])}
     limits = raw["limits"]
     return Configuration(
         version=_parse_version(raw["version"]),
         routes=tuple(_parse_route(row) for row in _table_rows(raw["routes"])),
         services=services,
         limits=CallerLimits(
-            header_bytes=int(limits["max-header-bytes"]),
-            body_bytes=int(limits["max-body-bytes"]),
-            header_timeout_s=float(limits["header-timeout-s"]),
-            idle_timeout_s=float(limits["idle-timeout-s"]),
+            header_bytes=read_integer(limits["max-header-bytes"], 1, MAX_INTEGER),
+            body_bytes=read_integer(limits["max-body-bytes"], 0, MAX_INTEGER),
+            header_timeout_s=_read_seconds(limits["header-timeout-s"]),
+            idle_timeout_s=_read_seconds(limits["idle-timeout-s"]),
         ),
     )
 
 
 def _parse_version(text: str) -> int:
-    if not text.startswith("r"):
-        raise ValueError(f"version {text!r} does not begin with r")
-    return int(text[1:])
+    digits = text.removeprefix("r")
+    if digits == text or not digits.isdecimal() or len(digits) > MAX_VERSION_DIGITS:
+        raise ValueError(f"version {text[:64]!r} is not r and a number")
+    return int(digits)
 
 
 def _table_rows(table: dict[str, Any]) -> Iterator[dict[str, Any]]:
@@ -83,16 +135,16 @@
 
 def _parse_route(row: dict[str, Any]) -> Route:
     return Route(
-        name=row["name"],
-        host=row["host"].lower(),
-        path_prefix=row["path-prefix"],
+        name=read_text(row["name"]),
+        host=read_text(row["host"]).lower(),
+        path_prefix=read_text(row["path-prefix"]),
         kind=_REQUEST_KINDS[row["kind"]],
-        timeout_s=float(row["timeout-s"]),
-        objective_s=float(row.get("target-latency-s", row["timeout-s"])),
-        priority=int(row.get("priority", 0)),
-        max_attempts=int(row.get("max-attempts", 1)),
+        timeout_s=_read_seconds(row["timeout-s"]),
+        objective_s=_read_seconds(row.get("target-latency-s", row["timeout-s"])),
+        priority=read_integer(row.get("priority", 0), -MAX_COUNT, MAX_COUNT),
+        max_attempts=read_integer(row.get("max-attempts", 1), 0, MAX_COUNT),
         has_affinity=bool(row.get("affinity", False)),
-        home_regions=frozenset(row.get("home-regions", ())),
+        home_regions=frozenset(read_text(region) for region in row.get("home-regions", ())),
         split=_parse_split(row),
     )
 
@@ -100,47 +152,40 @@
 def _parse_split(row: dict[str, Any]) -> tuple[WeightedService, ...]:
     parts = row.get("traffic-split")
     if not parts:
-        return (WeightedService(row["service"], 1.0),)
-    return tuple(WeightedService(part["service"], float(part["weight"])) for part in parts)
+        return (WeightedService(read_text(row["service"]), 1.0),)
+    return tuple(
+        WeightedService(
+            read_text(part["service"]), read_number(part["weight"], 0.0, float(MAX_COUNT))
+        )
+        for part in parts
+    )
 
 
 def _parse_service(row: dict[str, Any]) -> ServicePolicy:
     return ServicePolicy(
-        name=row["name"],
-        health_path=row.get("health-check-path", "/"),
-        max_connections=int(row.get("max-connections", 100)),
-        cold_start_s=float(row.get("cold-start-s", 0.0)),
-        cold_rate_per_s=float(row.get("cold-per-s", 0.0)),
+        name=read_text(row["name"]),
+        health_path=read_text(row.get("health-check-path", "/")),
+        max_connections=read_integer(row.get("max-connections", 100), 0, MAX_COUNT),
+        cold_start_s=_read_seconds(row.get("cold-start-s", 0.0)),
+        cold_rate_per_s=read_number(row.get("cold-per-s", 0.0), 0.0, float(MAX_COUNT)),
     )
 
 
 def _parse_target(stored: StoredObject) -> Target:
     raw = stored.content
     return Target(
-        name=stored.name,
-        incarnation=_integer(raw.get("born", 0)),
-        service=_non_empty_string(raw["service"]),
-        address=parse_address(raw["address"]),
-        failure_domain=_non_empty_string(raw["zone"]),
-        slots=max(1, _integer(raw["slots"])),
+        name=read_token(stored.name),
+        incarnation=read_integer(raw.get("born", 0), 0, MAX_INTEGER),
+        service=read_text(raw["service"]),
+        address=parse_address(read_token(raw["address"])),
+        failure_domain=read_text(raw["zone"]),
+        slots=max(1, read_integer(raw["slots"], 0, MAX_SLOTS)),
         is_draining=_IS_DRAINING_BY_STATE[raw["state"]],
-        cold_left_s=_seconds(raw.get("cold-remaining-s", 0)),
+        cold_left_s=max(
+            0.0, read_number(raw.get("cold-remaining-s", 0), -MAX_SECONDS, MAX_SECONDS)
+        ),
     )
 
 
-def _non_empty_string(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a non-empty string")
-    return value
-
-
-def _integer(value: object) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise ValueError(f"{value!r} is not an integer")
-    return value
-
-
-def _seconds(value: object) -> float:
-    if not isinstance(value, int | float) or isinstance(value, bool):
-        raise ValueError(f"{value!r} is not a number of seconds")
-    return float(value)
+def _read_seconds(value: object) -> float:
+    return read_number(value, 0.0, MAX_SECONDS)
--- a/src/chervilmill/platform/_store.py
+++ b/src/chervilmill/platform/_store.py
@@ -12,6 +12,7 @@
 from urllib.parse import quote, urlencode
 
 from chervilmill.aio import ExchangeTimeoutError, HttpAnswer
+from chervilmill.documents import decode_document
 from chervilmill.errors import ChervilmillError
 
 MAX_PAGES = 200  # of about 500 objects each: more than the largest site has
@@ -140,11 +141,13 @@
 
     async def _get(self, kind: str, query: dict[str, str], timeout_s: float) -> dict[str, Any]:
         step = f"read {kind}"
-        path = f"/v1/objects/{quote(kind)}" + (f"?{urlencode(query)}" if query else "")
+        path = f"/v1/objects/{quote(kind)}"
+        if query:
+            path += f"?{urlencode(query, errors='surrogatepass')}"  # names of other writers
         answer = await self._call(step, "GET", path, b"", timeout_s)
         self._raise_for_status(step, answer)
         try:
-            decoded = json.loads(answer.body)
+            decoded = decode_document(answer.body)
         except ValueError as exc:
             raise self._store_error(step, f"the answer is not JSON: {exc}") from exc
         if not isinstance(decoded, dict):
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from chervilmill.platform import InvalidObjectError, StoredObject, read_configuration, read_target
+from chervilmill.platform import (
+    EntryVmRegistration,
+    InvalidObjectError,
+    StoredObject,
+    read_configuration,
+    read_evacuation,
+    read_registration,
+    read_target,
+)
 from chervilmill.requests import RequestKind
 from chervilmill.routing import WeightedService
 from soak.site import RouteRow, configuration
@@ -84,3 +92,74 @@
     with pytest.raises(InvalidObjectError) as caught:
         read_target(StoredObject("i-1", 7, ENTRY | change))
     assert caught.value.peer == "i-1"
+
+
+# Values of other writers that are no number, no text or no name within any bounds.
+UNUSABLE_VALUES = [
+    None,
+    True,
+    [[]],
+    {},
+    float("nan"),
+    float("inf"),
+    float("-inf"),
+    10**400,
+    -(10**400),
+    "",
+    "\ud800",
+    "x" * 100_000,
+]
+CONTROL_TEXTS = ["a\r\nb: c", "a\x00", "a b", "\u017elut\u00fd"]
+
+
+# A number of 401 digits ended every entry VM, again after each start.
+@pytest.mark.parametrize("value", UNUSABLE_VALUES, ids=lambda value: ascii(value)[:24])
+@pytest.mark.parametrize(
+    "name", ["service", "address", "zone", "slots", "state", "cold-remaining-s", "born"]
+)
+def test_entry_with_a_value_beyond_all_bounds_is_refused(name: str, value: object) -> None:
+    with pytest.raises(InvalidObjectError) as caught:
+        read_target(StoredObject("i-1", 7, ENTRY | {name: value}))
+    assert len(caught.value.message) <= 256
+
+
+@pytest.mark.parametrize("name", ["\ud800", "x" * 100_000, *CONTROL_TEXTS])
+def test_entry_whose_name_cannot_be_sent_in_a_header_is_refused(name: str) -> None:
+    with pytest.raises(InvalidObjectError) as caught:
+        read_target(StoredObject(name, 7, dict(ENTRY)))
+    assert caught.value.peer.isascii()
+    assert len(caught.value.peer) <= 2048
+
+
+@pytest.mark.parametrize("value", UNUSABLE_VALUES, ids=lambda value: ascii(value)[:24])
+@pytest.mark.parametrize("name", ["max-header-bytes", "max-body-bytes", "idle-timeout-s"])
+def test_configuration_with_a_limit_beyond_all_bounds_is_refused(name: str, value: object) -> None:
+    content = configuration(1)
+    limits = content["limits"]
+    assert isinstance(limits, dict)
+    with pytest.raises(InvalidObjectError):
+        read_configuration(StoredObject("main", 3, content | {"limits": limits | {name: value}}))
+
+
+@pytest.mark.parametrize("version", ["r" + "9" * 5000, "r-1", "r1.5", "r"])
+def test_configuration_with_a_version_beyond_all_bounds_is_refused(version: str) -> None:
+    with pytest.raises(InvalidObjectError):
+        read_configuration(StoredObject("main", 3, configuration(1) | {"version": version}))
+
+
+def test_registration_is_decoded() -> None:
+    registration = EntryVmRegistration("10.1.0.9", "north-a")
+    assert read_registration(StoredObject("vm", 1, registration.encode())) == registration
+
+
+@pytest.mark.parametrize("value", [*UNUSABLE_VALUES, *CONTROL_TEXTS], ids=lambda v: ascii(v)[:24])
+def test_registration_with_another_host_than_an_ip_address_is_refused(value: object) -> None:
+    """A datagram to such a host would close the socket of the gossip protocol."""
+    with pytest.raises(InvalidObjectError):
+        read_registration(StoredObject("vm", 1, {"host": value, "failure_domain": "north-a"}))
+
+
+def test_evacuation_of_a_domain_that_cannot_be_encoded_is_refused() -> None:
+    assert read_evacuation(StoredObject("north-a", 1)) == "north-a"
+    with pytest.raises(InvalidObjectError):
+        read_evacuation(StoredObject("\ud800", 1))
