Read lists of VMs and objects past malformed entries

One malformed VM in the platform's list ended the thread that reads it, so the entry VM kept an old list for good. Cause: KeyError, ValueError and others of a single entry were not turned into an error that the thread expects, and deep nesting or huge numbers failed the whole answer. Change: entries are decoded one by one; a malformed answer counts as no answer, or as a write of unknown outcome. Why it works: the readers of the list and of objects expect exactly these errors.

--- a/src/chervilmill/coordination/_client.py
+++ b/src/chervilmill/coordination/_client.py
@@ -1,23 +1,32 @@
 """Access the platform's objects and VM list over HTTP."""
 
-import json
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import urllib3
 
 from chervilmill.addresses import Address
-from chervilmill.coordination._codec import object_from_json, vm_from_json, watch_from_json
+from chervilmill.coordination._codec import (
+    MALFORMED,
+    object_from_json,
+    vm_from_json,
+    watch_from_json,
+)
 from chervilmill.coordination._errors import (
     StoreUnavailableError,
     VersionConflictError,
     WriteUnsureError,
 )
 from chervilmill.coordination._model import StoredObject, Vm, WatchResult
+from chervilmill.documents import decode_document
+from chervilmill.logs import log_problem
 
 MAX_CONNECTIONS = 16
 WATCH_REPLY_MARGIN_S = 2.0  # time for the reply after a watch has waited its full timeout
 
+T = TypeVar("T")
+
 
 class HttpPlatform:
     """Client of the platform that implements ObjectStore and VmList over HTTP."""
@@ -34,12 +43,12 @@
         resp = self._read("get object", _object_path(kind, name))
         if resp.status == 404:
             return None
-        return object_from_json(self._decode_body("get object", resp))
+        return self._decode("get object", resp, object_from_json)
 
     def list(self, kind: str) -> tuple[StoredObject, ...]:
         """Return all objects of a kind, ordered by name."""
         resp = self._read("list objects", f"/objects/{quote(kind, safe='')}")
-        return tuple(object_from_json(raw) for raw in self._decode_body("list objects", resp))
+        return self._decode_each("list objects", resp, object_from_json)
 
     def create(self, kind: str, name: str, value: bytes) -> int:
         """Create an object that must not exist yet and return its version."""
@@ -58,12 +67,12 @@
         """Wait up to the timeout for changes of a kind after a version and return them."""
         path = f"/watch/{quote(kind, safe='')}?after={after_version}&timeout_s={timeout_s}"
         resp = self._read("watch objects", path, timeout_s=timeout_s + WATCH_REPLY_MARGIN_S)
-        return watch_from_json(self._decode_body("watch objects", resp))
+        return self._decode("watch objects", resp, watch_from_json)
 
     def vms(self) -> tuple[Vm, ...]:
         """Return all VMs, ordered by name."""
         resp = self._read("list VMs", "/vms")
-        return tuple(vm_from_json(raw) for raw in self._decode_body("list VMs", resp))
+        return self._decode_each("list VMs", resp, vm_from_json)
 
     def _read(
         self, step: str, path: str, timeout_s: float | None = None
@@ -105,15 +114,30 @@
         if resp.status >= 300:
             message = f"expected a version, found status {resp.status}"
             raise WriteUnsureError(message, step=step, peer=self._peer)
-        return int(self._decode_body(step, resp)["version"])
+        try:
+            return int(decode_document(resp.data)["version"])
+        except MALFORMED as exc:
+            raise WriteUnsureError(f"no version: {exc!r:.200}", step=step, peer=self._peer) from exc
 
-    def _decode_body(self, step: str, resp: urllib3.BaseHTTPResponse) -> Any:
+    def _decode(self, step: str, resp: urllib3.BaseHTTPResponse, decode: Callable[[Any], T]) -> T:
         try:
-            return json.loads(resp.data)
-        except ValueError as exc:
-            message = f"expected a JSON body, found {len(resp.data)} bytes of another form"
+            return decode(decode_document(resp.data))
+        except MALFORMED as exc:
+            message = f"expected another form of body, found {len(resp.data)} bytes: {exc!r:.200}"
             raise StoreUnavailableError(message, step=step, peer=self._peer) from exc
 
+    def _decode_each(
+        self, step: str, resp: urllib3.BaseHTTPResponse, decode: Callable[[Any], T]
+    ) -> tuple[T, ...]:
+        """Return the elements of a list, leaving out malformed ones."""
+        decoded: list[T] = []
+        for raw in self._decode(step, resp, list):
+            try:
+                decoded.append(decode(raw))
+            except MALFORMED as exc:
+                log_problem("entry refused", step=step, peer=self._peer, error=f"{exc!r:.200}")
+        return tuple(decoded)
+
 
 def _object_path(kind: str, name: str) -> str:
     return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
--- a/src/chervilmill/coordination/_codec.py
+++ b/src/chervilmill/coordination/_codec.py
@@ -5,6 +5,12 @@
 
 from chervilmill.addresses import parse_address
 from chervilmill.coordination._model import StoredObject, Vm, VmRole, VmState, WatchResult
+from chervilmill.logs import log_problem
+
+MAX_TEXT_CHARACTERS = 512  # as in the messages between nodes
+
+# What decoding raises for values of other types or beyond all bounds.
+MALFORMED = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 
 
 def object_to_json(stored: StoredObject) -> dict[str, Any]:
@@ -33,10 +39,18 @@
 
 
 def watch_from_json(raw: dict[str, Any]) -> WatchResult:
-    """Return the watch result of a JSON form, or raise KeyError, TypeError or ValueError."""
-    changed = tuple(object_from_json(item) for item in raw["changed"])
+    """Return the watch result of a JSON form without malformed objects.
+
+    Raise KeyError, TypeError or ValueError if the result itself is malformed.
+    """
+    changed: list[StoredObject] = []
+    for item in raw["changed"]:
+        try:
+            changed.append(object_from_json(item))
+        except MALFORMED as exc:
+            log_problem("entry refused", step="watch objects", peer="store", error=f"{exc!r:.200}")
     deleted = tuple(str(name) for name in raw["deleted"])
-    return WatchResult(int(raw["version"]), changed, deleted)
+    return WatchResult(int(raw["version"]), tuple(changed), deleted)
 
 
 def vm_to_json(vm: Vm) -> dict[str, Any]:
@@ -57,12 +71,20 @@
     """Return the VM of a JSON form, or raise KeyError, TypeError or ValueError."""
     nodes = raw["nodes"]
     return Vm(
-        name=str(raw["name"]),
+        name=_text(raw["name"]),
         role=VmRole(raw["role"]),
         state=VmState(raw["state"]),
-        service=str(raw["service"]),
-        region=str(raw["region"]),
-        failure_domain=str(raw["failure_domain"]),
+        service=_text(raw["service"]),
+        region=_text(raw["region"]),
+        failure_domain=_text(raw["failure_domain"]),
         address=parse_address(raw["address"]),
         nodes=None if nodes is None else parse_address(nodes),
     )
+
+
+def _text(value: object) -> str:
+    """Return a string that other nodes can read, or raise ValueError."""
+    if not isinstance(value, str) or len(value) > MAX_TEXT_CHARACTERS:
+        raise ValueError(f"expected a string of at most {MAX_TEXT_CHARACTERS} characters")
+    value.encode()  # UnicodeEncodeError is a ValueError
+    return value
--- a/src/chervilmill/coordination/_directory.py
+++ b/src/chervilmill/coordination/_directory.py
@@ -6,7 +6,6 @@
 of the others.
 """
 
-import json
 import math
 import threading
 from collections.abc import Callable, Iterable, Mapping
@@ -14,6 +13,7 @@
 
 from chervilmill.coordination._configuration import ConfigurationSnapshot
 from chervilmill.coordination._model import Vm, VmRole, VmState
+from chervilmill.documents import decode_document
 
 LEAVING_PREFIX = "leaving/"
 
@@ -147,7 +147,7 @@
 
 def _is_leaving_mark(value: bytes) -> bool:
     try:
-        raw = json.loads(value)
+        raw = decode_document(value)
     except ValueError:
         return False
     return isinstance(raw, dict) and raw.get("leaving") is True
--- a/src/chervilmill/operators/_leaving.py
+++ b/src/chervilmill/operators/_leaving.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from chervilmill.coordination import CONFIGURATION_KIND, ObjectStore, VmList, WriteUnsureError
+from chervilmill.documents import decode_document
 from chervilmill.logs import log_event
 from chervilmill.operators._router import OperatorRefusal, OperatorRequest, OperatorResponse, Route
 
@@ -90,7 +91,7 @@
 def decode_leaving_mark(value: bytes) -> bool:
     """Return whether a stored mark says that the VM is leaving, and False for a malformed mark."""
     try:
-        decoded = json.loads(value)
+        decoded = decode_document(value)
     except ValueError:
         return False
     return isinstance(decoded, dict) and decoded.get("leaving") is True
--- a/src/chervilmill/steering/_block_store.py
+++ b/src/chervilmill/steering/_block_store.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from chervilmill.coordination import ObjectStore, StoreUnavailableError, VersionConflictError
+from chervilmill.documents import decode_document
 from chervilmill.steering._block_codec import (
     BlockDelta,
     MalformedBlocksError,
@@ -42,7 +43,7 @@
 def decode_manifest(value: bytes) -> BlockManifest:
     """Return the manifest of a stored form, or raise MalformedBlocksError."""
     try:
-        raw = json.loads(value)
+        raw = decode_document(value)
         return BlockManifest(tuple(map(str, raw["parts"])), tuple(map(str, raw["deltas"])))
     except (ValueError, KeyError, TypeError) as exc:
         raise MalformedBlocksError(f"not a manifest: {exc!r}") from exc
--- a/src/chervilmill/steering/_evidence.py
+++ b/src/chervilmill/steering/_evidence.py
@@ -1,6 +1,5 @@
 """Gather evidence on a shift from the platform's list of VMs and from the other nodes."""
 
-import json
 import math
 import time
 from collections.abc import Callable
@@ -10,6 +9,7 @@
 import xxhash
 
 from chervilmill.coordination import PlatformError, Vm
+from chervilmill.documents import decode_document
 from chervilmill.settings import Service
 from chervilmill.steering._executor import Evidence
 from chervilmill.steering._model import SteeringModel
@@ -67,8 +67,8 @@
         url = f"http://{vm.address}/lookup?service={service}"
         try:
             resp = self._http.request("GET", url)
-            return int(json.loads(resp.data)["revision"])
-        except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError):
+            return int(decode_document(resp.data)["revision"])
+        except (urllib3.exceptions.HTTPError, ArithmeticError, LookupError, TypeError, ValueError):
             return 0
 
 
--- a/src/chervilmill/steering/_intents.py
+++ b/src/chervilmill/steering/_intents.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from chervilmill.coordination import ConfigurationSnapshot, StoredObject
+from chervilmill.documents import decode_document
 from chervilmill.settings import Reader, SettingError, Settings
 
 INTENT_PREFIX = "intent/"
@@ -114,8 +115,8 @@
 
 def _decode_intent(stored: StoredObject, settings: Settings) -> VersionedIntent | None:
     try:
-        intent = check_intent(json.loads(stored.value), settings, ())
-    except (ValueError, ExceptionGroup):
+        intent = check_intent(decode_document(stored.value), settings, ())
+    except (ArithmeticError, AttributeError, TypeError, ValueError, ExceptionGroup):
         return None
     return VersionedIntent(intent, stored.version)
 
--- a/src/chervilmill/steering/_state.py
+++ b/src/chervilmill/steering/_state.py
@@ -7,6 +7,7 @@
 from types import MappingProxyType
 from typing import Any
 
+from chervilmill.documents import decode_document
 from chervilmill.steering._hashing import HASH_SPAN
 from chervilmill.steering._priorities import link_key
 from chervilmill.steering._shares import ShareMap, interpolate
@@ -107,8 +108,8 @@
 def decode_state(body: bytes) -> ShiftState:
     """Return the state from its stored form, or raise MalformedStateError."""
     try:
-        return _state_from_json(json.loads(body))
-    except (ValueError, KeyError, TypeError, IndexError) as exc:
+        return _state_from_json(decode_document(body))
+    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as exc:
         raise MalformedStateError(f"steering object: {exc!r}") from exc
 
 
--- a/src/chervilmill/targets/_client.py
+++ b/src/chervilmill/targets/_client.py
@@ -1,7 +1,6 @@
 """Exchange requests and answers with targets over persistent HTTP connections."""
 
 import http.client
-import json
 import time
 from collections.abc import Callable
 from typing import Any, NoReturn, cast
@@ -9,6 +8,7 @@
 import urllib3
 
 from chervilmill.coordination import Vm
+from chervilmill.documents import decode_document
 from chervilmill.requests import TargetCondition
 from chervilmill.targets._answer import TargetAnswer
 from chervilmill.targets._connection_pool import Connection, ConnectionPool
@@ -142,8 +142,8 @@
     if status != 200:
         return None
     try:
-        return TargetCondition(json.loads(body)["state"])
-    except (ValueError, KeyError, TypeError):
+        return TargetCondition(decode_document(body)["state"])
+    except (LookupError, TypeError, ValueError):
         return None
 
 
