--- a/soak/store.py
+++ b/soak/store.py
@@ -25,6 +25,14 @@
     refused_hosts: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store held at a moment, from which it may be restored."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 @dataclass(frozen=True, slots=True)
 class _Change:
     revision: int
@@ -40,6 +48,7 @@
         self.faults = StoreFaults()
         self.calls: list[str] = []
         self.revision = 1
+        self.era = 1
         self._page_size = page
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._history: list[_Change] = []
@@ -83,6 +92,19 @@
         """Return the names of all objects of a kind, sorted."""
         return sorted(name for stored_kind, name in self._objects if stored_kind == kind)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present objects."""
+        return StoreCopy(self.revision, dict(self._objects))
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Come back from a copy, in the next era; what was written since the copy is lost."""
+        self.era += 1
+        self.revision = copied.revision
+        self._objects = dict(copied.objects)
+        self._oldest_watchable = copied.revision
+        self._history.clear()
+        self._notify_watchers()
+
     def compact(self) -> None:
         """Discard the change history, so that watches of earlier revisions get a 410."""
         self._oldest_watchable = self.revision
@@ -109,7 +131,8 @@
         if self.faults.loses_answers and head.method != b"GET":
             conn.abort()
             return
-        await conn.answer(status, list(JSON_HEADERS), json.dumps(value).encode())
+        headers = [*JSON_HEADERS, (b"store-era", str(self.era).encode())]
+        await conn.answer(status, headers, json.dumps(value).encode())
 
     async def _perform(self, method: str, target: str, body: bytes) -> tuple[int, object]:
         parts = urlsplit(target)
@@ -137,7 +160,8 @@
     async def _watch(self, kind: str, since: int, wait_s: float) -> tuple[int, object]:
         loop = asyncio.get_running_loop()
         until_s = loop.time() + wait_s
-        while since >= self._oldest_watchable:
+        era = self.era
+        while self._oldest_watchable <= since <= self.revision and era == self.era:
             changes = [
                 change
                 for change in self._history
--- a/src/chervilmill/aio/_http_client.py
+++ b/src/chervilmill/aio/_http_client.py
@@ -18,10 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """The status and the whole body of an answer."""
+    """The status, the whole body and the headers of an answer."""
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class HttpClient:
@@ -86,7 +87,7 @@
             if size > MAX_ANSWER_BYTES:
                 message = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
                 raise ExchangeError(message, step=method, peer=str(self._address))
-        return HttpAnswer(head.status, b"".join(parts))
+        return HttpAnswer(head.status, b"".join(parts), tuple(head.headers))
 
     def _release(self, conn: ClientConnection | None) -> None:
         if conn is None:
--- a/src/chervilmill/entry/_catch_up.py
+++ b/src/chervilmill/entry/_catch_up.py
@@ -7,12 +7,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import astuple
 
 from chervilmill.addresses import Address
 from chervilmill.entry._store_state import StoreState
 from chervilmill.errors import ChervilmillError
 from chervilmill.logs import log_event, log_problem
 from chervilmill.peers import KindReplica
+from chervilmill.platform import StoreVersion
 
 CATCH_UP_DELAY_S = 0.25  # changes reach different VMs at different times, up to two round trips
 RESTARTED_CALL_S = 0.5  # for a new connection and an answer of the store, also from afar
@@ -23,7 +25,7 @@
 
 
 class CatchUp:
-    """Brings the copy of one kind up to the revisions that peers state.
+    """Brings the copy of one kind up to the versions that peers state.
 
     `restart_call` sends the VM's open call to the store again. `fetch_copy` replaces the copy by
     that of a peer.
@@ -40,21 +42,21 @@
         self._store_state = store_state
         self._restart_call = restart_call
         self._fetch_copy = fetch_copy
-        self._revisions: dict[Address, int] = {}
+        self._versions: dict[Address, StoreVersion] = {}
         self._task: asyncio.Task[None] | None = None
 
-    def handle_revision(self, host: Address, revision: int) -> None:
-        """Note a peer's revision, and begin to catch up if it is ahead of the copy."""
-        if revision <= self._replica.known_revision:
+    def handle_version(self, host: Address, version: StoreVersion) -> None:
+        """Note a peer's version, and begin to catch up if it is ahead of the copy."""
+        if version <= self._replica.known_version:
             return
-        self._revisions.pop(host, None)
-        self._revisions[host] = revision  # the latest last
+        self._versions.pop(host, None)
+        self._versions[host] = version  # the latest last
         if self._task is None:
-            self._log_behind(host, revision)
-            self._task = asyncio.get_running_loop().create_task(self._run(revision))
+            self._log_behind(host, version)
+            self._task = asyncio.get_running_loop().create_task(self._run(version))
 
-    async def _run(self, wanted: int) -> None:
-        """Reach a revision; where objects keep changing, later ones are always on their way."""
+    async def _run(self, wanted: StoreVersion) -> None:
+        """Reach a version; where objects keep changing, later ones are always on their way."""
         try:
             await asyncio.sleep(CATCH_UP_DELAY_S)
             if self._is_behind(wanted) and not self._store_state.is_unreachable:
@@ -64,24 +66,24 @@
                 await self._fetch_from_peers(wanted)
         finally:
             self._task = None
-            self._revisions.clear()
+            self._versions.clear()
 
-    def _is_behind(self, wanted: int) -> bool:
-        return self._replica.known_revision < wanted
+    def _is_behind(self, wanted: StoreVersion) -> bool:
+        return self._replica.known_version < wanted
 
     def _restart_old_call(self) -> None:
-        """Restart a call that was open before the peer's revision arrived."""
+        """Restart a call that was open before the peer's version arrived."""
         now_s = asyncio.get_running_loop().time()
         open_s = self._store_state.call_open_s(self._replica.kind, now_s)
         if open_s is not None and open_s >= CATCH_UP_DELAY_S:
             self._restart_call(self._replica.kind)
 
-    async def _fetch_from_peers(self, wanted: int) -> None:
+    async def _fetch_from_peers(self, wanted: StoreVersion) -> None:
         """Ask one peer after the other, without giving up on those asked before."""
         fetches: set[asyncio.Task[None]] = set()
         loop = asyncio.get_running_loop()
         try:
-            for host in list(reversed(self._revisions))[:MAX_PEERS_ASKED]:
+            for host in list(reversed(self._versions))[:MAX_PEERS_ASKED]:
                 if self._is_behind(wanted):
                     fetches.add(loop.create_task(self._try_fetch(host)))
                     await self._wait_for_any(fetches, NEXT_PEER_DELAY_S)
@@ -105,7 +107,7 @@
         except ChervilmillError as exc:
             log_problem("copy not fetched", step=exc.step, peer=exc.peer, error=exc.message)
 
-    def _log_behind(self, host: Address, wanted: int) -> None:
+    def _log_behind(self, host: Address, wanted: StoreVersion) -> None:
         now_s = asyncio.get_running_loop().time()
         kind = self._replica.kind
         call_open_s = self._store_state.call_open_s(kind, now_s)
@@ -115,8 +117,8 @@
             step="follow",
             peer=str(host),
             kind=kind,
-            known=self._replica.known_revision,
-            wanted=wanted,
+            known=astuple(self._replica.known_version),
+            wanted=astuple(wanted),
             call_open_s=None if call_open_s is None else round(call_open_s, 3),
             answer_age_s=None if age_s is None else round(age_s, 3),
         )
--- a/src/chervilmill/entry/_control_handlers.py
+++ b/src/chervilmill/entry/_control_handlers.py
@@ -96,7 +96,7 @@
         """Answer a peer's request for a copy."""
         kind = head.target.decode("latin-1").removeprefix("/replicas/")
         replica = self._replicas.get(kind)
-        if replica is None or not replica.as_of:
+        if replica is None or not replica.as_of.revision:
             await conn.answer(404, [], b"")
             return
         body = encode_replica(replica, is_settled=self._is_settled())
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -55,6 +55,7 @@
 
 REGISTER_TIMEOUT_S = 2.0
 REGISTER_RETRY_S = 2.0
+REGISTERED_WAIT_S = 30.0  # a watch returns the VM's own write within this time
 TICK_S = 0.25
 STALE_AFTER_S = 30.0  # the store answers a watch at least this often, even without changes
 # A stopping VM refuses new requests from this long before the end of the grace period. Requests
@@ -82,7 +83,9 @@
         self._own = own
         self._membership = Membership(settings.name, int(time.time()), rng, settings.failure_domain)
         fleet = TargetFleet(settings.name, settings.region, settings.regions, rng)
-        self._site_state = SiteState(fleet, self._membership, own, self._clock)
+        self._site_state = SiteState(
+            fleet, self._membership, own, self._clock, settings.target_heartbeat_interval_s
+        )
         self._pool = TargetPool()
         self._site_state.on_lifetime_change = self._handle_lifetime_change
         self._crashes = CrashTracker(rng.random())
@@ -91,12 +94,12 @@
         self._replicas = {kind: KindReplica(kind) for kind in KINDS}
         self._store = PlatformStore(HttpClient(settings.store), str(settings.store))
         self._sync = ReplicaSync(
-            self._store, self._replicas, self._site_state.apply_change, URGENT_KINDS
+            self._store, self._replicas, self._site_state.apply_change, URGENT_KINDS, rng
         )
         self._gossip = GossipEndpoint(
             self._membership,
             settings.gossip_port,
-            self._sync.revisions,
+            self._sync.versions,
             [
                 ReportChannel(self._crashes, encode_reports, decode_reports),
                 ReportChannel(self._limits, encode_limits, decode_limits),
@@ -207,19 +210,28 @@
             await asyncio.sleep(TICK_S)
         self._set_serving(True)
         log_event("ready", step="start", targets=len(self._site_state.view.targets))
-        await self._register()
+        await self._keep_registered()
 
-    async def _register(self) -> None:
-        """Write this VM's object to the store, where the other VMs find it."""
+    async def _keep_registered(self) -> None:
+        """Write this VM's object, where the other VMs find it, whenever the store lacks it."""
         content = EntryVmRegistration(self._own.host, self._own.failure_domain).encode()
-        while not self._site_state.is_registered():
+        while not self._stop_requested.is_set():
+            if self._site_state.is_registered():
+                await asyncio.sleep(TICK_S)
+                continue
             try:
                 await self._store.put(ENTRY_KIND, self._own.name, content, REGISTER_TIMEOUT_S)
-                return
+                await self._wait_until_registered()
             except StoreError as exc:
                 log_problem("not registered", step=exc.step, peer=exc.peer, error=exc.message)
                 await asyncio.sleep(REGISTER_RETRY_S)
 
+    async def _wait_until_registered(self) -> None:
+        """Wait for the VM's own write to return from the store, but not without end."""
+        until_s = self._clock() + REGISTERED_WAIT_S
+        while not self._site_state.is_registered() and self._clock() < until_s:
+            await asyncio.sleep(TICK_S)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -247,7 +259,7 @@
                 vms.setdefault(region, []).append(peer.name)
         self._site_state.fleet.rates.vms_by_region = vms
         fleet_size = sum(len(names) for names in vms.values())
-        for tracker in (self._crashes, self._limits, self._leaving):
+        for tracker in (self._crashes, self._limits, self._leaving, self._sync):
             tracker.fleet_size = fleet_size
 
     def _set_serving(self, is_serving: bool) -> None:
@@ -285,7 +297,7 @@
         peer = self._membership.peer(digest.sender)
         if peer is not None:
             host = Address(peer.host, self._settings.peer_address.port)
-            self._sync.handle_peer_revisions(host, digest.revisions)
+            self._sync.handle_peer_versions(host, digest.revisions)
 
     async def _stop(self) -> None:
         """Stop gracefully: leave look-ups, then refuse new requests, then finish the others."""
--- a/src/chervilmill/entry/_replica_copies.py
+++ b/src/chervilmill/entry/_replica_copies.py
@@ -7,7 +7,14 @@
 from chervilmill.aio import HttpClient
 from chervilmill.documents import decode_document
 from chervilmill.peers import KindReplica
-from chervilmill.platform import Listing, StoreError, decode_objects, encode_objects
+from chervilmill.platform import (
+    UNSTATED_ERA,
+    Listing,
+    StoreError,
+    StoreVersion,
+    decode_objects,
+    encode_objects,
+)
 
 PEER_TIMEOUT_S = 1.5
 
@@ -29,7 +36,8 @@
         client.close()
     try:
         raw = decode_document(answer.body)
-        listing = Listing(decode_objects(raw["objects"]), int(raw["as_of"]))
+        as_of = StoreVersion(int(raw.get("era", UNSTATED_ERA)), int(raw["as_of"]))
+        listing = Listing(decode_objects(raw["objects"]), as_of)
         return FetchedReplica(listing, raw.get("is_settled") is True)
     except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as exc:
         raise StoreError(repr(exc), step="read copy", peer=str(host)) from exc
@@ -39,5 +47,10 @@
     """Encode a copy in the form that `fetch_replica` reads."""
     objects = encode_objects(replica.objects.values())
     return json.dumps(
-        {"as_of": replica.as_of, "is_settled": is_settled, "objects": objects}
+        {
+            "era": replica.as_of.era,
+            "as_of": replica.as_of.revision,
+            "is_settled": is_settled,
+            "objects": objects,
+        }
     ).encode()
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -9,10 +9,15 @@
 From the acknowledgement of a change to its effect on a VM whose own call is dead, the steps are: up
 to `READER_WAIT_S` and `READER_MARGIN_S` until a reader has it, or `WATCH_PAUSE_S` where any other
 VM's call is alive, an urgent round of gossip for each hop, and the delays of `CatchUp`.
+
+A store that comes back from an older copy is listed anew, by all VMs within a time that grows with
+the fleet. What the listing lacks is handed on as missing from a restored store, not as removed.
 """
 
 import asyncio
+import random
 from collections.abc import Callable
+from dataclasses import astuple
 from enum import Enum
 
 from chervilmill.addresses import Address
@@ -26,7 +31,9 @@
     Listing,
     PlatformStore,
     StoreError,
+    StoreRestoredError,
     StoreSilentError,
+    StoreVersion,
     WatchResult,
 )
 
@@ -41,6 +48,9 @@
 # With 800 VMs, a kind that keeps changing causes at most 2,000 reads a second.
 WATCH_PAUSE_S = 0.4
 RETRY_DELAY_S = 1.0  # refused calls are paid for too
+# VMs that begin to list a restored store within a second: four kinds, of up to three pages, stay
+# within 5,000 reads a second.
+RELISTING_VMS_PER_S = 400.0
 
 # Takes the kind, the change, and until when targets that it removes may register again.
 OnChange = Callable[[str, ReplicaChange, float | None], None]
@@ -58,7 +68,7 @@
     """Follows the store with one watch for each kind, with peers as the fallback.
 
     Changes of `urgent_kinds` have to take effect within a bound. `on_urgent_change` is called after
-    each, to announce it to the other VMs.
+    each, to announce it to the other VMs. `fleet_size` is the number of VMs that follow the store.
     """
 
     def __init__(
@@ -67,6 +77,7 @@
         replicas: dict[str, KindReplica],
         on_change: OnChange,
         urgent_kinds: tuple[str, ...] = (),
+        rng: random.Random | None = None,
     ) -> None:
         self._store = store
         self._replicas = replicas
@@ -82,6 +93,8 @@
         self._silent_calls: dict[str, int] = {}
         self._to_prove: set[str] = set()
         self._is_reader = False
+        self._rng = rng or random.Random()
+        self.fleet_size = 1
         self.on_urgent_change: Callable[[], None] = lambda: None
 
     async def wait_until_loaded(self) -> None:
@@ -107,9 +120,9 @@
         """Return the time since the store last answered this VM about each kind."""
         return self._store_state.copy_ages_s(asyncio.get_running_loop().time())
 
-    def revisions(self) -> dict[str, int]:
-        """Return the revision of the last known change of each kind."""
-        return {kind: replica.last_change_revision for kind, replica in self._replicas.items()}
+    def versions(self) -> dict[str, StoreVersion]:
+        """Return the version of the last known change of each kind."""
+        return {kind: replica.last_change for kind, replica in self._replicas.items()}
 
     def set_reader(self, is_reader: bool) -> None:
         """Set whether this VM is one of those that ask the store at short intervals."""
@@ -122,16 +135,26 @@
         """Follow the changes of one kind until cancelled."""
         replica = self._replicas[kind]
         needs_list = True
+        listed_s = float("-inf")
         while True:
             try:
                 if needs_list:
                     await self._list(replica)
                     needs_list = False
+                    listed_s = asyncio.get_running_loop().time()
                 else:
                     await self._watch(replica)
-            except HistoryGoneError:
+            except HistoryGoneError as exc:
                 needs_list = True
-                log_event("history is gone", step="watch", kind=kind, as_of=replica.as_of)
+                log_event(
+                    "history is gone",
+                    step="watch",
+                    kind=kind,
+                    as_of=astuple(replica.as_of),
+                    error=exc.message,
+                )
+                since_s = asyncio.get_running_loop().time() - listed_s
+                await asyncio.sleep(self._relist_delay_s(exc, since_s))
             except StoreSilentError as exc:
                 if not self._repeats_at_once(kind):
                     self._store_state.record_failure(kind, exc)
@@ -144,16 +167,26 @@
                 log_problem("copy not followed", step="follow", peer=kind, error=repr(exc)[:256])
                 await asyncio.sleep(RETRY_DELAY_S)
 
-    def handle_peer_revisions(self, host: Address, revisions: dict[str, int]) -> None:
-        """Compare a peer's revisions with the copies held here, and catch up where behind."""
+    def _relist_delay_s(self, exc: HistoryGoneError, since_list_s: float) -> float:
+        """Return the time to wait before a list after history is gone.
+
+        A store that refuses what it has just listed would otherwise be called without a pause.
+        """
+        delay_s = max(0.0, RETRY_DELAY_S - since_list_s)
+        if isinstance(exc, StoreRestoredError):
+            delay_s += self._rng.uniform(0.0, self.fleet_size / RELISTING_VMS_PER_S)
+        return delay_s
+
+    def handle_peer_versions(self, host: Address, versions: dict[str, StoreVersion]) -> None:
+        """Compare a peer's versions with the copies held here, and catch up where behind."""
         for kind, catch_up in self._catch_ups.items():
-            catch_up.handle_revision(host, revisions.get(kind, 0))
+            catch_up.handle_version(host, versions.get(kind, StoreVersion()))
 
     async def _list(self, replica: KindReplica) -> None:
         with self._store_state.open_call(replica.kind, asyncio.get_running_loop().time()):
             listing = await self._store.list_all(replica.kind, LIST_TIMEOUT_S)
         self._record_answer(replica.kind)
-        self._apply_listing(replica, listing, self._register_again_until_s(), _Source.LIST)
+        self._apply_listing(replica, listing, _Source.LIST)
 
     async def _watch(self, replica: KindReplica) -> None:
         result = await self._call_watch(replica)
@@ -206,23 +239,42 @@
             call.cancel()
 
     def _apply_listing(
-        self, replica: KindReplica, listing: Listing, kept_until_s: float | None, source: _Source
+        self, replica: KindReplica, listing: Listing, source: _Source, *, is_settled: bool = False
     ) -> None:
+        """Apply a listing; `is_settled` says that no outage explains what is missing from it."""
+        before = replica.as_of
         change = replica.apply_listing(listing)
         if change is not None:
+            if change.is_restored:
+                self._record_restored(replica, before, change)
+            kept_until_s = None if is_settled else self._register_again_until_s()
             self._record_change(replica, change, kept_until_s, source)
         self._loaded[replica.kind].set()
 
     async def _fetch_copy(self, replica: KindReplica, host: Address) -> None:
         fetched = await fetch_replica(host, replica.kind)
-        kept_until_s = None if fetched.is_settled else self._register_again_until_s()
-        self._apply_listing(replica, fetched.listing, kept_until_s, _Source.PEER)
+        self._apply_listing(replica, fetched.listing, _Source.PEER, is_settled=fetched.is_settled)
         log_event(
             "copy fetched from a peer",
             step="catch up",
             peer=str(host),
             kind=replica.kind,
-            as_of=replica.as_of,
+            as_of=astuple(replica.as_of),
+        )
+
+    def _record_restored(
+        self, replica: KindReplica, before: StoreVersion, change: ReplicaChange
+    ) -> None:
+        self._store_state.record_restored(asyncio.get_running_loop().time())
+        log_problem(
+            "store restored",
+            step="follow",
+            peer="store",
+            kind=replica.kind,
+            before=astuple(before),
+            as_of=astuple(replica.as_of),
+            missing=len(change.removed),
+            different=len(change.written),
         )
 
     def _record_change(
@@ -238,7 +290,7 @@
                 step="follow",
                 kind=replica.kind,
                 source=source.value,
-                as_of=replica.as_of,
+                as_of=astuple(replica.as_of),
                 written=len(change.written),
                 removed=len(change.removed),
             )
--- a/src/chervilmill/entry/_site_state.py
+++ b/src/chervilmill/entry/_site_state.py
@@ -31,6 +31,11 @@
 URGENT_KINDS = (CONFIGURATION_KIND, TARGET_KIND, EVACUATION_KIND)  # take effect within a bound
 KINDS = (*URGENT_KINDS, ENTRY_KIND)
 
+# Operators and entry VMs have written again what a restored store lacks after this time.
+WRITTEN_AGAIN_S = 10.0
+# The entry of a target that is gone expires within this number of heartbeats, with one to spare.
+EXPIRY_HEARTBEATS = 4
+
 OnLifetimeChange = Callable[[Target], None]
 
 
@@ -38,6 +43,10 @@
     """The state of the site as this entry VM knows it from the store's objects.
 
     `on_lifetime_change` is called for each target that is removed or registers a new lifetime.
+    `heartbeat_s` is the interval at which targets renew their entries.
+
+    When the store comes back from an older copy, evacuations and entry VMs that it lacks are kept
+    for WRITTEN_AGAIN_S. This VM itself is not kept, so that it registers again.
     """
 
     def __init__(
@@ -46,12 +55,15 @@
         membership: Membership,
         own: Peer,
         clock: Callable[[], float],
+        heartbeat_s: float,
     ) -> None:
         self.view = SiteView()
         self.fleet = fleet
         self._membership = membership
         self._own = own
         self._clock = clock
+        self._heartbeat_s = heartbeat_s
+        self._missing_until_s: dict[tuple[str, str], float] = {}
         self._evacuated: set[str] = set()
         self._registered_vms: dict[str, Peer] = {}
         self.on_lifetime_change: OnLifetimeChange = lambda _: None
@@ -62,6 +74,8 @@
         Targets whose entries expired during an outage of the store are kept until `kept_until_s`,
         since they may register again. It is None if no outage can explain a removal.
         """
+        for stored in change.written:
+            self._missing_until_s.pop((kind, stored.name), None)
         if kind == CONFIGURATION_KIND:
             self._apply_configuration(change)
         elif kind == TARGET_KIND:
@@ -72,8 +86,16 @@
             self._apply_entry_vms(change)
 
     def drop_expired(self) -> None:
-        """Remove targets that did not register again in time after their entries expired."""
-        self._apply_view_changes(self.view.drop_expired(self._clock()))
+        """Remove targets that did not register again in time after their entries expired.
+
+        Remove as well what is still missing from a restored store.
+        """
+        now_s = self._clock()
+        self._apply_view_changes(self.view.drop_expired(now_s))
+        overdue = [key for key, until_s in self._missing_until_s.items() if until_s <= now_s]
+        for kind, name in overdue:
+            removal = ReplicaChange((), (name,), is_full_listing=False)
+            self.apply_change(kind, removal, None)
 
     def mark_leaving(self, lifetime: Lifetime) -> None:
         """Stop sending to a lifetime of a target that has announced that it is leaving."""
@@ -92,14 +114,14 @@
 
     def _apply_targets(self, change: ReplicaChange, kept_until_s: float | None) -> None:
         for stored in change.written:
-            self._apply_view_changes(self._put_target(stored))
+            self._apply_view_changes(self._put_target(stored, is_restored=change.is_restored))
         for name in change.removed:
             if kept_until_s is not None:
                 self.view.keep_expired_target(name, kept_until_s)
             if kept_until_s is None or not self.view.is_expired(name):
                 self._apply_view_changes(self.view.remove_target(name))
 
-    def _put_target(self, stored: StoredObject) -> list[ViewChange]:
+    def _put_target(self, stored: StoredObject, *, is_restored: bool) -> list[ViewChange]:
         try:
             target = read_target(stored)
         except InvalidObjectError as exc:
@@ -107,10 +129,13 @@
             return self.view.remove_target(stored.name)
         if stored.is_being_deleted:
             return self.view.remove_target(stored.name)
+        if is_restored:
+            until_s = self._clock() + EXPIRY_HEARTBEATS * self._heartbeat_s
+            return self.view.put_restored_target(target, until_s)
         return self.view.put_target(target)
 
     def _apply_evacuations(self, change: ReplicaChange) -> None:
-        self._evacuated.difference_update(change.removed)
+        self._evacuated.difference_update(self._removed_for_good(EVACUATION_KIND, change))
         for stored in change.written:
             if stored.is_being_deleted:
                 self._evacuated.discard(stored.name)
@@ -122,7 +147,7 @@
         self._apply_view_changes(self.view.set_evacuated(self._evacuated))
 
     def _apply_entry_vms(self, change: ReplicaChange) -> None:
-        for name in change.removed:
+        for name in self._removed_for_good(ENTRY_KIND, change):
             self._registered_vms.pop(name, None)
         for stored in change.written:
             try:
@@ -135,6 +160,17 @@
         self._membership.set_peers(self._registered_vms.values())
         log_event("entry VMs known", step="register", count=len(self._registered_vms))
 
+    def _removed_for_good(self, kind: str, change: ReplicaChange) -> list[str]:
+        """Return the removed names without those to keep, which a restored store only lacks."""
+        gone: list[str] = []
+        for name in change.removed:
+            if change.is_restored and name != self._own.name:
+                self._missing_until_s[(kind, name)] = self._clock() + WRITTEN_AGAIN_S
+            else:
+                self._missing_until_s.pop((kind, name), None)
+                gone.append(name)
+        return gone
+
     def _apply_view_changes(self, changes: list[ViewChange]) -> None:
         self.fleet.apply(changes, self.view, self._clock())
         for change in changes:
--- a/src/chervilmill/entry/_store_state.py
+++ b/src/chervilmill/entry/_store_state.py
@@ -52,6 +52,10 @@
             self.recovered_s = now_s
             log_event("store is back", step="watch", peer="store")
 
+    def record_restored(self, now_s: float) -> None:
+        """Record that the store came back from an older copy, which is the end of an outage."""
+        self.recovered_s = now_s
+
     def record_failure(self, kind: str, exc: StoreError) -> None:
         """Record that a call about a kind failed."""
         if not self.is_unreachable:
--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -5,11 +5,12 @@
 import cbor2
 
 from chervilmill.peers._datagrams import reading
+from chervilmill.platform import UNSTATED_ERA, StoreVersion
 
 _SERVING_FLAG = 1
 _SUSPECTED_FLAG = 2
 _CUT_OFF_FLAG = 4
-PROTOCOL_VERSION = 1  # raised with each change of what VMs send each other
+PROTOCOL_VERSION = 2  # raised with each change of what VMs send each other
 UNSTATED_PROTOCOL_VERSION = 0  # of the versions that do not state theirs
 _AGE_UNIT_S = 0.1  # a fifth of a gossip round
 
@@ -35,16 +36,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Digest:
-    """Heartbeats and the store revisions known.
+    """Heartbeats and the versions of the store known.
 
-    The first heartbeat is the sender's own. `revisions` holds, by kind of object, the store
-    revision of the last change known to the sender. `wants_reply` asks the receiver for a heartbeat
+    The first heartbeat is the sender's own. `revisions` holds, by kind of object, the version of
+    the last change known to the sender. `wants_reply` asks the receiver for a heartbeat
     of its own. `protocol_version` is the sender's.
     """
 
     sender: int
     heartbeats: tuple[HeartbeatEntry, ...]
-    revisions: dict[str, int]
+    revisions: dict[str, StoreVersion]
     wants_reply: bool = False
     protocol_version: int = PROTOCOL_VERSION
 
@@ -52,15 +53,22 @@
         """Return the digest as a datagram."""
         rows = [_encode_heartbeat(entry) for entry in self.heartbeats]
         versions = [self.protocol_version]
-        return cbor2.dumps([self.sender, rows, self.revisions, versions, self.wants_reply])
+        revisions = {kind: known.revision for kind, known in self.revisions.items()}
+        eras = {kind: known.era for kind, known in self.revisions.items() if known.era}
+        return cbor2.dumps([self.sender, rows, revisions, versions, self.wants_reply, eras])
 
 
 def decode_digest(data: bytes, peer: str) -> Digest:
     """Return the digest in a datagram, or raise MalformedDigestError."""
     with reading("read digest", peer):
-        sender, rows, revisions, versions, wants_reply = cbor2.loads(data)[:5]
+        message = cbor2.loads(data)
+        sender, rows, revisions, versions, wants_reply = message[:5]
+        eras = dict(message[5]) if len(message) > 5 else {}  # unstated by earlier versions
         heartbeats = tuple(_decode_heartbeat(row) for row in rows)
-        known_revisions = {str(kind): int(revision) for kind, revision in revisions.items()}
+        known_revisions = {
+            str(kind): StoreVersion(int(eras.get(kind, UNSTATED_ERA)), int(revision))
+            for kind, revision in revisions.items()
+        }
         version = int(versions[0]) if versions else UNSTATED_PROTOCOL_VERSION
         return Digest(int(sender), heartbeats, known_revisions, bool(wants_reply), version)
 
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -10,6 +10,7 @@
 from chervilmill.logs import log_event, log_problem
 from chervilmill.peers._digest import PROTOCOL_VERSION, Digest, decode_digest
 from chervilmill.peers._membership import ROUND_S, Membership
+from chervilmill.platform import StoreVersion
 
 LEAVING_REPEATS = 3  # a single datagram may get lost
 URGENT_ROUND_S = 0.1  # a fifth of a round; gathers the reports on one event
@@ -75,7 +76,7 @@
         self,
         membership: Membership,
         port: int,
-        revisions: Callable[[], dict[str, int]],
+        revisions: Callable[[], dict[str, StoreVersion]],
         channels: Sequence[ReportChannel[Any]],
         on_digest: Callable[[Digest], None],
     ) -> None:
--- a/src/chervilmill/peers/_membership.py
+++ b/src/chervilmill/peers/_membership.py
@@ -20,6 +20,7 @@
 from chervilmill.peers._digest import Digest, HeartbeatEntry
 from chervilmill.peers._dissemination import MAX_UPDATES_PER_DIGEST, TableCursor, UpdateQueue
 from chervilmill.peers._ring import WatchRing
+from chervilmill.platform import StoreVersion
 
 ROUND_S = 0.5  # SUSPECT_AFTER_S spans three rounds
 RANDOM_FANOUT = 1  # random peers that receive a digest each round, besides the watchers
@@ -96,7 +97,7 @@
         self._watched: frozenset[int] = frozenset()
         self._probed: set[int] = set()
         self._last_round_s: float | None = None
-        self._revisions: dict[str, int] = {}
+        self._revisions: dict[str, StoreVersion] = {}
 
     def set_peers(self, peers: Iterable[Peer]) -> None:
         """Replace the known peers by the entry VMs that are registered in the store."""
@@ -132,7 +133,7 @@
         """Send to more peers in the next rounds, as there is something new to tell."""
         self._queue_update(self._key)  # adds no entry
 
-    def digest(self, revisions: dict[str, int], now_s: float) -> Digest:
+    def digest(self, revisions: dict[str, StoreVersion], now_s: float) -> Digest:
         """Return the digest to send in this round."""
         if revisions != self._revisions:
             self._revisions = dict(revisions)
--- a/src/chervilmill/peers/_replica.py
+++ b/src/chervilmill/peers/_replica.py
@@ -1,9 +1,9 @@
-"""Local copies of the store's objects, each as of a revision of the store."""
+"""Local copies of the store's objects, each as of a version of the store."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from chervilmill.platform import Listing, StoredObject, WatchResult
+from chervilmill.platform import Listing, StoredObject, StoreVersion, WatchResult
 
 
 @dataclass(frozen=True, slots=True)
@@ -11,47 +11,50 @@
     """The objects written and the names removed when a copy applies a listing or events.
 
     With `is_full_listing`, an object that is removed was only missing from the listing; no event
-    reported its removal.
+    reported its removal. With `is_restored`, the listing is the first one after the store came back
+    from an older copy, which may lack what its writers have yet to write again.
     """
 
     written: tuple[StoredObject, ...]
     removed: tuple[str, ...]
     is_full_listing: bool
+    is_restored: bool = False
 
 
 class KindReplica:
     """A copy of all objects of one kind; an older state never replaces a newer state.
 
-    `as_of` is the store revision that the copy reflects. `last_change_revision` is the revision of
-    the last change known, by which VMs compare their copies.
+    `as_of` is the version of the store that the copy reflects. `last_change` is the version of the
+    last change known, by which VMs compare their copies.
     """
 
-    __slots__ = ("as_of", "last_change_revision", "kind", "objects")
+    __slots__ = ("as_of", "kind", "last_change", "objects")
 
     def __init__(self, kind: str) -> None:
         self.kind = kind
         self.objects: dict[str, StoredObject] = {}
-        self.as_of = 0
-        self.last_change_revision = 0
+        self.as_of = StoreVersion()
+        self.last_change = StoreVersion()
 
     @property
-    def known_revision(self) -> int:
-        """Return the revision up to which every change is known.
+    def known_version(self) -> StoreVersion:
+        """Return the version up to which every change is known.
 
-        A listing shows no removals, so its own revision may be above that of the last known change.
+        A listing shows no removals, so its own version may be above that of the last known change.
         """
-        return max(self.as_of, self.last_change_revision)
+        return max(self.as_of, self.last_change)
 
     def apply_listing(self, listing: Listing) -> ReplicaChange | None:
         """Replace the copy and return the change, or None if the listing is older than the copy."""
         if listing.as_of < self.as_of:
             return None
+        is_restored = self.as_of.revision > 0 and listing.as_of.era > self.as_of.era
         self.as_of = listing.as_of
         written, removed = _difference(self.objects, listing.objects)
         self.objects = dict(listing.objects)
         newest = max((stored.revision for stored in listing.objects.values()), default=0)
-        self.last_change_revision = max(self.last_change_revision, newest)
-        return ReplicaChange(written, removed, is_full_listing=True)
+        self._record_change(newest)
+        return ReplicaChange(written, removed, is_full_listing=True, is_restored=is_restored)
 
     def apply_events(self, result: WatchResult) -> ReplicaChange | None:
         """Apply events and return the change, or None if the events end before the copy."""
@@ -62,7 +65,7 @@
         removed: dict[str, None] = {}
         for event in result.events:
             name = event.stored.name
-            self.last_change_revision = max(self.last_change_revision, event.stored.revision)
+            self._record_change(event.stored.revision)
             if event.is_removed or event.stored.is_being_deleted:
                 self.objects.pop(name, None)
                 written.pop(name, None)
@@ -73,6 +76,9 @@
                 written[name] = event.stored
         return ReplicaChange(tuple(written.values()), tuple(removed), is_full_listing=False)
 
+    def _record_change(self, revision: int) -> None:
+        self.last_change = max(self.last_change, StoreVersion(self.as_of.era, revision))
+
 
 def _difference(
     old: Mapping[str, StoredObject], new: Mapping[str, StoredObject]
--- a/src/chervilmill/platform/_store.py
+++ b/src/chervilmill/platform/_store.py
@@ -3,6 +3,9 @@
 A failed call states whether it may have been executed: StoreError sets `is_outcome_unknown` for a
 write that may have been. A read for which the caller allows a stale answer may be out of date by
 up to seconds, and costs a tenth of the price of any other read.
+
+The store may come back from an older copy. It then loses what was written since, gives revisions
+out again, and states a higher era. A revision is therefore only compared within an era.
 """
 
 import json
@@ -15,6 +18,9 @@
 from chervilmill.documents import decode_document
 from chervilmill.errors import ChervilmillError
 
+_ERA_HEADER = b"store-era"
+UNSTATED_ERA = 0  # of answers that state none
+MAX_ERA_DIGITS = 18
 MAX_PAGES = 200  # of about 500 objects each: more than the largest site has
 
 
@@ -32,6 +38,10 @@
     """Raised if the store no longer has the changes since a revision; a full list is needed."""
 
 
+class StoreRestoredError(HistoryGoneError):
+    """Raised if the store came back from an older copy; a full list is needed."""
+
+
 class StoreSilentError(StoreError):
     """Raised if no answer came in time; the connection, or the store itself, may be silent."""
 
@@ -47,6 +57,14 @@
     ) -> HttpAnswer: ...
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StoreVersion:
+    """A state of the store: its era, and its revision within that era."""
+
+    era: int = UNSTATED_ERA
+    revision: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class StoredObject:
     """One object; `content` is what its writer stored, empty if that is not a JSON object."""
@@ -59,10 +77,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind as of a revision of the store."""
+    """All objects of a kind as of a version of the store."""
 
     objects: dict[str, StoredObject]
-    as_of: int
+    as_of: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,10 +93,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchResult:
-    """The changes since a revision, and the revision from which to watch next."""
+    """The changes since a version, and the version from which to watch next."""
 
     events: tuple[WatchEvent, ...]
-    as_of: int
+    as_of: StoreVersion
 
 
 class PlatformStore:
@@ -92,34 +110,44 @@
         self.calls = 0
 
     async def list_all(self, kind: str, timeout_s: float, *, allow_stale: bool = False) -> Listing:
-        """Return every object of a kind, as of the revision that the first page states."""
+        """Return every object of a kind, as of the version that the first page states."""
         objects: dict[str, StoredObject] = {}
-        as_of = 0
+        as_of: StoreVersion | None = None
         query: dict[str, str] = {"serializable": "1"} if allow_stale else {}
         for _ in range(MAX_PAGES):
-            page = await self._get(kind, query, timeout_s)
+            era, page = await self._get(kind, query, timeout_s)
             objects.update({stored.name: stored for stored in _parse_objects(page.get("items"))})
-            as_of = as_of or _parse_revision(page.get("as-of"))
+            as_of = as_of or StoreVersion(era, _parse_revision(page.get("as-of")))
+            if era != as_of.era:
+                raise self._store_error(f"list {kind}", "the pages are of several eras")
             if not page.get("more") or not objects:
                 return Listing(objects, as_of)
             query["after"] = max(objects)
         raise self._store_error(f"list {kind}", "the list has too many pages")
 
     async def watch(
-        self, kind: str, since: int, wait_s: float, timeout_margin_s: float, *, allow_stale: bool
+        self,
+        kind: str,
+        since: StoreVersion,
+        wait_s: float,
+        timeout_margin_s: float,
+        *,
+        allow_stale: bool,
     ) -> WatchResult:
-        """Return the changes of a kind since a revision, waiting up to `wait_s` for the first.
+        """Return the changes of a kind since a version, waiting up to `wait_s` for the first.
 
-        `timeout_margin_s` is the time allowed for the answer beyond the wait.
+        `timeout_margin_s` is the time allowed for the answer beyond the wait. Raise
+        StoreRestoredError if the store is in a later era.
         """
-        query = {"watch": str(since), "wait-ms": str(int(wait_s * 1000))}
+        query = {"watch": str(since.revision), "wait-ms": str(int(wait_s * 1000))}
         if allow_stale:
             query["serializable"] = "1"
-        raw = await self._get(kind, query, wait_s + timeout_margin_s)
+        era, raw = await self._get(kind, query, wait_s + timeout_margin_s, since.era)
         events = raw.get("events")
         parsed = [_parse_event(item) for item in events if isinstance(item, dict)] if events else []
         valid = tuple(event for event in parsed if event is not None)
-        return WatchResult(valid, _parse_revision(raw.get("as-of")) or since)
+        revision = _parse_revision(raw.get("as-of")) or since.revision
+        return WatchResult(valid, StoreVersion(era, revision))
 
     async def put(self, kind: str, name: str, content: dict[str, Any], timeout_s: float) -> None:
         """Create an object, or replace it whatever its revision."""
@@ -139,20 +167,29 @@
         if answer.status != 404:
             self._raise_for_status(step, answer)
 
-    async def _get(self, kind: str, query: dict[str, str], timeout_s: float) -> dict[str, Any]:
+    async def _get(
+        self, kind: str, query: dict[str, str], timeout_s: float, known_era: int | None = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Return the era and the body of an answer, which must be of the known era, if any."""
         step = f"read {kind}"
         path = f"/v1/objects/{quote(kind)}"
         if query:
             path += f"?{urlencode(query, errors='surrogatepass')}"  # names of other writers
         answer = await self._call(step, "GET", path, b"", timeout_s)
+        era = self._read_era(step, answer)
+        if known_era is not None and era > known_era:
+            message = f"the store is in era {era} after era {known_era}"
+            raise StoreRestoredError(message, step=step, peer=self._peer)
         self._raise_for_status(step, answer)
+        if known_era is not None and era < known_era:
+            raise self._store_error(step, f"the answer is of era {era}, before era {known_era}")
         try:
             decoded = decode_document(answer.body)
         except ValueError as exc:
             raise self._store_error(step, f"the answer is not JSON: {exc}") from exc
         if not isinstance(decoded, dict):
             raise self._store_error(step, "the answer is not an object")
-        return decoded
+        return era, decoded
 
     async def _call(
         self, step: str, method: str, path: str, body: bytes, timeout_s: float
@@ -169,6 +206,14 @@
                 str(exc), step=step, peer=self._peer, is_outcome_unknown=is_outcome_unknown
             ) from exc
 
+    def _read_era(self, step: str, answer: HttpAnswer) -> int:
+        stated = dict(answer.headers).get(_ERA_HEADER)
+        if stated is None:
+            return UNSTATED_ERA
+        if not stated.isdigit() or len(stated) > MAX_ERA_DIGITS:
+            raise self._store_error(step, f"the era {stated[:40]!r} is not a number")
+        return int(stated)
+
     def _raise_for_status(self, step: str, answer: HttpAnswer) -> None:
         if answer.status == 410:
             raise HistoryGoneError("history is gone", step=step, peer=self._peer)
--- a/src/chervilmill/routing/_view.py
+++ b/src/chervilmill/routing/_view.py
@@ -5,6 +5,10 @@
 the store are kept for a short time, because live targets register again. Targets that were seen
 draining are not kept. A target that said in an answer that it is leaving counts as draining for
 the rest of its lifetime, whatever its entry says.
+
+A store that comes back from an older copy shows some entries as they were. What was known to leave
+goes on leaving. A lifetime that was removed is withheld until its entry is written again, or until
+the entry would have expired if the target were gone.
 """
 
 from collections.abc import Iterable
@@ -13,6 +17,7 @@
 from chervilmill.routing._model import Configuration, Target
 
 MAX_KNOWN_LEAVING = 4096
+MAX_KNOWN_REMOVED = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +57,15 @@
 class SiteView:
     """The configuration, the targets and the evacuated failure domains."""
 
-    __slots__ = ("configuration", "evacuated", "targets", "_kept_until_s", "_leaving")
+    __slots__ = (
+        "configuration",
+        "evacuated",
+        "targets",
+        "_kept_until_s",
+        "_leaving",
+        "_removed",
+        "_withheld",
+    )
 
     def __init__(self) -> None:
         self.configuration: Configuration | None = None
@@ -60,6 +73,8 @@
         self.evacuated: frozenset[str] = frozenset()
         self._kept_until_s: dict[str, float] = {}
         self._leaving: dict[tuple[str, int], None] = {}
+        self._removed: dict[tuple[str, int], None] = {}
+        self._withheld: dict[str, tuple[Target, float]] = {}
 
     def apply_configuration(self, new: Configuration) -> list[ViewChange]:
         """Apply a configuration if it is newer than the present one."""
@@ -72,6 +87,8 @@
     def put_target(self, target: Target) -> list[ViewChange]:
         """Add or update a target from its entry."""
         self._kept_until_s.pop(target.name, None)
+        self._withheld.pop(target.name, None)
+        self._removed.pop((target.name, target.incarnation), None)
         if (target.name, target.incarnation) in self._leaving:
             target = replace(target, is_draining=True)
         present = self.targets.get(target.name)
@@ -81,6 +98,23 @@
         is_same_lifetime = present is not None and present.incarnation == target.incarnation
         return [TargetChanged(target, present if is_same_lifetime else None)]
 
+    def put_restored_target(self, target: Target, withheld_until_s: float) -> list[ViewChange]:
+        """Add or update a target from an entry that may be older than what is known of it."""
+        present = self.targets.get(target.name)
+        if present is not None and present.incarnation > target.incarnation:
+            self._kept_until_s.setdefault(target.name, withheld_until_s)
+            return []
+        if (target.name, target.incarnation) in self._removed:
+            self._withheld[target.name] = (target, withheld_until_s)
+            return []
+        if (
+            present is not None
+            and present.incarnation == target.incarnation
+            and present.is_draining
+        ):
+            self.mark_leaving(target.name, target.incarnation)
+        return self.put_target(target)
+
     def mark_leaving(self, name: str, incarnation: int) -> list[ViewChange]:
         """Record that a lifetime of a target is leaving, also if its entry is not known yet."""
         if len(self._leaving) >= MAX_KNOWN_LEAVING:
@@ -95,8 +129,14 @@
     def remove_target(self, name: str) -> list[ViewChange]:
         """Remove a target whose entry was removed."""
         self._kept_until_s.pop(name, None)
+        self._withheld.pop(name, None)
         present = self.targets.pop(name, None)
-        return [TargetRemoved(present)] if present else []
+        if present is None:
+            return []
+        if len(self._removed) >= MAX_KNOWN_REMOVED:
+            del self._removed[next(iter(self._removed))]
+        self._removed[(name, present.incarnation)] = None
+        return [TargetRemoved(present)]
 
     def keep_expired_target(self, name: str, until_s: float) -> None:
         """Keep a target for a short time after its entry expired during an outage of the store."""
@@ -108,9 +148,14 @@
         return name in self._kept_until_s
 
     def drop_expired(self, now_s: float) -> list[ViewChange]:
-        """Remove the targets whose entries expired and that did not register again in time."""
+        """Remove the targets whose entries expired and that did not register again in time.
+
+        Add the withheld targets whose entries did not expire.
+        """
         overdue = [name for name, until_s in self._kept_until_s.items() if until_s <= now_s]
-        return [change for name in overdue for change in self.remove_target(name)]
+        changes = [change for name in overdue for change in self.remove_target(name)]
+        alive = [target for target, until_s in self._withheld.values() if until_s <= now_s]
+        return changes + [change for target in alive for change in self.put_target(target)]
 
     def set_evacuated(self, domains: Iterable[str]) -> list[ViewChange]:
         """Replace the set of evacuated failure domains."""
--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -141,7 +141,7 @@
 
     def _new_endpoint(self) -> GossipEndpoint:
         endpoint = GossipEndpoint(
-            self.membership, PEER_PORT, self.sync.revisions, [], self._handle_digest
+            self.membership, PEER_PORT, self.sync.versions, [], self._handle_digest
         )
         endpoint.connection_made(_Link(self._fleet, self.peer.host))
         self.sync.on_urgent_change = endpoint.announce_revisions
@@ -168,7 +168,7 @@
         _ASKING_VM.set(self.number)
         peer = self.membership.peer(digest.sender)
         if peer is not None:
-            self.sync.handle_peer_revisions(Address(peer.host, PEER_PORT), digest.revisions)
+            self.sync.handle_peer_versions(Address(peer.host, PEER_PORT), digest.revisions)
 
 
 class _Link(asyncio.DatagramTransport):
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -87,7 +87,7 @@
         last_candidate=candidate,
         attempt=_attempt(target),
     )
-    site_state = SiteState(fleet, Membership("vm", 1, random.Random(1)), OWN, lambda: SENT_S)
+    site_state = SiteState(fleet, Membership("vm", 1, random.Random(1)), OWN, lambda: SENT_S, 1.5)
     site_state.view.put_target(target)
     site_state.view.put_target(replace(target, name="u", failure_domain="north-b"))
     crashes = CrashTracker()
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -13,7 +13,7 @@
 from chervilmill.entry._replica_copies import FetchedReplica
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.peers import KindReplica, ReplicaChange
-from chervilmill.platform import Listing, PlatformStore
+from chervilmill.platform import Listing, PlatformStore, StoreVersion
 
 KIND = "servers"
 PLAYED_S = 2.0
@@ -136,7 +136,7 @@
     replica = KindReplica(KIND)
 
     async def fetch(host: Address, kind: str) -> FetchedReplica:
-        return FetchedReplica(Listing({}, 20), is_settled)
+        return FetchedReplica(Listing({}, StoreVersion(0, 20)), is_settled)
 
     monkeypatch.setattr(_replica_sync, "fetch_replica", fetch)
 
@@ -146,7 +146,7 @@
         following = asyncio.create_task(sync.run(KIND))
         await asyncio.sleep(0.05)
         assert sync.is_store_unreachable
-        sync.handle_peer_revisions(Address("127.0.0.1", 1), {KIND: 20})
+        sync.handle_peer_versions(Address("127.0.0.1", 1), {KIND: StoreVersion(0, 20)})
         await asyncio.sleep(0.1)
         following.cancel()
 
--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -25,6 +25,7 @@
     encode_reports,
 )
 from chervilmill.peers._digest import decode_digest
+from chervilmill.platform import StoreVersion
 from chervilmill.requests import CrashReport, Lifetime, ReportedLoss
 
 BY_VERSION: dict[str, dict[str, str]] = json.loads(
@@ -65,7 +66,7 @@
             11, 3, 5, True, is_cut_off=version == FIRST_VERSION_THAT_ANNOUNCES_CUTS, age_s=0.2
         ),
     )
-    revisions = {"servers": 12, "config": 3}
+    revisions = {"servers": StoreVersion(0, 12), "config": StoreVersion(0, 3)}
     return Digest(7, heartbeats, revisions, wants_reply=True, protocol_version=0)
 
 
--- a/tests/peers/test_endpoint.py
+++ b/tests/peers/test_endpoint.py
@@ -26,13 +26,16 @@
     decode_reports,
     encode_reports,
 )
-from chervilmill.peers._digest import UNSTATED_PROTOCOL_VERSION
+from chervilmill.peers._digest import PROTOCOL_VERSION, UNSTATED_PROTOCOL_VERSION
 from chervilmill.peers._endpoint import LEAVING_REPEATS
 from chervilmill.peers._limit_reports import REPORTS_PER_DATAGRAM, decode_limits, encode_limits
 from chervilmill.peers._membership import ROUND_S
+from chervilmill.platform import StoreVersion
 from chervilmill.requests import CrashReport, Lifetime, ReportedLoss
 from tests.support import free_address
 
+LATER_VERSION = PROTOCOL_VERSION + 1
+
 CONVERGENCE_S = 3.0
 MAX_DATAGRAM_BYTES = 1400
 
@@ -70,7 +73,7 @@
         self.endpoint = GossipEndpoint(
             self.membership,
             port,
-            lambda: {"config": 7},
+            lambda: {"config": StoreVersion(0, 7)},
             [ReportChannel(self.reports, encode_reports, decode_reports)],
             self.received.append,
         )
@@ -111,7 +114,9 @@
         async with _gossiping_nodes(5) as nodes:
             for node in nodes:
                 await _wait_until_all_see(nodes, node, MemberState.SERVING)
-            assert {"config": 7} in [digest.revisions for digest in nodes[0].received]
+            assert {"config": StoreVersion(0, 7)} in [
+                digest.revisions for digest in nodes[0].received
+            ]
             leaving = asyncio.create_task(nodes[2].endpoint.announce_leaving())
             await asyncio.sleep(ROUND_S / LEAVING_REPEATS)
             await _wait_until_all_see(nodes, nodes[2], MemberState.IDLE)
@@ -218,11 +223,14 @@
 
     async def scenario() -> None:
         async with _gossiping_nodes(2) as nodes:
-            for version in (UNSTATED_PROTOCOL_VERSION, UNSTATED_PROTOCOL_VERSION, 2, 2):
+            for version in (*[UNSTATED_PROTOCOL_VERSION] * 2, *[LATER_VERSION] * 2):
                 for name in ("vm-1", "stranger"):
                     heartbeat = HeartbeatEntry(peer_key(name), 1, 1, True)
                     digest = Digest(heartbeat.key, (heartbeat,), {}, protocol_version=version)
                     nodes[0].endpoint.datagram_received(digest.encode(), ("127.0.4.2", 1))
 
     asyncio.run(scenario())
-    assert [fields["protocol_version"] for fields in logged] == [UNSTATED_PROTOCOL_VERSION, 2]
+    assert [fields["protocol_version"] for fields in logged] == [
+        UNSTATED_PROTOCOL_VERSION,
+        LATER_VERSION,
+    ]
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -14,7 +14,7 @@
 )
 from chervilmill.peers._digest import decode_digest
 from chervilmill.peers._membership import ROUND_S
-from chervilmill.platform import Listing, StoredObject, WatchEvent, WatchResult
+from chervilmill.platform import Listing, StoredObject, StoreVersion, WatchEvent, WatchResult
 
 MAX_DETECTION_S = 7.0  # a look-up must not return a VM that has been dead for longer
 SEED = 4
@@ -77,9 +77,17 @@
         decode_digest(data, "10.0.0.1")
 
 
-def test_digest_survives_encoding_and_decoding() -> None:
+@pytest.mark.parametrize(
+    "revisions",
+    [
+        {},
+        {"config": StoreVersion(0, 4)},
+        {"config": StoreVersion(3, 4), "servers": StoreVersion(2, 9), "others": StoreVersion(0, 1)},
+    ],
+)
+def test_digest_survives_encoding_and_decoding(revisions: dict[str, StoreVersion]) -> None:
     membership = Membership("vm", 5, random.Random(1))
-    digest = membership.digest({"config": 4}, 0.0)
+    digest = membership.digest(revisions, 0.0)
     assert isinstance(digest, Digest)
     assert decode_digest(digest.encode(), "x") == digest
 
@@ -90,17 +98,40 @@
 
 def test_replica_applies_only_newer_listings_and_events() -> None:
     replica = KindReplica("kind")
-    change = replica.apply_listing(Listing({"a": _stored("a", 3), "b": _stored("b", 4)}, 5))
+    change = replica.apply_listing(
+        Listing({"a": _stored("a", 3), "b": _stored("b", 4)}, StoreVersion(0, 5))
+    )
     assert change is not None
     assert {stored.name for stored in change.written} == {"a", "b"}
     removed = WatchEvent(_stored("a", 6), True)
-    change = replica.apply_events(WatchResult((removed, WatchEvent(_stored("c", 7), False)), 7))
+    change = replica.apply_events(
+        WatchResult((removed, WatchEvent(_stored("c", 7), False)), StoreVersion(0, 7))
+    )
     assert change is not None
     assert change.removed == ("a",)
     assert sorted(replica.objects) == ["b", "c"]
-    assert replica.apply_listing(Listing({"a": _stored("a", 3)}, 5)) is None
-    assert replica.apply_events(WatchResult((), 6)) is None
-    assert (replica.as_of, replica.last_change_revision) == (7, 7)
-    change = replica.apply_listing(Listing({"c": _stored("c", 7)}, 9))
+    assert replica.apply_listing(Listing({"a": _stored("a", 3)}, StoreVersion(0, 5))) is None
+    assert replica.apply_events(WatchResult((), StoreVersion(0, 6))) is None
+    assert (replica.as_of, replica.last_change) == (StoreVersion(0, 7),) * 2
+    change = replica.apply_listing(Listing({"c": _stored("c", 7)}, StoreVersion(0, 9)))
     assert change is not None
     assert change.removed == ("b",)
+
+
+def test_copy_of_a_restored_store_replaces_one_with_higher_revisions() -> None:
+    """The copy stayed as it was for good, and with it the configuration."""
+    replica = KindReplica("kind")
+    before = Listing({"a": _stored("a", 90), "b": _stored("b", 100)}, StoreVersion(1, 100))
+    replica.apply_listing(before)
+    change = replica.apply_listing(Listing({"a": _stored("a", 50)}, StoreVersion(2, 60)))
+    assert change is not None
+    assert change.is_restored
+    assert change.removed == ("b",)
+    assert replica.known_version == StoreVersion(2, 60)
+    assert replica.apply_listing(before) is None
+    assert replica.apply_events(WatchResult((), StoreVersion(1, 101))) is None
+    later = WatchEvent(_stored("b", 61), False)
+    change = replica.apply_events(WatchResult((later,), StoreVersion(2, 61)))
+    assert change is not None
+    assert replica.last_change == StoreVersion(2, 61)
+    assert not change.is_restored
--- a/tests/peers/test_membership_at_scale.py
+++ b/tests/peers/test_membership_at_scale.py
@@ -9,6 +9,7 @@
 from chervilmill.peers._dissemination import MAX_UPDATES_PER_DIGEST
 from chervilmill.peers._membership import ROUND_S
 from chervilmill.peers._ring import WATCHERS_PER_VM, WatchRing
+from chervilmill.platform import StoreVersion
 
 MAX_DETECTION_S = 7.0  # a look-up must not return a VM that has been dead for longer
 MAX_DATAGRAM_BYTES = 1400  # a larger datagram is fragmented, and lost with any of its fragments
@@ -108,7 +109,8 @@
         other._counter = 10_000_000
         membership.receive(other.digest({}, 0.0), 100.0)
     membership.begin_round(100.0)
-    digest = membership.digest(dict.fromkeys(["k" * 20, "l" * 20, "m" * 20, "n" * 20], 10**9), 9e4)
+    kinds = ["k" * 20, "l" * 20, "m" * 20, "n" * 20]
+    digest = membership.digest(dict.fromkeys(kinds, StoreVersion(10**3, 10**9)), 9e4)
     assert len(digest.heartbeats) > MAX_UPDATES_PER_DIGEST
     assert len(digest.encode()) <= MAX_DATAGRAM_BYTES
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,6 +11,8 @@
     PlatformStore,
     StoredObject,
     StoreError,
+    StoreRestoredError,
+    StoreVersion,
     decode_objects,
     encode_objects,
 )
@@ -35,8 +37,9 @@
     return {"metadata": {"name": name, "revision": revision}, "specification": {"n": name}}
 
 
-def _answer(value: object, status: int = 200) -> HttpAnswer:
-    return HttpAnswer(status, json.dumps(value).encode())
+def _answer(value: object, status: int = 200, era: str | None = None) -> HttpAnswer:
+    headers = () if era is None else ((b"store-era", era.encode()),)
+    return HttpAnswer(status, json.dumps(value).encode(), headers)
 
 
 LOST = ExchangeError("no answer", step="GET", peer="store")
@@ -49,7 +52,7 @@
     )
     listing = asyncio.run(PlatformStore(script, "store").list_all("servers", 1.0))
     assert sorted(listing.objects) == ["a", "b", "c"]
-    assert listing.as_of == 7
+    assert listing.as_of == StoreVersion(0, 7)
     assert script.calls[1][1].endswith("after=b")
 
 
@@ -57,9 +60,9 @@
     events = [{"object": _item("a", 8), "deleted": True}, "?", {"object": 3}, {"deleted": False}]
     script = _ScriptedExchange(_answer({"events": events, "as-of": 8}))
     store = PlatformStore(script, "store")
-    result = asyncio.run(store.watch("servers", 7, 5.0, 1.0, allow_stale=True))
+    result = asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
     assert [(event.stored.name, event.is_removed) for event in result.events] == [("a", True)]
-    assert result.as_of == 8
+    assert result.as_of == StoreVersion(0, 8)
     assert "serializable=1" in script.calls[0][1]
 
 
@@ -77,7 +80,7 @@
 def test_failed_reads_raise(reply: Reply, error: type[Exception]) -> None:
     store = PlatformStore(_ScriptedExchange(reply), "store")
     with pytest.raises(error) as caught:
-        asyncio.run(store.watch("servers", 7, 5.0, 1.0, allow_stale=True))
+        asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
     assert isinstance(caught.value, StoreError)
     assert not caught.value.is_outcome_unknown
 
@@ -117,3 +120,41 @@
 @pytest.mark.parametrize("value", [None, 3, [3], [{}], [{"metadata": {"name": 3}}]])
 def test_unreadable_copies_hold_no_objects(value: object) -> None:
     assert decode_objects(value) == {}
+
+
+EVENT = {"events": [{"object": _item("a", 8), "deleted": False}], "as-of": 8}
+
+
+def test_era_stands_beside_each_revision() -> None:
+    script = _ScriptedExchange(
+        _answer({"items": [_item("a")], "as-of": 7}, era="3"), _answer(EVENT, era="3")
+    )
+    store = PlatformStore(script, "store")
+    assert asyncio.run(store.list_all("servers", 1.0)).as_of == StoreVersion(3, 7)
+    result = asyncio.run(store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True))
+    assert result.as_of == StoreVersion(3, 8)
+
+
+# Such events skip what the store wrote under the revisions that it gave out again.
+@pytest.mark.parametrize("reply", [_answer(EVENT, era="4"), _answer({}, 410, era="4")])
+def test_watch_answered_in_a_later_era_calls_for_a_list(reply: HttpAnswer) -> None:
+    store = PlatformStore(_ScriptedExchange(reply), "store")
+    with pytest.raises(StoreRestoredError):
+        asyncio.run(store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True))
+
+
+@pytest.mark.parametrize("era", [None, "2", "-1", "x", "", "4.0", "9" * 400])
+def test_answer_of_an_earlier_or_unreadable_era_changes_nothing(era: str | None) -> None:
+    store = PlatformStore(_ScriptedExchange(_answer(EVENT, era=era)), "store")
+    with pytest.raises(StoreError) as caught:
+        asyncio.run(store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True))
+    assert not isinstance(caught.value, HistoryGoneError)
+
+
+def test_pages_of_two_eras_are_no_list() -> None:
+    script = _ScriptedExchange(
+        _answer({"items": [_item("a")], "more": True, "as-of": 7}, era="3"),
+        _answer({"items": [_item("b")], "as-of": 5}, era="4"),
+    )
+    with pytest.raises(StoreError):
+        asyncio.run(PlatformStore(script, "store").list_all("servers", 1.0))
