--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -42,6 +42,9 @@
     `exchanges` counts the exchanges begun, and `has_answer_head` is true once the head of the
     present answer has arrived. Between two exchanges, `idle_since_s` and `idle_until_s` bound the
     time in which the connection may be reused, as readings of the event loop's clock.
+
+    The request is written by the parser with which its exchange began. An answer to another request
+    replaces only the parser that reads, since a part of the body may still have to be sent.
     """
 
     def __init__(self) -> None:
@@ -52,6 +55,7 @@
         self.has_answer_head = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._method = b"GET"
+        self._sending_h11 = self._h11
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the options of its socket."""
@@ -70,6 +74,7 @@
         self.exchanges += 1
         self.has_answer_head = False
         self._method = method
+        self._sending_h11 = self._h11
         self._send_event(h11.Request(method=method, target=path, headers=headers))
         await self._flush()
 
@@ -104,7 +109,10 @@
         raise self._exchange_error("read body", "the connection ended within the answer")
 
     def discard_answer(self) -> None:
-        """Drop the answer just read, which belongs to another request, and expect a further one."""
+        """Drop the answer just read, which belongs to another request, and expect a further one.
+
+        The request goes on being sent; what is still due of it is not affected.
+        """
         trailing, has_ended = self._h11.trailing_data
         replacement = h11.Connection(h11.CLIENT)
         replacement.send(h11.Request(method=self._method, target=b"/", headers=[(b"host", b"-")]))
@@ -117,7 +125,8 @@
 
     def finish_exchange(self, now_s: float) -> bool:
         """End the exchange and return whether the connection can carry another."""
-        is_whole = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        is_sent = self._sending_h11.our_state is h11.DONE
+        is_whole = is_sent and self._h11.their_state is h11.DONE
         trailing, _ = self._h11.trailing_data
         if not is_whole or trailing or self.is_lost or self.has_ended:
             return False
@@ -157,7 +166,7 @@
         if self.is_lost:
             raise self._exchange_error("send", "the connection was reset")
         try:
-            self._write(event)
+            self._write(event, self._sending_h11)
         except h11.LocalProtocolError as exc:
             raise self._exchange_error("send", str(exc)) from exc
 
--- a/src/chervilmill/aio/_flow.py
+++ b/src/chervilmill/aio/_flow.py
@@ -109,8 +109,8 @@
         self._changed.clear()
         await self._changed.wait()
 
-    def _write(self, event: Any) -> None:
-        data = self._h11.send(event)
+    def _write(self, event: Any, h11_connection: h11.Connection | None = None) -> None:
+        data = (h11_connection or self._h11).send(event)
         if data and self._transport is not None and not self.is_lost:
             self._transport.write(data)
 
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -91,7 +91,11 @@
     """One entry VM that runs in this process, and a client for it."""
 
     def __init__(
-        self, entries: list[Vm], targets: list[Vm], store: MemoryStore, name: str = "entry-1"
+        self,
+        entries: list[Vm],
+        targets: list[Vm],
+        store: MemoryStore,
+        name: str = "entry-1",
     ) -> None:
         raw = raw_settings(name, Address("127.0.0.1", 1))
         raw["node"].update(callers=str(free_address()))
@@ -115,10 +119,14 @@
             lambda _service, report: self.limit_reports.append(report),
             random.Random(1),
         )
-        self.prober = Prober([service.slots for service in self.services.values()], self.client)
+        self.prober = Prober(
+            [service.slots for service in self.services.values()], self.client
+        )
         links = Links(FixedAllotments(), "praha", link_resource)
         attempts = Attempts(self.services, self.client, links, self.metrics)
-        retries = Retries(attempts, self.services, self.watch, self.metrics, random.Random(2))
+        retries = Retries(
+            attempts, self.services, self.watch, self.metrics, random.Random(2)
+        )
         owners = OrderOwners(
             self.directory,
             self.client,
@@ -138,7 +146,10 @@
         )
         self.server = HttpServer(settings.node.callers, self.app, threads=24)
         self.http = urllib3.HTTPConnectionPool(
-            settings.node.callers.host, settings.node.callers.port, timeout=TIMEOUT_S, maxsize=16
+            settings.node.callers.host,
+            settings.node.callers.port,
+            timeout=TIMEOUT_S,
+            maxsize=16,
         )
 
     def start(self) -> None:
@@ -154,7 +165,9 @@
 
     def get(self, path: str, **headers: str) -> urllib3.BaseHTTPResponse:
         named = {name.replace("_", "-"): value for name, value in headers.items()}
-        return self.http.request("GET", f"/s/{SERVICE}{path}", headers=named, retries=False)
+        return self.http.request(
+            "GET", f"/s/{SERVICE}{path}", headers=named, retries=False
+        )
 
     def order(self, key: str, body: bytes = b"{}") -> urllib3.BaseHTTPResponse:
         headers = {"Idempotency-Key": key}
@@ -167,11 +180,14 @@
         return sum(
             sample.value
             for sample in samples
-            if sample.name.endswith("_total") and sample.labels["reason"] == reason.value
+            if sample.name.endswith("_total")
+            and sample.labels["reason"] == reason.value
         )
 
     def raw(self, request: bytes) -> socket.socket:
-        sock = socket.create_connection((self.http.host, self.http.port), timeout=TIMEOUT_S)
+        sock = socket.create_connection(
+            (self.http.host, self.http.port), timeout=TIMEOUT_S
+        )
         sock.sendall(request)
         return sock
 
@@ -192,7 +208,9 @@
     ]
     store = MemoryStore()
     listed: list[Vm] = []
-    started = [Entry(listed, list(vms), store, f"entry-{index}") for index in range(entries)]
+    started = [
+        Entry(listed, list(vms), store, f"entry-{index}") for index in range(entries)
+    ]
     for entry in started:
         entry.start()
     try:
--- a/tests/cli/test_trace.py
+++ b/tests/cli/test_trace.py
@@ -23,11 +23,18 @@
         ),
         (
             "d362e48bdde12d96",
-            ["attempt failed: target=i-533d57d157 end=lost", "reason=target_failed status=502"],
+            [
+                "attempt failed: target=i-533d57d157 end=lost",
+                "reason=target_failed status=502",
+            ],
         ),
         (
             "9058485e673cb608",
-            ["configuration in force", "attempt failed", "reason=deadline_exceeded status=504"],
+            [
+                "configuration in force",
+                "attempt failed",
+                "reason=deadline_exceeded status=504",
+            ],
         ),
     ],
 )
@@ -45,7 +52,9 @@
 
 
 def test_lines_of_the_page_are_lines_of_the_log() -> None:
-    known = {json.dumps(line.fields) for line in parse_lines(LOGS.read_text().splitlines())}
+    known = {
+        json.dumps(line.fields) for line in parse_lines(LOGS.read_text().splitlines())
+    }
     quoted = [json.dumps(line.fields) for line in parse_lines(PAGE.splitlines())]
     assert len(quoted) >= 4
     assert set(quoted) <= known
--- a/tests/coordination/test_order_ledger.py
+++ b/tests/coordination/test_order_ledger.py
@@ -6,7 +6,14 @@
 import pytest
 
 from chervilmill.coordination import OrderLedger
-from chervilmill.requests import Claim, ClaimResult, Outcome, RecordOutcome, ReleaseClaim, order_key
+from chervilmill.requests import (
+    Claim,
+    ClaimResult,
+    Outcome,
+    RecordOutcome,
+    ReleaseClaim,
+    order_key,
+)
 from chervilmill.standins.store import MemoryStore, retry_until
 
 TIMEOUT_S = 5.0
@@ -29,7 +36,9 @@
 
 
 def claim(key: str, nonce: int, body: bytes = b"body") -> Claim:
-    return Claim(order_key("souhrny", key, "POST", "/orders", body), nonce.to_bytes(12, "big"))
+    return Claim(
+        order_key("souhrny", key, "POST", "/orders", body), nonce.to_bytes(12, "big")
+    )
 
 
 def is_written(ledger: OrderLedger) -> bool:
@@ -41,17 +50,23 @@
     own_claim = claim("k", 1)
     assert first.claim(own_claim, TIMEOUT_S).result is ClaimResult.GRANTED
     assert second.claim(claim("k", 2), TIMEOUT_S).result is ClaimResult.CLAIMED_BEFORE
-    assert second.claim(claim("k", 3, b"else"), TIMEOUT_S).result is ClaimResult.KEY_REUSED
+    assert (
+        second.claim(claim("k", 3, b"else"), TIMEOUT_S).result is ClaimResult.KEY_REUSED
+    )
     first.record(RecordOutcome(own_claim.key, own_claim.nonce, DONE))
     assert is_written(first)
     reply = second.claim(claim("k", 4), TIMEOUT_S)
     assert (reply.result, reply.outcome) == (ClaimResult.FINISHED_BEFORE, DONE)
 
 
-def test_lost_reply_is_resolved_by_reading(ledgers: list[OrderLedger], store: MemoryStore) -> None:
+def test_lost_reply_is_resolved_by_reading(
+    ledgers: list[OrderLedger], store: MemoryStore
+) -> None:
     store.lose_replies = 1
     assert ledgers[0].claim(claim("k", 1), TIMEOUT_S).result is ClaimResult.GRANTED
-    assert ledgers[1].claim(claim("k", 2), TIMEOUT_S).result is ClaimResult.CLAIMED_BEFORE
+    assert (
+        ledgers[1].claim(claim("k", 2), TIMEOUT_S).result is ClaimResult.CLAIMED_BEFORE
+    )
 
 
 def test_store_down_refuses_claims_and_keeps_outcomes(
@@ -62,7 +77,10 @@
     assert first.claim(own_claim, TIMEOUT_S).result is ClaimResult.GRANTED
     store.is_down = True
     first.record(RecordOutcome(own_claim.key, own_claim.nonce, DONE))
-    assert first.claim(claim("other", 2), TIMEOUT_S).result is ClaimResult.STORE_UNAVAILABLE
+    assert (
+        first.claim(claim("other", 2), TIMEOUT_S).result
+        is ClaimResult.STORE_UNAVAILABLE
+    )
     assert first.pending_records == 1
     store.is_down = False
     assert is_written(first)
@@ -70,13 +88,16 @@
     assert second.claim(claim("other", 4), TIMEOUT_S).result is ClaimResult.GRANTED
 
 
-def test_abandoned_claim_is_released(ledgers: list[OrderLedger], store: MemoryStore) -> None:
+def test_abandoned_claim_is_released(
+    ledgers: list[OrderLedger], store: MemoryStore
+) -> None:
     store.delay_s = 0.2
     assert ledgers[0].claim(claim("k", 1), 0.05).result is ClaimResult.STORE_UNAVAILABLE
     store.delay_s = 0.0
     retried = claim("k", 2)
     assert retry_until(
-        lambda: ledgers[1].claim(retried, TIMEOUT_S).result is ClaimResult.GRANTED, TIMEOUT_S
+        lambda: ledgers[1].claim(retried, TIMEOUT_S).result is ClaimResult.GRANTED,
+        TIMEOUT_S,
     )
 
 
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -42,7 +42,9 @@
 
 
 def test_order_without_key_is_refused_as_not_run(whole_path: WholePath) -> None:
-    resp = whole_path.http.request("POST", f"{whole_path.url}/s/souhrny/orders", body=b"{}")
+    resp = whole_path.http.request(
+        "POST", f"{whole_path.url}/s/souhrny/orders", body=b"{}"
+    )
     assert resp.status == 428
     assert resp.json()["ran"] == "not_run"
     assert whole_path.state.requests == 0
@@ -55,7 +57,9 @@
         body = SlowBody(BUNDLE)
         headers = {"Content-Length": str(len(BUNDLE))}
         url = f"{whole_path.url}/s/souhrny/scans/1"
-        result.append(whole_path.http.request("PUT", url, body=body, headers=headers).json())
+        result.append(
+            whole_path.http.request("PUT", url, body=body, headers=headers).json()
+        )
 
     thread = threading.Thread(target=upload)
     thread.start()
@@ -73,7 +77,9 @@
     assert whole_path.daemon.wait(STOP_TIMEOUT_S) == 0
 
 
-def test_leaving_node_refuses_new_requests_and_completes_old_ones(whole_path: WholePath) -> None:
+def test_leaving_node_refuses_new_requests_and_completes_old_ones(
+    whole_path: WholePath,
+) -> None:
     whole_path.state.behave({"work_s": 6})
     statuses: list[int] = []
     url = f"{whole_path.url}/s/souhrny/digest"
--- a/tests/entry/crash_fleet.py
+++ b/tests/entry/crash_fleet.py
@@ -9,7 +9,12 @@
 
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.peers._membership import ROUND_S, UPDATE_FANOUT
-from chervilmill.requests import Lifetime, LimitedToTarget, Quarantined, request_fingerprint
+from chervilmill.requests import (
+    Lifetime,
+    LimitedToTarget,
+    Quarantined,
+    request_fingerprint,
+)
 
 STEP_S = 0.1
 STABLE_S = 4.0  # stable-window-s of both user sites
@@ -92,9 +97,12 @@
 
     def __post_init__(self) -> None:
         self._rng = random.Random(self.seed)
-        self.contents = [_Content(f"/crash/{number}") for number in range(self.case.contents)]
+        self.contents = [
+            _Content(f"/crash/{number}") for number in range(self.case.contents)
+        ]
         self._targets = {
-            f"t{number}": _Target(f"d{number % DOMAINS}") for number in range(self.case.targets)
+            f"t{number}": _Target(f"d{number % DOMAINS}")
+            for number in range(self.case.targets)
         }
         self._vms = [self._new_vm(number) for number in range(self.case.vms)]
 
@@ -111,7 +119,11 @@
     def run(self) -> None:
         """Let the requests come again and again, for the duration of the case."""
         case = self.case
-        next_s = {"round": 0.0, "request": 0.0, "restart": case.restart_every_s or float("inf")}
+        next_s = {
+            "round": 0.0,
+            "request": 0.0,
+            "restart": case.restart_every_s or float("inf"),
+        }
         now_s = 0.0
         while now_s < case.duration_s:
             due = [item for item in self._due if item[0] <= now_s]
@@ -138,21 +150,33 @@
         tracker = CrashTracker(self._rng.random())
         tracker.on_urgent_report = lambda: self._urgent.add(number)
         tracker.fleet_size = self.case.vms
-        tracker.set_targets({name: target.domain for name, target in self._targets.items()})
+        tracker.set_targets(
+            {name: target.domain for name, target in self._targets.items()}
+        )
         return tracker
 
     def _ask(
-        self, vm: CrashTracker, now_s: float, content: _Content, caller: str, sends_left: int
+        self,
+        vm: CrashTracker,
+        now_s: float,
+        content: _Content,
+        caller: str,
+        sends_left: int,
     ) -> None:
         fingerprint = _fingerprint(content.path, caller)
         name = self._choose_target(vm, fingerprint, now_s)
         if name is None:
             return
-        vm.record_sent(fingerprint, Lifetime(name, self._targets[name].incarnation), now_s)
+        vm.record_sent(
+            fingerprint, Lifetime(name, self._targets[name].incarnation), now_s
+        )
         if now_s < self.case.crashes_from_s:
             self._answer(vm, fingerprint, name, now_s)
             return
-        if content.third_crash_s is not None and now_s > content.third_crash_s + STABLE_S:
+        if (
+            content.third_crash_s is not None
+            and now_s > content.third_crash_s + STABLE_S
+        ):
             content.late_sends += 1
         content.crashes += 1
         if content.crashes == 3:
@@ -161,20 +185,31 @@
         if sends_left > 1:
             retry_s = now_s + self.case.loss_seen_s
             self._due.append(
-                (retry_s, lambda at_s: self._ask(vm, at_s, content, caller, sends_left - 1))
+                (
+                    retry_s,
+                    lambda at_s: self._ask(vm, at_s, content, caller, sends_left - 1),
+                )
             )
 
-    def _choose_target(self, vm: CrashTracker, fingerprint: bytes, now_s: float) -> str | None:
+    def _choose_target(
+        self, vm: CrashTracker, fingerprint: bytes, now_s: float
+    ) -> str | None:
         """Return a running target at which the request may run, or None if it is refused."""
-        running = [name for name, target in self._targets.items() if target.is_up(now_s)]
-        verdict = vm.verdict(fingerprint, now_s, lambda name: self._targets[name].is_up(now_s))
+        running = [
+            name for name, target in self._targets.items() if target.is_up(now_s)
+        ]
+        verdict = vm.verdict(
+            fingerprint, now_s, lambda name: self._targets[name].is_up(now_s)
+        )
         if isinstance(verdict, Quarantined) or not running:
             return None
         limited = isinstance(verdict, LimitedToTarget)
         name = verdict.target if limited else self._rng.choice(running)
         return name if name and self._targets[name].is_up(now_s) else None
 
-    def _answer(self, vm: CrashTracker, fingerprint: bytes, name: str, now_s: float) -> None:
+    def _answer(
+        self, vm: CrashTracker, fingerprint: bytes, name: str, now_s: float
+    ) -> None:
         """Let a target answer a request after its work, or lose it if the target crashes first."""
         lifetime = Lifetime(name, self._targets[name].incarnation)
 
@@ -186,13 +221,17 @@
 
         self._due.append((now_s + HARMLESS_WORK_S, end))
 
-    def _crash(self, vm: CrashTracker, fingerprint: bytes, name: str, now_s: float) -> None:
+    def _crash(
+        self, vm: CrashTracker, fingerprint: bytes, name: str, now_s: float
+    ) -> None:
         back_s = now_s + self.case.back_s
         self._targets[name].down_until_s = back_s
         loss_s = now_s + self.case.loss_seen_s
         lifetime = Lifetime(name, self._targets[name].incarnation)
         self._targets[name].incarnation += 1
-        self._due.append((loss_s, lambda at_s: vm.record_loss(fingerprint, lifetime, now_s, at_s)))
+        self._due.append(
+            (loss_s, lambda at_s: vm.record_loss(fingerprint, lifetime, now_s, at_s))
+        )
         self._lose_beside(lifetime, now_s, loss_s)
         if self.case.refusal_s is not None:
             refused_s = loss_s + self._rng.expovariate(1 / self.case.refusal_s)
@@ -202,12 +241,16 @@
 
     def _lose_beside(self, lifetime: Lifetime, now_s: float, loss_s: float) -> None:
         """Lose the harmless requests at a target that crashes; each comes again at once."""
-        paths = [f"/beside/{lifetime.target}/{now_s}/{n}" for n in range(self.case.beside)]
+        paths = [
+            f"/beside/{lifetime.target}/{now_s}/{n}" for n in range(self.case.beside)
+        ]
         if self.case.popular_per_s:
             paths.append(POPULAR_PATH)
         for path in paths:
             caller = f"caller-{self._rng.randrange(POPULAR_CALLERS)}"
-            self._lose(self._rng.choice(self._vms), path, caller, lifetime, now_s, loss_s)
+            self._lose(
+                self._rng.choice(self._vms), path, caller, lifetime, now_s, loss_s
+            )
 
     def _lose(
         self,
@@ -228,16 +271,22 @@
         for _ in range(int(self.case.popular_per_s)):
             if self._rng.random() < STEP_S:
                 caller = f"caller-{self._rng.randrange(POPULAR_CALLERS)}"
-                self._ask_harmless(self._rng.choice(self._vms), POPULAR_PATH, caller, now_s)
+                self._ask_harmless(
+                    self._rng.choice(self._vms), POPULAR_PATH, caller, now_s
+                )
 
-    def _ask_harmless(self, vm: CrashTracker, path: str, caller: str, now_s: float) -> None:
+    def _ask_harmless(
+        self, vm: CrashTracker, path: str, caller: str, now_s: float
+    ) -> None:
         self.harmless_sent += 1
         fingerprint = _fingerprint(path, caller)
         name = self._choose_target(vm, fingerprint, now_s)
         if name is None:
             self.harmless_refused += 1
         else:
-            vm.record_sent(fingerprint, Lifetime(name, self._targets[name].incarnation), now_s)
+            vm.record_sent(
+                fingerprint, Lifetime(name, self._targets[name].incarnation), now_s
+            )
             self._answer(vm, fingerprint, name, now_s)
 
     def _register_lifetime(self, name: str, now_s: float) -> None:
@@ -251,7 +300,9 @@
         for number, vm in enumerate(self._vms):
             if self._rng.random() < self.case.other_losses_per_s * STEP_S:
                 name = f"other-{number}-{now_s}"
-                vm.record_loss(_fingerprint(name, "caller"), Lifetime(name), now_s, now_s)
+                vm.record_loss(
+                    _fingerprint(name, "caller"), Lifetime(name), now_s, now_s
+                )
                 vm.record_crash(name, now_s)
 
     def _restart_vm(self, now_s: float) -> None:
--- a/tests/entry/pair.py
+++ b/tests/entry/pair.py
@@ -37,10 +37,16 @@
             link, shown = Proxy(store_address), free_address()
             await link.listen(shown)
             self.links.append(link)
-            read = self._settings(f"vm-{number}", VmPorts(f"127.0.3.{number}", *ports), shown)
+            read = self._settings(
+                f"vm-{number}", VmPorts(f"127.0.3.{number}", *ports), shown
+            )
             vm = EntryVm(read, self._folder / f"{read.name}.json")
             site = SiteUnderTest(
-                self.store, vm, read.caller_address, read.lookup_address, read.readiness_address
+                self.store,
+                vm,
+                read.caller_address,
+                read.lookup_address,
+                read.readiness_address,
             )
             site.targets["t1"] = target
             self.sites.append(site)
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -28,13 +28,18 @@
     ),
     "two hosts": (b"GET /read/a HTTP/1.1\r\n" + HEAD + b"Host: other\r\n\r\n", 400),
     "no host": (b"GET /read/a HTTP/1.1\r\nX-Other: 1\r\n\r\n", 400),
-    "space before colon": (b"GET /read/a HTTP/1.1\r\n" + HEAD + b"X-Odd : 1\r\n\r\n", 400),
+    "space before colon": (
+        b"GET /read/a HTTP/1.1\r\n" + HEAD + b"X-Odd : 1\r\n\r\n",
+        400,
+    ),
     "unknown encoding": (
         b"POST /order/a HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: gzip\r\n\r\n",
         501,
     ),
     "bad chunk": (
-        b"POST /order/a HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"POST /order/a HTTP/1.1\r\n"
+        + HEAD
+        + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
         400,
     ),
     "no request": (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
@@ -123,7 +128,9 @@
             bodies = []
             for _ in range(2):
                 head = await reader.readuntil(b"\r\n\r\n")
-                (line,) = [x for x in head.split(b"\r\n") if x.startswith(b"content-length")]
+                (line,) = [
+                    x for x in head.split(b"\r\n") if x.startswith(b"content-length")
+                ]
                 bodies.append(await reader.readexactly(int(line.split(b":")[1])))
             writer.close()
             assert b"ran bad" in bodies[0]
--- a/tests/entry/test_crash_series.py
+++ b/tests/entry/test_crash_series.py
@@ -37,7 +37,11 @@
         period_s=0.25, loss_seen_s=0.1, sends_per_attempt=2, refusal_s=None, back_s=4.5
     ),
     "two_targets_an_attempt_while_vms_restart": CrashCase(
-        period_s=0.25, loss_seen_s=0.1, sends_per_attempt=2, refusal_s=1.0, restart_every_s=3.0
+        period_s=0.25,
+        loss_seen_s=0.1,
+        sends_per_attempt=2,
+        refusal_s=1.0,
+        restart_every_s=3.0,
     ),
 }
 
@@ -49,7 +53,9 @@
     "crash_seen_as_new_lifetime": CrashCase(**_OFTEN, refusal_s=None, back_s=4.5),
     "vms_restart_one_after_the_other": CrashCase(**_OFTEN, restart_every_s=3.0),
     "halves_of_the_fleet_are_parted": CrashCase(**_OFTEN, cut_s=(0.0, 15.0)),
-    "two_contents_take_targets_of_195_vms": CrashCase(**_OFTEN, contents=2, vms=195, targets=333),
+    "two_contents_take_targets_of_195_vms": CrashCase(
+        **_OFTEN, contents=2, vms=195, targets=333
+    ),
     "two_callers": CrashCase(**{**_OFTEN, "callers": 2}),
 }
 SIZES = {
@@ -79,7 +85,9 @@
 
 
 @pytest.mark.parametrize("case", SIZES.values(), ids=SIZES)
-def test_crashing_content_takes_more_targets_from_a_larger_fleet(case: CrashCase) -> None:
+def test_crashing_content_takes_more_targets_from_a_larger_fleet(
+    case: CrashCase,
+) -> None:
     crashes = [fleet.crashes for fleet in _run(case)]
     assert statistics.median(crashes) <= MAX_MEDIAN_CRASHES, crashes
 
--- a/tests/entry/test_leaving_and_pauses.py
+++ b/tests/entry/test_leaving_and_pauses.py
@@ -48,7 +48,9 @@
     run_async(scenario)
 
 
-def test_entry_that_still_says_ready_brings_a_leaving_target_back(tmp_path: Path) -> None:
+def test_entry_that_still_says_ready_brings_a_leaving_target_back(
+    tmp_path: Path,
+) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path) as site:
             leaving = site.targets["t1"]
@@ -64,7 +66,9 @@
             site.store.put("servers", "t1", {**entry, "born": 2})
             await site.settle()
             await _ask_for(site, 0.4)
-            assert leaving.records.arrivals > arrivals, "a later lifetime takes requests"
+            assert (
+                leaving.records.arrivals > arrivals
+            ), "a later lifetime takes requests"
 
     run_async(scenario)
 
@@ -105,7 +109,9 @@
     run_async(scenario)
 
 
-def test_request_without_a_target_is_not_told_when_the_first_pause_ends(tmp_path: Path) -> None:
+def test_request_without_a_target_is_not_told_when_the_first_pause_ends(
+    tmp_path: Path,
+) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path) as site:
             for target in site.targets.values():
@@ -116,7 +122,9 @@
             refused = await site.ask("/read/1")
             assert refused.status == 503
             assert 2.0 <= float(refused.headers[b"retry-after"]) <= 3.0
-            assert arrivals == sum(target.records.arrivals for target in site.targets.values())
+            assert arrivals == sum(
+                target.records.arrivals for target in site.targets.values()
+            )
 
     run_async(scenario)
 
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -8,7 +8,12 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import RequestHead
-from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult, OutgoingRequest
+from chervilmill.entry._attempt import (
+    Attempt,
+    AttemptEnd,
+    AttemptResult,
+    OutgoingRequest,
+)
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
@@ -87,7 +92,9 @@
         last_candidate=candidate,
         attempt=_attempt(target),
     )
-    site_state = SiteState(fleet, Membership("vm", 1, random.Random(1)), OWN, lambda: SENT_S, 1.5)
+    site_state = SiteState(
+        fleet, Membership("vm", 1, random.Random(1)), OWN, lambda: SENT_S, 1.5
+    )
     site_state.view.put_target(target)
     site_state.view.put_target(replace(target, name="u", failure_domain="north-b"))
     crashes = CrashTracker()
@@ -126,7 +133,10 @@
     setup = _set_up()
     setup.recorder.record_result(setup.progress, setup.candidate, result, SENT_S + 1.0)
     assert setup.is_ejected is is_ejected
-    assert (setup.progress.may_have_run, setup.progress.sent_count) == (may_have_run, sent_count)
+    assert (setup.progress.may_have_run, setup.progress.sent_count) == (
+        may_have_run,
+        sent_count,
+    )
     assert setup.progress.sent_s is None
 
 
@@ -138,7 +148,12 @@
         (1.0, False, 0.0, False),
         (0.4, True, 0.0, False),
     ],
-    ids=["silent", "answered others meanwhile", "the caller still sends", "little time"],
+    ids=[
+        "silent",
+        "answered others meanwhile",
+        "the caller still sends",
+        "little time",
+    ],
 )
 def test_timeout_ejects_a_target_only_if_it_had_enough_time(
     after_s: float, is_complete: bool, last_answer_s: float, is_ejected: bool
@@ -167,7 +182,9 @@
     end: AttemptEnd,
 ) -> None:
     setup = _set_up()
-    setup.recorder.record_result(setup.progress, setup.candidate, AttemptResult(end), SENT_S + 1.0)
+    setup.recorder.record_result(
+        setup.progress, setup.candidate, AttemptResult(end), SENT_S + 1.0
+    )
     refused = AttemptResult(AttemptEnd.NOT_SENT)
     setup.recorder.record_result(setup.progress, setup.candidate, refused, SENT_S + 1.5)
     verdict = setup.crashes.verdict(b"f", SENT_S + 2.0, lambda _: True)
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -31,7 +31,9 @@
     def revision(self) -> int:
         return 1 + int((time.monotonic() - self._began_s) / 0.01)
 
-    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
+    async def __call__(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> HttpAnswer:
         self.calls += 1
         if "watch=" not in path:
             return _answer({"items": [], "as-of": self.revision})
@@ -40,7 +42,12 @@
             await asyncio.sleep(0.001)
         now = self.revision
         events = [
-            {"object": {"metadata": {"name": f"t-{n}", "revision": n}, "specification": {}}}
+            {
+                "object": {
+                    "metadata": {"name": f"t-{n}", "revision": n},
+                    "specification": {},
+                }
+            }
             for n in range(since + 1, now + 1)
         ]
         return _answer({"events": events, "as-of": now})
@@ -79,7 +86,9 @@
         self._removals_s = list(removals_s)
         self._revision = 10
 
-    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
+    async def __call__(
+        self, method: str, path: str, body: bytes, timeout_s: float
+    ) -> HttpAnswer:
         since_return_s = time.monotonic() - self._began_s - self._away_s
         if "watch=" not in path:
             items = [_entry(f"t-{n}", 1 + n) for n in range(len(self._removals_s))]
@@ -90,7 +99,10 @@
             await asyncio.Event().wait()
         await asyncio.sleep(max(0.0, self._removals_s.pop(0) - since_return_s))
         self._revision += 1
-        removed = {"object": _entry(f"t-{len(self._removals_s)}", self._revision), "deleted": True}
+        removed = {
+            "object": _entry(f"t-{len(self._removals_s)}", self._revision),
+            "deleted": True,
+        }
         return _answer({"events": [removed], "as-of": self._revision})
 
 
@@ -110,7 +122,9 @@
 
     def record(kind: str, change: ReplicaChange, kept_until_s: float | None) -> None:
         for name in change.removed:
-            kept.append((name, None if kept_until_s is None else kept_until_s - began_s))
+            kept.append(
+                (name, None if kept_until_s is None else kept_until_s - began_s)
+            )
 
     async def scenario() -> None:
         store = PlatformStore(_StoreWithOutage(0.2, (0.0, 0.4, 0.9)), "store")
@@ -142,7 +156,9 @@
 
     async def scenario() -> None:
         store = PlatformStore(_StoreWithOutage(60.0, (0.0,)), "store")
-        sync = ReplicaSync(store, {KIND: replica}, lambda _, change, until_s: kept.append(until_s))
+        sync = ReplicaSync(
+            store, {KIND: replica}, lambda _, change, until_s: kept.append(until_s)
+        )
         following = asyncio.create_task(sync.run(KIND))
         await asyncio.sleep(0.05)
         assert sync.is_store_unreachable
--- a/tests/entry/test_target_troubles.py
+++ b/tests/entry/test_target_troubles.py
@@ -17,7 +17,9 @@
     """Such a request crashes at most two targets, and other requests are still served."""
 
     async def scenario() -> None:
-        async with running_site(tmp_path, targets=("t1", "t2", "t3", "t4", "t5")) as site:
+        async with running_site(
+            tmp_path, targets=("t1", "t2", "t3", "t4", "t5")
+        ) as site:
             crashed: set[str] = set()
             for _ in range(8):
                 asking = asyncio.create_task(
@@ -81,7 +83,9 @@
     run_async(scenario)
 
 
-def test_silent_target_is_ejected_by_requests_that_must_run_once(tmp_path: Path) -> None:
+def test_silent_target_is_ejected_by_requests_that_must_run_once(
+    tmp_path: Path,
+) -> None:
     """Such requests time out at the silent target, and the time-out ejects it too."""
 
     async def scenario() -> None:
@@ -96,7 +100,9 @@
             await asyncio.gather(*asked)
             seen = site.targets["t1"].records.arrivals
             for number in range(8):
-                answer = await site.ask("/order/a", "POST", b"x", deadline_ms=700, key=str(number))
+                answer = await site.ask(
+                    "/order/a", "POST", b"x", deadline_ms=700, key=str(number)
+                )
                 assert answer.status == 200
             assert site.targets["t1"].records.arrivals == seen
 
@@ -141,14 +147,18 @@
     run_async(scenario)
 
 
-def test_request_that_cannot_connect_in_time_is_refused_as_not_run(tmp_path: Path) -> None:
+def test_request_that_cannot_connect_in_time_is_refused_as_not_run(
+    tmp_path: Path,
+) -> None:
     """The target's host drops packets, as if the network were cut, so connecting times out."""
 
     async def scenario() -> None:
         async with running_site(tmp_path, targets=()) as site:
             await site.add_unreachable("t1")
             await site.settle()
-            answer = await site.ask("/order/a", "POST", b"order", "one", deadline_ms=300)
+            answer = await site.ask(
+                "/order/a", "POST", b"order", "one", deadline_ms=300
+            )
             assert answer.status == 503
             assert float(answer.headers[b"retry-after"]) > 0
 
@@ -166,7 +176,9 @@
         async with running_site(tmp_path, targets=("t1",)) as site:
             await asyncio.gather(*(site.ask("/read/a") for _ in range(4)))
             site.targets["t1"].break_idle()
-            ends = [(await site.ask("/order/a", "POST", b"order")).status for _ in range(4)]
+            ends = [
+                (await site.ask("/order/a", "POST", b"order")).status for _ in range(4)
+            ]
             assert ends == [502, 200, 200, 200]
 
     run_async(scenario)
--- a/tests/faults/test_checker.py
+++ b/tests/faults/test_checker.py
@@ -37,14 +37,27 @@
     given.update(fields)
     times = {"due_s": 10.0, "sent_s": 10.0, "ended_s": 10.2}
     return CallerRecord(
-        request_id, kind, expected=expected, body=body, echoed_id=request_id, **times, **given
+        request_id,
+        kind,
+        expected=expected,
+        body=body,
+        echoed_id=request_id,
+        **times,
+        **given,
     )
 
 
-def run(request_id: str, kind: RequestKind, key: str | None = None, **fields) -> TargetRun:
+def run(
+    request_id: str, kind: RequestKind, key: str | None = None, **fields
+) -> TargetRun:
     given = {"target": "t1", "started_s": 10.05, "ended_s": 10.15} | fields
     return TargetRun(
-        region="praha", service="souhrny", request_id=request_id, kind=kind, key=key, **given
+        region="praha",
+        service="souhrny",
+        request_id=request_id,
+        kind=kind,
+        key=key,
+        **given,
     )
 
 
@@ -53,10 +66,22 @@
     return Trace(
         attempts=[
             caller("d1", RequestKind.DIGEST, "/digest/1", DIGEST),
-            caller("o1", RequestKind.ORDER, "k1", json.dumps({"order": "k1"}).encode(), key="k1"),
+            caller(
+                "o1",
+                RequestKind.ORDER,
+                "k1",
+                json.dumps({"order": "k1"}).encode(),
+                key="k1",
+            ),
             caller("u1", RequestKind.UPLOAD, SHA, json.dumps({"sha256": SHA}).encode()),
             caller(
-                "o2", RequestKind.ORDER, "k2", b"", key="k2", outcome=Outcome.REFUSED, ran="not_run"
+                "o2",
+                RequestKind.ORDER,
+                "k2",
+                b"",
+                key="k2",
+                outcome=Outcome.REFUSED,
+                ran="not_run",
             ),
         ],
         runs=[
@@ -85,7 +110,9 @@
 
 
 def moves_too_many_blocks(trace: Trace) -> None:
-    trace.lookups += [LookupRecord(f"b{index}", "souhrny", 21.0, "brno") for index in range(3)]
+    trace.lookups += [
+        LookupRecord(f"b{index}", "souhrny", 21.0, "brno") for index in range(3)
+    ]
 
 
 def accepts_both_of_two_racing_confirms(trace: Trace) -> None:
@@ -93,7 +120,9 @@
 
 
 def overloads_a_region(trace: Trace) -> None:
-    trace.runs += [run(f"x{i}", RequestKind.DIGEST, started_s=20.0, ended_s=21.5) for i in range(4)]
+    trace.runs += [
+        run(f"x{i}", RequestKind.DIGEST, started_s=20.0, ended_s=21.5) for i in range(4)
+    ]
 
 
 def crosses_an_answer(trace: Trace) -> None:
@@ -101,7 +130,9 @@
 
 
 def leaves_out_a_part(trace: Trace) -> None:
-    trace.attempts[0] = replace(trace.attempts[0], body=DIGEST.splitlines(keepends=True)[0])
+    trace.attempts[0] = replace(
+        trace.attempts[0], body=DIGEST.splitlines(keepends=True)[0]
+    )
 
 
 def echoes_another_id(trace: Trace) -> None:
--- a/tests/nodes/test_allotments.py
+++ b/tests/nodes/test_allotments.py
@@ -37,7 +37,9 @@
     until_s: float
     divider: Divider
 
-    def answer(self, name: str, request: ShareRequest, now: float, quiet_s: float) -> Grant | None:
+    def answer(
+        self, name: str, request: ShareRequest, now: float, quiet_s: float
+    ) -> Grant | None:
         if not self.from_s <= now < self.until_s:
             return None
         pool = POOL if now >= self.from_s + quiet_s else NO_UNITS
@@ -123,14 +125,18 @@
         self.messages = [item for item in self.messages if item[0] > self.now]
         for _, node, message, index in due:
             if isinstance(message, ShareRequest):
-                answer = self.allotters[index].answer(node.name, message, self.now, self.quiet_s)
+                answer = self.allotters[index].answer(
+                    node.name, message, self.now, self.quiet_s
+                )
                 if answer is not None:
                     self.send(node, answer, index)
             elif self.now >= node.paused_until_s:
                 node.holder.receive(message, node.clock(self.now))
 
     def in_use(self) -> int:
-        return sum(FLOOR + n.holder.units("link", n.clock(self.now)) for n in self.nodes)
+        return sum(
+            FLOOR + n.holder.units("link", n.clock(self.now)) for n in self.nodes
+        )
 
 
 def most_in_use(seed: int, divider_class: type[Divider], quiet_s: float) -> int:
@@ -153,7 +159,12 @@
 @pytest.mark.parametrize(
     ("divider_class", "quiet_s"),
     [(UnacknowledgedDivider, LIFETIME_S + DRIFT_MARGIN_S), (Divider, 0.0)],
-    ids=["fall counted before its acknowledgement", "no quiet time after a change of allotter"],
+    ids=[
+        "fall counted before its acknowledgement",
+        "no quiet time after a change of allotter",
+    ],
 )
 def test_broken_variant_is_caught(divider_class: type[Divider], quiet_s: float) -> None:
-    assert any(most_in_use(seed, divider_class, quiet_s) > CAP["link"] for seed in range(500))
+    assert any(
+        most_in_use(seed, divider_class, quiet_s) > CAP["link"] for seed in range(500)
+    )
--- a/tests/nodes/test_three_processes.py
+++ b/tests/nodes/test_three_processes.py
@@ -10,7 +10,14 @@
 
 from chervilmill.standins.platform_server import platform_server
 from chervilmill.standins.store import MemoryStore, retry_until
-from tests.support import TOKEN, entry_vm, free_address, raw_settings, start_daemon, target_vm
+from tests.support import (
+    TOKEN,
+    entry_vm,
+    free_address,
+    raw_settings,
+    start_daemon,
+    target_vm,
+)
 
 TIMEOUT_S = 20
 DOMAINS = (("praha", "praha-a"), ("brno", "brno-a"), ("ostrava", "ostrava-a"))
@@ -33,7 +40,9 @@
         """Start an entry VM and return its name."""
         name = f"entry-{index}"
         region, domain = DOMAINS[index % len(DOMAINS)]
-        raw = raw_settings(name, self.platform.address, region=region, failure_domain=domain)
+        raw = raw_settings(
+            name, self.platform.address, region=region, failure_domain=domain
+        )
         raw["node"].update(node)
         self.raws[name] = raw
         self.store.put_vm(entry_vm(raw))
--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -53,7 +53,19 @@
     "limits": (LimitReport(T1, 2.5, 7 * AGE_UNIT_S), LimitReport(T2, None, 0.0)),
 }
 ADDED = {"added": [1, "by a later version"]}
-ODD_VALUES = [None, "x", b"x", -1, 2**70, float("inf"), float("nan"), [], {}, [[[]]], ADDED]
+ODD_VALUES = [
+    None,
+    "x",
+    b"x",
+    -1,
+    2**70,
+    float("inf"),
+    float("nan"),
+    [],
+    {},
+    [[[]]],
+    ADDED,
+]
 
 
 def _expected(version: str, kind: str) -> object:
@@ -63,7 +75,12 @@
         HeartbeatEntry(7, 2, 41, True),
         HeartbeatEntry(9, 1, 300, False, is_suspected=True, age_s=1.5),
         HeartbeatEntry(
-            11, 3, 5, True, is_cut_off=version == FIRST_VERSION_THAT_ANNOUNCES_CUTS, age_s=0.2
+            11,
+            3,
+            5,
+            True,
+            is_cut_off=version == FIRST_VERSION_THAT_ANNOUNCES_CUTS,
+            age_s=0.2,
         ),
     )
     revisions = {"servers": StoreVersion(0, 12), "config": StoreVersion(0, 3)}
@@ -79,7 +96,9 @@
 
 @pytest.mark.parametrize("kind", DECODERS)
 @pytest.mark.parametrize("version", BY_VERSION)
-def test_datagram_of_an_earlier_version_is_not_understood(version: str, kind: str) -> None:
+def test_datagram_of_an_earlier_version_is_not_understood(
+    version: str, kind: str
+) -> None:
     decoded = DECODERS[kind](bytes.fromhex(BY_VERSION[version][kind]), "x")
     assert decoded == _expected(version, kind)
 
@@ -115,8 +134,12 @@
 
 
 @pytest.mark.parametrize("kind", DECODERS)
-@pytest.mark.parametrize("data", [b"\x81" * 65_000, b"\xff" * 65_000, b"\x9b" + b"\xff" * 8])
-def test_huge_or_nested_datagram_is_no_malformed_datagram(kind: str, data: bytes) -> None:
+@pytest.mark.parametrize(
+    "data", [b"\x81" * 65_000, b"\xff" * 65_000, b"\x9b" + b"\xff" * 8]
+)
+def test_huge_or_nested_datagram_is_no_malformed_datagram(
+    kind: str, data: bytes
+) -> None:
     _read_or_refuse(kind, data)
 
 
--- a/tests/requests/test_order_records.py
+++ b/tests/requests/test_order_records.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from chervilmill.requests import Claim, ClaimResult, OrderKey, Outcome, RecordOutcome, order_key
+from chervilmill.requests import (
+    Claim,
+    ClaimResult,
+    OrderKey,
+    Outcome,
+    RecordOutcome,
+    order_key,
+)
 from chervilmill.requests._order_model import (
     EMPTY_SHARD,
     MAX_OUTCOME_BYTES,
@@ -26,7 +33,9 @@
 
 
 def claim(key: str, nonce: int = 1) -> Claim:
-    return Claim(order_key("contracts", key, "POST", "/orders", b""), nonce.to_bytes(12, "big"))
+    return Claim(
+        order_key("contracts", key, "POST", "/orders", b""), nonce.to_bytes(12, "big")
+    )
 
 
 def claim_result(shard, order_claim: Claim, now_ms: int) -> ClaimResult:
@@ -41,7 +50,12 @@
         (dated_key(NOW_MS), OLD_MS, ClaimResult.KEY_EXPIRED),
         (dated_key(NOW_MS), -HOUR_MS, ClaimResult.KEY_EXPIRED),
     ],
-    ids=["key without time", "much later", "dated key", "dated key and a clock that is behind"],
+    ids=[
+        "key without time",
+        "much later",
+        "dated key",
+        "dated key and a clock that is behind",
+    ],
 )
 def test_key_of_a_dropped_record_is_never_new(
     key: str, later_ms: int, expected: ClaimResult
@@ -62,7 +76,10 @@
     ],
 )
 def test_time_in_a_key_is_checked(offset_ms: int, expected: ClaimResult) -> None:
-    assert claim_result(EMPTY_SHARD, claim(dated_key(NOW_MS + offset_ms)), NOW_MS) is expected
+    assert (
+        claim_result(EMPTY_SHARD, claim(dated_key(NOW_MS + offset_ms)), NOW_MS)
+        is expected
+    )
 
 
 def test_only_version_7_carries_a_time() -> None:
@@ -77,20 +94,27 @@
     count = MAX_SHARD_BYTES // MAX_OUTCOME_BYTES + 20
     for number in range(count):
         order_claim = claim(f"k{number}", number)
-        changes = [order_claim, RecordOutcome(order_claim.key, order_claim.nonce, answer)]
+        changes = [
+            order_claim,
+            RecordOutcome(order_claim.key, order_claim.nonce, answer),
+        ]
         shard, replies = apply_changes(shard, changes, NOW_MS + number)
         assert replies[order_claim.nonce].result is ClaimResult.GRANTED
     assert shard.size <= MAX_SHARD_BYTES
     outcomes = [record.outcome for record in shard.records.values()]
     assert len(outcomes) == count
-    assert sum(outcome is not None and outcome.body is None for outcome in outcomes) >= 20
+    assert (
+        sum(outcome is not None and outcome.body is None for outcome in outcomes) >= 20
+    )
 
 
 def test_encoding_round_trip() -> None:
     order_claim = claim("k", 1)
     changes = [
         order_claim,
-        RecordOutcome(order_claim.key, order_claim.nonce, Outcome(201, "text/plain", b"x")),
+        RecordOutcome(
+            order_claim.key, order_claim.nonce, Outcome(201, "text/plain", b"x")
+        ),
         claim("m", 2),
     ]
     shard, _ = apply_changes(EMPTY_SHARD, changes, NOW_MS)
--- a/tests/requests/test_retry.py
+++ b/tests/requests/test_retry.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from chervilmill.requests import FailedAttempt, Failure, RequestKind, RetryBudget, decide_retry
+from chervilmill.requests import (
+    FailedAttempt,
+    Failure,
+    RequestKind,
+    RetryBudget,
+    decide_retry,
+)
 
 GET, ORDER, PUT = RequestKind.IDEMPOTENT, RequestKind.ORDER, RequestKind.UPLOAD
 
@@ -28,7 +34,9 @@
         (FailedAttempt(ORDER, Failure.SHED, 1, 10.0), True),
     ],
 )
-def test_which_failed_attempts_are_retried(failed: FailedAttempt, is_retried: bool) -> None:
+def test_which_failed_attempts_are_retried(
+    failed: FailedAttempt, is_retried: bool
+) -> None:
     retry = decide_retry(failed, RetryBudget(), random.Random(1))
     assert (retry is not None) is is_retried
 
@@ -36,13 +44,17 @@
 def test_pauses_before_retries_vary() -> None:
     failed, rng = FailedAttempt(GET, Failure.LOST, 1, 10.0), random.Random(1)
     pauses = {
-        retry.after_s for _ in range(8) if (retry := decide_retry(failed, RetryBudget(), rng))
+        retry.after_s
+        for _ in range(8)
+        if (retry := decide_retry(failed, RetryBudget(), rng))
     }
     assert len(pauses) == 8
 
 
 @pytest.mark.parametrize("marked_share", [0.0, 0.05, 0.5])
-def test_steady_failure_sends_at_most_a_tenth_more_at_all_levels(marked_share: float) -> None:
+def test_steady_failure_sends_at_most_a_tenth_more_at_all_levels(
+    marked_share: float,
+) -> None:
     budget, rng = RetryBudget(), random.Random(1)
     marked = 0
     for _ in range(20_000):
--- a/tests/soak/test_command.py
+++ b/tests/soak/test_command.py
@@ -11,13 +11,23 @@
 
 NETWORK = 96
 VM_ADDRESS = (f"127.{NETWORK}.1.1", 8161)
-START_TIMEOUT_S = 30.0  # covers the start of the soak and of an entry VM on a busy machine
+START_TIMEOUT_S = (
+    30.0  # covers the start of the soak and of an entry VM on a busy machine
+)
 EXIT_TIMEOUT_S = 10.0
 
 
 def test_soak_that_is_ended_leaves_no_process_behind(tmp_path: Path) -> None:
     """Entry VMs left running would answer the requests of the next soak at the same addresses."""
-    command = [sys.executable, "-m", "soak", "--network", str(NETWORK), "--keep", str(tmp_path)]
+    command = [
+        sys.executable,
+        "-m",
+        "soak",
+        "--network",
+        str(NETWORK),
+        "--keep",
+        str(tmp_path),
+    ]
     running = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
     try:
         assert _port_becomes(True, START_TIMEOUT_S)
--- a/tests/steering/test_confirm.py
+++ b/tests/steering/test_confirm.py
@@ -8,8 +8,17 @@
 
 import pytest
 
-from chervilmill.coordination import CONFIGURATION_KIND, StoreUnavailableError, WriteUnsureError
-from chervilmill.steering import Confirmer, ConfirmRefusal, ConfirmRefusedError, ConfirmRequest
+from chervilmill.coordination import (
+    CONFIGURATION_KIND,
+    StoreUnavailableError,
+    WriteUnsureError,
+)
+from chervilmill.steering import (
+    Confirmer,
+    ConfirmRefusal,
+    ConfirmRefusedError,
+    ConfirmRequest,
+)
 from chervilmill.steering._confirmed import confirmed_plans
 from tests.steering.support import Node, steering_node
 
@@ -48,7 +57,9 @@
         self.plans[name] = ConfirmRequest(name, planned.plan.plan_id, self.node.wall_s)
 
     def confirm(self, name: str) -> None:
-        confirmer = Confirmer(self.node.store, self.node.model, 600, lambda: self.node.wall_s)
+        confirmer = Confirmer(
+            self.node.store, self.node.model, 600, lambda: self.node.wall_s
+        )
         try:
             confirmer.confirm(self.plans[name])
             self.outcomes.append("confirmed")
@@ -99,7 +110,9 @@
     "lose all replies": lambda session: setattr(session.node.store, "lose_replies", 99),
     "store down": lambda session: setattr(session.node.store, "is_down", True),
     "store up": lambda session: setattr(session.node.store, "is_down", False),
-    "time passes": lambda session: setattr(session.node, "wall_s", session.node.wall_s + 601),
+    "time passes": lambda session: setattr(
+        session.node, "wall_s", session.node.wall_s + 601
+    ),
     "intent replaced": lambda session: session.state({**ONE, "shares": {"brno": 40}}),
     "target lost": _lose_target,
     "race": _let_other_confirm_win,
@@ -107,8 +120,18 @@
 
 CASES = [
     ("once", ["plan one", "confirm one"], ["confirmed"], ["souhrny"]),
-    ("twice", ["plan one", "confirm one", "confirm one"], ["confirmed"] * 2, ["souhrny"]),
-    ("reply lost", ["plan one", "lose one reply", "confirm one"], ["confirmed"], ["souhrny"]),
+    (
+        "twice",
+        ["plan one", "confirm one", "confirm one"],
+        ["confirmed"] * 2,
+        ["souhrny"],
+    ),
+    (
+        "reply lost",
+        ["plan one", "lose one reply", "confirm one"],
+        ["confirmed"],
+        ["souhrny"],
+    ),
     (
         "reply lost and repeated",
         ["plan one", "lose one reply", "confirm one", "confirm one"],
@@ -122,9 +145,24 @@
         ["souhrny"],
     ),
     ("lapsed", ["plan one", "time passes", "confirm one"], ["plan_lapsed"], []),
-    ("intent replaced", ["plan one", "intent replaced", "confirm one"], ["plan_stale"], []),
-    ("capacity changed", ["plan one", "target lost", "confirm one"], ["plan_stale"], []),
-    ("store down", ["plan one", "store down", "confirm one", "store up"], ["unavailable"], []),
+    (
+        "intent replaced",
+        ["plan one", "intent replaced", "confirm one"],
+        ["plan_stale"],
+        [],
+    ),
+    (
+        "capacity changed",
+        ["plan one", "target lost", "confirm one"],
+        ["plan_stale"],
+        [],
+    ),
+    (
+        "store down",
+        ["plan one", "store down", "confirm one", "store up"],
+        ["unavailable"],
+        [],
+    ),
     (
         "one after the other",
         ["plan one", "plan other", "confirm other", "confirm one"],
@@ -164,7 +202,9 @@
         session.state(ONE)
         session.state(OTHER)
         name = intent["name"]
-        assert session.run_steps(f"plan {name}", f"confirm {name}").outcomes == ["confirmed"]
+        assert session.run_steps(f"plan {name}", f"confirm {name}").outcomes == [
+            "confirmed"
+        ]
 
 
 def test_the_loser_gets_the_plan_that_holds_now() -> None:
@@ -178,4 +218,6 @@
 def test_unknown_intent_is_refused() -> None:
     session = OperatorSession()
     session.plans["none"] = ConfirmRequest("none", "x", session.node.wall_s)
-    assert session.run_steps("confirm none").outcomes == [ConfirmRefusal.UNKNOWN_INTENT.value]
+    assert session.run_steps("confirm none").outcomes == [
+        ConfirmRefusal.UNKNOWN_INTENT.value
+    ]
--- a/tests/steering/test_plan_refusals.py
+++ b/tests/steering/test_plan_refusals.py
@@ -17,7 +17,13 @@
 CASES = [
     ("harmless", {"shares": {"brno": 40}}, {}, 36, []),
     ("one domain for most", {"shares": {"brno-a": 80}}, {}, 36, ["share_not_possible"]),
-    ("no link", {"shares": {"brno": 40}}, {"links": NO_LINKS}, 36, ["share_not_possible"]),
+    (
+        "no link",
+        {"shares": {"brno": 40}},
+        {"links": NO_LINKS},
+        36,
+        ["share_not_possible"],
+    ),
     (
         "cap on links",
         {"shares": {"brno": 45}, "cap": {"mbit_per_s": 1}},
@@ -25,7 +31,13 @@
         36,
         ["share_not_possible"],
     ),
-    ("region leaves without room", {"leaving": ["brno"]}, {}, 18, ["not_enough_capacity"]),
+    (
+        "region leaves without room",
+        {"leaving": ["brno"]},
+        {},
+        18,
+        ["not_enough_capacity"],
+    ),
     (
         "loss of a domain would refuse",
         {"shares": {"brno": 60}},
@@ -53,7 +65,9 @@
 
 
 @pytest.mark.parametrize(
-    ("intent", "changes", "targets", "causes"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
+    ("intent", "changes", "targets", "causes"),
+    [c[1:] for c in CASES],
+    ids=[c[0] for c in CASES],
 )
 def test_causes(intent: dict, changes: dict, targets: int, causes: list[str]) -> None:
     node = steering_node(**changes)
@@ -65,7 +79,9 @@
 
 def test_plan_is_refused_while_a_shift_is_under_way_and_not_after() -> None:
     node = steering_node()
-    plan = plan_of(node, {"shares": {"brno": 36}, "cap": {"percent_of_blocks_per_min": 100}})
+    plan = plan_of(
+        node, {"shares": {"brno": 36}, "cap": {"percent_of_blocks_per_min": 100}}
+    )
     confirmer = Confirmer(node.store, node.model, 600, lambda: node.wall_s)
     confirmer.confirm(ConfirmRequest("i", plan.plan_id, node.wall_s))
     causes = []
--- a/tests/steering/test_whole_shift.py
+++ b/tests/steering/test_whole_shift.py
@@ -29,8 +29,12 @@
     running.server.stop()
 
 
-@pytest.mark.parametrize("intent", [MOVE, LEAVE, OVERLOAD, LOST], ids=lambda item: item["name"])
-def test_plan_is_the_same_text_every_time(console: Console, intent: dict, snapshot) -> None:
+@pytest.mark.parametrize(
+    "intent", [MOVE, LEAVE, OVERLOAD, LOST], ids=lambda item: item["name"]
+)
+def test_plan_is_the_same_text_every_time(
+    console: Console, intent: dict, snapshot
+) -> None:
     assert console.state(**intent)[0] == 0
     code, text = console.run("plan", intent["name"])
     assert (code, text) == console.run("plan", intent["name"])
@@ -65,7 +69,10 @@
 
 
 def test_explain_names_intent_and_plan(node: Node, console: Console) -> None:
-    assert "no plan was ever carried out" in console.run("explain", "souhrny", "10.1.3.4")[1]
+    assert (
+        "no plan was ever carried out"
+        in console.run("explain", "souhrny", "10.1.3.4")[1]
+    )
     console.state(**LEAVE)
     plan = console.json("plan", "leave")["plan"]
     confirm(console, "leave")
@@ -74,7 +81,11 @@
     moved = console.json("explain", "souhrny", "10.3.7.7")
     assert moved["home"].startswith("ostrava")
     assert not moved["place"].startswith("ostrava")
-    assert (moved["intent"], moved["plan"], moved["block"]) == ("leave", plan, "10.3.7.0")
+    assert (moved["intent"], moved["plan"], moved["block"]) == (
+        "leave",
+        plan,
+        "10.3.7.0",
+    )
     assert console.run("explain", "nothing", "10.3.7.7")[0] == 1
     assert console.run("explain", "souhrny", "10.3.7")[0] == 1
 
@@ -83,7 +94,9 @@
     raise StoreUnavailableError("down", step="list VMs", peer="platform")
 
 
-def test_list_is_read_for_a_shift_where_others_read_it(node: Node, console: Console) -> None:
+def test_list_is_read_for_a_shift_where_others_read_it(
+    node: Node, console: Console
+) -> None:
     console.state(**MOVE)
     confirm(console, "to-brno")
     for _ in range(30):
@@ -161,7 +174,11 @@
 
 def test_every_fault_of_an_intent_is_reported_at_once(console: Console) -> None:
     code, text = console.state(
-        name="x", service="none", shares={"brno": 70, "mars": 50}, leaving=["brno"], colour=1
+        name="x",
+        service="none",
+        shares={"brno": 70, "mars": 50},
+        leaving=["brno"],
+        colour=1,
     )
     assert code == 1
     for fault in ("colour", "service", "shares.mars", "shares.brno"):
--- a/tests/support.py
+++ b/tests/support.py
@@ -71,7 +71,9 @@
     """Return the decoded settings of an entry VM on free loopback ports."""
     raw = json5.loads((ROOT / "examples" / "souhrny.jsonc").read_text())
     callers, operators, nodes = map(str, free_addresses(3))
-    raw["node"].update(name=name, callers=callers, operators=operators, nodes=nodes, **node)
+    raw["node"].update(
+        name=name, callers=callers, operators=operators, nodes=nodes, **node
+    )
     raw["platform"]["address"] = str(platform)
     raw["limits"]["lookup_lifetime_s"] = 1
     raw["operators_token"] = TOKEN
@@ -86,7 +88,9 @@
     return Vm(node["name"], VmRole.ENTRY, VmState.LIVE, "", *place, callers, nodes)
 
 
-def target_vm(name: str, address: Address, service: str = "souhrny", domain: str = "praha-a") -> Vm:
+def target_vm(
+    name: str, address: Address, service: str = "souhrny", domain: str = "praha-a"
+) -> Vm:
     """Return a live target VM; its region is the failure domain up to the first hyphen."""
     region = domain.partition("-")[0]
     return Vm(name, VmRole.TARGET, VmState.LIVE, service, region, domain, address)
@@ -97,7 +101,13 @@
     env = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
     with open(settings_file.with_suffix(".log"), "ab") as log:
         return subprocess.Popen(
-            [sys.executable, "-m", "chervilmill.daemon", "--settings", str(settings_file)],
+            [
+                sys.executable,
+                "-m",
+                "chervilmill.daemon",
+                "--settings",
+                str(settings_file),
+            ],
             env=env,
             stderr=log,
         )
--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -9,7 +9,14 @@
 from chervilmill.standins.platform_server import platform_server
 from chervilmill.standins.store import MemoryStore, retry_until
 from chervilmill.standins.target_server import TargetState, target_server
-from tests.support import TOKEN, entry_vm, free_address, raw_settings, start_daemon, target_vm
+from tests.support import (
+    TOKEN,
+    entry_vm,
+    free_address,
+    raw_settings,
+    start_daemon,
+    target_vm,
+)
 
 START_TIMEOUT_S = 10
 
@@ -52,11 +59,15 @@
 
     def status(self) -> dict:
         headers = {"Authorization": f"Bearer {TOKEN}"}
-        return self.http.request("GET", f"http://{self.operators}/status", headers=headers).json()
+        return self.http.request(
+            "GET", f"http://{self.operators}/status", headers=headers
+        ).json()
 
     def metric(self, sample: str) -> float:
         """Return the value of one sample, written as on the metrics page, and 0 if it is absent."""
-        page = self.http.request("GET", f"http://{self.operators}/metrics").data.decode()
+        page = self.http.request(
+            "GET", f"http://{self.operators}/metrics"
+        ).data.decode()
         for line in page.splitlines():
             if line.startswith(f"{sample} "):
                 return float(line.rpartition(" ")[2])
