--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -40,8 +40,10 @@
     """A connection to a peer that carries one exchange at a time.
 
     `exchanges` counts the exchanges begun, and `has_answer_head` is true once the head of the
-    present answer has arrived. Between two exchanges, `idle_since_s` and `idle_until_s` bound the
-    time in which the connection may be reused, as readings of the event loop's clock.
+    present answer has arrived. `has_stated_ids` is for the user of the connection, who sets it once
+    the peer has stated the id of a request in an answer. Between two exchanges, `idle_since_s` and
+    `idle_until_s` bound the time in which the connection may be reused, as readings of the event
+    loop's clock.
 
     The request is written by the parser with which its exchange began. An answer to another request
     replaces only the parser that reads, since a part of the body may still have to be sent.
@@ -53,6 +55,7 @@
         self.idle_until_s = 0.0
         self.exchanges = 0
         self.has_answer_head = False
+        self.has_stated_ids = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._method = b"GET"
         self._sending_h11 = self._h11
--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -42,7 +42,7 @@
 DROP_DETECTION_S = 0.2
 ANSWER_BUFFER_BYTES = 64 * 1024
 # Answers to other requests that are skipped before the connection is closed.
-MAX_MISMATCHED_ANSWERS = 2
+MAX_MISMATCHED_ANSWERS = 8
 # Of an answer that is of no use, more is not read: the connection is closed instead.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_S = 0.25
@@ -110,6 +110,8 @@
     called with the headers of the answer, before its body arrives.
     """
 
+    requires_ids = True  # once the peer has stated one on the connection
+
     def __init__(
         self,
         caller: ServerConnection,
@@ -217,11 +219,10 @@
 
     async def _read_matching_head(self, conn: ClientConnection) -> AnswerHead:
         """Return the head of the answer to this request, skipping late answers to others."""
-        own_id = self._outgoing.request_headers.request_id
-        for _ in range(MAX_MISMATCHED_ANSWERS):
+        for _ in range(1 + MAX_MISMATCHED_ANSWERS):
             answer = await conn.read_head()
-            answer_headers = read_answer(answer.status, answer.headers)
-            if not own_id or not answer_headers.request_id or answer_headers.request_id == own_id:
+            stated_id = read_answer(answer.status, answer.headers).request_id
+            if self._is_own(conn, stated_id):
                 return answer
             if not await _discard_body(conn):
                 break
@@ -230,6 +231,19 @@
             "received only answers to other requests", step="read head", peer=conn.host
         )
 
+    def _is_own(self, conn: ClientConnection, stated_id: str) -> bool:
+        """Return whether an answer that states an id, or an empty one, is to this request.
+
+        A peer that states ids states them in each answer, so one without is a late answer.
+        """
+        own_id = self._outgoing.request_headers.request_id
+        if not own_id:
+            return True
+        if not stated_id:
+            return not (self.requires_ids and conn.has_stated_ids)
+        conn.has_stated_ids = True
+        return stated_id == own_id
+
     async def _relay_answer(self, conn: ClientConnection, answer: AnswerHead) -> None:
         headers = end_to_end(answer.headers)
         buffered, is_whole = await _buffer_start(conn)
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -38,6 +38,7 @@
     """One try to have a request answered by a peer, whose refusals are answers as well."""
 
     hides_refusals = False
+    requires_ids = False  # a peer's own refusals state none
 
     async def _exchange(
         self, conn: ClientConnection, time_left_s: float, connect_s: float | None
--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -97,9 +97,7 @@
             conn = await connect(address, 1.0)
             await exchange(conn)
             assert conn.finish_exchange(100.0)
-            assert conn.idle_until_s == pytest.approx(
-                100.0 + idle_s * IDLE_TIMEOUT_SHARE
-            )
+            assert conn.idle_until_s == pytest.approx(100.0 + idle_s * IDLE_TIMEOUT_SHARE)
             conn.abort()
 
     run_async(scenario)
@@ -127,9 +125,7 @@
         loop = asyncio.get_running_loop()
         conn = await connect(address, 1.0)
         peer, _ = await loop.sock_accept(listener)
-        await conn.send_head(
-            b"POST", b"/", [(b"host", b"x"), (b"content-length", b"10000000")]
-        )
+        await conn.send_head(b"POST", b"/", [(b"host", b"x"), (b"content-length", b"10000000")])
         sending = asyncio.create_task(conn.send_part(b"x" * 10_000_000))
         await asyncio.sleep(0.1)
         sending.cancel()
@@ -162,9 +158,7 @@
     async def scenario() -> None:
         async with answering(OK + OK, OK) as address:
             conn = await connect(address, 1.0)
-            await conn.send_head(
-                b"POST", b"/", [(b"host", b"x"), (b"content-length", b"6")]
-            )
+            await conn.send_head(b"POST", b"/", [(b"host", b"x"), (b"content-length", b"6")])
             await conn.send_part(b"abc")
             await _read_answer(conn)
             conn.discard_answer()
--- a/tests/aio/test_server.py
+++ b/tests/aio/test_server.py
@@ -52,10 +52,7 @@
 
     async def scenario() -> None:
         async with serving(refuse) as (_, address):
-            smuggled = (
-                b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(GET)
-                + GET
-            )
+            smuggled = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(GET) + GET
             answer = await talk(address, smuggled + LAST)
             assert answer.count(b"HTTP/1.1 503") == 2
 
--- a/tests/bench/test_known_red.py
+++ b/tests/bench/test_known_red.py
@@ -24,9 +24,7 @@
 
 
 @pytest.mark.parametrize(("other", "exit_code"), [("pass", 0), ("assert False", 1)])
-def test_only_listed_failures_are_passed_over(
-    pytester, other: str, exit_code: int
-) -> None:
+def test_only_listed_failures_are_passed_over(pytester, other: str, exit_code: int) -> None:
     pytester.makepyfile(test_module=MODULE.format(other=other))
     listed = ("test_listed", "test_listed_setup", "test_mended", "test_gone")
     entries = {item.test: item for item in map(entry, listed)}
@@ -47,9 +45,7 @@
 def test_file_holds_one_entry_a_line(tmp_path) -> None:
     path = tmp_path / "KNOWN-RED.txt"
     path.write_text("# remark\n\na.py::test | pytest | seen | 7\n")
-    assert load_known_red(path) == {
-        "a.py::test": KnownRed("a.py::test", "pytest", "seen", "7")
-    }
+    assert load_known_red(path) == {"a.py::test": KnownRed("a.py::test", "pytest", "seen", "7")}
     path.write_text("a.py::test | pytest | | 7\n")
     with pytest.raises(KnownRedError, match="line 1"):
         load_known_red(path)
--- a/tests/bench/test_nodes.py
+++ b/tests/bench/test_nodes.py
@@ -21,9 +21,7 @@
     assert figures["at_12.parted.healed"] < 30.0
 
 
-def test_rings_reach_every_node_with_fewer_watches_and_without_waiting_for_repairs() -> (
-    None
-):
+def test_rings_reach_every_node_with_fewer_watches_and_without_waiting_for_repairs() -> None:
     found = {
         (outcome.strategy, outcome.loss, outcome.is_domain_gone): outcome
         for outcome in outcomes(120, SEED)
--- a/tests/bench/test_requests.py
+++ b/tests/bench/test_requests.py
@@ -22,10 +22,7 @@
 )
 def test_steering_has_the_lowest_p99(scenario: Scenario) -> None:
     product = run(scenario, "steered", 3, SMALL_S)
-    baselines = [
-        run(scenario, policy, 3, SMALL_S)
-        for policy in ("least_in_flight", "two_choices")
-    ]
+    baselines = [run(scenario, policy, 3, SMALL_S) for policy in ("least_in_flight", "two_choices")]
     assert product.p99_ms <= min(baseline.p99_ms for baseline in baselines)
     assert product.goodput_share >= 0.95 * min(1.0, scenario.load)
 
@@ -49,9 +46,7 @@
 
 
 @pytest.mark.parametrize(("rate", "max_calls"), [(20, 2.0), (300, 1.1)])
-def test_orders_cost_two_calls_and_fewer_under_load(
-    rate: int, max_calls: float
-) -> None:
+def test_orders_cost_two_calls_and_fewer_under_load(rate: int, max_calls: float) -> None:
     counts = run_orders(OWNED, rate, 3)
     assert counts.refused == 0
     assert (counts.reads + counts.writes) / counts.orders <= max_calls
--- a/tests/bench/test_runner.py
+++ b/tests/bench/test_runner.py
@@ -24,10 +24,7 @@
 )
 def test_verdict(value: float, listed: bool, verdict: Verdict) -> None:
     known_red = {"bench:g.f": KnownRed("bench:g.f", "c", "s", "7")} if listed else {}
-    assert (
-        judge("g", Figure("f", value, "s"), {"g.f": BOUND}, known_red).verdict
-        is verdict
-    )
+    assert judge("g", Figure("f", value, "s"), {"g.f": BOUND}, known_red).verdict is verdict
 
 
 def test_figure_without_bound_is_shown() -> None:
@@ -46,9 +43,7 @@
     module.figures = two_figures
     monkeypatch.setitem(sys.modules, "bench.trial", module)
     monkeypatch.setattr(runner, "_available_groups", lambda: ("trial",))
-    monkeypatch.setattr(
-        runner, "load_bounds", lambda: {"trial.calls": Bound(None, 1, "brief")}
-    )
+    monkeypatch.setattr(runner, "load_bounds", lambda: {"trial.calls": Bound(None, 1, "brief")})
 
 
 @pytest.mark.parametrize(("seed", "exit_code"), [("1", 0), ("2", 1), ("3", 1)])
--- a/tests/bench/test_steering_rows.py
+++ b/tests/bench/test_steering_rows.py
@@ -22,12 +22,8 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_counted_rows_are_within_their_bounds(size: FleetSize, seed: int) -> None:
     bounds = load_bounds()
-    values = {
-        figure.name: figure.value for figure in plan_figures(seed, size, (0, 7, 19))
-    }
-    over = [
-        name for name in COUNTED if not bounds[f"steering.{name}"].holds(values[name])
-    ]
+    values = {figure.name: figure.value for figure in plan_figures(seed, size, (0, 7, 19))}
+    over = [name for name in COUNTED if not bounds[f"steering.{name}"].holds(values[name])]
     assert over == []
 
 
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -119,14 +119,10 @@
             lambda _service, report: self.limit_reports.append(report),
             random.Random(1),
         )
-        self.prober = Prober(
-            [service.slots for service in self.services.values()], self.client
-        )
+        self.prober = Prober([service.slots for service in self.services.values()], self.client)
         links = Links(FixedAllotments(), "praha", link_resource)
         attempts = Attempts(self.services, self.client, links, self.metrics)
-        retries = Retries(
-            attempts, self.services, self.watch, self.metrics, random.Random(2)
-        )
+        retries = Retries(attempts, self.services, self.watch, self.metrics, random.Random(2))
         owners = OrderOwners(
             self.directory,
             self.client,
@@ -165,9 +161,7 @@
 
     def get(self, path: str, **headers: str) -> urllib3.BaseHTTPResponse:
         named = {name.replace("_", "-"): value for name, value in headers.items()}
-        return self.http.request(
-            "GET", f"/s/{SERVICE}{path}", headers=named, retries=False
-        )
+        return self.http.request("GET", f"/s/{SERVICE}{path}", headers=named, retries=False)
 
     def order(self, key: str, body: bytes = b"{}") -> urllib3.BaseHTTPResponse:
         headers = {"Idempotency-Key": key}
@@ -180,14 +174,11 @@
         return sum(
             sample.value
             for sample in samples
-            if sample.name.endswith("_total")
-            and sample.labels["reason"] == reason.value
+            if sample.name.endswith("_total") and sample.labels["reason"] == reason.value
         )
 
     def raw(self, request: bytes) -> socket.socket:
-        sock = socket.create_connection(
-            (self.http.host, self.http.port), timeout=TIMEOUT_S
-        )
+        sock = socket.create_connection((self.http.host, self.http.port), timeout=TIMEOUT_S)
         sock.sendall(request)
         return sock
 
@@ -208,9 +199,7 @@
     ]
     store = MemoryStore()
     listed: list[Vm] = []
-    started = [
-        Entry(listed, list(vms), store, f"entry-{index}") for index in range(entries)
-    ]
+    started = [Entry(listed, list(vms), store, f"entry-{index}") for index in range(entries)]
     for entry in started:
         entry.start()
     try:
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -56,9 +56,7 @@
 
 def refusals(path: WholePath, reason: str) -> float:
     return sum(
-        path.metric(
-            f'chervilmill_refusals_total{{reason="{reason}",service="{service}"}}'
-        )
+        path.metric(f'chervilmill_refusals_total{{reason="{reason}",service="{service}"}}')
         for service in ("", "souhrny")
     )
 
@@ -84,9 +82,7 @@
     assert path.state.requests == requests
 
 
-@pytest.mark.parametrize(
-    "method", [b"PUT /s/souhrny/scans/2", b"POST /s/souhrny/orders"]
-)
+@pytest.mark.parametrize("method", [b"PUT /s/souhrny/scans/2", b"POST /s/souhrny/orders"])
 def test_short_body_is_not_counted_as_whole(path: WholePath, method: bytes) -> None:
     orders, hashes = dict(path.state.orders_run), dict(path.state.upload_hashes)
     with connect(path) as sock:
@@ -144,9 +140,7 @@
 
 
 def test_connection_is_of_use_after_an_answer(path: WholePath) -> None:
-    conn = http.client.HTTPConnection(
-        path.callers.host, path.callers.port, timeout=TIMEOUT_S
-    )
+    conn = http.client.HTTPConnection(path.callers.host, path.callers.port, timeout=TIMEOUT_S)
     socks = []
     for _ in range(2):
         conn.request("GET", "/lookup")
@@ -166,9 +160,7 @@
     assert retry_until(lambda: path.state.in_flight == 0, PATIENCE_S)
 
 
-@pytest.mark.parametrize(
-    ("service", "first_line"), [("souhrny", b"100"), ("none", b"404")]
-)
+@pytest.mark.parametrize(("service", "first_line"), [("souhrny", b"100"), ("none", b"404")])
 def test_body_is_asked_for_once_it_is_wanted(
     path: WholePath, service: str, first_line: bytes
 ) -> None:
--- a/tests/callers/test_links.py
+++ b/tests/callers/test_links.py
@@ -47,9 +47,7 @@
 
 def test_upload_within_the_region_is_not_paced() -> None:
     clock = ManualClock()
-    links = Links(
-        FixedAllotments(0), "praha", link_resource, lambda: clock.now_s, clock.sleep
-    )
+    links = Links(FixedAllotments(0), "praha", link_resource, lambda: clock.now_s, clock.sleep)
     body = io.BytesIO(b"x")
     assert links.pace_body(body, links.begin_upload("praha")) is body
 
@@ -69,9 +67,7 @@
         )
         publish_crash(channel, "souhrny", CrashReport(fingerprint, losses))
         suspects = entry.services["souhrny"].suspects
-        verdict = suspects._quarantine.verdict(
-            fingerprint, suspects._clock(), lambda _: True
-        )
+        verdict = suspects._quarantine.verdict(fingerprint, suspects._clock(), lambda _: True)
         assert isinstance(verdict, Quarantined)
         huge_age = cbor2.dumps((10**400, True, False, "", []))
         malformed = (
@@ -91,11 +87,7 @@
         fingerprint = bytes(range(16))
         for name in ("target-0", "target-1"):
             value = cbor2.dumps((1.0, True, False, "", [], "added"))
-            channel.publish(
-                "crash", f"souhrny/{fingerprint.hex()}/{name}/0", value, 60.0
-            )
+            channel.publish("crash", f"souhrny/{fingerprint.hex()}/{name}/0", value, 60.0)
         suspects = entry.services["souhrny"].suspects
-        verdict = suspects._quarantine.verdict(
-            fingerprint, suspects._clock(), lambda _: True
-        )
+        verdict = suspects._quarantine.verdict(fingerprint, suspects._clock(), lambda _: True)
         assert isinstance(verdict, Quarantined)
--- a/tests/callers/test_lookup.py
+++ b/tests/callers/test_lookup.py
@@ -72,9 +72,7 @@
 def test_blocks_are_spread_over_the_entry_vms_of_a_place(parts) -> None:
     lookups = parts[3]
     blocks = [f"10.{a}.{b}.0" for a in range(10) for b in range(100)]
-    first = Counter(
-        lookups.answer("souhrny", block).entry_vms[0].name for block in blocks
-    )
+    first = Counter(lookups.answer("souhrny", block).entry_vms[0].name for block in blocks)
     assert len(first) == REGIONS["praha"]
     assert min(first.values()) > 0.8 * len(blocks) / len(first)
 
--- a/tests/callers/test_order_owners.py
+++ b/tests/callers/test_order_owners.py
@@ -45,9 +45,7 @@
     with running(entries=2) as (entries, [state]):
         entries[0].ledger._store.is_down = True
         answers = [entries[0].order(key) for key in order_keys(entries, 8)]
-        assert {resp.json()["reason"] for resp in answers} == {
-            "order_records_unavailable"
-        }
+        assert {resp.json()["reason"] for resp in answers} == {"order_records_unavailable"}
         assert not state.requests
 
 
@@ -77,9 +75,7 @@
         keys = order_keys(entries, 16)
         for key in keys:
             assert entries[0].order(key).status == 200
-        assert retry_until(
-            lambda: not any(e.ledger.pending_records for e in entries), TIMEOUT_S
-        )
+        assert retry_until(lambda: not any(e.ledger.pending_records for e in entries), TIMEOUT_S)
         for entry in entries:
             monkeypatch.setattr(entry.services["souhrny"].slots, "take", unreachable)
             entry.directory._entries = entry.directory._entries[:0]
--- a/tests/callers/test_quarantine.py
+++ b/tests/callers/test_quarantine.py
@@ -40,9 +40,7 @@
 
 
 @pytest.mark.parametrize(("crash_mode", "most_crashes"), [("midway", 2), ("silent", 3)])
-def test_crash_without_a_refused_request_is_not_counted(
-    crash_mode: str, most_crashes: int
-) -> None:
+def test_crash_without_a_refused_request_is_not_counted(crash_mode: str, most_crashes: int) -> None:
     """A crash that breaks an answer off, or that shows as silence, must count too."""
     with running(targets=6, crash_away_s=5.0, crash_mode=crash_mode) as (
         [entry],
@@ -79,9 +77,7 @@
 
 def test_request_that_ran_beside_it_is_answered() -> None:
     with running(targets=6, crash_away_s=5.0, work_s=0.3) as ([entry], states):
-        beside = [
-            in_thread(outcome, entry, f"/digest/{number}") for number in range(30)
-        ]
+        beside = [in_thread(outcome, entry, f"/digest/{number}") for number in range(30)]
         crash(entry)
         crash(entry)
         for thread, results in beside:
--- a/tests/callers/test_retries.py
+++ b/tests/callers/test_retries.py
@@ -15,12 +15,8 @@
     running,
 )
 
-USUAL_S = (
-    0.5  # more than a busy machine adds to an answer, far less than a late answer takes
-)
-MAX_BURSTS = (
-    20  # a busy machine may start the threads of a burst too far apart to overlap
-)
+USUAL_S = 0.5  # more than a busy machine adds to an answer, far less than a late answer takes
+MAX_BURSTS = 20  # a busy machine may start the threads of a burst too far apart to overlap
 
 
 def retries(entry: Entry, reason: RetryReason) -> float:
@@ -75,9 +71,7 @@
     with running(targets=2) as ([entry], states):
         for state in states:
             state.faults.append(AnswerFault.LOST)
-        resp = entry.http.request(
-            "PUT", f"/s/{SERVICE}/scan", body=b"x" * 1000, retries=False
-        )
+        resp = entry.http.request("PUT", f"/s/{SERVICE}/scan", body=b"x" * 1000, retries=False)
         assert (resp.status, resp.json()["ran"]) == (502, "unknown")
         assert sum(state.requests for state in states) == 1
 
@@ -143,7 +137,5 @@
         states[1].behave({"is_leaving": True})
         requests = states[1].requests
         assert retry_until(lambda: entry.directory.reported == ["target-1"], TIMEOUT_S)
-        assert [entry.get(f"/digest/{number}").status for number in range(12)] == [
-            200
-        ] * 12
+        assert [entry.get(f"/digest/{number}").status for number in range(12)] == [200] * 12
         assert states[1].requests == requests
--- a/tests/callers/test_steered.py
+++ b/tests/callers/test_steered.py
@@ -25,9 +25,7 @@
 
     place_regions = REGIONS
 
-    def __init__(
-        self, *, is_steered: bool, admitted: float = 1.0, **weights: float
-    ) -> None:
+    def __init__(self, *, is_steered: bool, admitted: float = 1.0, **weights: float) -> None:
         regions = dict(REGIONS)
         named = {name.replace("_", "-"): weight for name, weight in weights.items()}
         self._choices = tuple(
@@ -64,9 +62,7 @@
 
 
 def request(number: int) -> SimpleNamespace:
-    return SimpleNamespace(
-        request_id=f"request-{number}", service=SERVICE, client="10.0.0.1"
-    )
+    return SimpleNamespace(request_id=f"request-{number}", service=SERVICE, client="10.0.0.1")
 
 
 @pytest.mark.parametrize(
@@ -85,9 +81,7 @@
     ],
 )
 def test_domains_of_a_request(is_steered, weights, first, near) -> None:
-    steered = SteeredRequests(
-        FixedSteering(is_steered=is_steered, **weights), ALL_OPEN, "praha"
-    )
+    steered = SteeredRequests(FixedSteering(is_steered=is_steered, **weights), ALL_OPEN, "praha")
     assert steered.domains(request(1)) == AllowedDomains(frozenset(near), first)
 
 
@@ -95,15 +89,9 @@
     steering = FixedSteering(is_steered=True, praha_a=1.0, brno_a=0.25, brno_b=0.1)
     steered = SteeredRequests(steering, ALL_OPEN, "praha")
     found = [steered.domains(request(number)).allowed for number in range(REQUESTS)]
-    assert sum("brno-a" in allowed for allowed in found) / REQUESTS == pytest.approx(
-        0.25, abs=0.03
-    )
-    assert sum("brno-b" in allowed for allowed in found) / REQUESTS == pytest.approx(
-        0.1, abs=0.03
-    )
-    assert found == [
-        steered.domains(request(number)).allowed for number in range(REQUESTS)
-    ]
+    assert sum("brno-a" in allowed for allowed in found) / REQUESTS == pytest.approx(0.25, abs=0.03)
+    assert sum("brno-b" in allowed for allowed in found) / REQUESTS == pytest.approx(0.1, abs=0.03)
+    assert found == [steered.domains(request(number)).allowed for number in range(REQUESTS)]
 
 
 @pytest.mark.parametrize(
@@ -123,9 +111,7 @@
         "place in reach",
     ],
 )
-def test_other_regions_are_open_while_the_link_has_room(
-    weights, open_regions, expected
-) -> None:
+def test_other_regions_are_open_while_the_link_has_room(weights, open_regions, expected) -> None:
     links = FixedLinks(*open_regions)
     steered = SteeredRequests(FixedSteering(is_steered=True, **weights), links, "praha")
     assert steered.domains(request(1)).allowed == expected
@@ -148,9 +134,7 @@
 
 def policy() -> TargetPolicy:
     made = TargetPolicy("entry-0")
-    infos = [
-        TargetInfo(domain, 2, region == "praha", domain) for domain, region in REGIONS
-    ]
+    infos = [TargetInfo(domain, 2, region == "praha", domain) for domain, region in REGIONS]
     made.update(infos, ["entry-0"], 0.0)
     return made
 
@@ -174,9 +158,7 @@
     rng = random.Random(1)
     taken = [chosen.start_attempt(1.0, rng, domains=domains) for _ in expected]
     ordered = taken if domains and domains.preferred else sorted(taken, key=str)
-    assert ordered == (
-        expected if domains and domains.preferred else sorted(expected, key=str)
-    )
+    assert ordered == (expected if domains and domains.preferred else sorted(expected, key=str))
 
 
 def test_a_freed_slot_goes_to_a_request_that_may_use_it() -> None:
@@ -205,7 +187,6 @@
             )
             assert resp.status == 200
         assert all(
-            sum(queue.cached is not None for queue in entry.ledger._queues)
-            for entry in entries
+            sum(queue.cached is not None for queue in entry.ledger._queues) for entry in entries
         )
         assert state.orders_run.total() == 16
--- a/tests/callers/test_target_limits.py
+++ b/tests/callers/test_target_limits.py
@@ -85,9 +85,7 @@
 
 def test_limit_that_holds_for_long_is_forgotten_by_vms_that_do_not_send() -> None:
     """They get no answers of the target, so others must tell them again that it still holds."""
-    sender, other = (
-        ServiceLimits("souhrny", name, "praha") for name in ("vm-0", "vm-1")
-    )
+    sender, other = (ServiceLimits("souhrny", name, "praha") for name in ("vm-0", "vm-1"))
     for now_s in range(300):
         report = sender.record_answer("t1", "2", float(now_s))
         if report is not None:
--- a/tests/callers/test_whole_answers.py
+++ b/tests/callers/test_whole_answers.py
@@ -34,9 +34,7 @@
         assert entry.dropped(reason) == 2
 
 
-@pytest.mark.parametrize(
-    "fault", [AnswerFault.CROSSED, AnswerFault.LOST, AnswerFault.SHORT]
-)
+@pytest.mark.parametrize("fault", [AnswerFault.CROSSED, AnswerFault.LOST, AnswerFault.SHORT])
 def test_order_with_an_unusable_answer_is_not_sent_again(fault: AnswerFault) -> None:
     with running(targets=2) as ([entry], states):
         for state in states:
@@ -109,9 +107,7 @@
 
 def test_upload_that_breaks_off_never_looks_whole() -> None:
     with running() as ([entry], [state]):
-        head = (
-            f"PUT /s/{SERVICE}/scan HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n"
-        )
+        head = f"PUT /s/{SERVICE}/scan HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n"
         sock = entry.raw(head.encode() + bytes(999))
         assert retry_until(lambda: state.in_flight == 1, TIMEOUT_S)
         sock.close()
--- a/tests/capacity/test_capacity.py
+++ b/tests/capacity/test_capacity.py
@@ -8,9 +8,7 @@
 
 def test_line_through_exact_points() -> None:
     line = fit_line((1, 2, 4), (5.0, 7.0, 11.0))
-    assert (line.slope, line.intercept, line.r_squared) == pytest.approx(
-        (2.0, 3.0, 1.0)
-    )
+    assert (line.slope, line.intercept, line.r_squared) == pytest.approx((2.0, 3.0, 1.0))
     assert line.value_at(100) == pytest.approx(203.0)
 
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -43,9 +43,7 @@
     running.server.stop()
 
 
-def test_status_as_text_and_json(
-    node: Node, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_status_as_text_and_json(node: Node, capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["status", *node.options]) == 0
     text = capsys.readouterr().out
     assert "entry-1 (praha, praha-a), live" in text
@@ -79,9 +77,7 @@
     assert main(["status"]) == 2
 
 
-def test_errors_name_step_and_peer(
-    node: Node, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_errors_name_step_and_peer(node: Node, capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["drain", "nobody", *node.options]) == 1
     peer = str(node.server.address)
     expected = f"chervilmill: write mark: {peer}: no VM nobody in the platform's list\n"
--- a/tests/cli/test_trace.py
+++ b/tests/cli/test_trace.py
@@ -52,9 +52,7 @@
 
 
 def test_lines_of_the_page_are_lines_of_the_log() -> None:
-    known = {
-        json.dumps(line.fields) for line in parse_lines(LOGS.read_text().splitlines())
-    }
+    known = {json.dumps(line.fields) for line in parse_lines(LOGS.read_text().splitlines())}
     quoted = [json.dumps(line.fields) for line in parse_lines(PAGE.splitlines())]
     assert len(quoted) >= 4
     assert set(quoted) <= known
--- a/tests/coordination/test_directory.py
+++ b/tests/coordination/test_directory.py
@@ -114,9 +114,7 @@
     assert vms.entry_vms() == (OTHER_ENTRY,)
 
 
-@pytest.mark.parametrize(
-    "value", [b'{"leaving": false}', b"{", b"[]", b'{"leaving": "yes"}']
-)
+@pytest.mark.parametrize("value", [b'{"leaving": false}', b"{", b"[]", b'{"leaving": "yes"}'])
 def test_mark_that_is_cleared_or_malformed_has_no_effect(value: bytes) -> None:
     vms = directory()
     vms.update_configuration(leaving_mark("target-1", value))
--- a/tests/coordination/test_foreign_entries.py
+++ b/tests/coordination/test_foreign_entries.py
@@ -63,9 +63,7 @@
 
 # One malformed entry ended the thread that reads the list of VMs.
 @pytest.mark.parametrize("part", PARTS, ids=lambda part: part[:12].decode())
-@pytest.mark.parametrize(
-    "name", ["name", "role", "state", "service", "address", "nodes"]
-)
+@pytest.mark.parametrize("name", ["name", "role", "state", "service", "address", "nodes"])
 def test_malformed_vm_costs_only_that_vm(
     monkeypatch: pytest.MonkeyPatch, name: str, part: bytes
 ) -> None:
@@ -92,9 +90,7 @@
 
 
 @pytest.mark.parametrize("body", [b"", b"3", b"null", b"[" * 5000, b"\xff"])
-def test_malformed_answer_counts_as_no_answer(
-    monkeypatch: pytest.MonkeyPatch, body: bytes
-) -> None:
+def test_malformed_answer_counts_as_no_answer(monkeypatch: pytest.MonkeyPatch, body: bytes) -> None:
     platform = _platform(monkeypatch, body)
     for call in (
         platform.vms,
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -55,9 +55,7 @@
         return self._write(kind, name, lambda: self.inner.create(kind, name, value))
 
     def update(self, kind: str, name: str, value: bytes, version: int) -> int:
-        return self._write(
-            kind, name, lambda: self.inner.update(kind, name, value, version)
-        )
+        return self._write(kind, name, lambda: self.inner.update(kind, name, value, version))
 
     def apply_delayed_write(self) -> None:
         if self._delayed_writes and self._rng.random() < 0.5:
@@ -140,9 +138,7 @@
 
     def _holder(self, name: str) -> Holder:
         rate = self.rng.uniform(0.99, 1.01)
-        lease = Lease(
-            self.store, "planner", name, DURATION_S, lambda: self.time.now_s * rate
-        )
+        lease = Lease(self.store, "planner", name, DURATION_S, lambda: self.time.now_s * rate)
         return Holder(name, lease, FencedObject(self.store, "table", "t", lease))
 
     def interrupt(self) -> None:
@@ -163,9 +159,7 @@
 
     def epochs_written(self) -> list[int]:
         written = sorted(self.store.written, key=lambda stored: stored.version)
-        return [
-            decode_fenced(stored).epoch for stored in written if stored.kind == "table"
-        ]
+        return [decode_fenced(stored).epoch for stored in written if stored.kind == "table"]
 
     def _count_holders(self) -> None:
         holders_now = sum(holder.lease.is_held for holder in self.holders)
@@ -208,9 +202,7 @@
     def is_caught(seed: int) -> bool:
         race = Race(seed)
         for holder in race.holders:
-            holder.fenced_object = UnfencedObject(
-                race.store, "table", "t", holder.lease
-            )
+            holder.fenced_object = UnfencedObject(race.store, "table", "t", holder.lease)
         race.run()
         return race.epochs_written() != sorted(race.epochs_written())
 
--- a/tests/coordination/test_order_ledger.py
+++ b/tests/coordination/test_order_ledger.py
@@ -36,9 +36,7 @@
 
 
 def claim(key: str, nonce: int, body: bytes = b"body") -> Claim:
-    return Claim(
-        order_key("souhrny", key, "POST", "/orders", body), nonce.to_bytes(12, "big")
-    )
+    return Claim(order_key("souhrny", key, "POST", "/orders", body), nonce.to_bytes(12, "big"))
 
 
 def is_written(ledger: OrderLedger) -> bool:
@@ -50,23 +48,17 @@
     own_claim = claim("k", 1)
     assert first.claim(own_claim, TIMEOUT_S).result is ClaimResult.GRANTED
     assert second.claim(claim("k", 2), TIMEOUT_S).result is ClaimResult.CLAIMED_BEFORE
-    assert (
-        second.claim(claim("k", 3, b"else"), TIMEOUT_S).result is ClaimResult.KEY_REUSED
-    )
+    assert second.claim(claim("k", 3, b"else"), TIMEOUT_S).result is ClaimResult.KEY_REUSED
     first.record(RecordOutcome(own_claim.key, own_claim.nonce, DONE))
     assert is_written(first)
     reply = second.claim(claim("k", 4), TIMEOUT_S)
     assert (reply.result, reply.outcome) == (ClaimResult.FINISHED_BEFORE, DONE)
 
 
-def test_lost_reply_is_resolved_by_reading(
-    ledgers: list[OrderLedger], store: MemoryStore
-) -> None:
+def test_lost_reply_is_resolved_by_reading(ledgers: list[OrderLedger], store: MemoryStore) -> None:
     store.lose_replies = 1
     assert ledgers[0].claim(claim("k", 1), TIMEOUT_S).result is ClaimResult.GRANTED
-    assert (
-        ledgers[1].claim(claim("k", 2), TIMEOUT_S).result is ClaimResult.CLAIMED_BEFORE
-    )
+    assert ledgers[1].claim(claim("k", 2), TIMEOUT_S).result is ClaimResult.CLAIMED_BEFORE
 
 
 def test_store_down_refuses_claims_and_keeps_outcomes(
@@ -77,10 +69,7 @@
     assert first.claim(own_claim, TIMEOUT_S).result is ClaimResult.GRANTED
     store.is_down = True
     first.record(RecordOutcome(own_claim.key, own_claim.nonce, DONE))
-    assert (
-        first.claim(claim("other", 2), TIMEOUT_S).result
-        is ClaimResult.STORE_UNAVAILABLE
-    )
+    assert first.claim(claim("other", 2), TIMEOUT_S).result is ClaimResult.STORE_UNAVAILABLE
     assert first.pending_records == 1
     store.is_down = False
     assert is_written(first)
@@ -88,9 +77,7 @@
     assert second.claim(claim("other", 4), TIMEOUT_S).result is ClaimResult.GRANTED
 
 
-def test_abandoned_claim_is_released(
-    ledgers: list[OrderLedger], store: MemoryStore
-) -> None:
+def test_abandoned_claim_is_released(ledgers: list[OrderLedger], store: MemoryStore) -> None:
     store.delay_s = 0.2
     assert ledgers[0].claim(claim("k", 1), 0.05).result is ClaimResult.STORE_UNAVAILABLE
     store.delay_s = 0.0
--- a/tests/daemon/test_logs.py
+++ b/tests/daemon/test_logs.py
@@ -25,9 +25,7 @@
     assert whole_path.daemon.wait(STOP_TIMEOUT_S) == 0
     text = whole_path.settings_file.with_suffix(".log").read_text()
     lines = [json.loads(line) for line in text.splitlines()]
-    assert all(
-        {"time", "level", "node", "revision", "event"} <= set(line) for line in lines
-    )
+    assert all({"time", "level", "node", "revision", "event"} <= set(line) for line in lines)
     assert {line["node"] for line in lines} == {"entry-1"}
     refused = [line for line in lines if line["event"] == "request refused"]
     shown = [(line["request_id"], line["reason"], line["ran"]) for line in refused]
--- a/tests/daemon/test_shift.py
+++ b/tests/daemon/test_shift.py
@@ -30,9 +30,7 @@
         self.platform = platform_server(free_address(), self.store)
         self.platform.start()
         self.raws = [self._raw(name) for name in ("praha-a", "brno-a")]
-        domains = [
-            d for region in self.raws[0]["regions"] for d in region["failure_domains"]
-        ]
+        domains = [d for region in self.raws[0]["regions"] for d in region["failure_domains"]]
         for index in range(36):
             domain = domains[index % len(domains)]
             self.store.put_vm(target_vm(f"t-{index}", free_address(), domain=domain))
@@ -45,9 +43,7 @@
         self.daemons = [
             start_daemon(tmp_path / f"{raw['node']['name']}.jsonc") for raw in self.raws
         ]
-        assert retry_until(
-            lambda: all(self.look_up(n) for n in (0, 1)), START_TIMEOUT_S
-        )
+        assert retry_until(lambda: all(self.look_up(n) for n in (0, 1)), START_TIMEOUT_S)
 
     def _raw(self, domain: str) -> dict:
         location = {"region": domain.partition("-")[0], "failure_domain": domain}
@@ -95,12 +91,8 @@
     assert shift["phase"] == "done"
     assert shift["blocks_moved"] == shift["blocks_to_move"] > 0
     revision = shift["revision"]
-    assert retry_until(
-        lambda: site.look_up(0).get("revision", 0) >= revision, START_TIMEOUT_S
-    )
-    assert retry_until(
-        lambda: site.look_up(1).get("revision", 0) >= revision, START_TIMEOUT_S
-    )
+    assert retry_until(lambda: site.look_up(0).get("revision", 0) >= revision, START_TIMEOUT_S)
+    assert retry_until(lambda: site.look_up(1).get("revision", 0) >= revision, START_TIMEOUT_S)
     answers = [site.look_up(node, "10.3.7.7") for node in (0, 1)]
     assert answers[0] == answers[1]
     assert run(0, "explain", "souhrny", "10.3.7.7")["intent"] == "to-brno"
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -42,9 +42,7 @@
 
 
 def test_order_without_key_is_refused_as_not_run(whole_path: WholePath) -> None:
-    resp = whole_path.http.request(
-        "POST", f"{whole_path.url}/s/souhrny/orders", body=b"{}"
-    )
+    resp = whole_path.http.request("POST", f"{whole_path.url}/s/souhrny/orders", body=b"{}")
     assert resp.status == 428
     assert resp.json()["ran"] == "not_run"
     assert whole_path.state.requests == 0
@@ -57,9 +55,7 @@
         body = SlowBody(BUNDLE)
         headers = {"Content-Length": str(len(BUNDLE))}
         url = f"{whole_path.url}/s/souhrny/scans/1"
-        result.append(
-            whole_path.http.request("PUT", url, body=body, headers=headers).json()
-        )
+        result.append(whole_path.http.request("PUT", url, body=body, headers=headers).json())
 
     thread = threading.Thread(target=upload)
     thread.start()
--- a/tests/entry/crash_fleet.py
+++ b/tests/entry/crash_fleet.py
@@ -97,12 +97,9 @@
 
     def __post_init__(self) -> None:
         self._rng = random.Random(self.seed)
-        self.contents = [
-            _Content(f"/crash/{number}") for number in range(self.case.contents)
-        ]
+        self.contents = [_Content(f"/crash/{number}") for number in range(self.case.contents)]
         self._targets = {
-            f"t{number}": _Target(f"d{number % DOMAINS}")
-            for number in range(self.case.targets)
+            f"t{number}": _Target(f"d{number % DOMAINS}") for number in range(self.case.targets)
         }
         self._vms = [self._new_vm(number) for number in range(self.case.vms)]
 
@@ -150,9 +147,7 @@
         tracker = CrashTracker(self._rng.random())
         tracker.on_urgent_report = lambda: self._urgent.add(number)
         tracker.fleet_size = self.case.vms
-        tracker.set_targets(
-            {name: target.domain for name, target in self._targets.items()}
-        )
+        tracker.set_targets({name: target.domain for name, target in self._targets.items()})
         return tracker
 
     def _ask(
@@ -167,16 +162,11 @@
         name = self._choose_target(vm, fingerprint, now_s)
         if name is None:
             return
-        vm.record_sent(
-            fingerprint, Lifetime(name, self._targets[name].incarnation), now_s
-        )
+        vm.record_sent(fingerprint, Lifetime(name, self._targets[name].incarnation), now_s)
         if now_s < self.case.crashes_from_s:
             self._answer(vm, fingerprint, name, now_s)
             return
-        if (
-            content.third_crash_s is not None
-            and now_s > content.third_crash_s + STABLE_S
-        ):
+        if content.third_crash_s is not None and now_s > content.third_crash_s + STABLE_S:
             content.late_sends += 1
         content.crashes += 1
         if content.crashes == 3:
@@ -191,25 +181,17 @@
                 )
             )
 
-    def _choose_target(
-        self, vm: CrashTracker, fingerprint: bytes, now_s: float
-    ) -> str | None:
+    def _choose_target(self, vm: CrashTracker, fingerprint: bytes, now_s: float) -> str | None:
         """Return a running target at which the request may run, or None if it is refused."""
-        running = [
-            name for name, target in self._targets.items() if target.is_up(now_s)
-        ]
-        verdict = vm.verdict(
-            fingerprint, now_s, lambda name: self._targets[name].is_up(now_s)
-        )
+        running = [name for name, target in self._targets.items() if target.is_up(now_s)]
+        verdict = vm.verdict(fingerprint, now_s, lambda name: self._targets[name].is_up(now_s))
         if isinstance(verdict, Quarantined) or not running:
             return None
         limited = isinstance(verdict, LimitedToTarget)
         name = verdict.target if limited else self._rng.choice(running)
         return name if name and self._targets[name].is_up(now_s) else None
 
-    def _answer(
-        self, vm: CrashTracker, fingerprint: bytes, name: str, now_s: float
-    ) -> None:
+    def _answer(self, vm: CrashTracker, fingerprint: bytes, name: str, now_s: float) -> None:
         """Let a target answer a request after its work, or lose it if the target crashes first."""
         lifetime = Lifetime(name, self._targets[name].incarnation)
 
@@ -221,17 +203,13 @@
 
         self._due.append((now_s + HARMLESS_WORK_S, end))
 
-    def _crash(
-        self, vm: CrashTracker, fingerprint: bytes, name: str, now_s: float
-    ) -> None:
+    def _crash(self, vm: CrashTracker, fingerprint: bytes, name: str, now_s: float) -> None:
         back_s = now_s + self.case.back_s
         self._targets[name].down_until_s = back_s
         loss_s = now_s + self.case.loss_seen_s
         lifetime = Lifetime(name, self._targets[name].incarnation)
         self._targets[name].incarnation += 1
-        self._due.append(
-            (loss_s, lambda at_s: vm.record_loss(fingerprint, lifetime, now_s, at_s))
-        )
+        self._due.append((loss_s, lambda at_s: vm.record_loss(fingerprint, lifetime, now_s, at_s)))
         self._lose_beside(lifetime, now_s, loss_s)
         if self.case.refusal_s is not None:
             refused_s = loss_s + self._rng.expovariate(1 / self.case.refusal_s)
@@ -241,16 +219,12 @@
 
     def _lose_beside(self, lifetime: Lifetime, now_s: float, loss_s: float) -> None:
         """Lose the harmless requests at a target that crashes; each comes again at once."""
-        paths = [
-            f"/beside/{lifetime.target}/{now_s}/{n}" for n in range(self.case.beside)
-        ]
+        paths = [f"/beside/{lifetime.target}/{now_s}/{n}" for n in range(self.case.beside)]
         if self.case.popular_per_s:
             paths.append(POPULAR_PATH)
         for path in paths:
             caller = f"caller-{self._rng.randrange(POPULAR_CALLERS)}"
-            self._lose(
-                self._rng.choice(self._vms), path, caller, lifetime, now_s, loss_s
-            )
+            self._lose(self._rng.choice(self._vms), path, caller, lifetime, now_s, loss_s)
 
     def _lose(
         self,
@@ -271,22 +245,16 @@
         for _ in range(int(self.case.popular_per_s)):
             if self._rng.random() < STEP_S:
                 caller = f"caller-{self._rng.randrange(POPULAR_CALLERS)}"
-                self._ask_harmless(
-                    self._rng.choice(self._vms), POPULAR_PATH, caller, now_s
-                )
+                self._ask_harmless(self._rng.choice(self._vms), POPULAR_PATH, caller, now_s)
 
-    def _ask_harmless(
-        self, vm: CrashTracker, path: str, caller: str, now_s: float
-    ) -> None:
+    def _ask_harmless(self, vm: CrashTracker, path: str, caller: str, now_s: float) -> None:
         self.harmless_sent += 1
         fingerprint = _fingerprint(path, caller)
         name = self._choose_target(vm, fingerprint, now_s)
         if name is None:
             self.harmless_refused += 1
         else:
-            vm.record_sent(
-                fingerprint, Lifetime(name, self._targets[name].incarnation), now_s
-            )
+            vm.record_sent(fingerprint, Lifetime(name, self._targets[name].incarnation), now_s)
             self._answer(vm, fingerprint, name, now_s)
 
     def _register_lifetime(self, name: str, now_s: float) -> None:
@@ -300,9 +268,7 @@
         for number, vm in enumerate(self._vms):
             if self._rng.random() < self.case.other_losses_per_s * STEP_S:
                 name = f"other-{number}-{now_s}"
-                vm.record_loss(
-                    _fingerprint(name, "caller"), Lifetime(name), now_s, now_s
-                )
+                vm.record_loss(_fingerprint(name, "caller"), Lifetime(name), now_s, now_s)
                 vm.record_crash(name, now_s)
 
     def _restart_vm(self, now_s: float) -> None:
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -172,9 +172,7 @@
     await store.listen(store_address)
     store.put("config", "main", configuration(1, routes, services))
     ports = VmPorts("127.0.0.1", *[free_address().port for _ in range(6)])
-    path = write_settings(
-        tmp_path / "vm.json", settings("vm-1", "north-a", ports, store_address)
-    )
+    path = write_settings(tmp_path / "vm.json", settings("vm-1", "north-a", ports, store_address))
     read = read_settings(path)
     vm = EntryVm(read, path)
     made = SiteUnderTest(
--- a/tests/entry/limit_fleet.py
+++ b/tests/entry/limit_fleet.py
@@ -56,9 +56,7 @@
 class _Vm:
     """One entry VM of the fleet."""
 
-    def __init__(
-        self, name: str, region: str, targets: list[Target], seed: str
-    ) -> None:
+    def __init__(self, name: str, region: str, targets: list[Target], seed: str) -> None:
         self.name = name
         self.region = region
         self.view = SiteView()
@@ -108,11 +106,7 @@
         region = self.case.limited_region
         if region is None:
             return [target.name for target in self._targets[:2]]
-        return [
-            target.name
-            for target in self._targets
-            if REGIONS[target.failure_domain] == region
-        ]
+        return [target.name for target in self._targets if REGIONS[target.failure_domain] == region]
 
     def run(self) -> None:
         """Let requests come for the duration of the case."""
@@ -128,14 +122,9 @@
 
     def most_in_a_window(self, target: str) -> int:
         """Return the most requests to a target in one window, once the limit must hold."""
-        times_s = [
-            at_s for at_s in self.sent.get(target, []) if at_s >= NAMED_AT_S + STABLE_S
-        ]
+        times_s = [at_s for at_s in self.sent.get(target, []) if at_s >= NAMED_AT_S + STABLE_S]
         return max(
-            (
-                sum(at_s <= other_s < at_s + WINDOW_S for other_s in times_s)
-                for at_s in times_s
-            ),
+            (sum(at_s <= other_s < at_s + WINDOW_S for other_s in times_s) for at_s in times_s),
             default=0,
         )
 
@@ -150,9 +139,7 @@
         while now_s < self.case.duration_s:
             now_s += self._rng.expovariate(self.case.requests_per_s)
             is_burst = self.case.waves and self._rng.random() < 0.5
-            times_s.append(
-                now_s - now_s % 8.0 + self._rng.random() * 0.3 if is_burst else now_s
-            )
+            times_s.append(now_s - now_s % 8.0 + self._rng.random() * 0.3 if is_burst else now_s)
         return times_s
 
     def _at(self, at_s: float, action: Callable[[float], None]) -> None:
--- a/tests/entry/pair.py
+++ b/tests/entry/pair.py
@@ -37,9 +37,7 @@
             link, shown = Proxy(store_address), free_address()
             await link.listen(shown)
             self.links.append(link)
-            read = self._settings(
-                f"vm-{number}", VmPorts(f"127.0.3.{number}", *ports), shown
-            )
+            read = self._settings(f"vm-{number}", VmPorts(f"127.0.3.{number}", *ports), shown)
             vm = EntryVm(read, self._folder / f"{read.name}.json")
             site = SiteUnderTest(
                 self.store,
--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -83,9 +83,7 @@
         for number, at_s in enumerate(self.case.changes_s):
             await asyncio.sleep(at_s - loop.time())
             is_last = number == len(self.case.changes_s) - 1
-            self.events.append(
-                (self.revision + 1, LEAVING if is_last else f"other-{number}")
-            )
+            self.events.append((self.revision + 1, LEAVING if is_last else f"other-{number}"))
             self.changed.set()
             self.changed = asyncio.Event()
 
@@ -118,9 +116,7 @@
         except TimeoutError:
             pass
         events = [
-            {"object": _entry(name, revision)}
-            for revision, name in self.events
-            if revision > since
+            {"object": _entry(name, revision)} for revision, name in self.events if revision > since
         ]
         return {"events": events, "as-of": self.revision}
 
@@ -137,9 +133,7 @@
         self.learnt_s: float | None = None
         self.fetches = 0
         self._fleet = fleet
-        self.peer = Peer(
-            f"vm-{number}", f"10.0.{number // 250}.{number % 250}", f"d{number % 6}"
-        )
+        self.peer = Peer(f"vm-{number}", f"10.0.{number // 250}.{number % 250}", f"d{number % 6}")
         rng = random.Random(f"{fleet.case.vms}-{number}")
         self.membership = Membership(self.peer.name, 1, rng, self.peer.failure_domain)
         self.membership.set_serving(True)
@@ -165,18 +159,14 @@
             self.sync.set_reader(self.membership.is_reader)
             await asyncio.sleep(0.25)
 
-    async def _call(
-        self, method: str, path: str, body: bytes, timeout_s: float
-    ) -> HttpAnswer:
+    async def _call(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._fleet.store.answer(self.number, path)
         except TimeoutError as exc:
             raise ExchangeTimeoutError("no answer", step=method, peer="store") from exc
 
-    def _record_change(
-        self, kind: str, change: ReplicaChange, until_s: float | None
-    ) -> None:
+    def _record_change(self, kind: str, change: ReplicaChange, until_s: float | None) -> None:
         if any(stored.name == LEAVING for stored in change.written):
             self.learnt_s = asyncio.get_running_loop().time()
 
@@ -184,9 +174,7 @@
         _ASKING_VM.set(self.number)
         peer = self.membership.peer(digest.sender)
         if peer is not None:
-            self.sync.handle_peer_versions(
-                Address(peer.host, PEER_PORT), digest.revisions
-            )
+            self.sync.handle_peer_versions(Address(peer.host, PEER_PORT), digest.revisions)
 
 
 class _Link(asyncio.DatagramTransport):
@@ -243,16 +231,10 @@
         """Return the VMs that learnt too late that the target leaves, with the delays."""
         left_s = self.case.changes_s[-1]
         delays = {
-            vm.peer.name: (
-                None if vm.learnt_s is None else round(vm.learnt_s - left_s, 3)
-            )
+            vm.peer.name: (None if vm.learnt_s is None else round(vm.learnt_s - left_s, 3))
             for vm in self.vms
         }
-        return {
-            name: late
-            for name, late in delays.items()
-            if late is None or late > bound_s
-        }
+        return {name: late for name, late in delays.items() if late is None or late > bound_s}
 
     async def _start(self, vm: _Vm) -> None:
         await asyncio.sleep(self.rng.random() * 0.5)
@@ -269,6 +251,4 @@
         if asker.fetches <= self.case.lost_fetches:
             await asyncio.sleep(_replica_copies.PEER_TIMEOUT_S - 4 * DELAYS_S[1])
             raise ExchangeError("no answer", step="GET", peer=str(host))
-        return FetchedReplica(
-            Listing(dict(giver.replica.objects), giver.replica.as_of), True
-        )
+        return FetchedReplica(Listing(dict(giver.replica.objects), giver.replica.as_of), True)
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -37,9 +37,7 @@
         501,
     ),
     "bad chunk": (
-        b"POST /order/a HTTP/1.1\r\n"
-        + HEAD
-        + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"POST /order/a HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
         400,
     ),
     "no request": (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
@@ -128,9 +126,7 @@
             bodies = []
             for _ in range(2):
                 head = await reader.readuntil(b"\r\n\r\n")
-                (line,) = [
-                    x for x in head.split(b"\r\n") if x.startswith(b"content-length")
-                ]
+                (line,) = [x for x in head.split(b"\r\n") if x.startswith(b"content-length")]
                 bodies.append(await reader.readexactly(int(line.split(b":")[1])))
             writer.close()
             assert b"ran bad" in bodies[0]
--- a/tests/entry/test_crash_series.py
+++ b/tests/entry/test_crash_series.py
@@ -53,9 +53,7 @@
     "crash_seen_as_new_lifetime": CrashCase(**_OFTEN, refusal_s=None, back_s=4.5),
     "vms_restart_one_after_the_other": CrashCase(**_OFTEN, restart_every_s=3.0),
     "halves_of_the_fleet_are_parted": CrashCase(**_OFTEN, cut_s=(0.0, 15.0)),
-    "two_contents_take_targets_of_195_vms": CrashCase(
-        **_OFTEN, contents=2, vms=195, targets=333
-    ),
+    "two_contents_take_targets_of_195_vms": CrashCase(**_OFTEN, contents=2, vms=195, targets=333),
     "two_callers": CrashCase(**{**_OFTEN, "callers": 2}),
 }
 SIZES = {
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -33,10 +33,6 @@
         author.record_loss(b"f", Lifetime(target), now_s, now_s)
         author.record_crash(target, now_s + 1.0)
         for later_s in (1.5, 2.0):
-            reader.receive_reports(
-                author.next_reports(now_s + later_s), now_s + later_s
-            )
+            reader.receive_reports(author.next_reports(now_s + later_s), now_s + later_s)
     steps = [event for event, _ in events]
-    assert steps == ["request suspected", "request suspected"] + 2 * [
-        "request quarantined"
-    ]
+    assert steps == ["request suspected", "request suspected"] + 2 * ["request quarantined"]
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -17,9 +17,7 @@
 EXPIRY_S = 1.0  # from a crash until the target's entry leaves the store
 
 
-async def _resend_until_refused(
-    site: SiteUnderTest, mode: CrashMode, **options: object
-) -> int:
+async def _resend_until_refused(site: SiteUnderTest, mode: CrashMode, **options: object) -> int:
     """Send the crashing request again after each crash and return how many targets crashed."""
     for target in site.targets.values():
         target.crash_mode = mode
@@ -68,9 +66,7 @@
         "caller_leaves_an_overdue_attempt",
     ],
 )
-def test_crash_is_not_counted(
-    tmp_path: Path, mode: CrashMode, options: dict[str, object]
-) -> None:
+def test_crash_is_not_counted(tmp_path: Path, mode: CrashMode, options: dict[str, object]) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path, targets=TARGETS) as site:
             for number in range(12):
@@ -102,9 +98,7 @@
                         )
                     )
                 )
-                await asyncio.sleep(
-                    1.0
-                )  # longer than the objective, so the attempt is overdue
+                await asyncio.sleep(1.0)  # longer than the objective, so the attempt is overdue
                 await _expire_crashed(site)
             crashed = sum(target.has_crashed for target in site.targets.values())
             for task in asked:
@@ -126,18 +120,14 @@
             for number in range(6):
                 await site.add_target(f"o{number}", "other", "south-a")
             await site.settle()
-            site.targets["t1"].faults.work_factor = site.targets[
-                "t2"
-            ].faults.work_factor = 20.0
+            site.targets["t1"].faults.work_factor = site.targets["t2"].faults.work_factor = 20.0
             asking = asyncio.create_task(site.ask("/order/beside", "POST", b"x"))
             while not any(site.targets[name].records.runs for name in ("t1", "t2")):
                 await asyncio.sleep(0.01)
             used = "t1" if site.targets["t1"].records.runs else "t2"
             site.targets[used].crash()
             await asyncio.gather(asking, return_exceptions=True)
-            site.targets["t1"].faults.work_factor = site.targets[
-                "t2"
-            ].faults.work_factor = 1.0
+            site.targets["t1"].faults.work_factor = site.targets["t2"].faults.work_factor = 1.0
             site.store.delete("servers", used)
             await site.settle()
             assert (await site.ask("/order/beside", "POST", b"x")).status == 200
@@ -150,15 +140,11 @@
 ) -> None:
     """Each service of a traffic split would lose targets of its own to the same request."""
     services = tuple(f"app-{number}" for number in range(4))
-    split: list[dict[str, object]] = [
-        {"service": name, "weight": 1} for name in services
-    ]
+    split: list[dict[str, object]] = [{"service": name, "weight": 1} for name in services]
     routes = (RouteRow("orders", "/order/", "unsafe", split=split),)
 
     async def scenario() -> None:
-        async with running_site(
-            tmp_path, targets=(), routes=routes, services=services
-        ) as site:
+        async with running_site(tmp_path, targets=(), routes=routes, services=services) as site:
             for name in services:
                 for number in range(2):
                     await site.add_target(f"{name}-{number}", name)
@@ -184,9 +170,7 @@
     run_async(scenario)
 
 
-async def _ask_from(
-    site: SiteUnderTest, caller: int, path: str, body: bytes = b"x"
-) -> int:
+async def _ask_from(site: SiteUnderTest, caller: int, path: str, body: bytes = b"x") -> int:
     """Send a request from a caller of its own address and return the status, 0 without any."""
     conn = await site.connect_from(f"127.0.1.{caller}")
     try:
@@ -225,9 +209,7 @@
                 await _expire_crashed(site)
             for target in site.targets.values():
                 target.crashing_path_end = "never"
-            assert [
-                await _ask_from(site, caller, "/order/crash") for caller in (2, 3, 4)
-            ] == [
+            assert [await _ask_from(site, caller, "/order/crash") for caller in (2, 3, 4)] == [
                 200,
                 200,
                 200,
@@ -238,9 +220,7 @@
 
 
 @pytest.mark.parametrize("status", [500, 504])
-def test_failure_answered_by_a_target_clears_a_crashing_object(
-    tmp_path: Path, status: int
-) -> None:
+def test_failure_answered_by_a_target_clears_a_crashing_object(tmp_path: Path, status: int) -> None:
     """A run that a target ends early, for an error or at the deadline, proves nothing."""
 
     async def scenario() -> None:
--- a/tests/entry/test_cut_off_from_targets.py
+++ b/tests/entry/test_cut_off_from_targets.py
@@ -17,17 +17,13 @@
 BACK_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
 TRIES = 20
-LEAST_SERVED = (
-    2 / 3
-)  # of the tries at VMs that reach the targets, which are all served here
+LEAST_SERVED = 2 / 3  # of the tries at VMs that reach the targets, which are all served here
 
 
 class _Cut:
     """A cut between one VM and all targets; connecting fails at once or after a time-out."""
 
-    def __init__(
-        self, site: SiteUnderTest, monkeypatch: pytest.MonkeyPatch, hangs: bool
-    ) -> None:
+    def __init__(self, site: SiteUnderTest, monkeypatch: pytest.MonkeyPatch, hangs: bool) -> None:
         self.is_healed = False
         self._site = site
         self._hangs = hangs
@@ -108,10 +104,7 @@
         own = pair.sites[0].vm._settings.host
 
         def named() -> list[list[str]]:
-            return [
-                site.vm._lookups.nearest_hosts("north-a", "north")
-                for site in pair.sites
-            ]
+            return [site.vm._lookups.nearest_hosts("north-a", "north") for site in pair.sites]
 
         assert named() == [[own], [own]]
         cut.is_healed = True
@@ -131,9 +124,7 @@
 
     async def scenario(pair: Pair) -> None:
         site = pair.sites[1]
-        earlier = [
-            Peer(f"earlier-{n}", f"127.0.3.{10 + n}", "north-a") for n in range(8)
-        ]
+        earlier = [Peer(f"earlier-{n}", f"127.0.3.{10 + n}", "north-a") for n in range(8)]
         relay = site.vm._forwarder._dispatcher._relay
         peers = relay._peers
         monkeypatch.setattr(relay, "_peers", lambda: [*peers(), *earlier])
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -44,9 +44,7 @@
         self.requests = 0
         self.open = 0
 
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the first request on a connection until it is closed."""
         self.open += 1
         try:
@@ -115,9 +113,7 @@
         async with _site_with(tmp_path, SEALED + CHUNKED, CHUNKS) as (site, target):
             tracemalloc.start()
             conn = await site.connect_from("127.0.1.1")
-            asking = asyncio.create_task(
-                site.ask("/read/1", deadline_ms=1500, conn=conn)
-            )
+            asking = asyncio.create_task(site.ask("/read/1", deadline_ms=1500, conn=conn))
             answer = await asking
             _, peak = tracemalloc.get_traced_memory()
             tracemalloc.stop()
--- a/tests/entry/test_extra_answers.py
+++ b/tests/entry/test_extra_answers.py
@@ -5,6 +5,8 @@
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
+import pytest
+
 from chervilmill.aio import ClientConnection, connect
 from soak.site import HOST
 from tests.entry.harness import Answer, SiteUnderTest, ask_on, running_site
@@ -32,9 +34,7 @@
         """Serve one connection."""
         self.connections.add(asyncio.ensure_future(self._serve(reader, writer)))
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await self._serve_requests(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -64,17 +64,11 @@
                 await asyncio.sleep(0.02)
                 head = b"HTTP/1.1 200 -\r\n" + SEAL
                 writer.write(head + echo + b"Content-Length: 0\r\n\r\n")
-            previous = (
-                head
-                + (echo if self._repeats_ids else b"")
-                + b"Content-Length: 0\r\n\r\n"
-            )
+            previous = head + (echo if self._repeats_ids else b"") + b"Content-Length: 0\r\n\r\n"
 
 
 @asynccontextmanager
-async def _site_with(
-    tmp_path: Path, target: _RepeatingTarget
-) -> AsyncIterator[SiteUnderTest]:
+async def _site_with(tmp_path: Path, target: _RepeatingTarget) -> AsyncIterator[SiteUnderTest]:
     """Yield a running site whose only target is the given one."""
     address = free_address()
     entry = {
@@ -114,9 +108,7 @@
     return (await conn.read_head()).status
 
 
-async def _order(
-    site: SiteUnderTest, request_id: str, path: str = "/order/a"
-) -> Answer:
+async def _order(site: SiteUnderTest, request_id: str, path: str = "/order/a") -> Answer:
     conn = await connect(site.caller_address, 1.0)
     try:
         return await ask_on(conn, path, "POST", b"order", request_id, 1500, "7")
@@ -132,9 +124,7 @@
             for number in range(3):
                 assert (await _order(site, f"before-{number}")).status == 200
                 conn = await connect(site.caller_address, 1.0)
-                with suppress(
-                    Exception
-                ):  # the caller may lose the connection it writes to
+                with suppress(Exception):  # the caller may lose the connection it writes to
                     await _upload_slowly(conn, f"upload-{number}", "/bundle/refused")
                 conn.abort()
                 assert (await _order(site, f"after-{number}")).status == 200
@@ -156,3 +146,20 @@
             assert target.runs[-1] == ("upload", UPLOAD)
 
     run_async(scenario)
+
+
+# A refusal without an id was taken for the answer of an order that ran; it could then run again.
+@pytest.mark.parametrize("repeats_ids", [True, False])
+@pytest.mark.parametrize("extra", [1, 3, 6])
+def test_repeated_refusal_is_not_the_answer_of_the_next_order(
+    tmp_path: Path, extra: int, repeats_ids: bool
+) -> None:
+    async def scenario() -> None:
+        target = _RepeatingTarget(extra, repeats_ids=repeats_ids)
+        async with _site_with(tmp_path, target) as site:
+            for number in range(3):
+                assert (await _order(site, f"no-{number}", "/order/refused")).status == 503
+                assert (await _order(site, f"yes-{number}")).status == 200
+            assert [run for run, _ in target.runs] == ["yes-0", "yes-1", "yes-2"]
+
+    run_async(scenario)
--- a/tests/entry/test_foreign_entries.py
+++ b/tests/entry/test_foreign_entries.py
@@ -31,19 +31,13 @@
 
 async def _served(site: SiteUnderTest, count: int) -> int:
     """Return how many requests are served, for one object each so that all targets get some."""
-    answers = [
-        await site.ask("/order/a", "POST", b"x", key=str(n)) for n in range(count)
-    ]
+    answers = [await site.ask("/order/a", "POST", b"x", key=str(n)) for n in range(count)]
     return sum(answer.status == 200 for answer in answers)
 
 
 # One entry with a number of 401 digits ended all entry VMs.
-@pytest.mark.parametrize(
-    "name", sorted(FOREIGN_ENTRIES), ids=lambda name: ascii(name)[:24]
-)
-def test_entry_of_another_writer_costs_only_that_entry(
-    tmp_path: Path, name: str
-) -> None:
+@pytest.mark.parametrize("name", sorted(FOREIGN_ENTRIES), ids=lambda name: ascii(name)[:24])
+def test_entry_of_another_writer_costs_only_that_entry(tmp_path: Path, name: str) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path) as site:
             entry = next(iter(site.targets.values())).entry(
@@ -64,9 +58,7 @@
 def test_registration_of_another_writer_does_not_stop_gossip(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path) as site:
-            for number, host in enumerate(
-                ["\ud800", "a\x00b", "x" * 400, "nowhere.example", HUGE]
-            ):
+            for number, host in enumerate(["\ud800", "a\x00b", "x" * 400, "nowhere.example", HUGE]):
                 content = {"host": host, "failure_domain": "north-a"}
                 site.store.put("entry-vms", f"other-{number}", content)
             await site.settle()
--- a/tests/entry/test_late_news_of_targets.py
+++ b/tests/entry/test_late_news_of_targets.py
@@ -6,9 +6,7 @@
 from tests.virtual_time import run_virtually
 
 DRAIN_S = 2.5  # drain-s of the user sites
-WAY_TO_TARGET_S = (
-    0.1  # a request that was sent before the news arrives this much later at most
-)
+WAY_TO_TARGET_S = 0.1  # a request that was sent before the news arrives this much later at most
 SILENT_AT_S = 8.0
 SEEDS = 4
 
--- a/tests/entry/test_leaving_and_pauses.py
+++ b/tests/entry/test_leaving_and_pauses.py
@@ -66,9 +66,7 @@
             site.store.put("servers", "t1", {**entry, "born": 2})
             await site.settle()
             await _ask_for(site, 0.4)
-            assert (
-                leaving.records.arrivals > arrivals
-            ), "a later lifetime takes requests"
+            assert leaving.records.arrivals > arrivals, "a later lifetime takes requests"
 
     run_async(scenario)
 
@@ -122,9 +120,7 @@
             refused = await site.ask("/read/1")
             assert refused.status == 503
             assert 2.0 <= float(refused.headers[b"retry-after"]) <= 3.0
-            assert arrivals == sum(
-                target.records.arrivals for target in site.targets.values()
-            )
+            assert arrivals == sum(target.records.arrivals for target in site.targets.values())
 
     run_async(scenario)
 
--- a/tests/entry/test_limit_fleet.py
+++ b/tests/entry/test_limit_fleet.py
@@ -33,9 +33,7 @@
 
 @pytest.mark.parametrize("vms", SIZES)
 @pytest.mark.parametrize("options", CASES.values(), ids=CASES)
-def test_fleet_sends_more_than_a_target_takes(
-    vms: int, options: dict[str, float]
-) -> None:
+def test_fleet_sends_more_than_a_target_takes(vms: int, options: dict[str, float]) -> None:
     case = LimitCase(vms, duration_s=16.0, **options)  # type: ignore[arg-type]
     fleet = LimitFleet(case, seed=1)
     fleet.run()
@@ -51,9 +49,7 @@
     fleet.run()
     settled_s = 20.0
     refused = sum(at_s >= settled_s for at_s in fleet.refused)
-    assert refused <= MAX_REFUSED_SHARE * case.requests_per_s * (
-        case.duration_s - settled_s
-    )
+    assert refused <= MAX_REFUSED_SHARE * case.requests_per_s * (case.duration_s - settled_s)
 
 
 LIFETIME = Lifetime("t", 1)
@@ -63,9 +59,7 @@
     return LimitTracker(TargetLimits())
 
 
-def _per_s(
-    tracker: LimitTracker, now_s: float, lifetime: Lifetime = LIFETIME
-) -> float | None:
+def _per_s(tracker: LimitTracker, now_s: float, lifetime: Lifetime = LIFETIME) -> float | None:
     return tracker._limits.per_s(lifetime, now_s)
 
 
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -92,9 +92,7 @@
         last_candidate=candidate,
         attempt=_attempt(target),
     )
-    site_state = SiteState(
-        fleet, Membership("vm", 1, random.Random(1)), OWN, lambda: SENT_S, 1.5
-    )
+    site_state = SiteState(fleet, Membership("vm", 1, random.Random(1)), OWN, lambda: SENT_S, 1.5)
     site_state.view.put_target(target)
     site_state.view.put_target(replace(target, name="u", failure_domain="north-b"))
     crashes = CrashTracker()
@@ -182,9 +180,7 @@
     end: AttemptEnd,
 ) -> None:
     setup = _set_up()
-    setup.recorder.record_result(
-        setup.progress, setup.candidate, AttemptResult(end), SENT_S + 1.0
-    )
+    setup.recorder.record_result(setup.progress, setup.candidate, AttemptResult(end), SENT_S + 1.0)
     refused = AttemptResult(AttemptEnd.NOT_SENT)
     setup.recorder.record_result(setup.progress, setup.candidate, refused, SENT_S + 1.5)
     verdict = setup.crashes.verdict(b"f", SENT_S + 2.0, lambda _: True)
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -73,23 +73,17 @@
             for target in ("t1", "t2", "t3"):
                 now_s = asyncio.get_running_loop().time()
                 first.set_targets({"t1": "north-a", "t2": "north-b", "t3": "south-a"})
-                first.verdict(
-                    fingerprint, now_s, lambda name, down=target: name == down
-                )
+                first.verdict(fingerprint, now_s, lambda name, down=target: name == down)
                 first.record_loss(fingerprint, Lifetime(target), now_s, now_s)
                 first.record_crash(target, now_s)
             now_s = asyncio.get_running_loop().time()
-            assert isinstance(
-                first.verdict(fingerprint, now_s, lambda _: True), Quarantined
-            )
+            assert isinstance(first.verdict(fingerprint, now_s, lambda _: True), Quarantined)
             await asyncio.sleep(5.0)  # every report has been sent as often as it is
             await pair.restart_second()
 
             async def is_refused() -> bool:
                 now_s = asyncio.get_running_loop().time()
-                verdict = pair.sites[1].vm._crashes.verdict(
-                    fingerprint, now_s, lambda _: True
-                )
+                verdict = pair.sites[1].vm._crashes.verdict(fingerprint, now_s, lambda _: True)
                 return isinstance(verdict, Quarantined)
 
             await until(is_refused, 2.0)
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -31,9 +31,7 @@
     def revision(self) -> int:
         return 1 + int((time.monotonic() - self._began_s) / 0.01)
 
-    async def __call__(
-        self, method: str, path: str, body: bytes, timeout_s: float
-    ) -> HttpAnswer:
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
         self.calls += 1
         if "watch=" not in path:
             return _answer({"items": [], "as-of": self.revision})
@@ -86,9 +84,7 @@
         self._removals_s = list(removals_s)
         self._revision = 10
 
-    async def __call__(
-        self, method: str, path: str, body: bytes, timeout_s: float
-    ) -> HttpAnswer:
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
         since_return_s = time.monotonic() - self._began_s - self._away_s
         if "watch=" not in path:
             items = [_entry(f"t-{n}", 1 + n) for n in range(len(self._removals_s))]
@@ -122,9 +118,7 @@
 
     def record(kind: str, change: ReplicaChange, kept_until_s: float | None) -> None:
         for name in change.removed:
-            kept.append(
-                (name, None if kept_until_s is None else kept_until_s - began_s)
-            )
+            kept.append((name, None if kept_until_s is None else kept_until_s - began_s))
 
     async def scenario() -> None:
         store = PlatformStore(_StoreWithOutage(0.2, (0.0, 0.4, 0.9)), "store")
@@ -156,9 +150,7 @@
 
     async def scenario() -> None:
         store = PlatformStore(_StoreWithOutage(60.0, (0.0,)), "store")
-        sync = ReplicaSync(
-            store, {KIND: replica}, lambda _, change, until_s: kept.append(until_s)
-        )
+        sync = ReplicaSync(store, {KIND: replica}, lambda _, change, until_s: kept.append(until_s))
         following = asyncio.create_task(sync.run(KIND))
         await asyncio.sleep(0.05)
         assert sync.is_store_unreachable
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -90,9 +90,7 @@
             site.store.restore(copied)
             await asyncio.sleep(RELISTED_S)
             assert await _runs_at(site, "t3") == 8
-            assert [t.name for t in site.vm._site_state.view.usable_targets("app")] == [
-                "t3"
-            ]
+            assert [t.name for t in site.vm._site_state.view.usable_targets("app")] == ["t3"]
 
     run_async(scenario)
 
@@ -172,20 +170,14 @@
         self.calls = 0
         self._headers = () if era is None else ((b"store-era", era),)
 
-    async def __call__(
-        self, method: str, path: str, body: bytes, timeout_s: float
-    ) -> HttpAnswer:
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
         self.calls += 1
-        status, text = (
-            (410, b"{}") if "watch=" in path else (200, b'{"items": [], "as-of": 60}')
-        )
+        status, text = (410, b"{}") if "watch=" in path else (200, b'{"items": [], "as-of": 60}')
         return HttpAnswer(status, text, self._headers)
 
 
 @pytest.mark.parametrize("era", [None, b"1", b"2", b"x", b"-1"])
-@pytest.mark.parametrize(
-    "known", [StoreVersion(0, 0), StoreVersion(0, 100), StoreVersion(1, 100)]
-)
+@pytest.mark.parametrize("known", [StoreVersion(0, 0), StoreVersion(0, 100), StoreVersion(1, 100)])
 def test_store_without_the_history_is_not_called_without_a_pause(
     era: bytes | None, known: StoreVersion
 ) -> None:
@@ -195,9 +187,7 @@
     replica.as_of = known
 
     async def scenario() -> None:
-        sync = ReplicaSync(
-            PlatformStore(store, "store"), {"config": replica}, lambda *_: None
-        )
+        sync = ReplicaSync(PlatformStore(store, "store"), {"config": replica}, lambda *_: None)
         with suppress(TimeoutError):
             await asyncio.wait_for(sync.run("config"), 3.0)
 
--- a/tests/entry/test_target_limits.py
+++ b/tests/entry/test_target_limits.py
@@ -21,9 +21,7 @@
     """Send requests for many objects at a steady rate and return the statuses of the answers."""
     asking = []
     for number in range(int(duration_s * REQUESTS_PER_S)):
-        asking.append(
-            asyncio.create_task(site.ask(f"/read/{number}", key=f"{number % 40}"))
-        )
+        asking.append(asyncio.create_task(site.ask(f"/read/{number}", key=f"{number % 40}")))
         await asyncio.sleep(1 / REQUESTS_PER_S)
     return [answer.status for answer in await asyncio.gather(*asking)]
 
@@ -31,10 +29,7 @@
 def _most_in_a_window(target: StandInTarget, from_s: float) -> int:
     times_s = [run.at_s for run in target.records.runs if run.at_s >= from_s]
     return max(
-        (
-            sum(at_s <= other_s < at_s + WINDOW_S for other_s in times_s)
-            for at_s in times_s
-        ),
+        (sum(at_s <= other_s < at_s + WINDOW_S for other_s in times_s) for at_s in times_s),
         default=0,
     )
 
--- a/tests/entry/test_target_troubles.py
+++ b/tests/entry/test_target_troubles.py
@@ -17,9 +17,7 @@
     """Such a request crashes at most two targets, and other requests are still served."""
 
     async def scenario() -> None:
-        async with running_site(
-            tmp_path, targets=("t1", "t2", "t3", "t4", "t5")
-        ) as site:
+        async with running_site(tmp_path, targets=("t1", "t2", "t3", "t4", "t5")) as site:
             crashed: set[str] = set()
             for _ in range(8):
                 asking = asyncio.create_task(
@@ -100,9 +98,7 @@
             await asyncio.gather(*asked)
             seen = site.targets["t1"].records.arrivals
             for number in range(8):
-                answer = await site.ask(
-                    "/order/a", "POST", b"x", deadline_ms=700, key=str(number)
-                )
+                answer = await site.ask("/order/a", "POST", b"x", deadline_ms=700, key=str(number))
                 assert answer.status == 200
             assert site.targets["t1"].records.arrivals == seen
 
@@ -156,9 +152,7 @@
         async with running_site(tmp_path, targets=()) as site:
             await site.add_unreachable("t1")
             await site.settle()
-            answer = await site.ask(
-                "/order/a", "POST", b"order", "one", deadline_ms=300
-            )
+            answer = await site.ask("/order/a", "POST", b"order", "one", deadline_ms=300)
             assert answer.status == 503
             assert float(answer.headers[b"retry-after"]) > 0
 
@@ -176,9 +170,7 @@
         async with running_site(tmp_path, targets=("t1",)) as site:
             await asyncio.gather(*(site.ask("/read/a") for _ in range(4)))
             site.targets["t1"].break_idle()
-            ends = [
-                (await site.ask("/order/a", "POST", b"order")).status for _ in range(4)
-            ]
+            ends = [(await site.ask("/order/a", "POST", b"order")).status for _ in range(4)]
             assert ends == [502, 200, 200, 200]
 
     run_async(scenario)
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -61,9 +61,7 @@
         async with running_site(tmp_path) as site:
             site.targets["t2"].faults = site.targets["t1"].faults
             setattr(site.targets["t1"].faults, fault, 1)
-            answer = await site.ask(
-                path, method, b"body" if method == "POST" else b"", "one"
-            )
+            answer = await site.ask(path, method, b"body" if method == "POST" else b"", "one")
             assert (answer.status, answer.is_whole) == (status, True)
             assert site.runs("one") == runs
 
@@ -99,9 +97,7 @@
         async with running_site(tmp_path) as site:
             await site.ask("/read/a", deadline_ms=700)
             await site.ask("/read/a", deadline_ms=60_000)
-            stated = [
-                run.deadline_ms for t in site.targets.values() for run in t.records.runs
-            ]
+            stated = [run.deadline_ms for t in site.targets.values() for run in t.records.runs]
             assert sorted(ms is not None and ms <= 2000 for ms in stated) == [
                 True,
                 True,
@@ -132,9 +128,7 @@
         async with running_site(tmp_path, targets=("t1",)) as site:
             site.targets["t1"].faults.work_factor = 50.0
             conn = await connect(site.caller_address, 1.0)
-            asking = asyncio.create_task(
-                site.ask("/read/a", request_id="gone", conn=conn)
-            )
+            asking = asyncio.create_task(site.ask("/read/a", request_id="gone", conn=conn))
 
             async def runs() -> bool:
                 return site.runs("gone") == 1
--- a/tests/faults/test_checker.py
+++ b/tests/faults/test_checker.py
@@ -47,9 +47,7 @@
     )
 
 
-def run(
-    request_id: str, kind: RequestKind, key: str | None = None, **fields
-) -> TargetRun:
+def run(request_id: str, kind: RequestKind, key: str | None = None, **fields) -> TargetRun:
     given = {"target": "t1", "started_s": 10.05, "ended_s": 10.15} | fields
     return TargetRun(
         region="praha",
@@ -110,9 +108,7 @@
 
 
 def moves_too_many_blocks(trace: Trace) -> None:
-    trace.lookups += [
-        LookupRecord(f"b{index}", "souhrny", 21.0, "brno") for index in range(3)
-    ]
+    trace.lookups += [LookupRecord(f"b{index}", "souhrny", 21.0, "brno") for index in range(3)]
 
 
 def accepts_both_of_two_racing_confirms(trace: Trace) -> None:
@@ -120,9 +116,7 @@
 
 
 def overloads_a_region(trace: Trace) -> None:
-    trace.runs += [
-        run(f"x{i}", RequestKind.DIGEST, started_s=20.0, ended_s=21.5) for i in range(4)
-    ]
+    trace.runs += [run(f"x{i}", RequestKind.DIGEST, started_s=20.0, ended_s=21.5) for i in range(4)]
 
 
 def crosses_an_answer(trace: Trace) -> None:
@@ -130,9 +124,7 @@
 
 
 def leaves_out_a_part(trace: Trace) -> None:
-    trace.attempts[0] = replace(
-        trace.attempts[0], body=DIGEST.splitlines(keepends=True)[0]
-    )
+    trace.attempts[0] = replace(trace.attempts[0], body=DIGEST.splitlines(keepends=True)[0])
 
 
 def echoes_another_id(trace: Trace) -> None:
--- a/tests/faults/test_schedule.py
+++ b/tests/faults/test_schedule.py
@@ -15,7 +15,5 @@
     assert {fault.kind for run in runs for fault in run} == set(FaultKind)
     for faults in runs:
         starts = [fault.from_s for fault in faults]
-        overlaps = [
-            sum(f.from_s <= at_s <= f.until_s for f in faults) for at_s in starts
-        ]
+        overlaps = [sum(f.from_s <= at_s <= f.until_s for f in faults) for at_s in starts]
         assert max(overlaps) >= 2
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -36,9 +36,7 @@
 
 
 def connect(server: HttpServer) -> socket.socket:
-    return socket.create_connection(
-        (server.address.host, server.address.port), TIMEOUT_S
-    )
+    return socket.create_connection((server.address.host, server.address.port), TIMEOUT_S)
 
 
 def read_all(sock: socket.socket) -> bytes:
--- a/tests/nodes/test_allotments.py
+++ b/tests/nodes/test_allotments.py
@@ -37,9 +37,7 @@
     until_s: float
     divider: Divider
 
-    def answer(
-        self, name: str, request: ShareRequest, now: float, quiet_s: float
-    ) -> Grant | None:
+    def answer(self, name: str, request: ShareRequest, now: float, quiet_s: float) -> Grant | None:
         if not self.from_s <= now < self.until_s:
             return None
         pool = POOL if now >= self.from_s + quiet_s else NO_UNITS
@@ -125,18 +123,14 @@
         self.messages = [item for item in self.messages if item[0] > self.now]
         for _, node, message, index in due:
             if isinstance(message, ShareRequest):
-                answer = self.allotters[index].answer(
-                    node.name, message, self.now, self.quiet_s
-                )
+                answer = self.allotters[index].answer(node.name, message, self.now, self.quiet_s)
                 if answer is not None:
                     self.send(node, answer, index)
             elif self.now >= node.paused_until_s:
                 node.holder.receive(message, node.clock(self.now))
 
     def in_use(self) -> int:
-        return sum(
-            FLOOR + n.holder.units("link", n.clock(self.now)) for n in self.nodes
-        )
+        return sum(FLOOR + n.holder.units("link", n.clock(self.now)) for n in self.nodes)
 
 
 def most_in_use(seed: int, divider_class: type[Divider], quiet_s: float) -> int:
@@ -165,6 +159,4 @@
     ],
 )
 def test_broken_variant_is_caught(divider_class: type[Divider], quiet_s: float) -> None:
-    assert any(
-        most_in_use(seed, divider_class, quiet_s) > CAP["link"] for seed in range(500)
-    )
+    assert any(most_in_use(seed, divider_class, quiet_s) > CAP["link"] for seed in range(500))
--- a/tests/nodes/test_codec.py
+++ b/tests/nodes/test_codec.py
@@ -23,14 +23,8 @@
 st.register_type_strategy(str, texts)
 anything = st.one_of([st.builds(cls) for cls in _TYPES.values()])
 plain = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.floats()
-    | texts
-    | st.binary(max_size=20),
-    lambda inner: st.lists(inner, max_size=8)
-    | st.dictionaries(texts, inner, max_size=3),
+    st.none() | st.booleans() | st.integers() | st.floats() | texts | st.binary(max_size=20),
+    lambda inner: st.lists(inner, max_size=8) | st.dictionaries(texts, inner, max_size=3),
     max_leaves=20,
 )
 
@@ -55,9 +49,7 @@
 
 @strict
 @given(anything, st.integers(0, 400), st.integers(0, 255))
-def test_damaged_messages_are_a_message_or_refused(
-    message, index: int, byte: int
-) -> None:
+def test_damaged_messages_are_a_message_or_refused(message, index: int, byte: int) -> None:
     raw = bytearray(encode(message))
     raw[index % len(raw)] = byte
     _decode_or_refuse(bytes(raw))
--- a/tests/nodes/test_configuration.py
+++ b/tests/nodes/test_configuration.py
@@ -31,9 +31,7 @@
     network = running_network(60, seed=1, loss=loss)
     for version in range(1, 6):
         write(network, "entry-7", stored("intent/a", version, size))
-        assert network.run(
-            IN_FORCE_S, lambda v=version: has_everywhere(network, "intent/a", v)
-        )
+        assert network.run(IN_FORCE_S, lambda v=version: has_everywhere(network, "intent/a", v))
 
 
 def test_change_reaches_the_rest_while_a_failure_domain_dies() -> None:
@@ -86,13 +84,9 @@
     network = running_network(12, seed=6)
     write(network, "entry-0", stored("intent/a", 1))
     network.run(10.0)
-    ages = [
-        node.machine.configuration.age_s(network.now) for node in network.nodes.values()
-    ]
+    ages = [node.machine.configuration.age_s(network.now) for node in network.nodes.values()]
     assert min(ages) >= 9.0
     network.nodes["entry-3"].machine.configuration.confirm(network.now)
     network.run(5.0)
-    ages = [
-        node.machine.configuration.age_s(network.now) for node in network.nodes.values()
-    ]
+    ages = [node.machine.configuration.age_s(network.now) for node in network.nodes.values()]
     assert max(ages) <= 6.0
--- a/tests/nodes/test_handshake.py
+++ b/tests/nodes/test_handshake.py
@@ -62,7 +62,4 @@
     )
     old = replace(CHALLENGE, version=0)
     assert refusal_of(lambda: RIGHT.hello(old, PEER)) is LinkRefusal.WRONG_VERSION
-    assert (
-        refusal_of(lambda: RIGHT.hello(VmsPull(), PEER))
-        is LinkRefusal.UNEXPECTED_MESSAGE
-    )
+    assert refusal_of(lambda: RIGHT.hello(VmsPull(), PEER)) is LinkRefusal.UNEXPECTED_MESSAGE
--- a/tests/nodes/test_three_processes.py
+++ b/tests/nodes/test_three_processes.py
@@ -40,9 +40,7 @@
         """Start an entry VM and return its name."""
         name = f"entry-{index}"
         region, domain = DOMAINS[index % len(DOMAINS)]
-        raw = raw_settings(
-            name, self.platform.address, region=region, failure_domain=domain
-        )
+        raw = raw_settings(name, self.platform.address, region=region, failure_domain=domain)
         raw["node"].update(node)
         self.raws[name] = raw
         self.store.put_vm(entry_vm(raw))
--- a/tests/nodes/test_transport.py
+++ b/tests/nodes/test_transport.py
@@ -76,9 +76,7 @@
     ],
     ids=["no message", "text", "no hello", "large hello", "larger than any message"],
 )
-def test_invalid_handshake_is_refused_and_counted(
-    node: Node, raw, refusal: LinkRefusal
-) -> None:
+def test_invalid_handshake_is_refused_and_counted(node: Node, raw, refusal: LinkRefusal) -> None:
     connection = connect(node.url, compression=None, legacy=True)
     connection.recv()
     connection.send(raw)
--- a/tests/nodes/test_vms.py
+++ b/tests/nodes/test_vms.py
@@ -32,9 +32,7 @@
     """Return two replicators that have both read the target as live, and the first's outbox."""
     outbox = Outbox()
     outbox.links.add("peer")
-    first, second = VmListReplicator("praha", outbox), VmListReplicator(
-        region, Outbox()
-    )
+    first, second = VmListReplicator("praha", outbox), VmListReplicator(region, Outbox())
     first.merge_reading((LIVE,), 0.0)
     second.merge_reading((LIVE,), 0.0)
     return first, second, outbox
@@ -54,9 +52,7 @@
     [((LEAVING,), (LEAVING,)), ((), ()), ((MOVED,), (MOVED,))],
     ids=["leaving", "removed", "another VM of the name"],
 )
-def test_peer_adopts_an_announced_change_before_its_own_reading(
-    reading, expected
-) -> None:
+def test_peer_adopts_an_announced_change_before_its_own_reading(reading, expected) -> None:
     first, second, outbox = pair()
     first.merge_reading(reading, 20.0)
     assert deliver(outbox, second, 20.1) == 1
@@ -124,10 +120,6 @@
     assert new_node.current() == (LIVE,)
 
 
-@pytest.mark.parametrize(
-    ("nodes", "most_calls_per_s"), [(1, 2), (12, 2), (100, 2), (800, 2)]
-)
-def test_readings_of_all_nodes_together_are_bounded(
-    nodes: int, most_calls_per_s: int
-) -> None:
+@pytest.mark.parametrize(("nodes", "most_calls_per_s"), [(1, 2), (12, 2), (100, 2), (800, 2)])
+def test_readings_of_all_nodes_together_are_bounded(nodes: int, most_calls_per_s: int) -> None:
     assert nodes / read_interval_s(nodes) <= most_calls_per_s
--- a/tests/operators/test_bad_input.py
+++ b/tests/operators/test_bad_input.py
@@ -74,8 +74,6 @@
     interface: Interface, request_bytes: bytes, status: int
 ) -> None:
     if status == 200:
-        request_bytes = request_bytes.replace(
-            b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
-        )
+        request_bytes = request_bytes.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
     assert interface.send(request_bytes) == status
     assert interface.store.list("configuration") == ()
--- a/tests/operators/test_router.py
+++ b/tests/operators/test_router.py
@@ -68,9 +68,7 @@
     assert (status, shown["revision"], shown["targets"]) == (200, 7, {"souhrny": 3})
 
 
-@pytest.mark.parametrize(
-    "token", ["", "an-operators-tokem", "ž", "an-operators-token "]
-)
+@pytest.mark.parametrize("token", ["", "an-operators-tokem", "ž", "an-operators-token "])
 def test_wrong_token_is_refused(token: str) -> None:
     client = Client()
     client.token = token
@@ -92,9 +90,7 @@
         ("PUT", "/leaving/nobody", b'{"leaving": true}', 404),
     ],
 )
-def test_bad_requests_are_refused(
-    method: str, path: str, body: bytes, status: int
-) -> None:
+def test_bad_requests_are_refused(method: str, path: str, body: bytes, status: int) -> None:
     client = Client()
     assert client.call(method, path, body)[0] == status
     assert client.store.list("configuration") == ()
@@ -103,9 +99,7 @@
 def test_mark_is_conditional_on_the_version_read() -> None:
     client = Client()
     assert client.call("GET", "/leaving/target-1")[1]["version"] is None
-    _, mark = client.call(
-        "PUT", "/leaving/target-1", b'{"leaving": true, "version": null}'
-    )
+    _, mark = client.call("PUT", "/leaving/target-1", b'{"leaving": true, "version": null}')
     undo = json.dumps({"leaving": False, "version": mark["version"]}).encode()
     assert client.call("PUT", "/leaving/target-1", undo)[0] == 200
     assert client.call("PUT", "/leaving/target-1", undo)[0] == 409
@@ -115,9 +109,7 @@
 def test_mark_whose_reply_was_lost_is_read_back() -> None:
     client = Client()
     client.store.lose_replies = 1
-    status, mark = client.call(
-        "PUT", "/leaving/target-1", b'{"leaving": true, "version": null}'
-    )
+    status, mark = client.call("PUT", "/leaving/target-1", b'{"leaving": true, "version": null}')
     assert (status, mark["leaving"]) == (200, True)
 
 
--- a/tests/overload/test_admission.py
+++ b/tests/overload/test_admission.py
@@ -19,9 +19,7 @@
 from chervilmill.routing import Target
 
 OBJECTIVE_S = 0.5
-RECORD = TargetRecord(
-    Target("t", 1, "app", Address("127.0.0.1", 1), "a", 6, False, 0.0), 0.0
-)
+RECORD = TargetRecord(Target("t", 1, "app", Address("127.0.0.1", 1), "a", 6, False, 0.0), 0.0)
 
 
 def _decide(
@@ -59,12 +57,8 @@
     wait_s: float, work_s: float, round_trip_s: float, age_s: float
 ) -> None:
     is_in_time = age_s + round_trip_s + wait_s + work_s <= 0.95 * OBJECTIVE_S
-    if is_in_time and _is_admitted(
-        wait_s=wait_s, work_s=work_s, round_trip_s=round_trip_s
-    ):
-        assert _is_admitted(
-            wait_s=wait_s, work_s=work_s, round_trip_s=round_trip_s, age_s=age_s
-        )
+    if is_in_time and _is_admitted(wait_s=wait_s, work_s=work_s, round_trip_s=round_trip_s):
+        assert _is_admitted(wait_s=wait_s, work_s=work_s, round_trip_s=round_trip_s, age_s=age_s)
 
 
 @given(wait_s=SECONDS, work_s=SECONDS, age_s=st.floats(0.001, 1.0))
@@ -74,11 +68,7 @@
 ) -> None:
     is_late = age_s + wait_s + work_s > OBJECTIVE_S
     is_brief = wait_s <= 0.05 * OBJECTIVE_S
-    if (
-        is_late
-        and not is_brief
-        and _is_admitted(wait_s=wait_s, work_s=work_s, age_s=age_s)
-    ):
+    if is_late and not is_brief and _is_admitted(wait_s=wait_s, work_s=work_s, age_s=age_s):
         assert _is_admitted(wait_s=1.25 * wait_s, work_s=work_s)
 
 
@@ -93,12 +83,8 @@
 
 @given(wait_s=SECONDS, round_trip_s=st.floats(0.0, 0.1))
 @settings(derandomize=True)
-def test_near_and_far_callers_are_allowed_the_same_wait(
-    wait_s: float, round_trip_s: float
-) -> None:
-    assert _is_admitted(wait_s=wait_s, round_trip_s=round_trip_s) == _is_admitted(
-        wait_s=wait_s
-    )
+def test_near_and_far_callers_are_allowed_the_same_wait(wait_s: float, round_trip_s: float) -> None:
+    assert _is_admitted(wait_s=wait_s, round_trip_s=round_trip_s) == _is_admitted(wait_s=wait_s)
 
 
 @pytest.mark.parametrize(
--- a/tests/overload/test_parts.py
+++ b/tests/overload/test_parts.py
@@ -29,9 +29,7 @@
     return Target(name, 1, "app", Address("127.0.0.1", 1), "a", slots, False, 0.0)
 
 
-@given(
-    st.dictionaries(st.sampled_from(sorted(DEMAND)), st.floats(1.0, 500.0), min_size=1)
-)
+@given(st.dictionaries(st.sampled_from(sorted(DEMAND)), st.floats(1.0, 500.0), min_size=1))
 @settings(derandomize=True)
 def test_shares_load_no_region_above_its_capacity_share(
     capacity: dict[str, float],
@@ -118,12 +116,8 @@
     assert rates.retry_after_s([limited, other], 0.0) == 1.0
 
 
-@pytest.mark.parametrize(
-    ("vms", "requests_per_s"), [(1, 30), (12, 30), (12, 1), (83, 20)]
-)
-def test_retries_of_all_vms_stay_within_the_budget(
-    vms: int, requests_per_s: int
-) -> None:
+@pytest.mark.parametrize(("vms", "requests_per_s"), [(1, 30), (12, 30), (12, 1), (83, 20)])
+def test_retries_of_all_vms_stay_within_the_budget(vms: int, requests_per_s: int) -> None:
     """Every request fails and asks for a retry; any ten seconds stay within the budget."""
     shares = [RetryBudgetShare(0.2, 64, 10.0) for _ in range(vms)]
     taken: list[float] = []
--- a/tests/overload/test_replays.py
+++ b/tests/overload/test_replays.py
@@ -24,9 +24,7 @@
     total_slots,
 )
 
-REQUIRED_IN_TIME_SHARE = (
-    0.69  # share of credit that the sites require on an undisturbed day
-)
+REQUIRED_IN_TIME_SHARE = 0.69  # share of credit that the sites require on an undisturbed day
 
 
 def test_steady_overload_is_served_from_targets_that_hold_the_objects() -> None:
@@ -76,9 +74,7 @@
             for call in replay.calls_between(from_s, from_s + 2.0)
             if call.ran_in_region and REGIONS[call.domain] == region
         ]
-        shares.append(
-            {name: ran.count(name) / len(ran) for name in set(REGIONS.values())}
-        )
+        shares.append({name: ran.count(name) / len(ran) for name in set(REGIONS.values())})
     return sum(abs(shares[0][name] - shares[1][name]) for name in shares[0]) / 2
 
 
@@ -107,14 +103,10 @@
     replay.run(END_S + 5)
     calls = replay.calls_between(WARM_UP_S, END_S)
     done = [call for call in calls if call.answered_s is not None]
-    work_s = sum(call.kind.work_s * call.kind.warm_share for call in done) / (
-        END_S - WARM_UP_S
-    )
+    work_s = sum(call.kind.work_s * call.kind.warm_share for call in done) / (END_S - WARM_UP_S)
     slots = sum(count * size for count, size in SLOTS.values())
     assert work_s >= 0.95 * slots * math.exp(-(0.15**2) / 2) * 0.95
-    waited = [
-        call.answered_s - call.began_s for call in done if call.answered_s is not None
-    ]
+    waited = [call.answered_s - call.began_s for call in done if call.answered_s is not None]
     assert max(waited) <= READ.timeout_s + 0.5
 
 
@@ -123,13 +115,8 @@
     replay = Replay(SLOTS, VMS)
     add_steady_load(replay, load_factor=4)
     replay.run(END_S + 5)
-    single_queue_share = single_queue_in_time_share(
-        replay.calls, total_slots(replay), seed=1
-    )
-    assert (
-        in_time_share(replay.calls_between(WARM_UP_S, END_S))
-        >= 0.75 * single_queue_share
-    )
+    single_queue_share = single_queue_in_time_share(replay.calls, total_slots(replay), seed=1)
+    assert in_time_share(replay.calls_between(WARM_UP_S, END_S)) >= 0.75 * single_queue_share
 
 
 def test_callers_that_ignore_retry_after_do_not_displace_the_others() -> None:
@@ -171,14 +158,10 @@
     replay.schedule(8.0, slow_down)
     replay.run(END_S + 5)
     usual_starts_per_s = (
-        len(replay.calls_between(10.0))
-        / (END_S - 10.0)
-        * len(slow)
-        / len(replay.targets)
+        len(replay.calls_between(10.0)) / (END_S - 10.0) * len(slow) / len(replay.targets)
     )
     slow_starts = sum(
-        sum(at_s >= 10.0 for at_s in replay.targets[name].start_times_s)
-        for name in slow
+        sum(at_s >= 10.0 for at_s in replay.targets[name].start_times_s) for name in slow
     )
     assert slow_starts / (END_S - 10.0) <= 0.5 * usual_starts_per_s
     assert in_time_share(replay.calls_between(10.0)) >= REQUIRED_IN_TIME_SHARE
@@ -187,11 +170,7 @@
 def test_cold_failure_domain_stays_under_its_bound() -> None:
     replay = Replay(SLOTS, VMS)
     add_steady_load(replay)
-    names = [
-        name
-        for name, one in replay.targets.items()
-        if one.target.failure_domain == "west-b"
-    ]
+    names = [name for name, one in replay.targets.items() if one.target.failure_domain == "west-b"]
 
     def return_cold() -> None:
         for name in names:
@@ -201,12 +180,8 @@
     replay.schedule(8.0, return_cold)
     replay.run(END_S + 5)
     for name in names:
-        starts = [
-            at_s for at_s in replay.targets[name].start_times_s if 8.0 <= at_s < 11.0
-        ]
-        busiest = max(
-            (sum(a <= b < a + 1.0 for b in starts) for a in starts), default=0
-        )
+        starts = [at_s for at_s in replay.targets[name].start_times_s if 8.0 <= at_s < 11.0]
+        busiest = max((sum(a <= b < a + 1.0 for b in starts) for a in starts), default=0)
         assert busiest <= 6.9 * 1.5 + 5
 
 
@@ -215,10 +190,7 @@
     add_steady_load(replay)
     replay.schedule(8.0, lambda: replay.add_target("t-new", "south-a", 6))
     replay.run(END_S + 5)
-    usual = [
-        len([s for s in one.start_times_s if s >= 12.0])
-        for one in replay.targets.values()
-    ]
+    usual = [len([s for s in one.start_times_s if s >= 12.0]) for one in replay.targets.values()]
     assert (
         len([s for s in replay.targets["t-new"].start_times_s if s >= 12.0])
         >= 0.3 * sorted(usual)[17]
--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -96,9 +96,7 @@
 
 @pytest.mark.parametrize("kind", DECODERS)
 @pytest.mark.parametrize("version", BY_VERSION)
-def test_datagram_of_an_earlier_version_is_not_understood(
-    version: str, kind: str
-) -> None:
+def test_datagram_of_an_earlier_version_is_not_understood(version: str, kind: str) -> None:
     decoded = DECODERS[kind](bytes.fromhex(BY_VERSION[version][kind]), "x")
     assert decoded == _expected(version, kind)
 
@@ -134,12 +132,8 @@
 
 
 @pytest.mark.parametrize("kind", DECODERS)
-@pytest.mark.parametrize(
-    "data", [b"\x81" * 65_000, b"\xff" * 65_000, b"\x9b" + b"\xff" * 8]
-)
-def test_huge_or_nested_datagram_is_no_malformed_datagram(
-    kind: str, data: bytes
-) -> None:
+@pytest.mark.parametrize("data", [b"\x81" * 65_000, b"\xff" * 65_000, b"\x9b" + b"\xff" * 8])
+def test_huge_or_nested_datagram_is_no_malformed_datagram(kind: str, data: bytes) -> None:
     _read_or_refuse(kind, data)
 
 
--- a/tests/peers/test_endpoint.py
+++ b/tests/peers/test_endpoint.py
@@ -71,9 +71,7 @@
 
     def __init__(self, name: str, host: str, port: int) -> None:
         self.peer = Peer(name, host, f"domain-{name}")
-        self.membership = Membership(
-            name, 1, random.Random(name), self.peer.failure_domain
-        )
+        self.membership = Membership(name, 1, random.Random(name), self.peer.failure_domain)
         self.received: list[Digest] = []
         self.reports = _Reports()
         self.endpoint = GossipEndpoint(
@@ -108,9 +106,7 @@
             node.endpoint.close()
 
 
-async def _wait_until_all_see(
-    nodes: list[_Node], seen: _Node, state: MemberState
-) -> None:
+async def _wait_until_all_see(nodes: list[_Node], seen: _Node, state: MemberState) -> None:
     others = [node for node in nodes if node is not seen]
     async with asyncio.timeout(CONVERGENCE_S):
         while any(node.state(seen) is not state for node in others):
@@ -135,12 +131,8 @@
 
 def _report(number: int) -> CrashReport:
     callers = frozenset({b"abcd", b"efgh"})
-    loss = ReportedLoss(
-        Lifetime("t" * 20, 1_800_000_000_000), 123.5, True, False, callers
-    )
-    return CrashReport(
-        bytes([number]) * 16, (loss,) * MAX_LOSSES_PER_REPORT, "u" * 20, 12.5
-    )
+    loss = ReportedLoss(Lifetime("t" * 20, 1_800_000_000_000), 123.5, True, False, callers)
+    return CrashReport(bytes([number]) * 16, (loss,) * MAX_LOSSES_PER_REPORT, "u" * 20, 12.5)
 
 
 def test_reports_reach_other_vms_and_newcomers_get_all() -> None:
@@ -152,9 +144,7 @@
             await asyncio.sleep(2 * ROUND_S)
             assert _report(1) in nodes[1].reports.received
             nodes[0].reports.to_send = ()
-            nodes[0].reports.for_newcomer = tuple(
-                _report(number) for number in range(20)
-            )
+            nodes[0].reports.for_newcomer = tuple(_report(number) for number in range(20))
             nodes[1].reports.received.clear()
             nodes[1].membership._incarnation += 1  # as after a restart
             await asyncio.sleep(3 * ROUND_S)
@@ -180,9 +170,7 @@
 def test_largest_datagram_of_reports_fits_a_packet() -> None:
     datagrams = list(encode_reports(tuple(_report(number) for number in range(20))))
     assert max(map(len, datagrams)) <= MAX_DATAGRAM_BYTES
-    decoded = [
-        report for data in datagrams for report in decode_reports(data, "x") or ()
-    ]
+    decoded = [report for data in datagrams for report in decode_reports(data, "x") or ()]
     assert decoded == [_report(number) for number in range(20)]
 
 
@@ -222,9 +210,7 @@
     reports = limits * REPORTS_PER_DATAGRAM
     datagrams = list(encode_limits(reports))
     assert max(map(len, datagrams)) <= MAX_DATAGRAM_BYTES
-    decoded = tuple(
-        report for data in datagrams for report in decode_limits(data, "x") or ()
-    )
+    decoded = tuple(report for data in datagrams for report in decode_limits(data, "x") or ())
     assert decoded == reports
 
 
@@ -252,21 +238,15 @@
 ) -> None:
     """It is logged once for each version that a registered peer states."""
     logged: list[dict[str, object]] = []
-    monkeypatch.setattr(
-        _endpoint, "log_event", lambda *_, **fields: logged.append(fields)
-    )
+    monkeypatch.setattr(_endpoint, "log_event", lambda *_, **fields: logged.append(fields))
 
     async def scenario() -> None:
         async with _gossiping_nodes(2) as nodes:
             for version in (*[UNSTATED_PROTOCOL_VERSION] * 2, *[LATER_VERSION] * 2):
                 for name in ("vm-1", "stranger"):
                     heartbeat = HeartbeatEntry(peer_key(name), 1, 1, True)
-                    digest = Digest(
-                        heartbeat.key, (heartbeat,), {}, protocol_version=version
-                    )
-                    nodes[0].endpoint.datagram_received(
-                        digest.encode(), ("127.0.4.2", 1)
-                    )
+                    digest = Digest(heartbeat.key, (heartbeat,), {}, protocol_version=version)
+                    nodes[0].endpoint.datagram_received(digest.encode(), ("127.0.4.2", 1))
 
     asyncio.run(scenario())
     assert [fields["protocol_version"] for fields in logged] == [
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -26,17 +26,13 @@
 SEED = 4
 
 
-@pytest.mark.parametrize(
-    ("count", "loss"), [(2, 0.0), (12, 0.0), (12, 0.2), (83, 0.02)]
-)
+@pytest.mark.parametrize(("count", "loss"), [(2, 0.0), (12, 0.0), (12, 0.2), (83, 0.02)])
 def test_all_find_each_other_and_none_is_declared_dead(count: int, loss: float) -> None:
     fleet = GossipFleet(count, SEED, loss_share=loss)
     fleet.run(5.0)
     for _ in range(20):
         fleet.run(ROUND_S)
-        assert all(
-            len(fleet.serving_peers(name)) == count - 1 for name in fleet.memberships
-        )
+        assert all(len(fleet.serving_peers(name)) == count - 1 for name in fleet.memberships)
 
 
 @pytest.mark.parametrize("count", [12, 83])
@@ -57,11 +53,7 @@
     fleet.run(5.0)
     fleet.memberships["vm-1"] = fleet.new_membership(fleet.peers[1], incarnation)
     fleet.run(4.0)
-    assert all(
-        "vm-1" in fleet.serving_peers(name)
-        for name in fleet.memberships
-        if name != "vm-1"
-    )
+    assert all("vm-1" in fleet.serving_peers(name) for name in fleet.memberships if name != "vm-1")
 
 
 def test_leaving_vm_is_idle_while_it_runs() -> None:
@@ -85,9 +77,7 @@
     assert sent[83] <= 83 / 12 * sent[12] * 1.1
 
 
-@pytest.mark.parametrize(
-    "data", [b"", b"\xff", b"\x01", b"\x83\x01\x02\x03", b"x" * 100]
-)
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x01", b"\x83\x01\x02\x03", b"x" * 100])
 def test_foreign_datagrams_are_refused(data: bytes) -> None:
     with pytest.raises(MalformedDigestError):
         decode_digest(data, "10.0.0.1")
@@ -132,10 +122,7 @@
     assert change is not None
     assert change.removed == ("a",)
     assert sorted(replica.objects) == ["b", "c"]
-    assert (
-        replica.apply_listing(Listing({"a": _stored("a", 3)}, StoreVersion(0, 5)))
-        is None
-    )
+    assert replica.apply_listing(Listing({"a": _stored("a", 3)}, StoreVersion(0, 5))) is None
     assert replica.apply_events(WatchResult((), StoreVersion(0, 6))) is None
     assert (replica.as_of, replica.last_change) == (StoreVersion(0, 7),) * 2
     change = replica.apply_listing(Listing({"c": _stored("c", 7)}, StoreVersion(0, 9)))
@@ -146,13 +133,9 @@
 def test_copy_of_a_restored_store_replaces_one_with_higher_revisions() -> None:
     """The copy stayed as it was for good, and with it the configuration."""
     replica = KindReplica("kind")
-    before = Listing(
-        {"a": _stored("a", 90), "b": _stored("b", 100)}, StoreVersion(1, 100)
-    )
+    before = Listing({"a": _stored("a", 90), "b": _stored("b", 100)}, StoreVersion(1, 100))
     replica.apply_listing(before)
-    change = replica.apply_listing(
-        Listing({"a": _stored("a", 50)}, StoreVersion(2, 60))
-    )
+    change = replica.apply_listing(Listing({"a": _stored("a", 50)}, StoreVersion(2, 60)))
     assert change is not None
     assert change.is_restored
     assert change.removed == ("b",)
--- a/tests/peers/test_membership_at_scale.py
+++ b/tests/peers/test_membership_at_scale.py
@@ -12,9 +12,7 @@
 from chervilmill.platform import StoreVersion
 
 MAX_DETECTION_S = 7.0  # a look-up must not return a VM that has been dead for longer
-MAX_DATAGRAM_BYTES = (
-    1400  # a larger datagram is fragmented, and lost with any of its fragments
-)
+MAX_DATAGRAM_BYTES = 1400  # a larger datagram is fragmented, and lost with any of its fragments
 MAX_BYTES_PER_S = 3000  # of heartbeats for each VM, at any fleet size
 
 
@@ -23,9 +21,7 @@
 
 
 @pytest.mark.parametrize(("count", "domains"), [(12, 3), (83, 7), (200, 12)])
-def test_loss_of_a_failure_domain_is_known_to_all_in_time(
-    count: int, domains: int
-) -> None:
+def test_loss_of_a_failure_domain_is_known_to_all_in_time(count: int, domains: int) -> None:
     fleet = _fleet(count, domains)
     fleet.run(6.0)
     lost = [peer.name for peer in fleet.peers if peer.failure_domain == "d1"]
@@ -33,8 +29,7 @@
     fleet.run(MAX_DETECTION_S)
     assert all(fleet.observers_of(name) == [] for name in lost)
     assert all(
-        len(fleet.observers_of(name)) == len(fleet.memberships) - 1
-        for name in fleet.memberships
+        len(fleet.observers_of(name)) == len(fleet.memberships) - 1 for name in fleet.memberships
     )
 
 
@@ -70,9 +65,7 @@
 def test_partitioned_halves_drop_and_later_find_each_other() -> None:
     fleet = _fleet(40, 4)
     fleet.run(6.0)
-    first_half = {
-        peer.name for peer in fleet.peers if peer.failure_domain in ("d0", "d1")
-    }
+    first_half = {peer.name for peer in fleet.peers if peer.failure_domain in ("d0", "d1")}
     fleet.link_works = lambda sender, to: (sender in first_half) == (to in first_half)
     fleet.run(2 * MAX_DETECTION_S)
     assert all(set(fleet.observers_of(name)) <= first_half for name in first_half)
@@ -131,17 +124,12 @@
 ) -> None:
     rng = random.Random(3)
     domains = {
-        rng.getrandbits(32): f"d{index}"
-        for index, size in enumerate(sizes)
-        for _ in range(size)
+        rng.getrandbits(32): f"d{index}" for index, size in enumerate(sizes) for _ in range(size)
     }
     ring = WatchRing(domains)
     for key, domain in domains.items():
         watchers = ring.watchers(key)
         assert len(set(watchers)) == min(WATCHERS_PER_VM, len(domains) - 1)
         assert key not in watchers
-        assert (
-            len({domains[watcher] for watcher in watchers} - {domain})
-            == other_domain_count
-        )
+        assert len({domains[watcher] for watcher in watchers} - {domain}) == other_domain_count
         assert all(key in ring.watched(watcher) for watcher in watchers)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -32,10 +32,7 @@
 
 @pytest.mark.parametrize("value", [b"", b"soon", b"-5", b"1.5"])
 def test_unreadable_deadline_is_ignored(value: bytes) -> None:
-    assert (
-        read_request([(b"x-chervilmill-deadline-milliseconds", value)]).time_left_s
-        is None
-    )
+    assert read_request([(b"x-chervilmill-deadline-milliseconds", value)]).time_left_s is None
 
 
 @pytest.mark.parametrize(
@@ -72,9 +69,7 @@
 
 def test_headers_to_targets_and_callers() -> None:
     assert (b"x-chervilmill-expected-instance", b"i-1") in target_headers("i-1", 1.5)
-    assert (b"x-chervilmill-deadline-milliseconds", b"1500") in target_headers(
-        "i-1", 1.5
-    )
+    assert (b"x-chervilmill-deadline-milliseconds", b"1500") in target_headers("i-1", 1.5)
     assert refusal_headers(0.25) == [(b"retry-after", b"0.25")]
     assert refusal_headers(None) == []
 
@@ -96,9 +91,7 @@
         (b"\xd9\xa3", None),
     ],
 )
-def test_limit_is_a_decimal_number(
-    name: bytes, value: bytes, per_s: float | None
-) -> None:
+def test_limit_is_a_decimal_number(name: bytes, value: bytes, per_s: float | None) -> None:
     limit = read_answer(200, [(name, value)]).limit
     assert limit is not None
     assert limit.per_s == per_s
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -71,9 +71,7 @@
     assert (target.name, target.incarnation, target.slots) == ("i-1", 1790000000000, 6)
     assert target.cold_left_s == 1.5
     assert not target.is_draining
-    assert read_target(
-        StoredObject("i-1", 8, ENTRY | {"state": "draining"})
-    ).is_draining
+    assert read_target(StoredObject("i-1", 8, ENTRY | {"state": "draining"})).is_draining
 
 
 @pytest.mark.parametrize(
@@ -122,9 +120,7 @@
 @pytest.mark.parametrize(
     "name", ["service", "address", "zone", "slots", "state", "cold-remaining-s", "born"]
 )
-def test_entry_with_a_value_beyond_all_bounds_is_refused(
-    name: str, value: object
-) -> None:
+def test_entry_with_a_value_beyond_all_bounds_is_refused(name: str, value: object) -> None:
     with pytest.raises(InvalidObjectError) as caught:
         read_target(StoredObject("i-1", 7, ENTRY | {name: value}))
     assert len(caught.value.message) <= 256
@@ -139,19 +135,13 @@
 
 
 @pytest.mark.parametrize("value", UNUSABLE_VALUES, ids=lambda value: ascii(value)[:24])
-@pytest.mark.parametrize(
-    "name", ["max-header-bytes", "max-body-bytes", "idle-timeout-s"]
-)
-def test_configuration_with_a_limit_beyond_all_bounds_is_refused(
-    name: str, value: object
-) -> None:
+@pytest.mark.parametrize("name", ["max-header-bytes", "max-body-bytes", "idle-timeout-s"])
+def test_configuration_with_a_limit_beyond_all_bounds_is_refused(name: str, value: object) -> None:
     content = configuration(1)
     limits = content["limits"]
     assert isinstance(limits, dict)
     with pytest.raises(InvalidObjectError):
-        read_configuration(
-            StoredObject("main", 3, content | {"limits": limits | {name: value}})
-        )
+        read_configuration(StoredObject("main", 3, content | {"limits": limits | {name: value}}))
 
 
 @pytest.mark.parametrize("version", ["r" + "9" * 5000, "r-1", "r1.5", "r"])
@@ -159,29 +149,21 @@
     version: str,
 ) -> None:
     with pytest.raises(InvalidObjectError):
-        read_configuration(
-            StoredObject("main", 3, configuration(1) | {"version": version})
-        )
+        read_configuration(StoredObject("main", 3, configuration(1) | {"version": version}))
 
 
 def test_registration_is_decoded() -> None:
     registration = EntryVmRegistration("10.1.0.9", "north-a")
-    assert (
-        read_registration(StoredObject("vm", 1, registration.encode())) == registration
-    )
+    assert read_registration(StoredObject("vm", 1, registration.encode())) == registration
 
 
-@pytest.mark.parametrize(
-    "value", [*UNUSABLE_VALUES, *CONTROL_TEXTS], ids=lambda v: ascii(v)[:24]
-)
+@pytest.mark.parametrize("value", [*UNUSABLE_VALUES, *CONTROL_TEXTS], ids=lambda v: ascii(v)[:24])
 def test_registration_with_another_host_than_an_ip_address_is_refused(
     value: object,
 ) -> None:
     """A datagram to such a host would close the socket of the gossip protocol."""
     with pytest.raises(InvalidObjectError):
-        read_registration(
-            StoredObject("vm", 1, {"host": value, "failure_domain": "north-a"})
-        )
+        read_registration(StoredObject("vm", 1, {"host": value, "failure_domain": "north-a"}))
 
 
 def test_evacuation_of_a_domain_that_cannot_be_encoded_is_refused() -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -13,9 +13,7 @@
 
 
 def _content() -> dict[str, object]:
-    return settings(
-        "vm-1", "north-a", PORTS, Address("10.9.0.1", 8169), ("10.1.0.11:8166",)
-    )
+    return settings("vm-1", "north-a", PORTS, Address("10.9.0.1", 8169), ("10.1.0.11:8166",))
 
 
 def _read(path: Path, content: object) -> object:
@@ -49,9 +47,7 @@
 def test_error_names_the_missing_or_wrong_field(
     tmp_path: Path, change: dict[str, object], message: str
 ) -> None:
-    content = {
-        key: value for key, value in (_content() | change).items() if value is not None
-    }
+    content = {key: value for key, value in (_content() | change).items() if value is not None}
     with pytest.raises(SettingsError, match=message) as caught:
         _read(tmp_path / "vm.json", content)
     assert caught.value.step == "read settings"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -25,9 +25,7 @@
         self.calls: list[tuple[str, str]] = []
         self._replies = list(replies)
 
-    async def __call__(
-        self, method: str, path: str, body: bytes, timeout_s: float
-    ) -> HttpAnswer:
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
         self.calls.append((method, path))
         reply = self._replies.pop(0)
         if isinstance(reply, Exception):
@@ -70,12 +68,8 @@
     ]
     script = _ScriptedExchange(_answer({"events": events, "as-of": 8}))
     store = PlatformStore(script, "store")
-    result = asyncio.run(
-        store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True)
-    )
-    assert [(event.stored.name, event.is_removed) for event in result.events] == [
-        ("a", True)
-    ]
+    result = asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
+    assert [(event.stored.name, event.is_removed) for event in result.events] == [("a", True)]
     assert result.as_of == StoreVersion(0, 8)
     assert "serializable=1" in script.calls[0][1]
 
@@ -94,9 +88,7 @@
 def test_failed_reads_raise(reply: Reply, error: type[Exception]) -> None:
     store = PlatformStore(_ScriptedExchange(reply), "store")
     with pytest.raises(error) as caught:
-        asyncio.run(
-            store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True)
-        )
+        asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
     assert isinstance(caught.value, StoreError)
     assert not caught.value.is_outcome_unknown
 
@@ -124,9 +116,7 @@
 @pytest.mark.parametrize("status", [200, 404])
 def test_delete_of_a_missing_object_succeeds(status: int) -> None:
     asyncio.run(
-        PlatformStore(_ScriptedExchange(_answer({}, status)), "store").delete(
-            "k", "n", 1.0
-        )
+        PlatformStore(_ScriptedExchange(_answer({}, status)), "store").delete("k", "n", 1.0)
     )
 
 
@@ -149,9 +139,7 @@
     )
     store = PlatformStore(script, "store")
     assert asyncio.run(store.list_all("servers", 1.0)).as_of == StoreVersion(3, 7)
-    result = asyncio.run(
-        store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True)
-    )
+    result = asyncio.run(store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True))
     assert result.as_of == StoreVersion(3, 8)
 
 
@@ -160,9 +148,7 @@
 def test_watch_answered_in_a_later_era_calls_for_a_list(reply: HttpAnswer) -> None:
     store = PlatformStore(_ScriptedExchange(reply), "store")
     with pytest.raises(StoreRestoredError):
-        asyncio.run(
-            store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True)
-        )
+        asyncio.run(store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True))
 
 
 @pytest.mark.parametrize("era", [None, "2", "-1", "x", "", "4.0", "9" * 400])
@@ -171,9 +157,7 @@
 ) -> None:
     store = PlatformStore(_ScriptedExchange(_answer(EVENT, era=era)), "store")
     with pytest.raises(StoreError) as caught:
-        asyncio.run(
-            store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True)
-        )
+        asyncio.run(store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True))
     assert not isinstance(caught.value, HistoryGoneError)
 
 
--- a/tests/requests/test_admission.py
+++ b/tests/requests/test_admission.py
@@ -47,9 +47,7 @@
     ]
     for waiting_request in waiting:
         assert queue.join(waiting_request, 0.0) is None
-    assert [
-        waiting_request.priority for waiting_request in drain(queue, 0.0)
-    ] == sorted(Priority)
+    assert [waiting_request.priority for waiting_request in drain(queue, 0.0)] == sorted(Priority)
 
 
 def test_bulk_that_waited_long_goes_before_new_requests() -> None:
@@ -69,9 +67,7 @@
     for _ in range(10):
         queue.slot_freed(0.0)
     joined = 0
-    while (
-        refusal := queue.join(QueuedRequest(Priority.NORMAL, 0.0, 60.0), 0.0)
-    ) is None:
+    while (refusal := queue.join(QueuedRequest(Priority.NORMAL, 0.0, 60.0), 0.0)) is None:
         joined += 1
     assert joined == 2
     assert refusal.retry_after_s == pytest.approx(0.2)
@@ -93,9 +89,7 @@
         queue.slot_taken()
     queue.slot_freed(5.03, held_s=0.03)
     burst = [QueuedRequest(Priority.NORMAL, 5.03, 60.0) for _ in range(4)]
-    assert [queue.join(waiting_request, 5.03) for waiting_request in burst] == [
-        None
-    ] * 4
+    assert [queue.join(waiting_request, 5.03) for waiting_request in burst] == [None] * 4
 
 
 def test_burst_is_refused_where_slots_are_held_long() -> None:
--- a/tests/requests/test_order_records.py
+++ b/tests/requests/test_order_records.py
@@ -33,9 +33,7 @@
 
 
 def claim(key: str, nonce: int = 1) -> Claim:
-    return Claim(
-        order_key("contracts", key, "POST", "/orders", b""), nonce.to_bytes(12, "big")
-    )
+    return Claim(order_key("contracts", key, "POST", "/orders", b""), nonce.to_bytes(12, "big"))
 
 
 def claim_result(shard, order_claim: Claim, now_ms: int) -> ClaimResult:
@@ -76,10 +74,7 @@
     ],
 )
 def test_time_in_a_key_is_checked(offset_ms: int, expected: ClaimResult) -> None:
-    assert (
-        claim_result(EMPTY_SHARD, claim(dated_key(NOW_MS + offset_ms)), NOW_MS)
-        is expected
-    )
+    assert claim_result(EMPTY_SHARD, claim(dated_key(NOW_MS + offset_ms)), NOW_MS) is expected
 
 
 def test_only_version_7_carries_a_time() -> None:
@@ -103,18 +98,14 @@
     assert shard.size <= MAX_SHARD_BYTES
     outcomes = [record.outcome for record in shard.records.values()]
     assert len(outcomes) == count
-    assert (
-        sum(outcome is not None and outcome.body is None for outcome in outcomes) >= 20
-    )
+    assert sum(outcome is not None and outcome.body is None for outcome in outcomes) >= 20
 
 
 def test_encoding_round_trip() -> None:
     order_claim = claim("k", 1)
     changes = [
         order_claim,
-        RecordOutcome(
-            order_claim.key, order_claim.nonce, Outcome(201, "text/plain", b"x")
-        ),
+        RecordOutcome(order_claim.key, order_claim.nonce, Outcome(201, "text/plain", b"x")),
         claim("m", 2),
     ]
     shard, _ = apply_changes(EMPTY_SHARD, changes, NOW_MS)
--- a/tests/requests/test_orders_at_most_once.py
+++ b/tests/requests/test_orders_at_most_once.py
@@ -38,9 +38,7 @@
 TRANSMISSIONS = 5
 DAY_MS = 86_400_000
 START_MS = 1_700_000_000_000
-DATED_KEY = (
-    f"{START_MS:012x}"[:8] + "-" + f"{START_MS:012x}"[8:] + "-7000-8000-000000000001"
-)
+DATED_KEY = f"{START_MS:012x}"[:8] + "-" + f"{START_MS:012x}"[8:] + "-7000-8000-000000000001"
 KEYS = ("plain-key", DATED_KEY)
 
 
@@ -128,9 +126,7 @@
             self._apply_late()
 
     def violations(self) -> list[str]:
-        found = [
-            f"{key} ran {count} times" for key, count in self.runs.items() if count > 1
-        ]
+        found = [f"{key} ran {count} times" for key, count in self.runs.items() if count > 1]
         for number, end in self.results.items():
             if end is OrderEnd.NOT_RUN and number in self.ran:
                 found.append(f"transmission {number} ran and was reported as not run")
@@ -202,9 +198,7 @@
             changes = vm.queue.begin_commit()
             if not changes:
                 return
-            vm.commit = self.commit(
-                vm.queue.cached, changes, self.now_ms + vm.clock_error_ms
-            )
+            vm.commit = self.commit(vm.queue.cached, changes, self.now_ms + vm.clock_error_ms)
             vm.commit_reply = None
         try:
             vm.commit_reply = self.store.call(vm.commit.send(vm.commit_reply))
@@ -232,9 +226,7 @@
 
     def _apply_late(self) -> None:
         if self.store.late:
-            self.store.apply(
-                self.store.late.pop(self.rng.randrange(len(self.store.late)))
-            )
+            self.store.apply(self.store.late.pop(self.rng.randrange(len(self.store.late))))
         if self.late_runs:
             self._run(self.late_runs.pop())
 
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -33,9 +33,7 @@
     def verdict(self, request: bytes, now_s: float):
         return self.quarantine.verdict(request, now_s, lambda _: True)
 
-    def run(
-        self, request: bytes, now_s: float, *, alongside: bytes | None = None
-    ) -> str | None:
+    def run(self, request: bytes, now_s: float, *, alongside: bytes | None = None) -> str | None:
         """Run a request and return its target, or None if the request is quarantined.
 
         The request CRASHING crashes its target. `alongside` runs there at the same time.
@@ -55,9 +53,7 @@
                 other.quarantine.receive_report(report, now_s)
         self.quarantine.record_end(request, target, is_answered=False, now_s=now_s)
         if alongside is not None:
-            self.quarantine.record_end(
-                alongside, target, is_answered=False, now_s=now_s
-            )
+            self.quarantine.record_end(alongside, target, is_answered=False, now_s=now_s)
         return target
 
     def crash(self, target: str, request: bytes, now_s: float) -> list[CrashReport]:
@@ -86,9 +82,7 @@
     [vm] = entry_vms(1)
     first = vm.run(CRASHING, 0.0, alongside=INNOCENT)
     crashing, innocent = vm.verdict(CRASHING, 0.0), vm.verdict(INNOCENT, 0.0)
-    assert isinstance(crashing, LimitedToTarget) and isinstance(
-        innocent, LimitedToTarget
-    )
+    assert isinstance(crashing, LimitedToTarget) and isinstance(innocent, LimitedToTarget)
     assert len({first, crashing.target, innocent.target}) == 3
     assert DOMAINS[crashing.target] != DOMAINS["t0"]
     assert vm.run(INNOCENT, 0.1) == innocent.target
@@ -117,9 +111,7 @@
         (2, 602.0, Unrestricted),
     ],
 )
-def test_suspicion_and_quarantine_expire(
-    crashes: int, after_s: float, expected: type
-) -> None:
+def test_suspicion_and_quarantine_expire(crashes: int, after_s: float, expected: type) -> None:
     [vm] = entry_vms(1)
     for _ in range(crashes):
         vm.run(CRASHING, 0.0)
@@ -295,21 +287,15 @@
     for sent_s, delay_s in ((1.0, 0.0), (1.33, 0.1), (2.5, 0.04)):
         report = author.quarantine.report(CRASHING, sent_s)
         assert report is not None
-        losses = tuple(
-            replace(loss, age_s=round(loss.age_s, 1)) for loss in report.losses
-        )
+        losses = tuple(replace(loss, age_s=round(loss.age_s, 1)) for loss in report.losses)
         sent = replace(report, losses=losses)
-        assert reader.quarantine.receive_report(sent, sent_s + delay_s) is (
-            sent_s == 1.0
-        )
+        assert reader.quarantine.receive_report(sent, sent_s + delay_s) is (sent_s == 1.0)
 
 
 def test_lost_requests_leave_nothing_behind() -> None:
     [vm] = entry_vms(1)
     for number in range(1000):
-        vm.quarantine.record_loss(
-            f"r{number}".encode(), Lifetime("t3"), number, float(number)
-        )
+        vm.quarantine.record_loss(f"r{number}".encode(), Lifetime("t3"), number, float(number))
     requests = [key for key in vm.quarantine._records if not is_content(key)]
     contents = [key for key in vm.quarantine._records if is_content(key)]
     assert max(len(requests), len(contents)) <= 11
@@ -391,9 +377,7 @@
     assert isinstance(quarantine.verdict(_sender(asked), 6.0, lambda _: True), expected)
 
 
-def test_answer_to_one_caller_clears_the_content_but_not_the_request_of_another() -> (
-    None
-):
+def test_answer_to_one_caller_clears_the_content_but_not_the_request_of_another() -> None:
     quarantine = _new_quarantine()
     _crash(quarantine, "t0", 0.0, _sender(1))
     _crash(quarantine, "t1", 5.0, _sender(1), _sender(2))
@@ -411,9 +395,7 @@
     assert isinstance(quarantine.verdict(_sender(3), 6.0, lambda _: True), Quarantined)
 
 
-def test_harmless_request_in_flight_at_crashes_is_explained_by_the_one_at_every_crash() -> (
-    None
-):
+def test_harmless_request_in_flight_at_crashes_is_explained_by_the_one_at_every_crash() -> None:
     quarantine = _new_quarantine()
     bad, beside = _sender(1, "/bad"), _sender(2, "/beside")
     for step in range(3):
@@ -438,9 +420,7 @@
             now_s=at_s + 2,
         )
         quarantine.judgement(_sender(step, "/popular"), at_s + 2)
-    assert isinstance(
-        quarantine.verdict(_sender(7, "/bad"), 13.0, lambda _: True), Quarantined
-    )
+    assert isinstance(quarantine.verdict(_sender(7, "/bad"), 13.0, lambda _: True), Quarantined)
     assert isinstance(
         quarantine.verdict(_sender(7, "/popular"), 13.0, lambda _: True), Unrestricted
     )
@@ -471,7 +451,5 @@
     assert isinstance(limited, LimitedToTarget)
     quarantine.record_trial(CRASHING, Lifetime(limited.target), 11.0)
     assert isinstance(quarantine.verdict(CRASHING, 11.1, lambda _: True), Quarantined)
-    quarantine.record_end(
-        CRASHING, limited.target, is_answered=True, sent_s=11.0, now_s=11.5
-    )
+    quarantine.record_end(CRASHING, limited.target, is_answered=True, sent_s=11.0, now_s=11.5)
     assert isinstance(quarantine.verdict(CRASHING, 11.6, lambda _: True), Unrestricted)
--- a/tests/requests/test_quarantine_at_scale.py
+++ b/tests/requests/test_quarantine_at_scale.py
@@ -37,9 +37,7 @@
 def _quarantine_with_culprits(count: int) -> Quarantine:
     """Return a quarantine with requests that have crashed three lifetimes of targets each."""
     quarantine = Quarantine()
-    quarantine.set_targets(
-        {f"t{number}": f"d{number % DOMAINS}" for number in range(TARGETS)}
-    )
+    quarantine.set_targets({f"t{number}": f"d{number % DOMAINS}" for number in range(TARGETS)})
     for number in range(count):
         for place in range(3):
             at_s = 10.0 * place
@@ -65,18 +63,14 @@
 
 
 def test_report_costs_more_with_each_request_that_is_known() -> None:
-    few, many = (
-        _cost_of_a_report(_quarantine_with_culprits(count)) for count in (FEW, MANY)
-    )
+    few, many = (_cost_of_a_report(_quarantine_with_culprits(count)) for count in (FEW, MANY))
     assert many <= MAX_GROWTH * few, (few, many)
 
 
 def test_each_loss_of_a_request_searches_all_crashes_again() -> None:
     """Many requests lose runs at a target that goes down with many others."""
     quarantine = Quarantine()
-    quarantine.set_targets(
-        {f"t{number}": f"d{number % DOMAINS}" for number in range(TARGETS)}
-    )
+    quarantine.set_targets({f"t{number}": f"d{number % DOMAINS}" for number in range(TARGETS)})
     for number in range(TARGETS // 2):
         quarantine.record_crash(f"t{number}", None, 1.0)
 
@@ -84,7 +78,5 @@
         quarantine.record_loss(_fingerprint(number), Lifetime("t0", 1), 1.5, 1.5)
         quarantine.judgement(_fingerprint(number), 1.5)
 
-    first, second = (
-        _count_calls(lambda number=number: lose(number)) for number in (1, 2)
-    )
+    first, second = (_count_calls(lambda number=number: lose(number)) for number in (1, 2))
     assert second <= first / MAX_GROWTH, (first, second)
--- a/tests/requests/test_retry.py
+++ b/tests/requests/test_retry.py
@@ -34,9 +34,7 @@
         (FailedAttempt(ORDER, Failure.SHED, 1, 10.0), True),
     ],
 )
-def test_which_failed_attempts_are_retried(
-    failed: FailedAttempt, is_retried: bool
-) -> None:
+def test_which_failed_attempts_are_retried(failed: FailedAttempt, is_retried: bool) -> None:
     retry = decide_retry(failed, RetryBudget(), random.Random(1))
     assert (retry is not None) is is_retried
 
@@ -44,9 +42,7 @@
 def test_pauses_before_retries_vary() -> None:
     failed, rng = FailedAttempt(GET, Failure.LOST, 1, 10.0), random.Random(1)
     pauses = {
-        retry.after_s
-        for _ in range(8)
-        if (retry := decide_retry(failed, RetryBudget(), rng))
+        retry.after_s for _ in range(8) if (retry := decide_retry(failed, RetryBudget(), rng))
     }
     assert len(pauses) == 8
 
--- a/tests/requests/test_target_policy.py
+++ b/tests/requests/test_target_policy.py
@@ -19,9 +19,7 @@
 ENTRIES = [f"entry-{number}" for number in range(12)]
 
 
-def make_policy(
-    entry: str = "entry-0", far: int = 0, entries: list[str] = ENTRIES
-) -> TargetPolicy:
+def make_policy(entry: str = "entry-0", far: int = 0, entries: list[str] = ENTRIES) -> TargetPolicy:
     policy = TargetPolicy(entry)
     infos = [TargetInfo(name, 6, index >= far) for index, name in enumerate(NAMES)]
     policy.update(infos, entries, 0.0)
@@ -110,15 +108,9 @@
     policy, rng = make_policy(entries=["entry-0"]), random.Random(1)
     policy.set_condition(NAMES[0], TargetCondition.COLD, 0.0)
     others = NAMES[1:]
-    assert (
-        sum(policy.start_attempt(0.0, rng, others) is not None for _ in range(9)) == 2
-    )
-    assert (
-        sum(policy.start_attempt(5.0, rng, others) is not None for _ in range(9)) == 2
-    )
-    assert (
-        sum(policy.start_attempt(20.0, rng, others) is not None for _ in range(9)) == 2
-    )
+    assert sum(policy.start_attempt(0.0, rng, others) is not None for _ in range(9)) == 2
+    assert sum(policy.start_attempt(5.0, rng, others) is not None for _ in range(9)) == 2
+    assert sum(policy.start_attempt(20.0, rng, others) is not None for _ in range(9)) == 2
 
 
 def test_shed_lowers_what_a_target_gets_and_time_brings_it_back() -> None:
@@ -128,12 +120,8 @@
         assert policy.start_attempt(0.0, rng, others) == NAMES[0]
     for _ in range(6):
         policy.end_attempt(NAMES[0], AttemptEnd.SHED, 0.0)
-    assert (
-        sum(policy.start_attempt(0.1, rng, others) is not None for _ in range(9)) == 1
-    )
-    assert (
-        sum(policy.start_attempt(2.6, rng, others) is not None for _ in range(9)) == 2
-    )
+    assert sum(policy.start_attempt(0.1, rng, others) is not None for _ in range(9)) == 1
+    assert sum(policy.start_attempt(2.6, rng, others) is not None for _ in range(9)) == 2
 
 
 def test_far_targets_are_taken_only_where_no_near_one_takes_work() -> None:
@@ -172,9 +160,7 @@
     entries = [f"entry-{number}" for number in range(120)]
     targets = [f"target-{number}" for number in range(150)]
     shares = {name: reachable_targets(name, entries, targets) for name in entries}
-    by_target = [
-        sum(target in share for share in shares.values()) for target in targets
-    ]
+    by_target = [sum(target in share for share in shares.values()) for target in targets]
     assert set(by_target) == {40}
     mean = 150 * 40 / 120
     assert max(len(share) for share in shares.values()) <= 1.5 * mean
@@ -182,9 +168,7 @@
         assert set(shares[name]) <= set(reachable_targets(name, entries[1:], targets))
 
 
-@pytest.mark.parametrize(
-    ("entries", "share"), [(1, 400), (12, 33), (40, 10), (800, 10)]
-)
+@pytest.mark.parametrize(("entries", "share"), [(1, 400), (12, 33), (40, 10), (800, 10)])
 def test_connections_of_all_entry_vms_stay_within_the_limit_of_a_target(
     entries: int, share: int
 ) -> None:
--- a/tests/routing/test_view.py
+++ b/tests/routing/test_view.py
@@ -132,10 +132,7 @@
 @pytest.mark.parametrize("weights", [(1, 1), (90, 10), (3, 2, 1), (0, 1), (1, 999)])
 def test_split_is_never_far_from_its_weights(weights: tuple[int, ...]) -> None:
     splitter = TrafficSplitter()
-    split = [
-        WeightedService(f"s{number}", float(weight))
-        for number, weight in enumerate(weights)
-    ]
+    split = [WeightedService(f"s{number}", float(weight)) for number, weight in enumerate(weights)]
     counts = dict.fromkeys((part.service for part in split), 0)
     for number in range(1, 1001):
         counts[splitter.pick("route", split)] += 1
--- a/tests/settings/test_check.py
+++ b/tests/settings/test_check.py
@@ -26,12 +26,8 @@
 
 
 def normalised_problem(problem: Exception) -> str:
-    head, is_unknown, _ = str(problem).partition(
-        "found an unknown key, allowed is one of "
-    )
-    return (
-        f"{head}found an unknown key, allowed is KNOWN" if is_unknown else str(problem)
-    )
+    head, is_unknown, _ = str(problem).partition("found an unknown key, allowed is one of ")
+    return f"{head}found an unknown key, allowed is KNOWN" if is_unknown else str(problem)
 
 
 @pytest.mark.parametrize("name", ["souhrny", "swanbourne"])
@@ -40,18 +36,14 @@
     assert len(settings.regions) == 3
 
 
-@pytest.mark.parametrize(
-    "case", BAD_SETTINGS, ids=lambda case: " ".join(case["change"])
-)
+@pytest.mark.parametrize("case", BAD_SETTINGS, ids=lambda case: " ".join(case["change"]))
 def test_every_mistake_is_reported(case: dict) -> None:
     raw = example()
     for path, value in case["change"].items():
         change(raw, path, value)
     with pytest.raises(ExceptionGroup) as caught:
         check_settings(raw)
-    assert [normalised_problem(item) for item in caught.value.exceptions] == case[
-        "problems"
-    ]
+    assert [normalised_problem(item) for item in caught.value.exceptions] == case["problems"]
 
 
 @pytest.mark.parametrize(
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -8,13 +8,9 @@
 from soak.records import Attempt, ExclusionSpan, History, LimitSpan, TargetRun, VmStart
 
 
-def _attempt(
-    request_id: str, kind: str = "unsafe", status: int | None = 200
-) -> Attempt:
+def _attempt(request_id: str, kind: str = "unsafe", status: int | None = 200) -> Attempt:
     body = f"t1 ran {request_id} d".encode() if status == 200 else b""
-    attempt = Attempt(
-        request_id, kind, "POST", "/order/1", "d", 10.0, "vm", status, body, 10.5
-    )
+    attempt = Attempt(request_id, kind, "POST", "/order/1", "d", 10.0, "vm", status, body, 10.5)
     attempt.must_be_answered = True
     return attempt
 
--- a/tests/soak/test_command.py
+++ b/tests/soak/test_command.py
@@ -11,9 +11,7 @@
 
 NETWORK = 96
 VM_ADDRESS = (f"127.{NETWORK}.1.1", 8161)
-START_TIMEOUT_S = (
-    30.0  # covers the start of the soak and of an entry VM on a busy machine
-)
+START_TIMEOUT_S = 30.0  # covers the start of the soak and of an entry VM on a busy machine
 EXIT_TIMEOUT_S = 10.0
 
 
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -21,15 +21,11 @@
     # A request crashed silent targets for as long as it came again.
     SoakOptions(4, seconds=15.0, network=105, disturbs_store=False),
     # Crashes of one request looked like the loss of a failure domain, which ended its quarantine.
-    SoakOptions(
-        3022, seconds=16.0, network=111, disturbs_store=False, names_limits=True
-    ),
+    SoakOptions(3022, seconds=16.0, network=111, disturbs_store=False, names_limits=True),
     # Targets got many times the limits that they named.
     SoakOptions(41, seconds=16.0, network=110, disturbs_store=False, names_limits=True),
     # A request that took two targets in each attempt took all of a service.
-    SoakOptions(
-        14, seconds=16.0, vms=6, targets=16, callers=6, network=109, only_crashes=True
-    ),
+    SoakOptions(14, seconds=16.0, vms=6, targets=16, callers=6, network=109, only_crashes=True),
     # An object that crashes targets, asked for by many callers, took targets of each caller anew.
     SoakOptions(
         41,
--- a/tests/soak/test_upgrade.py
+++ b/tests/soak/test_upgrade.py
@@ -21,9 +21,7 @@
 @pytest.mark.parametrize("seed", [9301])
 def test_promise_is_broken_while_two_versions_run(tmp_path: Path, seed: int) -> None:
     previous = _export_previous(tmp_path / "previous")
-    soak = Soak(
-        SoakOptions(seed, seconds=12.0, network=112, previous=previous), tmp_path
-    )
+    soak = Soak(SoakOptions(seed, seconds=12.0, network=112, previous=previous), tmp_path)
     assert asyncio.run(soak.run()) == []
     runs = [line for line in soak.log if " runs " in line]
     assert len(runs) == 2 * soak.options.vms
--- a/tests/standins/test_process.py
+++ b/tests/standins/test_process.py
@@ -23,9 +23,7 @@
     return True
 
 
-@pytest.mark.parametrize(
-    "arguments", [["platform_main"], ["target_main", "--name", "t1"]]
-)
+@pytest.mark.parametrize("arguments", [["platform_main"], ["target_main", "--name", "t1"]])
 def test_signals_in_a_burst_block_a_stand_in(arguments: list[str]) -> None:
     address = free_address()
     module, *options = arguments
--- a/tests/standins/test_target_server.py
+++ b/tests/standins/test_target_server.py
@@ -22,9 +22,7 @@
         self.server = target_server(free_address(), self.state)
         self.server.start()
         address = self.server.address
-        self.pool = urllib3.HTTPConnectionPool(
-            address.host, address.port, timeout=TIMEOUT_S
-        )
+        self.pool = urllib3.HTTPConnectionPool(address.host, address.port, timeout=TIMEOUT_S)
 
     def get(self, path: str, request_id: str = "r-1") -> urllib3.BaseHTTPResponse:
         headers = {"X-Request-Id": request_id}
@@ -85,9 +83,7 @@
     assert target.get("/digest").status == 200
 
 
-@pytest.mark.parametrize(
-    "fault", [AnswerFault.LATE, AnswerFault.STALLED, AnswerFault.DOUBLED]
-)
+@pytest.mark.parametrize("fault", [AnswerFault.LATE, AnswerFault.STALLED, AnswerFault.DOUBLED])
 def test_slow_and_doubled_answers_are_whole(target: Target, fault: AnswerFault) -> None:
     whole = target.get("/digest").data
     target.state.faults.append(fault)
@@ -109,9 +105,7 @@
         target.get("/crash/1")
     thread.join()
     assert len(failures) == 1
-    assert retry_until(
-        lambda: not target.state.is_crashed and _is_up(target), TIMEOUT_S
-    )
+    assert retry_until(lambda: not target.state.is_crashed and _is_up(target), TIMEOUT_S)
     assert target.get("/-/health").json() == {"state": "cold"}
     assert target.state.stats()["crashes"] == 1
 
@@ -145,6 +139,4 @@
     """A real crash does both at once, and callers recognise a crash by the refused connection."""
     target.server.crash()
     with pytest.raises(ConnectionRefusedError):
-        socket.create_connection(
-            (target.pool.host, target.pool.port), timeout=TIMEOUT_S
-        )
+        socket.create_connection((target.pool.host, target.pool.port), timeout=TIMEOUT_S)
--- a/tests/steering/support.py
+++ b/tests/steering/support.py
@@ -44,9 +44,7 @@
 class Node:
     """Model, table and runner of one node; nodes may share `store` and `directory`."""
 
-    def __init__(
-        self, name: str, store: MemoryStore, directory: FakeDirectory, **changes
-    ) -> None:
+    def __init__(self, name: str, store: MemoryStore, directory: FakeDirectory, **changes) -> None:
         self.now_s = 1_000.0
         self.wall_s = 1_764_000_000.0
         self.store = store
@@ -98,14 +96,10 @@
 def directory_of(raw: dict, targets: dict[str, int] = TARGETS) -> FakeDirectory:
     """Return a directory with targets spread evenly over all failure domains."""
     directory = FakeDirectory()
-    domains = [
-        domain for region in raw["regions"] for domain in region["failure_domains"]
-    ]
+    domains = [domain for region in raw["regions"] for domain in region["failure_domains"]]
     for service, count in targets.items():
         directory.by_service[service] = [
-            target_vm(
-                f"{service}-{i}", free_address(), service, domains[i % len(domains)]
-            )
+            target_vm(f"{service}-{i}", free_address(), service, domains[i % len(domains)])
             for i in range(count)
         ]
     return directory
--- a/tests/steering/test_block_store.py
+++ b/tests/steering/test_block_store.py
@@ -30,8 +30,7 @@
 
 def are_equal(first: BlockTable, second: BlockTable) -> bool:
     return bool(
-        np.array_equal(first.starts, second.starts)
-        and np.array_equal(first.homes, second.homes)
+        np.array_equal(first.starts, second.starts) and np.array_equal(first.homes, second.homes)
     )
 
 
@@ -60,17 +59,12 @@
     for start in delta.removed.tolist():
         del expected[start]
     expected.update(zip(delta.starts.tolist(), delta.homes.tolist(), strict=True))
-    assert (
-        dict(zip(changed.starts.tolist(), changed.homes.tolist(), strict=True))
-        == expected
-    )
+    assert dict(zip(changed.starts.tolist(), changed.homes.tolist(), strict=True)) == expected
     assert np.all(np.diff(changed.starts.astype(np.int64)) > 0)
     assert are_equal(apply_delta(changed, delta), changed)
 
 
-@pytest.mark.parametrize(
-    "value", [b"", b"zz", encode_delta(delta_of(block_table(1, SIZE)))]
-)
+@pytest.mark.parametrize("value", [b"", b"zz", encode_delta(delta_of(block_table(1, SIZE)))])
 def test_malformed_part_is_refused(value: bytes) -> None:
     with pytest.raises(MalformedBlocksError):
         decode_parts([value])
--- a/tests/steering/test_blocks.py
+++ b/tests/steering/test_blocks.py
@@ -17,9 +17,7 @@
 @pytest.mark.parametrize("seed", [0, 1, 2**32 - 1, hash_seed("souhrny")])
 def test_vectorised_hash_equals_the_xxhash_library(seed: int) -> None:
     starts = np.random.default_rng(seed).integers(0, 2**32, 500, dtype=np.uint32)
-    expected = [
-        xxhash.xxh32_intdigest(int(s).to_bytes(4, "little"), seed) for s in starts
-    ]
+    expected = [xxhash.xxh32_intdigest(int(s).to_bytes(4, "little"), seed) for s in starts]
     assert positions(starts, seed).tolist() == expected
     assert position(int(starts[0]), seed) == expected[0]
 
@@ -27,9 +25,7 @@
 def test_binary_search_agrees_with_a_linear_scan() -> None:
     table = block_table(3, SMALL)
     rng = random.Random(3)
-    edges = [
-        int(start) + offset for start in table.starts[1:50] for offset in (-1, 0, 1)
-    ]
+    edges = [int(start) + offset for start in table.starts[1:50] for offset in (-1, 0, 1)]
     for number in [
         *edges,
         *(rng.randrange(int(table.starts[0]), 2**32) for _ in range(200)),
@@ -60,9 +56,7 @@
         ("255.255.255.255", None, set()),
     ],
 )
-def test_block_of_declared_networks(
-    address: str, first: str | None, homes: set[int]
-) -> None:
+def test_block_of_declared_networks(address: str, first: str | None, homes: set[int]) -> None:
     table = table_of_networks(
         ("10.3.0.0/16", (2,)), ("10.1.0.0/16", (0, 1)), ("2001:db8:1::/48", (3,))
     )
--- a/tests/steering/test_confirm.py
+++ b/tests/steering/test_confirm.py
@@ -57,9 +57,7 @@
         self.plans[name] = ConfirmRequest(name, planned.plan.plan_id, self.node.wall_s)
 
     def confirm(self, name: str) -> None:
-        confirmer = Confirmer(
-            self.node.store, self.node.model, 600, lambda: self.node.wall_s
-        )
+        confirmer = Confirmer(self.node.store, self.node.model, 600, lambda: self.node.wall_s)
         try:
             confirmer.confirm(self.plans[name])
             self.outcomes.append("confirmed")
@@ -110,9 +108,7 @@
     "lose all replies": lambda session: setattr(session.node.store, "lose_replies", 99),
     "store down": lambda session: setattr(session.node.store, "is_down", True),
     "store up": lambda session: setattr(session.node.store, "is_down", False),
-    "time passes": lambda session: setattr(
-        session.node, "wall_s", session.node.wall_s + 601
-    ),
+    "time passes": lambda session: setattr(session.node, "wall_s", session.node.wall_s + 601),
     "intent replaced": lambda session: session.state({**ONE, "shares": {"brno": 40}}),
     "target lost": _lose_target,
     "race": _let_other_confirm_win,
@@ -202,9 +198,7 @@
         session.state(ONE)
         session.state(OTHER)
         name = intent["name"]
-        assert session.run_steps(f"plan {name}", f"confirm {name}").outcomes == [
-            "confirmed"
-        ]
+        assert session.run_steps(f"plan {name}", f"confirm {name}").outcomes == ["confirmed"]
 
 
 def test_the_loser_gets_the_plan_that_holds_now() -> None:
@@ -218,6 +212,4 @@
 def test_unknown_intent_is_refused() -> None:
     session = OperatorSession()
     session.plans["none"] = ConfirmRequest("none", "x", session.node.wall_s)
-    assert session.run_steps("confirm none").outcomes == [
-        ConfirmRefusal.UNKNOWN_INTENT.value
-    ]
+    assert session.run_steps("confirm none").outcomes == [ConfirmRefusal.UNKNOWN_INTENT.value]
--- a/tests/steering/test_emergency.py
+++ b/tests/steering/test_emergency.py
@@ -42,9 +42,7 @@
 
 def lose_praha(node: Node) -> None:
     targets = node.directory.by_service["souhrny"]
-    node.directory.by_service["souhrny"] = [
-        vm for vm in targets if vm.region != "praha"
-    ]
+    node.directory.by_service["souhrny"] = [vm for vm in targets if vm.region != "praha"]
 
 
 def served_loads(node: Node, service: str, state: ShiftState | None) -> np.ndarray:
@@ -67,9 +65,7 @@
     service_settings = node.settings.service(service)
     assert service_settings is not None
     own = served_loads(node, service, node.table.state(service))
-    return link_loads(
-        node.model.topology(service_settings), own, service_settings.kbit_per_request
-    )
+    return link_loads(node.model.topology(service_settings), own, service_settings.kbit_per_request)
 
 
 def confirm(console: Console, name: str) -> None:
@@ -105,9 +101,7 @@
 
 
 @pytest.mark.parametrize(("other", "is_yielding"), [(LOW, True), (HIGH, False)])
-def test_lower_priority_yields_the_link(
-    make_site, other: dict, is_yielding: bool
-) -> None:
+def test_lower_priority_yields_the_link(make_site, other: dict, is_yielding: bool) -> None:
     node, console = make_site(links=THIN_LINKS)
     console.state(**other)
     confirm(console, other["name"])
--- a/tests/steering/test_executor.py
+++ b/tests/steering/test_executor.py
@@ -29,9 +29,7 @@
 GOOD = Evidence(NOW_S - 1, True, True, np.array([60.0, 60.0]))
 
 
-def state(
-    fraction: int = 0, phase: Phase = Phase.MOVING, settled: bool = True
-) -> ShiftState:
+def state(fraction: int = 0, phase: Phase = Phase.MOVING, settled: bool = True) -> ShiftState:
     return ShiftState(
         "p",
         "i",
@@ -112,9 +110,7 @@
     [c[1:] for c in CASES],
     ids=[c[0] for c in CASES],
 )
-def test_decision(
-    old: ShiftState, evidence: Evidence, expected: object, phase: object
-) -> None:
+def test_decision(old: ShiftState, evidence: Evidence, expected: object, phase: object) -> None:
     action = Executor(old).decide(NOW_S, old, SHIFT_LOADS, evidence)
     if isinstance(expected, WaitReason):
         assert action == Wait(expected)
@@ -129,13 +125,9 @@
     old = state(HALF, settled=False)
     successor = Executor(old)
     successor.decide(NOW_S, old, SHIFT_LOADS, GOOD)
-    early = successor.decide(
-        NOW_S + 60, old, SHIFT_LOADS, replace(GOOD, measured_at_s=NOW_S + 59)
-    )
+    early = successor.decide(NOW_S + 60, old, SHIFT_LOADS, replace(GOOD, measured_at_s=NOW_S + 59))
     assert early == Wait(WaitReason.CAP)
-    late = successor.decide(
-        NOW_S + 62, old, SHIFT_LOADS, replace(GOOD, measured_at_s=NOW_S + 61)
-    )
+    late = successor.decide(NOW_S + 62, old, SHIFT_LOADS, replace(GOOD, measured_at_s=NOW_S + 61))
     assert isinstance(late, Write)
 
 
--- a/tests/steering/test_headroom.py
+++ b/tests/steering/test_headroom.py
@@ -33,9 +33,7 @@
     for first, second in zip(DOMAINS[::2], DOMAINS[1::2], strict=True):
         assert result.by_place[first] + result.by_place[second] == pytest.approx(1.0)
     remaining_capacity = 24 * CAPACITY_PER_TARGET
-    assert result.after_region_loss == pytest.approx(
-        1 - 972 / remaining_capacity, abs=1e-6
-    )
+    assert result.after_region_loss == pytest.approx(1 - 972 / remaining_capacity, abs=1e-6)
     assert result.after_region_loss < result.after_domain_loss < 0.5
 
 
--- a/tests/steering/test_intents.py
+++ b/tests/steering/test_intents.py
@@ -55,9 +55,7 @@
     return check_settings(raw_settings("entry-1", free_address()))
 
 
-@pytest.mark.parametrize(
-    ("raw", "paths"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
-)
+@pytest.mark.parametrize(("raw", "paths"), [c[1:] for c in CASES], ids=[c[0] for c in CASES])
 def test_faults_are_all_reported(settings, raw: object, paths: list[str]) -> None:
     with pytest.raises(ExceptionGroup) as caught:
         check_intent(raw, settings, ())
--- a/tests/steering/test_links.py
+++ b/tests/steering/test_links.py
@@ -100,8 +100,4 @@
     requests.set_demand(link, 3_000)
     uploads.set_demand(link, 0)
     assert rates.wanted == [20_000, 21_000, 23_000, 3_000]
-    assert (
-        uploads.granted_units(link)
-        == requests.granted_units(link)
-        == NODE_SHARE_KBIT_PER_S
-    )
+    assert uploads.granted_units(link) == requests.granted_units(link) == NODE_SHARE_KBIT_PER_S
--- a/tests/steering/test_plan_refusals.py
+++ b/tests/steering/test_plan_refusals.py
@@ -79,9 +79,7 @@
 
 def test_plan_is_refused_while_a_shift_is_under_way_and_not_after() -> None:
     node = steering_node()
-    plan = plan_of(
-        node, {"shares": {"brno": 36}, "cap": {"percent_of_blocks_per_min": 100}}
-    )
+    plan = plan_of(node, {"shares": {"brno": 36}, "cap": {"percent_of_blocks_per_min": 100}})
     confirmer = Confirmer(node.store, node.model, 600, lambda: node.wall_s)
     confirmer.confirm(ConfirmRequest("i", plan.plan_id, node.wall_s))
     causes = []
--- a/tests/steering/test_shares.py
+++ b/tests/steering/test_shares.py
@@ -53,9 +53,7 @@
     assert np.allclose(goal.shares(HOMES).sum(axis=1), 1)
 
 
-@pytest.mark.parametrize(
-    "pairs", [[], [[HASH_SPAN - 1, 0]], [[9, 0], [9, 1], [HASH_SPAN, 0]]]
-)
+@pytest.mark.parametrize("pairs", [[], [[HASH_SPAN - 1, 0]], [[9, 0], [9, 1], [HASH_SPAN, 0]]])
 def test_map_that_leaves_blocks_without_a_place_is_refused(
     pairs: list[list[int]],
 ) -> None:
@@ -70,9 +68,7 @@
     base, goal = random_map(rng), random_map(rng)
     cap = block_cap(len(table), percent)
     steps = shift_steps(table, 9, place_changes(base, goal), cap)
-    places = list(
-        zip(table.homes.tolist(), positions(table.starts, 9).tolist(), strict=True)
-    )
+    places = list(zip(table.homes.tolist(), positions(table.starts, 9).tolist(), strict=True))
     before = 0
     for step in steps[:40]:
         now = interpolate(base, goal, step.fraction)
@@ -81,9 +77,7 @@
         assert moved - before <= cap.blocks_per_step
         before = moved
     assert steps[-1].fraction == HASH_SPAN
-    assert steps[-1].blocks == sum(
-        base.place_of(*b) != goal.place_of(*b) for b in places
-    )
+    assert steps[-1].blocks == sum(base.place_of(*b) != goal.place_of(*b) for b in places)
 
 
 def test_a_minute_of_steps_is_within_the_cap() -> None:
--- a/tests/steering/test_shift_race.py
+++ b/tests/steering/test_shift_race.py
@@ -50,9 +50,7 @@
     def __init__(self) -> None:
         starts = np.arange(BLOCKS, dtype=np.uint32) * 1024
         self.planning_blocks = BlockTable(starts, np.zeros(BLOCKS, np.uint8))
-        self._topology = Topology(
-            [Place("a", "a", "ra", 99.0), Place("b", "b", "rb", 99.0)], []
-        )
+        self._topology = Topology([Place("a", "a", "ra", 99.0), Place("b", "b", "rb", 99.0)], [])
         self.positions = positions(starts, hash_seed(SERVICE.name)).tolist()
 
     def topology(self, _service: Service) -> Topology:
@@ -71,9 +69,7 @@
 
 def goal_map(share: float) -> ShareMap:
     cut = round(HASH_SPAN * share)
-    pairs = (
-        [[cut, 1], [HASH_SPAN, 0]] if 0 < cut < HASH_SPAN else [[HASH_SPAN, int(share)]]
-    )
+    pairs = [[cut, 1], [HASH_SPAN, 0]] if 0 < cut < HASH_SPAN else [[HASH_SPAN, int(share)]]
     return ShareMap.from_lists([pairs, [[HASH_SPAN, 1]]])
 
 
@@ -123,18 +119,14 @@
     most_on_link: int = 0
 
     def record(self, now_s: float, places: tuple[int, ...]) -> None:
-        moved = sum(
-            one != other for one, other in zip(self.places, places, strict=True)
-        )
+        moved = sum(one != other for one, other in zip(self.places, places, strict=True))
         self.places = places
         self.most_on_link = max(self.most_on_link, sum(places))
         if moved:
             self.moves.append((now_s, moved))
         while self.moves and now_s - self.moves[0][0] > CAP_WINDOW_S:
             self.moves.popleft()
-        self.most_in_a_minute = max(
-            self.most_in_a_minute, sum(m for _, m in self.moves)
-        )
+        self.most_in_a_minute = max(self.most_in_a_minute, sum(m for _, m in self.moves))
 
 
 @dataclass
@@ -155,9 +147,7 @@
 class Race:
     """One seeded interleaving of nodes, writes and faults."""
 
-    def __init__(
-        self, seed: int, executor: type[Executor], places: PlacesByState
-    ) -> None:
+    def __init__(self, seed: int, executor: type[Executor], places: PlacesByState) -> None:
         self.rng = random.Random(seed)
         self.now_s = 1_000.0
         self.executor = executor
@@ -192,9 +182,7 @@
 
     def run_interleaved_events(self) -> None:
         """Advance time, apply late writes and let other nodes act in the middle of a store call."""
-        self.now_s += self.rng.choice(
-            (0.0, 0.0, 0.0, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 2.0)
-        )
+        self.now_s += self.rng.choice((0.0, 0.0, 0.0, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 2.0))
         self.store.apply_delayed_write()
         self.observe_store()
         if self.rng.random() < 0.2:
@@ -230,9 +218,7 @@
                 node.task = ShiftTask(SERVICE, MODEL, fenced_object)
                 node.task._executor = self.executor(node.task._state)
                 node.task_epoch = node.lease.epoch
-            node.task.step(
-                self.now_s * node.clock_rate, self.plan, StubEvidenceSource(self, node)
-            )
+            node.task.step(self.now_s * node.clock_rate, self.plan, StubEvidenceSource(self, node))
         except StaleEpochError:
             node.task = None
         except PlatformError:
@@ -343,9 +329,7 @@
     """Faulty executor that advances before the previous step is in force."""
 
     def _record_evidence(self, now_s: float, evidence: Evidence) -> None:
-        super()._record_evidence(
-            now_s, Evidence(now_s, True, True, evidence.capacities)
-        )
+        super()._record_evidence(now_s, Evidence(now_s, True, True, evidence.capacities))
 
 
 class TrustingExecutor(Executor):
--- a/tests/steering/test_table.py
+++ b/tests/steering/test_table.py
@@ -73,9 +73,7 @@
     assert choices[0].failure_domain.startswith(home)
     assert choices[0].weight == 1
     assert choices[1].region == choices[0].region
-    assert {choice.region for choice in choices[2:]} == {"praha", "brno", "ostrava"} - {
-        home
-    }
+    assert {choice.region for choice in choices[2:]} == {"praha", "brno", "ostrava"} - {home}
     assert node.table.placement("souhrny", client).revision == 0
 
 
@@ -105,8 +103,7 @@
     apply_state(node, admitted={"praha": 0.25})
     draws = [number / 100 for number in range(100)]
     admitted = [
-        sum(node.table.admits("souhrny", c, d) for d in draws)
-        for c in ("10.1.1.1", "10.2.1.1")
+        sum(node.table.admits("souhrny", c, d) for d in draws) for c in ("10.1.1.1", "10.2.1.1")
     ]
     assert admitted == [25, 100]
 
--- a/tests/steering/test_whole_shift.py
+++ b/tests/steering/test_whole_shift.py
@@ -29,12 +29,8 @@
     running.server.stop()
 
 
-@pytest.mark.parametrize(
-    "intent", [MOVE, LEAVE, OVERLOAD, LOST], ids=lambda item: item["name"]
-)
-def test_plan_is_the_same_text_every_time(
-    console: Console, intent: dict, snapshot
-) -> None:
+@pytest.mark.parametrize("intent", [MOVE, LEAVE, OVERLOAD, LOST], ids=lambda item: item["name"])
+def test_plan_is_the_same_text_every_time(console: Console, intent: dict, snapshot) -> None:
     assert console.state(**intent)[0] == 0
     code, text = console.run("plan", intent["name"])
     assert (code, text) == console.run("plan", intent["name"])
@@ -69,10 +65,7 @@
 
 
 def test_explain_names_intent_and_plan(node: Node, console: Console) -> None:
-    assert (
-        "no plan was ever carried out"
-        in console.run("explain", "souhrny", "10.1.3.4")[1]
-    )
+    assert "no plan was ever carried out" in console.run("explain", "souhrny", "10.1.3.4")[1]
     console.state(**LEAVE)
     plan = console.json("plan", "leave")["plan"]
     confirm(console, "leave")
@@ -94,9 +87,7 @@
     raise StoreUnavailableError("down", step="list VMs", peer="platform")
 
 
-def test_list_is_read_for_a_shift_where_others_read_it(
-    node: Node, console: Console
-) -> None:
+def test_list_is_read_for_a_shift_where_others_read_it(node: Node, console: Console) -> None:
     console.state(**MOVE)
     confirm(console, "to-brno")
     for _ in range(30):
--- a/tests/support.py
+++ b/tests/support.py
@@ -71,9 +71,7 @@
     """Return the decoded settings of an entry VM on free loopback ports."""
     raw = json5.loads((ROOT / "examples" / "souhrny.jsonc").read_text())
     callers, operators, nodes = map(str, free_addresses(3))
-    raw["node"].update(
-        name=name, callers=callers, operators=operators, nodes=nodes, **node
-    )
+    raw["node"].update(name=name, callers=callers, operators=operators, nodes=nodes, **node)
     raw["platform"]["address"] = str(platform)
     raw["limits"]["lookup_lifetime_s"] = 1
     raw["operators_token"] = TOKEN
@@ -88,9 +86,7 @@
     return Vm(node["name"], VmRole.ENTRY, VmState.LIVE, "", *place, callers, nodes)
 
 
-def target_vm(
-    name: str, address: Address, service: str = "souhrny", domain: str = "praha-a"
-) -> Vm:
+def target_vm(name: str, address: Address, service: str = "souhrny", domain: str = "praha-a") -> Vm:
     """Return a live target VM; its region is the failure domain up to the first hyphen."""
     region = domain.partition("-")[0]
     return Vm(name, VmRole.TARGET, VmState.LIVE, service, region, domain, address)
--- a/tests/targets/test_contract.py
+++ b/tests/targets/test_contract.py
@@ -51,9 +51,7 @@
 
 
 def expected(request_id: str) -> bytes:
-    lines = [
-        f"/digest/{request_id} part {index} of 3 from target-1\n" for index in (1, 2, 3)
-    ]
+    lines = [f"/digest/{request_id} part {index} of 3 from target-1\n" for index in (1, 2, 3)]
     return "".join(lines).encode()
 
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -34,9 +34,7 @@
 
 @pytest.mark.parametrize("depth", [33, 900, 100_000])
 @pytest.mark.parametrize(("begin", "end"), [(b"[", b"]"), (b'{"a":', b"}")])
-def test_parts_beside_a_deeply_nested_one_are_decoded(
-    begin: bytes, end: bytes, depth: int
-) -> None:
+def test_parts_beside_a_deeply_nested_one_are_decoded(begin: bytes, end: bytes, depth: int) -> None:
     items = decode_document(_document(begin * depth + b"1" + end * depth))["items"]
     assert [items[0]["n"], items[2]["n"]] == [1, 3]
     json.dumps(items)
--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -59,15 +59,11 @@
 
     def status(self) -> dict:
         headers = {"Authorization": f"Bearer {TOKEN}"}
-        return self.http.request(
-            "GET", f"http://{self.operators}/status", headers=headers
-        ).json()
+        return self.http.request("GET", f"http://{self.operators}/status", headers=headers).json()
 
     def metric(self, sample: str) -> float:
         """Return the value of one sample, written as on the metrics page, and 0 if it is absent."""
-        page = self.http.request(
-            "GET", f"http://{self.operators}/metrics"
-        ).data.decode()
+        page = self.http.request("GET", f"http://{self.operators}/metrics").data.decode()
         for line in page.splitlines():
             if line.startswith(f"{sample} "):
                 return float(line.rpartition(" ")[2])
