State eras in digests where earlier versions ignore them

Cause: protocol version 0, which an upgrade may start from, unpacks exactly five fields and drops a longer digest as a whole: it would have taken VMs of this version for dead. Change: eras stand beside the protocol version, in the field that version 0 ignores. Test: test_eras_make_a_digest_unreadable_for_protocol_version_0 fails on the commit before, as that digest has six fields. Why it works: version 0 skips the field, version 1 reads its first item only.

--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -52,18 +52,18 @@
     def encode(self) -> bytes:
         """Return the digest as a datagram."""
         rows = [_encode_heartbeat(entry) for entry in self.heartbeats]
-        versions = [self.protocol_version]
         revisions = {kind: known.revision for kind, known in self.revisions.items()}
         eras = {kind: known.era for kind, known in self.revisions.items() if known.era}
-        return cbor2.dumps([self.sender, rows, revisions, versions, self.wants_reply, eras])
+        # Protocol version 0 takes no sixth field, but any value in this one.
+        versions = [self.protocol_version, eras]
+        return cbor2.dumps([self.sender, rows, revisions, versions, self.wants_reply])
 
 
 def decode_digest(data: bytes, peer: str) -> Digest:
     """Return the digest in a datagram, or raise MalformedDigestError."""
     with reading("read digest", peer):
-        message = cbor2.loads(data)
-        sender, rows, revisions, versions, wants_reply = message[:5]
-        eras = dict(message[5]) if len(message) > 5 else {}  # unstated by earlier versions
+        sender, rows, revisions, versions, wants_reply = cbor2.loads(data)[:5]
+        eras = dict(versions[1]) if len(versions) > 1 else {}  # unstated before version 2
         heartbeats = tuple(_decode_heartbeat(row) for row in rows)
         known_revisions = {
             str(kind): StoreVersion(int(eras.get(kind, UNSTATED_ERA)), int(revision))
--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -137,6 +137,18 @@
     _read_or_refuse(kind, data)
 
 
+def test_eras_make_a_digest_unreadable_for_protocol_version_0() -> None:
+    """That version unpacks exactly five fields, and reads the revisions as integers."""
+    digest = Digest(7, (), {"servers": StoreVersion(3, 12), "config": StoreVersion(0, 3)})
+    sender, rows, revisions, _, wants_reply = cbor2.loads(digest.encode())
+    assert (sender, rows, wants_reply) == (7, [], False)
+    assert {kind: int(revision) for kind, revision in revisions.items()} == {
+        "servers": 12,
+        "config": 3,
+    }
+    assert decode_digest(digest.encode(), "x") == digest
+
+
 def _read_or_refuse(kind: str, data: bytes) -> None:
     """Read a datagram, merge what it says and encode what is known then."""
     try:
