Let a peer that knows less refuse a relayed request

Cause: a relayed request carried nothing of what the relaying VM had promised, and the peer decided on its own configuration and evacuations, however old. Evidence: `request relayed` in turn to both peers, `configuration in force` 0.85 s later at the second. Change: the request states the version of the configuration and the last change of evacuations; a peer that knows less refuses it before it does anything, which proves that it did not run. The peer states what it decided on, below which no later request of the VM is decided. Peers of earlier versions are asked last, and only if they stated as much. Why it works: a decision is made on what the relaying VM knows, or on more.

--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -23,12 +23,16 @@
 
 
 class ServerConnection(H11Connection):
-    """A caller's connection, whose requests are served one after the other."""
+    """A caller's connection, whose requests are served one after the other.
+
+    `answer_headers` are added to the answer of the present request.
+    """
 
     def __init__(self, server: "HttpServer") -> None:
         self.limits = server.limits()
         super().__init__(h11.Connection(h11.SERVER, self.limits.header_bytes))
         self._server = server
+        self.answer_headers: Headers = []
         self._task: asyncio.Task[None] | None = None
         self._has_begun_answer = False
         self._is_busy = False
@@ -82,7 +86,10 @@
         """Send the head of an answer."""
         self._has_begun_answer = True
         self._write(
-            h11.Response(status_code=status, headers=[*headers, *self._connection_headers()])
+            h11.Response(
+                status_code=status,
+                headers=[*headers, *self.answer_headers, *self._connection_headers()],
+            )
         )
         await self._flush()
 
@@ -130,6 +137,7 @@
     async def _serve_request(self) -> bool:
         """Serve one request and return whether the connection can carry another."""
         self._has_begun_answer = False
+        self.answer_headers = []
         try:
             head = await self._read_head()
             if head is None:
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -84,7 +84,8 @@
         """
         last: AttemptResult | None = None
         for _ in range(MAX_TARGETS_TRIED):
-            if self._reach.is_cut_off and self._relay.can_relay(progress):
+            needs_peer = self._reach.is_cut_off or self._relay.is_behind()
+            if needs_peer and self._relay.can_relay(progress):
                 return self._quarantine_refusal(progress) or await self._relay.run(progress)
             decision = progress.next_placement or self._place(progress)
             progress.next_placement = None
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -22,6 +22,7 @@
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._reach import ReachTracker
 from chervilmill.entry._relay import Relay
+from chervilmill.entry._relay_basis import EarlierPeers, RelayBasis
 from chervilmill.entry._relayed import RelayedRequestHandler
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.entry._site_state import ENTRY_KIND, KINDS, URGENT_KINDS, SiteState
@@ -44,11 +45,13 @@
     encode_reports,
 )
 from chervilmill.platform import (
+    EVACUATION_KIND,
     EntrySettings,
     EntryVmRegistration,
     PlatformStore,
     SettingsError,
     StoreError,
+    StoreVersion,
     read_settings,
 )
 from chervilmill.routing import CallerLimits, Target
@@ -112,12 +115,15 @@
         self._metrics = Metrics()
         self._reach = ReachTracker(self._site_state, self._pool, rng)
         self._reach.on_change = self._handle_reach_change
-        relay = Relay(
+        self._earlier_peers = EarlierPeers(self._sync.versions)
+        self._relay = Relay(
             own,
             settings.regions,
             settings.relay_address.port,
             lambda: self._membership.peers_with_targets(self._clock()),
             self._count_near_vms,
+            self._own_basis,
+            self._earlier_peers,
             self._metrics,
             rng,
         )
@@ -133,7 +139,7 @@
             self._limits,
             self._leaving,
             self._reach,
-            relay,
+            self._relay,
         )
         self._forwarder = Forwarder(
             self._site_state, dispatcher, self._metrics, self._is_view_fresh
@@ -144,7 +150,7 @@
         self._readiness = ReadinessHandler()
         self._caller_server = HttpServer(self._forwarder, self._caller_limits)
         self._relay_server = HttpServer(
-            RelayedRequestHandler(self._forwarder), self._relayed_limits
+            RelayedRequestHandler(self._forwarder, self._known_basis), self._relayed_limits
         )
         self._servers = {
             settings.caller_address: self._caller_server,
@@ -296,9 +302,22 @@
     def _handle_digest(self, digest: Digest) -> None:
         peer = self._membership.peer(digest.sender)
         if peer is not None:
+            self._earlier_peers.note_digest(peer.name, digest)
             host = Address(peer.host, self._settings.peer_address.port)
             self._sync.handle_peer_versions(host, digest.revisions)
 
+    def _own_basis(self) -> RelayBasis:
+        """Return what a request has to be decided on that this VM relays."""
+        return self._basis(self._replicas[EVACUATION_KIND].last_change)
+
+    def _known_basis(self) -> RelayBasis:
+        """Return what this VM decides on; its copy may be confirmed beyond the last change."""
+        return self._basis(self._replicas[EVACUATION_KIND].known_version)
+
+    def _basis(self, evacuations: StoreVersion) -> RelayBasis:
+        cfg = self._site_state.view.configuration
+        return RelayBasis(cfg.version if cfg else 0, evacuations)
+
     async def _stop(self) -> None:
         """Stop gracefully: leave look-ups, then refuse new requests, then finish the others."""
         loop = asyncio.get_running_loop()
@@ -342,9 +361,8 @@
 
     def _is_view_fresh(self) -> bool:
         now_s = self._clock()
-        return not self._sync.is_store_unreachable and self._sync.has_store_answered_since(
-            now_s - STALE_AFTER_S
-        )
+        has_answered = self._sync.has_store_answered_since(now_s - STALE_AFTER_S)
+        return has_answered and not self._sync.is_store_unreachable and not self._relay.is_behind()
 
     def _caller_limits(self) -> ServerLimits:
         cfg = self._site_state.view.configuration
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -4,6 +4,10 @@
 places them as its own: the homes of a route, limits, quarantine and admission are the peer's to
 keep. A relayed request is not relayed again.
 
+The request states what it has to be decided on. A peer that knows less refuses it, which proves
+that it did not run, and another peer is asked. A peer of an earlier version does not refuse; it is
+asked only if no other is left, and if it has stated that it knows as much.
+
 A peer that is alive may take no relayed requests, like one of an earlier version. Its refusal of
 the connection shows that, and for a while the others are asked first.
 """
@@ -11,12 +15,20 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import replace
 
 from chervilmill.addresses import Address
-from chervilmill.aio import ClientConnection, Headers
+from chervilmill.aio import ClientConnection, Headers, header_value
 from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._progress import Progress, Refusal
+from chervilmill.entry._relay_basis import (
+    BEHIND_HEADER,
+    EarlierPeers,
+    RelayBasis,
+    read_basis,
+    without_basis,
+)
 from chervilmill.logs import log_event
 from chervilmill.metrics import Metrics
 from chervilmill.peers import Peer
@@ -24,7 +36,8 @@
 from chervilmill.reasons import RefusalReason
 from chervilmill.routing import Target
 
-MAX_PEERS_TRIED = 4  # only connections that fail lead to a further try
+MAX_PEERS_TRIED = 4  # only connections that fail and peers that are behind lead to a further try
+BEHIND_S = 10.0  # within this time a VM learns what a peer has decided on
 UNREACHED_S = 5.0  # for this time a peer that took no connection is asked last
 # The peer's final answer travels back within this time, also between regions.
 ANSWER_MARGIN_S = 0.1
@@ -39,6 +52,8 @@
 
     hides_refusals = False
     requires_ids = False  # a peer's own refusals state none
+    basis: RelayBasis | None = None  # none for a peer that cannot read it
+    answered_basis: RelayBasis | None = None
 
     async def _exchange(
         self, conn: ClientConnection, time_left_s: float, connect_s: float | None
@@ -46,6 +61,11 @@
         head = self._outgoing.head
         await conn.send_head(head.method, head.target, self._relayed_headers(time_left_s))
         answer = await self._finish_request(conn)
+        self.answered_basis = read_basis(answer.headers)
+        if header_value(answer.headers, BEHIND_HEADER) is not None:
+            conn.abort()
+            return AttemptResult(AttemptEnd.NOT_RUN, answer.status, "the peer is behind")
+        answer = replace(answer, headers=without_basis(answer.headers))
         if self.hides_refusals and proves_not_run_by_status(answer.status):
             conn.abort()
             return AttemptResult(AttemptEnd.LOST, answer.status, "refused by a peer")
@@ -55,11 +75,15 @@
     def _relayed_headers(self, time_left_s: float) -> Headers:
         caller_host = self._caller.host.rpartition(":")[0]
         kept = self._outgoing.headers_without_target(time_left_s)
-        return [*kept, (CALLER_HEADER, caller_host.encode())]
+        basis = [] if self.basis is None else [self.basis.header()]
+        return [*kept, (CALLER_HEADER, caller_host.encode()), *basis]
 
 
 class Relay:
-    """Sends requests to peers; `peers` returns those that take callers and reach targets."""
+    """Sends requests to peers; `peers` returns those that take callers and reach targets.
+
+    `own_basis` returns what a request of this VM has to be decided on.
+    """
 
     def __init__(
         self,
@@ -68,6 +92,8 @@
         port: int,
         peers: Callable[[], Sequence[Peer]],
         count_near_vms: Callable[[], int],
+        own_basis: Callable[[], RelayBasis],
+        earlier_peers: EarlierPeers,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -76,12 +102,21 @@
         self._port = port
         self._peers = peers
         self._count_near_vms = count_near_vms
+        self._own_basis = own_basis
+        self._earlier_peers = earlier_peers
+        self._decided_basis = RelayBasis()
+        self._decided_s = float("-inf")
         self._metrics = metrics
         self._rng = rng
         self._pool = TargetPool()
         self._in_flight: dict[str, int] = {}
         self._unreached_until_s: dict[str, float] = {}
 
+    def is_behind(self) -> bool:
+        """Return whether a peer has lately decided on more than this VM knows."""
+        is_recent = asyncio.get_running_loop().time() - self._decided_s < BEHIND_S
+        return is_recent and not self._own_basis().covers(self._decided_basis)
+
     def can_relay(self, progress: Progress) -> bool:
         """Return whether a peer may be asked to answer a request."""
         if progress.is_relayed or not progress.outgoing.body.can_replay:
@@ -94,7 +129,7 @@
         detail = "no peer reaches targets"
         for _ in range(MAX_PEERS_TRIED):
             candidates = self._candidates(progress, tried)
-            if not candidates:
+            if not candidates or not progress.outgoing.body.can_replay:
                 break
             peer = self._choose(candidates)
             tried.add(peer.name)
@@ -122,6 +157,8 @@
             progress.caller, progress.outgoing, self._pool, as_target, lambda _: None
         )
         attempt.hides_refusals = progress.may_have_run
+        if peer.name not in self._earlier_peers:
+            attempt.basis = self._own_basis().merge(self._decided_basis)
         progress.attempt, progress.last_candidate = attempt, None
         self._in_flight[peer.name] = self._in_flight.get(peer.name, 0) + 1
         try:
@@ -130,6 +167,7 @@
         finally:
             self._in_flight[peer.name] -= 1
         progress.attempt = None
+        self._record_basis(attempt, result)
         self._metrics.relays.labels(progress.service, result.end.value).inc()
         log_event(
             "request relayed",
@@ -143,6 +181,12 @@
         )
         return result
 
+    def _record_basis(self, attempt: _RelayAttempt, result: AttemptResult) -> None:
+        """Record what a peer has decided on, below which no later request may be decided."""
+        if attempt.answered_basis is not None and not result.proves_not_run:
+            self._decided_basis = self._decided_basis.merge(attempt.answered_basis)
+            self._decided_s = asyncio.get_running_loop().time()
+
     def _candidates(self, progress: Progress, tried: Collection[str] = ()) -> list[Peer]:
         homes = progress.route.home_regions
         allowed = [
@@ -151,6 +195,9 @@
             if peer.name not in tried
             and (not homes or self._regions.get(peer.failure_domain) in homes)
         ]
+        allowed = [peer for peer in allowed if peer.name not in self._earlier_peers] or [
+            peer for peer in allowed if self._earlier_peers.is_current(peer.name)
+        ]
         now_s = asyncio.get_running_loop().time()
         peers = [
             peer for peer in allowed if self._unreached_until_s.get(peer.name, now_s) <= now_s
--- a/src/chervilmill/entry/_relayed.py
+++ b/src/chervilmill/entry/_relayed.py
@@ -1,18 +1,27 @@
 """Serve the requests that peers relay because they reach no target."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from chervilmill.aio import RequestHead, ServerConnection, header_value
 from chervilmill.entry._forward import Forwarder
 from chervilmill.entry._progress import Origin
 from chervilmill.entry._relay import CALLER_HEADER
+from chervilmill.entry._relay_basis import BEHIND_HEADER, RelayBasis, read_basis, without_basis
+from chervilmill.logs import log_failure
+from chervilmill.platform import read_request
 
 
 class RelayedRequestHandler:
-    """HTTP handler for requests that peers relay, on an address that callers do not reach."""
+    """HTTP handler for requests that peers relay, on an address that callers do not reach.
 
-    def __init__(self, forwarder: Forwarder) -> None:
+    `known_basis` returns what this VM decides on. A request that has to be decided on more is
+    refused at once, so that the peer can ask another VM.
+    """
+
+    def __init__(self, forwarder: Forwarder, known_basis: Callable[[], RelayBasis]) -> None:
         self._forwarder = forwarder
+        self._known_basis = known_basis
 
     async def __call__(self, conn: ServerConnection, head: RequestHead) -> None:
         """Answer a relayed request as one of the caller's."""
@@ -20,9 +29,29 @@
         if caller_host is None:
             await conn.answer(403, [], b"")
             return
-        headers = [item for item in head.headers if item[0] != CALLER_HEADER]
+        wanted = read_basis(head.headers)
+        if wanted is not None:
+            known = self._known_basis()
+            conn.answer_headers = [known.header()]
+            if not known.covers(wanted):
+                await self._refuse_as_behind(conn, head, known, wanted)
+                return
+        headers = [item for item in without_basis(head.headers) if item[0] != CALLER_HEADER]
         await self._forwarder.forward(
             conn,
             replace(head, headers=headers),
             Origin(caller_host.decode("latin-1"), is_relayed=True),
         )
+
+    async def _refuse_as_behind(
+        self, conn: ServerConnection, head: RequestHead, known: RelayBasis, wanted: RelayBasis
+    ) -> None:
+        log_failure(
+            "relayed request refused",
+            step="relay",
+            request=read_request(head.headers).request_id,
+            peer=conn.host,
+            known=str(known),
+            wanted=str(wanted),
+        )
+        await conn.answer(503, [(BEHIND_HEADER, b"1")], b"")
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -135,15 +135,16 @@
         """Follow the changes of one kind until cancelled."""
         replica = self._replicas[kind]
         needs_list = True
-        listed_s = float("-inf")
+        lists_without_watch = 0
         while True:
             try:
                 if needs_list:
                     await self._list(replica)
                     needs_list = False
-                    listed_s = asyncio.get_running_loop().time()
+                    lists_without_watch += 1
                 else:
                     await self._watch(replica)
+                    lists_without_watch = 0
             except HistoryGoneError as exc:
                 needs_list = True
                 log_event(
@@ -153,8 +154,7 @@
                     as_of=astuple(replica.as_of),
                     error=exc.message,
                 )
-                since_s = asyncio.get_running_loop().time() - listed_s
-                await asyncio.sleep(self._relist_delay_s(exc, since_s))
+                await asyncio.sleep(self._relist_delay_s(exc, lists_without_watch))
             except StoreSilentError as exc:
                 if not self._repeats_at_once(kind):
                     self._store_state.record_failure(kind, exc)
@@ -167,12 +167,12 @@
                 log_problem("copy not followed", step="follow", peer=kind, error=repr(exc)[:256])
                 await asyncio.sleep(RETRY_DELAY_S)
 
-    def _relist_delay_s(self, exc: HistoryGoneError, since_list_s: float) -> float:
+    def _relist_delay_s(self, exc: HistoryGoneError, lists_without_watch: int) -> float:
         """Return the time to wait before a list after history is gone.
 
-        A store that refuses what it has just listed would otherwise be called without a pause.
+        A store that goes on refusing what it has listed would otherwise be called without a pause.
         """
-        delay_s = max(0.0, RETRY_DELAY_S - since_list_s)
+        delay_s = RETRY_DELAY_S if lists_without_watch > 1 else 0.0
         if isinstance(exc, StoreRestoredError):
             delay_s += self._rng.uniform(0.0, self.fleet_size / RELISTING_VMS_PER_S)
         return delay_s
