Refuse requests that cannot end within the grace period of a stop

Cause: requests were refused from 3.1 s before the end of the grace period, whatever their time-out and whatever the grace period. Evidence: the process exits 0.7 s before the end, with requests in progress. Change: a VM that stops refuses at once each request whose time-out, or whose caller's, reaches beyond its exit. Why it works: what is taken has its final answer by its deadline, which is before the exit.

--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -328,6 +328,7 @@
             server.announce_close()
         self._spawn(self._gossip.announce_leaving())
         grace_s = self._settings.bounds.stop_grace_s
+        self._forwarder.serves_until_s = requested_s + grace_s - EXIT_BEFORE_GRACE_END_S
         await asyncio.sleep(max(0.0, grace_s - REFUSE_BEFORE_GRACE_END_S))
         self._forwarder.is_stopping = True
         while (
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -25,7 +25,11 @@
 
 
 class Forwarder:
-    """HTTP handler that forwards callers' requests to targets."""
+    """HTTP handler that forwards callers' requests to targets.
+
+    A VM that stops refuses the requests that may not end until `serves_until_s`, a reading of the
+    event loop's clock, and all requests once `is_stopping` is set.
+    """
 
     def __init__(
         self,
@@ -41,6 +45,7 @@
         self._splitter = TrafficSplitter()
         self._ages = CallerAgeEstimator()
         self.is_stopping = False
+        self.serves_until_s = float("inf")
 
     async def __call__(self, caller: ServerConnection, head: RequestHead) -> None:
         """Answer a caller's request, with the answer of a target or with a refusal."""
@@ -51,6 +56,8 @@
         began_s = asyncio.get_running_loop().time()
         request_headers = read_request(head.headers)
         found = self._find_route(head)
+        if isinstance(found, Route):
+            found = self._check_time_to_stop(found, request_headers, began_s)
         if isinstance(found, Refusal):
             await self._refuse(caller, request_headers, "", found, began_s)
             return
@@ -106,6 +113,15 @@
             return Refusal(RefusalReason.BODY_TOO_LARGE)
         return route
 
+    def _check_time_to_stop(
+        self, route: Route, request_headers: RequestHeaders, began_s: float
+    ) -> Route | Refusal:
+        """Return the route, or a refusal if its request may still be running when the VM ends."""
+        limit_s = min(_caller_timeout_s(request_headers, route), route.timeout_s)
+        if began_s + limit_s + TIMEOUT_SLACK_S <= self.serves_until_s:
+            return route
+        return Refusal(RefusalReason.ENTRY_LEAVING, STOPPING_RETRY_AFTER_S, "no time to end")
+
     def _start_progress(
         self,
         caller: ServerConnection,
@@ -117,11 +133,7 @@
     ) -> Progress:
         cfg = self._site_state.view.configuration
         limits = cfg.limits if cfg else CallerLimits()
-        caller_timeout_s = (
-            request_headers.time_left_s
-            if request_headers.time_left_s is not None
-            else route.timeout_s
-        )
+        caller_timeout_s = _caller_timeout_s(request_headers, route)
         service = self._splitter.pick(route.name, route.split)
         if not origin.is_relayed:  # counted by the peer
             self._dispatcher.count_request(service)
@@ -186,6 +198,12 @@
         )
 
 
+def _caller_timeout_s(request_headers: RequestHeaders, route: Route) -> float:
+    """Return how long a caller waits, which is the time-out of the route if it does not say."""
+    time_left_s = request_headers.time_left_s
+    return route.timeout_s if time_left_s is None else time_left_s
+
+
 def _decision_fields(candidate: Candidate) -> dict[str, object]:
     """Return the log fields with the estimates on which a placement was based."""
     return {
