Compare the changes that a relayed request needs, not confirmations

What callers saw: nothing yet; found on reading the diff. While other objects change, peers refuse relayed requests as being behind, and a VM that reaches targets again goes on relaying for 10 s. Cause: a peer stated up to where its copy of the evacuations is confirmed. Copies are confirmed at different revisions although they hold the same. Change: VMs state the last changes that they know. Whether a VM knows a change is told by up to where its copy is confirmed. Why it works: the same change has the same version in each copy.

--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -51,7 +51,6 @@
     PlatformStore,
     SettingsError,
     StoreError,
-    StoreVersion,
     read_settings,
 )
 from chervilmill.routing import CallerLimits, Target
@@ -72,6 +71,26 @@
 CONTROL_LIMITS = ServerLimits(header_bytes=16_384, header_timeout_s=3.0, idle_s=30.0)
 
 
+class _OwnBasis:
+    """What this VM decides on: the configuration in force and its copy of the evacuations."""
+
+    def __init__(self, site_state: SiteState, evacuations: KindReplica) -> None:
+        self._site_state = site_state
+        self._evacuations = evacuations
+
+    def last_changes(self) -> RelayBasis:
+        """Return the last changes known."""
+        return RelayBasis(self._configuration_version(), self._evacuations.last_change)
+
+    def confirmed(self) -> RelayBasis:
+        """Return up to where all changes are known."""
+        return RelayBasis(self._configuration_version(), self._evacuations.known_version)
+
+    def _configuration_version(self) -> int:
+        cfg = self._site_state.view.configuration
+        return cfg.version if cfg else 0
+
+
 class EntryVm:
     """An entry VM: its servers, gossip, copies of the store, and background tasks."""
 
@@ -115,6 +134,7 @@
         self._metrics = Metrics()
         self._reach = ReachTracker(self._site_state, self._pool, rng)
         self._reach.on_change = self._handle_reach_change
+        own_basis = _OwnBasis(self._site_state, self._replicas[EVACUATION_KIND])
         self._earlier_peers = EarlierPeers(self._sync.versions)
         self._relay = Relay(
             own,
@@ -122,7 +142,7 @@
             settings.relay_address.port,
             lambda: self._membership.peers_with_targets(self._clock()),
             self._count_near_vms,
-            self._own_basis,
+            own_basis,
             self._earlier_peers,
             self._metrics,
             rng,
@@ -150,7 +170,7 @@
         self._readiness = ReadinessHandler()
         self._caller_server = HttpServer(self._forwarder, self._caller_limits)
         self._relay_server = HttpServer(
-            RelayedRequestHandler(self._forwarder, self._known_basis), self._relayed_limits
+            RelayedRequestHandler(self._forwarder, own_basis), self._relayed_limits
         )
         self._servers = {
             settings.caller_address: self._caller_server,
@@ -306,18 +326,6 @@
             host = Address(peer.host, self._settings.peer_address.port)
             self._sync.handle_peer_versions(host, digest.revisions)
 
-    def _own_basis(self) -> RelayBasis:
-        """Return what a request has to be decided on that this VM relays."""
-        return self._basis(self._replicas[EVACUATION_KIND].last_change)
-
-    def _known_basis(self) -> RelayBasis:
-        """Return what this VM decides on; its copy may be confirmed beyond the last change."""
-        return self._basis(self._replicas[EVACUATION_KIND].known_version)
-
-    def _basis(self, evacuations: StoreVersion) -> RelayBasis:
-        cfg = self._site_state.view.configuration
-        return RelayBasis(cfg.version if cfg else 0, evacuations)
-
     async def _stop(self) -> None:
         """Stop gracefully: leave look-ups, then refuse new requests, then finish the others."""
         loop = asyncio.get_running_loop()
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -25,6 +25,7 @@
 from chervilmill.entry._relay_basis import (
     BEHIND_HEADER,
     EarlierPeers,
+    OwnBasis,
     RelayBasis,
     read_basis,
     without_basis,
@@ -80,10 +81,7 @@
 
 
 class Relay:
-    """Sends requests to peers; `peers` returns those that take callers and reach targets.
-
-    `own_basis` returns what a request of this VM has to be decided on.
-    """
+    """Sends requests to peers; `peers` returns those that take callers and reach targets."""
 
     def __init__(
         self,
@@ -92,7 +90,7 @@
         port: int,
         peers: Callable[[], Sequence[Peer]],
         count_near_vms: Callable[[], int],
-        own_basis: Callable[[], RelayBasis],
+        own_basis: OwnBasis,
         earlier_peers: EarlierPeers,
         metrics: Metrics,
         rng: random.Random,
@@ -115,7 +113,7 @@
     def is_behind(self) -> bool:
         """Return whether a peer has lately decided on more than this VM knows."""
         is_recent = asyncio.get_running_loop().time() - self._decided_s < BEHIND_S
-        return is_recent and not self._own_basis().covers(self._decided_basis)
+        return is_recent and not self._own_basis.confirmed().covers(self._decided_basis)
 
     def can_relay(self, progress: Progress) -> bool:
         """Return whether a peer may be asked to answer a request."""
@@ -158,7 +156,7 @@
         )
         attempt.hides_refusals = progress.may_have_run
         if peer.name not in self._earlier_peers:
-            attempt.basis = self._own_basis().merge(self._decided_basis)
+            attempt.basis = self._own_basis.last_changes().merge(self._decided_basis)
         progress.attempt, progress.last_candidate = attempt, None
         self._in_flight[peer.name] = self._in_flight.get(peer.name, 0) + 1
         try:
--- a/src/chervilmill/entry/_relay_basis.py
+++ b/src/chervilmill/entry/_relay_basis.py
@@ -8,6 +8,7 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Protocol
 
 from chervilmill.aio import Headers, header_value
 from chervilmill.peers import Digest
@@ -61,6 +62,18 @@
     return [item for item in headers if item[0] not in (BASIS_HEADER, BEHIND_HEADER)]
 
 
+class OwnBasis(Protocol):
+    """What this VM knows, as a basis for decisions."""
+
+    def last_changes(self) -> RelayBasis:
+        """Return the last changes known, which whoever decides for this VM has to know."""
+        ...
+
+    def confirmed(self) -> RelayBasis:
+        """Return up to where all changes are known, which is at or above the last changes."""
+        ...
+
+
 class EarlierPeers:
     """The peers of a version that decides on whatever it knows, and what they last stated to know.
 
--- a/src/chervilmill/entry/_relayed.py
+++ b/src/chervilmill/entry/_relayed.py
@@ -1,13 +1,18 @@
 """Serve the requests that peers relay because they reach no target."""
 
-from collections.abc import Callable
 from dataclasses import replace
 
 from chervilmill.aio import RequestHead, ServerConnection, header_value
 from chervilmill.entry._forward import Forwarder
 from chervilmill.entry._progress import Origin
 from chervilmill.entry._relay import CALLER_HEADER
-from chervilmill.entry._relay_basis import BEHIND_HEADER, RelayBasis, read_basis, without_basis
+from chervilmill.entry._relay_basis import (
+    BEHIND_HEADER,
+    OwnBasis,
+    RelayBasis,
+    read_basis,
+    without_basis,
+)
 from chervilmill.logs import log_failure
 from chervilmill.platform import read_request
 
@@ -15,13 +20,13 @@
 class RelayedRequestHandler:
     """HTTP handler for requests that peers relay, on an address that callers do not reach.
 
-    `known_basis` returns what this VM decides on. A request that has to be decided on more is
-    refused at once, so that the peer can ask another VM.
+    A request that has to be decided on more than this VM knows is refused at once, so that the peer
+    can ask another VM.
     """
 
-    def __init__(self, forwarder: Forwarder, known_basis: Callable[[], RelayBasis]) -> None:
+    def __init__(self, forwarder: Forwarder, own_basis: OwnBasis) -> None:
         self._forwarder = forwarder
-        self._known_basis = known_basis
+        self._own_basis = own_basis
 
     async def __call__(self, conn: ServerConnection, head: RequestHead) -> None:
         """Answer a relayed request as one of the caller's."""
@@ -31,8 +36,8 @@
             return
         wanted = read_basis(head.headers)
         if wanted is not None:
-            known = self._known_basis()
-            conn.answer_headers = [known.header()]
+            known = self._own_basis.confirmed()
+            conn.answer_headers = [self._own_basis.last_changes().header()]
             if not known.covers(wanted):
                 await self._refuse_as_behind(conn, head, known, wanted)
                 return
--- a/tests/entry/test_relay_basis.py
+++ b/tests/entry/test_relay_basis.py
@@ -152,6 +152,25 @@
     return domain in site.vm._site_state.view.evacuated
 
 
+def test_copy_that_is_confirmed_further_counts_as_a_change(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Copies are confirmed at different revisions, as other kinds of objects change."""
+
+    async def scenario(pair: Pair, desk: StandInTarget) -> None:
+        peer, relaying = pair.sites
+        cut = _Cut(relaying, monkeypatch, hangs=False)
+        await _ask_until_found(relaying)
+        for further, other in ((peer, relaying), (relaying, peer)):
+            for site, revision in ((further, 10_000), (other, 5_000)):
+                site.vm._replicas[EVACUATION_KIND].as_of = StoreVersion(1, revision)
+            assert (await relaying.ask("/order/a", "POST", b"x")).status == 200
+            assert not relaying.vm._relay.is_behind()
+        cut.is_healed = True
+
+    _run_pair(tmp_path, scenario)
+
+
 def test_target_and_caller_see_the_headers_between_vms(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
