--- a/src/chervilmill/coordination/_client.py
+++ b/src/chervilmill/coordination/_client.py
@@ -7,19 +7,14 @@
 import urllib3
 
 from chervilmill.addresses import Address
-from chervilmill.coordination._codec import (
-    MALFORMED,
-    object_from_json,
-    vm_from_json,
-    watch_from_json,
-)
+from chervilmill.coordination._codec import object_from_json, vm_from_json, watch_from_json
 from chervilmill.coordination._errors import (
     StoreUnavailableError,
     VersionConflictError,
     WriteUnsureError,
 )
 from chervilmill.coordination._model import StoredObject, Vm, WatchResult
-from chervilmill.documents import decode_document
+from chervilmill.documents import MALFORMED_ERRORS, decode_document
 from chervilmill.logs import log_problem
 
 MAX_CONNECTIONS = 16
@@ -116,13 +111,13 @@
             raise WriteUnsureError(message, step=step, peer=self._peer)
         try:
             return int(decode_document(resp.data)["version"])
-        except MALFORMED as exc:
+        except MALFORMED_ERRORS as exc:
             raise WriteUnsureError(f"no version: {exc!r:.200}", step=step, peer=self._peer) from exc
 
     def _decode(self, step: str, resp: urllib3.BaseHTTPResponse, decode: Callable[[Any], T]) -> T:
         try:
             return decode(decode_document(resp.data))
-        except MALFORMED as exc:
+        except MALFORMED_ERRORS as exc:
             message = f"expected another form of body, found {len(resp.data)} bytes: {exc!r:.200}"
             raise StoreUnavailableError(message, step=step, peer=self._peer) from exc
 
@@ -134,7 +129,7 @@
         for raw in self._decode(step, resp, list):
             try:
                 decoded.append(decode(raw))
-            except MALFORMED as exc:
+            except MALFORMED_ERRORS as exc:
                 log_problem("entry refused", step=step, peer=self._peer, error=f"{exc!r:.200}")
         return tuple(decoded)
 
--- a/src/chervilmill/coordination/_codec.py
+++ b/src/chervilmill/coordination/_codec.py
@@ -5,20 +5,11 @@
 
 from chervilmill.addresses import parse_address
 from chervilmill.coordination._model import StoredObject, Vm, VmRole, VmState, WatchResult
+from chervilmill.documents import MALFORMED_ERRORS
 from chervilmill.logs import log_problem
 
 MAX_TEXT_CHARACTERS = 512  # as in the messages between nodes
 
-# What decoding raises for values of other types or beyond all bounds.
-MALFORMED = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
-
 
 def object_to_json(stored: StoredObject) -> dict[str, Any]:
     """Return the JSON form of an object."""
@@ -54,7 +45,7 @@
     for item in raw["changed"]:
         try:
             changed.append(object_from_json(item))
-        except MALFORMED as exc:
+        except MALFORMED_ERRORS as exc:
             log_problem("entry refused", step="watch objects", peer="store", error=f"{exc!r:.200}")
     deleted = tuple(str(name) for name in raw["deleted"])
     return WatchResult(int(raw["version"]), tuple(changed), deleted)
--- a/src/chervilmill/documents.py
+++ b/src/chervilmill/documents.py
@@ -14,6 +14,16 @@
 MAX_NESTING_DEPTH = 32  # entries have fewer than ten levels
 MAX_INTEGER_DIGITS = 19  # of a 64-bit integer
 
+# What reading the fields of a document raises for values of other types or beyond all bounds.
+MALFORMED_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 _STRUCTURE = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 _OPENING = "[{"
 
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -22,7 +22,7 @@
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._reach import ReachTracker
 from chervilmill.entry._relay import Relay
-from chervilmill.entry._relay_basis import EarlierPeers, RelayBasis
+from chervilmill.entry._relay_basis import EarlierPeers, OwnBasis
 from chervilmill.entry._relayed import RelayedRequestHandler
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.entry._site_state import ENTRY_KIND, KINDS, URGENT_KINDS, SiteState
@@ -71,26 +71,6 @@
 CONTROL_LIMITS = ServerLimits(header_bytes=16_384, header_timeout_s=3.0, idle_s=30.0)
 
 
-class _OwnBasis:
-    """What this VM decides on: the configuration in force and its copy of the evacuations."""
-
-    def __init__(self, site_state: SiteState, evacuations: KindReplica) -> None:
-        self._site_state = site_state
-        self._evacuations = evacuations
-
-    def last_changes(self) -> RelayBasis:
-        """Return the last changes known."""
-        return RelayBasis(self._configuration_version(), self._evacuations.last_change)
-
-    def confirmed(self) -> RelayBasis:
-        """Return up to where all changes are known."""
-        return RelayBasis(self._configuration_version(), self._evacuations.known_version)
-
-    def _configuration_version(self) -> int:
-        cfg = self._site_state.view.configuration
-        return cfg.version if cfg else 0
-
-
 class EntryVm:
     """An entry VM: its servers, gossip, copies of the store, and background tasks."""
 
@@ -134,7 +114,7 @@
         self._metrics = Metrics()
         self._reach = ReachTracker(self._site_state, self._pool, rng)
         self._reach.on_change = self._handle_reach_change
-        own_basis = _OwnBasis(self._site_state, self._replicas[EVACUATION_KIND])
+        own_basis = OwnBasis(self._site_state, self._replicas[EVACUATION_KIND])
         self._earlier_peers = EarlierPeers(self._sync.versions)
         self._relay = Relay(
             own,
--- a/src/chervilmill/entry/_relay_basis.py
+++ b/src/chervilmill/entry/_relay_basis.py
@@ -8,10 +8,10 @@
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Protocol
 
 from chervilmill.aio import Headers, header_value
-from chervilmill.peers import Digest
+from chervilmill.entry._site_state import SiteState
+from chervilmill.peers import Digest, KindReplica
 from chervilmill.platform import CONFIGURATION_KIND, EVACUATION_KIND, StoreVersion
 
 FIRST_PROTOCOL_VERSION = 2  # of a peer that refuses a request for which it knows too little
@@ -62,16 +62,24 @@
     return [item for item in headers if item[0] not in (BASIS_HEADER, BEHIND_HEADER)]
 
 
-class OwnBasis(Protocol):
-    """What this VM knows, as a basis for decisions."""
+class OwnBasis:
+    """What this VM decides on: the configuration in force and its copy of the evacuations."""
+
+    def __init__(self, site_state: SiteState, evacuations: KindReplica) -> None:
+        self._site_state = site_state
+        self._evacuations = evacuations
 
     def last_changes(self) -> RelayBasis:
         """Return the last changes known, which whoever decides for this VM has to know."""
-        ...
+        return RelayBasis(self._configuration_version(), self._evacuations.last_change)
 
     def confirmed(self) -> RelayBasis:
         """Return up to where all changes are known, which is at or above the last changes."""
-        ...
+        return RelayBasis(self._configuration_version(), self._evacuations.known_version)
+
+    def _configuration_version(self) -> int:
+        cfg = self._site_state.view.configuration
+        return cfg.version if cfg else 0
 
 
 class EarlierPeers:
--- a/src/chervilmill/entry/_replica_copies.py
+++ b/src/chervilmill/entry/_replica_copies.py
@@ -5,7 +5,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import HttpClient
-from chervilmill.documents import decode_document
+from chervilmill.documents import MALFORMED_ERRORS, decode_document
 from chervilmill.peers import KindReplica
 from chervilmill.platform import (
     UNSTATED_ERA,
@@ -39,7 +39,7 @@
         as_of = StoreVersion(int(raw.get("era", UNSTATED_ERA)), int(raw["as_of"]))
         listing = Listing(decode_objects(raw["objects"]), as_of)
         return FetchedReplica(listing, raw.get("is_settled") is True)
-    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as exc:
+    except MALFORMED_ERRORS as exc:
         raise StoreError(repr(exc), step="read copy", peer=str(host)) from exc
 
 
--- a/src/chervilmill/peers/_datagrams.py
+++ b/src/chervilmill/peers/_datagrams.py
@@ -10,18 +10,10 @@
 
 import cbor2
 
+from chervilmill.documents import MALFORMED_ERRORS
 from chervilmill.errors import ChervilmillError
 
-# What decoding and unpacking raise for values of other types or beyond all bounds.
-_MALFORMED = (
-    cbor2.CBORDecodeError,
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
+_MALFORMED = (*MALFORMED_ERRORS, cbor2.CBORDecodeError)
 
 
 class MalformedDigestError(ChervilmillError):
--- a/src/chervilmill/platform/_objects.py
+++ b/src/chervilmill/platform/_objects.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from chervilmill.addresses import parse_address
+from chervilmill.documents import MALFORMED_ERRORS
 from chervilmill.errors import ChervilmillError
 from chervilmill.platform._fields import (
     MAX_COUNT,
@@ -42,15 +43,6 @@
     "unsafe": RequestKind.ORDER,
     "upload": RequestKind.UPLOAD,
 }
-# What reading raises for values of other types or beyond all bounds.
-_MALFORMED = (
-    ArithmeticError,
-    AttributeError,
-    LookupError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -107,7 +99,7 @@
     """Raise InvalidObjectError in place of the errors that a malformed object causes."""
     try:
         yield
-    except _MALFORMED as exc:
+    except MALFORMED_ERRORS as exc:
         message = f"{type(exc).__name__}: {exc}"[:MAX_MESSAGE_CHARACTERS]
         peer = ascii(stored.name[:MAX_MESSAGE_CHARACTERS])[1:-1]
         raise InvalidObjectError(message, step=step, peer=peer) from exc
