--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -91,11 +91,7 @@
     """One entry VM that runs in this process, and a client for it."""
 
     def __init__(
-        self,
-        entries: list[Vm],
-        targets: list[Vm],
-        store: MemoryStore,
-        name: str = "entry-1",
+        self, entries: list[Vm], targets: list[Vm], store: MemoryStore, name: str = "entry-1"
     ) -> None:
         raw = raw_settings(name, Address("127.0.0.1", 1))
         raw["node"].update(callers=str(free_address()))
@@ -142,10 +138,7 @@
         )
         self.server = HttpServer(settings.node.callers, self.app, threads=24)
         self.http = urllib3.HTTPConnectionPool(
-            settings.node.callers.host,
-            settings.node.callers.port,
-            timeout=TIMEOUT_S,
-            maxsize=16,
+            settings.node.callers.host, settings.node.callers.port, timeout=TIMEOUT_S, maxsize=16
         )
 
     def start(self) -> None:
--- a/tests/callers/test_bad_input.py
+++ b/tests/callers/test_bad_input.py
@@ -73,11 +73,7 @@
     with connect(path) as sock:
         sock.sendall(encoded(text))
         seen_status, refusal = read_refusal(sock)
-    assert (seen_status, refusal["reason"], refusal["ran"]) == (
-        status,
-        reason,
-        "not_run",
-    )
+    assert (seen_status, refusal["reason"], refusal["ran"]) == (status, reason, "not_run")
     assert refusals(path, reason) == before + 1
     assert path.state.requests == requests
 
@@ -90,11 +86,7 @@
         sock.sendall(method + head + b"x" * 3999)
         sock.shutdown(socket.SHUT_WR)
         status, refusal = read_refusal(sock)
-    assert (status, refusal["reason"], refusal["ran"]) == (
-        400,
-        "request_short",
-        "not_run",
-    )
+    assert (status, refusal["reason"], refusal["ran"]) == (400, "request_short", "not_run")
     assert retry_until(lambda: path.state.in_flight == 0, PATIENCE_S)
     assert path.state.orders_run == orders
     assert path.state.upload_hashes == hashes
@@ -113,11 +105,7 @@
     with connect(path) as sock:
         sock.sendall(begun)
         status, refusal = read_refusal(sock)
-    assert (status, refusal["reason"], refusal["ran"]) == (
-        408,
-        "request_too_slow",
-        "not_run",
-    )
+    assert (status, refusal["reason"], refusal["ran"]) == (408, "request_too_slow", "not_run")
     assert refusals(path, "request_too_slow") == before + 1
     assert path.state.upload_hashes == hashes
 
--- a/tests/callers/test_quarantine.py
+++ b/tests/callers/test_quarantine.py
@@ -42,10 +42,7 @@
 @pytest.mark.parametrize(("crash_mode", "most_crashes"), [("midway", 2), ("silent", 3)])
 def test_crash_without_a_refused_request_is_not_counted(crash_mode: str, most_crashes: int) -> None:
     """A crash that breaks an answer off, or that shows as silence, must count too."""
-    with running(targets=6, crash_away_s=5.0, crash_mode=crash_mode) as (
-        [entry],
-        states,
-    ):
+    with running(targets=6, crash_away_s=5.0, crash_mode=crash_mode) as ([entry], states):
         reasons = [crash_with_deadline(entry, 300) for _ in range(8)]
         assert sum(state.crashes for state in states) <= most_crashes
         assert reasons[-1] == "quarantined"
--- a/tests/callers/test_steered.py
+++ b/tests/callers/test_steered.py
@@ -11,12 +11,7 @@
 from chervilmill.steering import PlaceChoice
 from tests.callers.harness import SERVICE, running
 
-REGIONS = (
-    ("praha-a", "praha"),
-    ("praha-b", "praha"),
-    ("brno-a", "brno"),
-    ("brno-b", "brno"),
-)
+REGIONS = (("praha-a", "praha"), ("praha-b", "praha"), ("brno-a", "brno"), ("brno-b", "brno"))
 REQUESTS = 4000
 
 
@@ -73,12 +68,7 @@
         (True, {"praha_b": 1.0}, "praha-b", {"praha-b"}),
         (True, {"brno_a": 1.0, "brno_b": 0.5}, "brno-a", {"brno-a", "brno-b"}),
     ],
-    ids=[
-        "never steered",
-        "both domains",
-        "the other domain leaves",
-        "steered to another region",
-    ],
+    ids=["never steered", "both domains", "the other domain leaves", "steered to another region"],
 )
 def test_domains_of_a_request(is_steered, weights, first, near) -> None:
     steered = SteeredRequests(FixedSteering(is_steered=is_steered, **weights), ALL_OPEN, "praha")
@@ -103,13 +93,7 @@
         ({"brno_a": 1.0}, ["praha"], {"praha-a", "praha-b"}),
         ({"brno_a": 1.0, "praha_b": 0.0}, ["praha", "brno"], {"brno-a"}),
     ],
-    ids=[
-        "link full",
-        "link open",
-        "place out of reach",
-        "and none here",
-        "place in reach",
-    ],
+    ids=["link full", "link open", "place out of reach", "and none here", "place in reach"],
 )
 def test_other_regions_are_open_while_the_link_has_room(weights, open_regions, expected) -> None:
     links = FixedLinks(*open_regions)
@@ -125,10 +109,7 @@
     )
     with pytest.raises(Refusal) as caught:
         steered.domains(request(1))
-    assert (caught.value.reason, caught.value.ran) == (
-        RefusalReason.NO_HEADROOM,
-        Ran.NOT_RUN,
-    )
+    assert (caught.value.reason, caught.value.ran) == (RefusalReason.NO_HEADROOM, Ran.NOT_RUN)
     assert caught.value.retry_after_ms
 
 
--- a/tests/cli/test_trace.py
+++ b/tests/cli/test_trace.py
@@ -23,18 +23,11 @@
         ),
         (
             "d362e48bdde12d96",
-            [
-                "attempt failed: target=i-533d57d157 end=lost",
-                "reason=target_failed status=502",
-            ],
+            ["attempt failed: target=i-533d57d157 end=lost", "reason=target_failed status=502"],
         ),
         (
             "9058485e673cb608",
-            [
-                "configuration in force",
-                "attempt failed",
-                "reason=deadline_exceeded status=504",
-            ],
+            ["configuration in force", "attempt failed", "reason=deadline_exceeded status=504"],
         ),
     ],
 )
--- a/tests/coordination/test_directory.py
+++ b/tests/coordination/test_directory.py
@@ -19,21 +19,9 @@
 
 REGION_AND_DOMAIN = ("praha", "praha-a")
 TARGET = Vm(
-    "target-1",
-    VmRole.TARGET,
-    VmState.LIVE,
-    "souhrny",
-    *REGION_AND_DOMAIN,
-    Address("10.0.0.1", 80),
-)
-ENTRY = Vm(
-    "entry-1",
-    VmRole.ENTRY,
-    VmState.LIVE,
-    "",
-    *REGION_AND_DOMAIN,
-    Address("10.0.1.1", 80),
+    "target-1", VmRole.TARGET, VmState.LIVE, "souhrny", *REGION_AND_DOMAIN, Address("10.0.0.1", 80)
 )
+ENTRY = Vm("entry-1", VmRole.ENTRY, VmState.LIVE, "", *REGION_AND_DOMAIN, Address("10.0.1.1", 80))
 OTHER_ENTRY = replace(ENTRY, name="entry-2", address=Address("10.0.1.2", 80))
 
 
@@ -67,12 +55,7 @@
 
 @pytest.mark.parametrize(
     "leave",
-    [
-        list_target_as_leaving,
-        remove_target_from_list,
-        mark_target_leaving,
-        report_target_leaving,
-    ],
+    [list_target_as_leaving, remove_target_from_list, mark_target_leaving, report_target_leaving],
 )
 def test_leaving_target_gets_no_new_work(leave) -> None:
     vms = directory()
--- a/tests/coordination/test_foreign_entries.py
+++ b/tests/coordination/test_foreign_entries.py
@@ -50,15 +50,7 @@
     return b"[" + other + b", " + json.dumps(valid).encode() + b"]"
 
 
-PARTS = [
-    b"null",
-    b"[]",
-    b"9" * 401,
-    b"9" * 5000,
-    b"NaN",
-    b"[" * 5000 + b"]" * 5000,
-    b'"\\ud800"',
-]
+PARTS = [b"null", b"[]", b"9" * 401, b"9" * 5000, b"NaN", b"[" * 5000 + b"]" * 5000, b'"\\ud800"']
 
 
 # One malformed entry ended the thread that reads the list of VMs.
@@ -83,19 +75,12 @@
     assert [stored.value for stored in platform.list("k")] == [b"one"]
     body = b'{"version": 7, "deleted": [], "changed": ' + items + b"}"
     result = _platform(monkeypatch, body).watch("k", 1, 0.0)
-    assert (result.version, [stored.value for stored in result.changed]) == (
-        7,
-        [b"one"],
-    )
+    assert (result.version, [stored.value for stored in result.changed]) == (7, [b"one"])
 
 
 @pytest.mark.parametrize("body", [b"", b"3", b"null", b"[" * 5000, b"\xff"])
 def test_malformed_answer_counts_as_no_answer(monkeypatch: pytest.MonkeyPatch, body: bytes) -> None:
     platform = _platform(monkeypatch, body)
-    for call in (
-        platform.vms,
-        lambda: platform.list("k"),
-        lambda: platform.watch("k", 1, 0.0),
-    ):
+    for call in (platform.vms, lambda: platform.list("k"), lambda: platform.watch("k", 1, 0.0)):
         with pytest.raises(StoreUnavailableError):
             call()
--- a/tests/coordination/test_order_ledger.py
+++ b/tests/coordination/test_order_ledger.py
@@ -6,14 +6,7 @@
 import pytest
 
 from chervilmill.coordination import OrderLedger
-from chervilmill.requests import (
-    Claim,
-    ClaimResult,
-    Outcome,
-    RecordOutcome,
-    ReleaseClaim,
-    order_key,
-)
+from chervilmill.requests import Claim, ClaimResult, Outcome, RecordOutcome, ReleaseClaim, order_key
 from chervilmill.standins.store import MemoryStore, retry_until
 
 TIMEOUT_S = 5.0
@@ -83,8 +76,7 @@
     store.delay_s = 0.0
     retried = claim("k", 2)
     assert retry_until(
-        lambda: ledgers[1].claim(retried, TIMEOUT_S).result is ClaimResult.GRANTED,
-        TIMEOUT_S,
+        lambda: ledgers[1].claim(retried, TIMEOUT_S).result is ClaimResult.GRANTED, TIMEOUT_S
     )
 
 
--- a/tests/daemon/test_whole_path.py
+++ b/tests/daemon/test_whole_path.py
@@ -73,9 +73,7 @@
     assert whole_path.daemon.wait(STOP_TIMEOUT_S) == 0
 
 
-def test_leaving_node_refuses_new_requests_and_completes_old_ones(
-    whole_path: WholePath,
-) -> None:
+def test_leaving_node_refuses_new_requests_and_completes_old_ones(whole_path: WholePath) -> None:
     whole_path.state.behave({"work_s": 6})
     statuses: list[int] = []
     url = f"{whole_path.url}/s/souhrny/digest"
--- a/tests/entry/crash_fleet.py
+++ b/tests/entry/crash_fleet.py
@@ -9,12 +9,7 @@
 
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.peers._membership import ROUND_S, UPDATE_FANOUT
-from chervilmill.requests import (
-    Lifetime,
-    LimitedToTarget,
-    Quarantined,
-    request_fingerprint,
-)
+from chervilmill.requests import Lifetime, LimitedToTarget, Quarantined, request_fingerprint
 
 STEP_S = 0.1
 STABLE_S = 4.0  # stable-window-s of both user sites
@@ -116,11 +111,7 @@
     def run(self) -> None:
         """Let the requests come again and again, for the duration of the case."""
         case = self.case
-        next_s = {
-            "round": 0.0,
-            "request": 0.0,
-            "restart": case.restart_every_s or float("inf"),
-        }
+        next_s = {"round": 0.0, "request": 0.0, "restart": case.restart_every_s or float("inf")}
         now_s = 0.0
         while now_s < case.duration_s:
             due = [item for item in self._due if item[0] <= now_s]
@@ -151,12 +142,7 @@
         return tracker
 
     def _ask(
-        self,
-        vm: CrashTracker,
-        now_s: float,
-        content: _Content,
-        caller: str,
-        sends_left: int,
+        self, vm: CrashTracker, now_s: float, content: _Content, caller: str, sends_left: int
     ) -> None:
         fingerprint = _fingerprint(content.path, caller)
         name = self._choose_target(vm, fingerprint, now_s)
@@ -175,10 +161,7 @@
         if sends_left > 1:
             retry_s = now_s + self.case.loss_seen_s
             self._due.append(
-                (
-                    retry_s,
-                    lambda at_s: self._ask(vm, at_s, content, caller, sends_left - 1),
-                )
+                (retry_s, lambda at_s: self._ask(vm, at_s, content, caller, sends_left - 1))
             )
 
     def _choose_target(self, vm: CrashTracker, fingerprint: bytes, now_s: float) -> str | None:
--- a/tests/entry/pair.py
+++ b/tests/entry/pair.py
@@ -40,11 +40,7 @@
             read = self._settings(f"vm-{number}", VmPorts(f"127.0.3.{number}", *ports), shown)
             vm = EntryVm(read, self._folder / f"{read.name}.json")
             site = SiteUnderTest(
-                self.store,
-                vm,
-                read.caller_address,
-                read.lookup_address,
-                read.readiness_address,
+                self.store, vm, read.caller_address, read.lookup_address, read.readiness_address
             )
             site.targets["t1"] = target
             self.sites.append(site)
--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -19,13 +19,7 @@
 from chervilmill.entry import _replica_copies, _replica_sync
 from chervilmill.entry._replica_copies import FetchedReplica
 from chervilmill.entry._replica_sync import ReplicaSync
-from chervilmill.peers import (
-    GossipEndpoint,
-    KindReplica,
-    Membership,
-    Peer,
-    ReplicaChange,
-)
+from chervilmill.peers import GossipEndpoint, KindReplica, Membership, Peer, ReplicaChange
 from chervilmill.platform import Listing, PlatformStore
 
 KIND = "servers"
@@ -193,10 +187,7 @@
             delay_s = self._fleet.rng.choice(DELAYS_S)
             loop = asyncio.get_running_loop()
             loop.call_later(
-                delay_s,
-                receiver.endpoint.datagram_received,
-                bytes(data),
-                (self._host, PEER_PORT),
+                delay_s, receiver.endpoint.datagram_received, bytes(data), (self._host, PEER_PORT)
             )
 
 
@@ -231,7 +222,7 @@
         """Return the VMs that learnt too late that the target leaves, with the delays."""
         left_s = self.case.changes_s[-1]
         delays = {
-            vm.peer.name: (None if vm.learnt_s is None else round(vm.learnt_s - left_s, 3))
+            vm.peer.name: None if vm.learnt_s is None else round(vm.learnt_s - left_s, 3)
             for vm in self.vms
         }
         return {name: late for name, late in delays.items() if late is None or late > bound_s}
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -28,10 +28,7 @@
     ),
     "two hosts": (b"GET /read/a HTTP/1.1\r\n" + HEAD + b"Host: other\r\n\r\n", 400),
     "no host": (b"GET /read/a HTTP/1.1\r\nX-Other: 1\r\n\r\n", 400),
-    "space before colon": (
-        b"GET /read/a HTTP/1.1\r\n" + HEAD + b"X-Odd : 1\r\n\r\n",
-        400,
-    ),
+    "space before colon": (b"GET /read/a HTTP/1.1\r\n" + HEAD + b"X-Odd : 1\r\n\r\n", 400),
     "unknown encoding": (
         b"POST /order/a HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: gzip\r\n\r\n",
         501,
--- a/tests/entry/test_crash_series.py
+++ b/tests/entry/test_crash_series.py
@@ -37,11 +37,7 @@
         period_s=0.25, loss_seen_s=0.1, sends_per_attempt=2, refusal_s=None, back_s=4.5
     ),
     "two_targets_an_attempt_while_vms_restart": CrashCase(
-        period_s=0.25,
-        loss_seen_s=0.1,
-        sends_per_attempt=2,
-        refusal_s=1.0,
-        restart_every_s=3.0,
+        period_s=0.25, loss_seen_s=0.1, sends_per_attempt=2, refusal_s=1.0, restart_every_s=3.0
     ),
 }
 
@@ -83,9 +79,7 @@
 
 
 @pytest.mark.parametrize("case", SIZES.values(), ids=SIZES)
-def test_crashing_content_takes_more_targets_from_a_larger_fleet(
-    case: CrashCase,
-) -> None:
+def test_crashing_content_takes_more_targets_from_a_larger_fleet(case: CrashCase) -> None:
     crashes = [fleet.crashes for fleet in _run(case)]
     assert statistics.median(crashes) <= MAX_MEDIAN_CRASHES, crashes
 
--- a/tests/entry/test_crashing_requests.py
+++ b/tests/entry/test_crashing_requests.py
@@ -89,13 +89,7 @@
             for _ in range(RESENDS):
                 asked.append(
                     asyncio.create_task(
-                        site.ask(
-                            "/order/crash",
-                            "POST",
-                            b"x",
-                            deadline_ms=20_000,
-                            key="crash",
-                        )
+                        site.ask("/order/crash", "POST", b"x", deadline_ms=20_000, key="crash")
                     )
                 )
                 await asyncio.sleep(1.0)  # longer than the objective, so the attempt is overdue
@@ -135,9 +129,7 @@
     run_async(scenario)
 
 
-def test_request_that_a_split_sends_to_other_services_starts_anew(
-    tmp_path: Path,
-) -> None:
+def test_request_that_a_split_sends_to_other_services_starts_anew(tmp_path: Path) -> None:
     """Each service of a traffic split would lose targets of its own to the same request."""
     services = tuple(f"app-{number}" for number in range(4))
     split: list[dict[str, object]] = [{"service": name, "weight": 1} for name in services]
@@ -181,9 +173,7 @@
         conn.abort()
 
 
-def test_object_that_crashes_targets_takes_one_more_with_each_caller(
-    tmp_path: Path,
-) -> None:
+def test_object_that_crashes_targets_takes_one_more_with_each_caller(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path, targets=TARGETS) as site:
             for target in site.targets.values():
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -106,9 +106,7 @@
     run_async(scenario)
 
 
-def test_endless_body_of_an_answer_looks_whole_or_is_held_in_memory(
-    tmp_path: Path,
-) -> None:
+def test_endless_body_of_an_answer_looks_whole_or_is_held_in_memory(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with _site_with(tmp_path, SEALED + CHUNKED, CHUNKS) as (site, target):
             tracemalloc.start()
--- a/tests/entry/test_launcher.py
+++ b/tests/entry/test_launcher.py
@@ -26,10 +26,6 @@
     The imports take 0.3 s, or seconds on a busy machine, so the signal can arrive during them.
     """
     ran = subprocess.run(
-        [sys.executable, "-c", PROGRAM],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        check=True,
+        [sys.executable, "-c", PROGRAM], cwd=ROOT, capture_output=True, text=True, check=True
     )
     assert ran.stdout.strip() == "SIG_IGN"
--- a/tests/entry/test_leaving_and_pauses.py
+++ b/tests/entry/test_leaving_and_pauses.py
@@ -48,9 +48,7 @@
     run_async(scenario)
 
 
-def test_entry_that_still_says_ready_brings_a_leaving_target_back(
-    tmp_path: Path,
-) -> None:
+def test_entry_that_still_says_ready_brings_a_leaving_target_back(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path) as site:
             leaving = site.targets["t1"]
@@ -107,9 +105,7 @@
     run_async(scenario)
 
 
-def test_request_without_a_target_is_not_told_when_the_first_pause_ends(
-    tmp_path: Path,
-) -> None:
+def test_request_without_a_target_is_not_told_when_the_first_pause_ends(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path) as site:
             for target in site.targets.values():
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -8,12 +8,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import RequestHead
-from chervilmill.entry._attempt import (
-    Attempt,
-    AttemptEnd,
-    AttemptResult,
-    OutgoingRequest,
-)
+from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult, OutgoingRequest
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
@@ -131,10 +126,7 @@
     setup = _set_up()
     setup.recorder.record_result(setup.progress, setup.candidate, result, SENT_S + 1.0)
     assert setup.is_ejected is is_ejected
-    assert (setup.progress.may_have_run, setup.progress.sent_count) == (
-        may_have_run,
-        sent_count,
-    )
+    assert (setup.progress.may_have_run, setup.progress.sent_count) == (may_have_run, sent_count)
     assert setup.progress.sent_s is None
 
 
@@ -146,12 +138,7 @@
         (1.0, False, 0.0, False),
         (0.4, True, 0.0, False),
     ],
-    ids=[
-        "silent",
-        "answered others meanwhile",
-        "the caller still sends",
-        "little time",
-    ],
+    ids=["silent", "answered others meanwhile", "the caller still sends", "little time"],
 )
 def test_timeout_ejects_a_target_only_if_it_had_enough_time(
     after_s: float, is_complete: bool, last_answer_s: float, is_ejected: bool
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -6,12 +6,7 @@
 
 import pytest
 
-from chervilmill.aio import (
-    ClientConnection,
-    ConnectError,
-    RequestHead,
-    ServerConnection,
-)
+from chervilmill.aio import ClientConnection, ConnectError, RequestHead, ServerConnection
 from chervilmill.entry._pool import MAX_IDLE_PER_TARGET, OpenReason, TargetPool
 from chervilmill.routing import Target
 from tests.aio.support import exchange, serving
@@ -44,11 +39,7 @@
             await _use_and_release(pool, target)
             await asyncio.sleep(0.7)  # longer than the server's idle time-out
             await pool.acquire(target)
-            assert pool.opened == {
-                OpenReason.FIRST: 1,
-                OpenReason.BUSY: 1,
-                OpenReason.CLOSED: 1,
-            }
+            assert pool.opened == {OpenReason.FIRST: 1, OpenReason.BUSY: 1, OpenReason.CLOSED: 1}
 
     run_async(scenario)
 
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -40,12 +40,7 @@
             await asyncio.sleep(0.001)
         now = self.revision
         events = [
-            {
-                "object": {
-                    "metadata": {"name": f"t-{n}", "revision": n},
-                    "specification": {},
-                }
-            }
+            {"object": {"metadata": {"name": f"t-{n}", "revision": n}, "specification": {}}}
             for n in range(since + 1, now + 1)
         ]
         return _answer({"events": events, "as-of": now})
@@ -95,10 +90,7 @@
             await asyncio.Event().wait()
         await asyncio.sleep(max(0.0, self._removals_s.pop(0) - since_return_s))
         self._revision += 1
-        removed = {
-            "object": _entry(f"t-{len(self._removals_s)}", self._revision),
-            "deleted": True,
-        }
+        removed = {"object": _entry(f"t-{len(self._removals_s)}", self._revision), "deleted": True}
         return _answer({"events": [removed], "as-of": self._revision})
 
 
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -77,9 +77,7 @@
     run_async(scenario)
 
 
-def test_targets_that_left_or_were_leaving_get_no_requests_again(
-    tmp_path: Path,
-) -> None:
+def test_targets_that_left_or_were_leaving_get_no_requests_again(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path, ("t1", "t2", "t3")) as site:
             copied = site.store.copy()
@@ -203,9 +201,7 @@
         store.put("config", "main", {"version": "r1"})
         replica = KindReplica("config")
         sync = ReplicaSync(
-            PlatformStore(HttpClient(address), "store"),
-            {"config": replica},
-            lambda *_: None,
+            PlatformStore(HttpClient(address), "store"), {"config": replica}, lambda *_: None
         )
         following = asyncio.create_task(sync.run("config"))
         await sync.wait_until_loaded()
--- a/tests/entry/test_site.py
+++ b/tests/entry/test_site.py
@@ -55,20 +55,8 @@
     "entry",
     [
         {"service": "app"},
-        {
-            "service": "app",
-            "address": "nowhere",
-            "zone": "north-a",
-            "slots": 1,
-            "state": "ready",
-        },
-        {
-            "service": 7,
-            "address": "127.0.0.1:1",
-            "zone": "north-a",
-            "slots": 1,
-            "state": "ready",
-        },
+        {"service": "app", "address": "nowhere", "zone": "north-a", "slots": 1, "state": "ready"},
+        {"service": 7, "address": "127.0.0.1:1", "zone": "north-a", "slots": 1, "state": "ready"},
         {"service": "app", "address": "127.0.0.1:1", "zone": "north-a", "slots": "x"},
         "not an object",
     ],
--- a/tests/entry/test_target_troubles.py
+++ b/tests/entry/test_target_troubles.py
@@ -81,9 +81,7 @@
     run_async(scenario)
 
 
-def test_silent_target_is_ejected_by_requests_that_must_run_once(
-    tmp_path: Path,
-) -> None:
+def test_silent_target_is_ejected_by_requests_that_must_run_once(tmp_path: Path) -> None:
     """Such requests time out at the silent target, and the time-out ejects it too."""
 
     async def scenario() -> None:
@@ -143,9 +141,7 @@
     run_async(scenario)
 
 
-def test_request_that_cannot_connect_in_time_is_refused_as_not_run(
-    tmp_path: Path,
-) -> None:
+def test_request_that_cannot_connect_in_time_is_refused_as_not_run(tmp_path: Path) -> None:
     """The target's host drops packets, as if the network were cut, so connecting times out."""
 
     async def scenario() -> None:
--- a/tests/entry/test_whole_path.py
+++ b/tests/entry/test_whole_path.py
@@ -98,10 +98,7 @@
             await site.ask("/read/a", deadline_ms=700)
             await site.ask("/read/a", deadline_ms=60_000)
             stated = [run.deadline_ms for t in site.targets.values() for run in t.records.runs]
-            assert sorted(ms is not None and ms <= 2000 for ms in stated) == [
-                True,
-                True,
-            ]
+            assert sorted(ms is not None and ms <= 2000 for ms in stated) == [True, True]
             assert min(ms for ms in stated if ms is not None) <= 700
 
     run_async(scenario)
@@ -145,9 +142,7 @@
     run_async(scenario)
 
 
-def test_stop_answers_what_was_begun_and_refuses_what_comes_late(
-    tmp_path: Path,
-) -> None:
+def test_stop_answers_what_was_begun_and_refuses_what_comes_late(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_site(tmp_path) as site:
             for target in site.targets.values():
--- a/tests/faults/test_checker.py
+++ b/tests/faults/test_checker.py
@@ -37,25 +37,14 @@
     given.update(fields)
     times = {"due_s": 10.0, "sent_s": 10.0, "ended_s": 10.2}
     return CallerRecord(
-        request_id,
-        kind,
-        expected=expected,
-        body=body,
-        echoed_id=request_id,
-        **times,
-        **given,
+        request_id, kind, expected=expected, body=body, echoed_id=request_id, **times, **given
     )
 
 
 def run(request_id: str, kind: RequestKind, key: str | None = None, **fields) -> TargetRun:
     given = {"target": "t1", "started_s": 10.05, "ended_s": 10.15} | fields
     return TargetRun(
-        region="praha",
-        service="souhrny",
-        request_id=request_id,
-        kind=kind,
-        key=key,
-        **given,
+        region="praha", service="souhrny", request_id=request_id, kind=kind, key=key, **given
     )
 
 
@@ -64,22 +53,10 @@
     return Trace(
         attempts=[
             caller("d1", RequestKind.DIGEST, "/digest/1", DIGEST),
-            caller(
-                "o1",
-                RequestKind.ORDER,
-                "k1",
-                json.dumps({"order": "k1"}).encode(),
-                key="k1",
-            ),
+            caller("o1", RequestKind.ORDER, "k1", json.dumps({"order": "k1"}).encode(), key="k1"),
             caller("u1", RequestKind.UPLOAD, SHA, json.dumps({"sha256": SHA}).encode()),
             caller(
-                "o2",
-                RequestKind.ORDER,
-                "k2",
-                b"",
-                key="k2",
-                outcome=Outcome.REFUSED,
-                ran="not_run",
+                "o2", RequestKind.ORDER, "k2", b"", key="k2", outcome=Outcome.REFUSED, ran="not_run"
             ),
         ],
         runs=[
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -24,11 +24,7 @@
 @pytest.fixture
 def server() -> Iterator[HttpServer]:
     running = HttpServer(
-        free_address(),
-        answer,
-        threads=2,
-        max_connections=MAX_CONNECTIONS,
-        early_refusals=early,
+        free_address(), answer, threads=2, max_connections=MAX_CONNECTIONS, early_refusals=early
     )
     running.start()
     yield running
@@ -57,9 +53,7 @@
         sock.close()
 
 
-def test_drain_answers_once_more_and_closes_idle_connections(
-    server: HttpServer,
-) -> None:
+def test_drain_answers_once_more_and_closes_idle_connections(server: HttpServer) -> None:
     with connect(server) as busy, connect(server) as idle:
         server.refuse_keep_alive()
         busy.sendall(b"GET / HTTP/1.1\r\n\r\n")
--- a/tests/nodes/test_allotments.py
+++ b/tests/nodes/test_allotments.py
@@ -153,10 +153,7 @@
 @pytest.mark.parametrize(
     ("divider_class", "quiet_s"),
     [(UnacknowledgedDivider, LIFETIME_S + DRIFT_MARGIN_S), (Divider, 0.0)],
-    ids=[
-        "fall counted before its acknowledgement",
-        "no quiet time after a change of allotter",
-    ],
+    ids=["fall counted before its acknowledgement", "no quiet time after a change of allotter"],
 )
 def test_broken_variant_is_caught(divider_class: type[Divider], quiet_s: float) -> None:
     assert any(most_in_use(seed, divider_class, quiet_s) > CAP["link"] for seed in range(500))
--- a/tests/nodes/test_allotments_together.py
+++ b/tests/nodes/test_allotments_together.py
@@ -52,8 +52,7 @@
     most = 0
     for step in range(8):
         set_demand(
-            network,
-            *(f"entry-{(seed + step * 5 + index) % 12}" for index in range(step + 1)),
+            network, *(f"entry-{(seed + step * 5 + index) % 12}" for index in range(step + 1))
         )
         most = max(most, most_in_use(network, 3.0))
         if step == 1:
--- a/tests/nodes/test_handshake.py
+++ b/tests/nodes/test_handshake.py
@@ -34,22 +34,12 @@
     [
         (WRONG.hello(CHALLENGE, PEER), LinkRefusal.WRONG_KEY),
         (RIGHT.hello(RIGHT.challenge(), PEER), LinkRefusal.WRONG_KEY),
-        (
-            replace(HELLO, member=replace(PEER, nodes="10.9.9.9:1")),
-            LinkRefusal.WRONG_KEY,
-        ),
+        (replace(HELLO, member=replace(PEER, nodes="10.9.9.9:1")), LinkRefusal.WRONG_KEY),
         (replace(HELLO, version=0), LinkRefusal.WRONG_VERSION),
         (RIGHT.hello(CHALLENGE, OWN), LinkRefusal.WRONG_NODE),
         (VmsPull(), LinkRefusal.UNEXPECTED_MESSAGE),
     ],
-    ids=[
-        "other key",
-        "replayed",
-        "changed member",
-        "old version",
-        "own name",
-        "no hello",
-    ],
+    ids=["other key", "replayed", "changed member", "old version", "own name", "no hello"],
 )
 def test_accepting_node_refuses(hello, refusal: LinkRefusal) -> None:
     assert refusal_of(lambda: RIGHT.welcome(CHALLENGE, hello, OWN)) is refusal
--- a/tests/nodes/test_membership.py
+++ b/tests/nodes/test_membership.py
@@ -45,13 +45,7 @@
     network.stop("entry-3")
     new_node = member(99, 3, 2, incarnation=2)
     replaced = type(new_node)(
-        "entry-99",
-        old.region,
-        old.failure_domain,
-        old.nodes,
-        old.callers,
-        2,
-        new_node.state,
+        "entry-99", old.region, old.failure_domain, old.nodes, old.callers, 2, new_node.state
     )
     network.add(replaced, [member(0, 3, 2).nodes])
     assert network.run(JOIN_S, lambda: views_agree(network))
--- a/tests/nodes/test_rolling_replacement.py
+++ b/tests/nodes/test_rolling_replacement.py
@@ -64,9 +64,7 @@
     return target
 
 
-def test_replacing_every_entry_vm_cuts_nothing_and_keeps_the_configuration(
-    tmp_path,
-) -> None:
+def test_replacing_every_entry_vm_cuts_nothing_and_keeps_the_configuration(tmp_path) -> None:
     site = Site(tmp_path)
     targets = [start_target(site, number) for number in range(1, TARGETS + 1)]
     callers: list[Caller] = []
--- a/tests/nodes/test_three_processes.py
+++ b/tests/nodes/test_three_processes.py
@@ -10,14 +10,7 @@
 
 from chervilmill.standins.platform_server import platform_server
 from chervilmill.standins.store import MemoryStore, retry_until
-from tests.support import (
-    TOKEN,
-    entry_vm,
-    free_address,
-    raw_settings,
-    start_daemon,
-    target_vm,
-)
+from tests.support import TOKEN, entry_vm, free_address, raw_settings, start_daemon, target_vm
 
 TIMEOUT_S = 20
 DOMAINS = (("praha", "praha-a"), ("brno", "brno-a"), ("ostrava", "ostrava-a"))
--- a/tests/nodes/test_vms.py
+++ b/tests/nodes/test_vms.py
@@ -16,13 +16,7 @@
 )
 
 LIVE = Vm(
-    "target-1",
-    VmRole.TARGET,
-    VmState.LIVE,
-    "souhrny",
-    "praha",
-    "praha-a",
-    Address("10.0.0.1", 80),
+    "target-1", VmRole.TARGET, VmState.LIVE, "souhrny", "praha", "praha-a", Address("10.0.0.1", 80)
 )
 LEAVING = replace(LIVE, state=VmState.LEAVING)
 MOVED = replace(LIVE, address=Address("10.0.0.2", 80))
--- a/tests/overload/test_admission.py
+++ b/tests/overload/test_admission.py
@@ -47,10 +47,7 @@
 
 
 @given(
-    wait_s=SECONDS,
-    work_s=SECONDS,
-    round_trip_s=st.floats(0.0, 0.1),
-    age_s=st.floats(0.001, 0.5),
+    wait_s=SECONDS, work_s=SECONDS, round_trip_s=st.floats(0.0, 0.1), age_s=st.floats(0.001, 0.5)
 )
 @settings(derandomize=True)
 def test_returning_caller_in_time_is_admitted_wherever_a_new_caller_is(
--- a/tests/overload/test_parts.py
+++ b/tests/overload/test_parts.py
@@ -31,9 +31,7 @@
 
 @given(st.dictionaries(st.sampled_from(sorted(DEMAND)), st.floats(1.0, 500.0), min_size=1))
 @settings(derandomize=True)
-def test_shares_load_no_region_above_its_capacity_share(
-    capacity: dict[str, float],
-) -> None:
+def test_shares_load_no_region_above_its_capacity_share(capacity: dict[str, float]) -> None:
     filled = dict.fromkeys(capacity, 0.0)
     for region in DEMAND:
         shares = desired_region_shares(region, DEMAND, capacity)
--- a/tests/overload/test_pauses.py
+++ b/tests/overload/test_pauses.py
@@ -3,11 +3,7 @@
 import pytest
 
 from chervilmill.overload import RatedTarget, TargetRates, parse_pause
-from chervilmill.overload._target_pauses import (
-    MAX_KNOWN_PAUSES,
-    MAX_PAUSE_S,
-    TargetPauses,
-)
+from chervilmill.overload._target_pauses import MAX_KNOWN_PAUSES, MAX_PAUSE_S, TargetPauses
 from chervilmill.requests import Lifetime
 
 TARGET = Lifetime("t1", 1)
--- a/tests/peers/test_endpoint.py
+++ b/tests/peers/test_endpoint.py
@@ -28,11 +28,7 @@
 )
 from chervilmill.peers._digest import PROTOCOL_VERSION, UNSTATED_PROTOCOL_VERSION
 from chervilmill.peers._endpoint import LEAVING_REPEATS
-from chervilmill.peers._limit_reports import (
-    REPORTS_PER_DATAGRAM,
-    decode_limits,
-    encode_limits,
-)
+from chervilmill.peers._limit_reports import REPORTS_PER_DATAGRAM, decode_limits, encode_limits
 from chervilmill.peers._membership import ROUND_S
 from chervilmill.platform import StoreVersion
 from chervilmill.requests import CrashReport, Lifetime, ReportedLoss
@@ -180,14 +176,7 @@
 
 
 @pytest.mark.parametrize(
-    "rows",
-    [
-        1,
-        [1],
-        [[b"f", "t", [["t", 1, -1.0, 0]]]],
-        [["f", "t", []]],
-        [[b"f", "t", [[1]]]],
-    ],
+    "rows", [1, [1], [[b"f", "t", [["t", 1, -1.0, 0]]]], [["f", "t", []]], [[b"f", "t", [[1]]]]]
 )
 def test_malformed_reports_are_refused(rows: object) -> None:
     with pytest.raises(MalformedDigestError):
@@ -216,13 +205,7 @@
 
 @pytest.mark.parametrize(
     "row",
-    [
-        ["t", 1, -2.0, 1],
-        ["t", 1, "2", 1],
-        ["t", 1, float("inf"), 1],
-        ["t", 1, 2.0, -1],
-        ["t", 1],
-    ],
+    [["t", 1, -2.0, 1], ["t", 1, "2", 1], ["t", 1, float("inf"), 1], ["t", 1, 2.0, -1], ["t", 1]],
 )
 def test_malformed_limits_are_refused(row: list[object]) -> None:
     with pytest.raises(MalformedDigestError):
@@ -233,9 +216,7 @@
     assert decode_limits(cbor2.dumps(["crash reports", []]), "127.0.0.1") is None
 
 
-def test_peer_of_another_version_goes_unnoticed(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_peer_of_another_version_goes_unnoticed(monkeypatch: pytest.MonkeyPatch) -> None:
     """It is logged once for each version that a registered peer states."""
     logged: list[dict[str, object]] = []
     monkeypatch.setattr(_endpoint, "log_event", lambda *_, **fields: logged.append(fields))
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -14,13 +14,7 @@
 )
 from chervilmill.peers._digest import decode_digest
 from chervilmill.peers._membership import ROUND_S
-from chervilmill.platform import (
-    Listing,
-    StoredObject,
-    StoreVersion,
-    WatchEvent,
-    WatchResult,
-)
+from chervilmill.platform import Listing, StoredObject, StoreVersion, WatchEvent, WatchResult
 
 MAX_DETECTION_S = 7.0  # a look-up must not return a VM that has been dead for longer
 SEED = 4
@@ -88,16 +82,10 @@
     [
         {},
         {"config": StoreVersion(0, 4)},
-        {
-            "config": StoreVersion(3, 4),
-            "servers": StoreVersion(2, 9),
-            "others": StoreVersion(0, 1),
-        },
+        {"config": StoreVersion(3, 4), "servers": StoreVersion(2, 9), "others": StoreVersion(0, 1)},
     ],
 )
-def test_digest_survives_encoding_and_decoding(
-    revisions: dict[str, StoreVersion],
-) -> None:
+def test_digest_survives_encoding_and_decoding(revisions: dict[str, StoreVersion]) -> None:
     membership = Membership("vm", 5, random.Random(1))
     digest = membership.digest(revisions, 0.0)
     assert isinstance(digest, Digest)
--- a/tests/peers/test_membership_at_scale.py
+++ b/tests/peers/test_membership_at_scale.py
@@ -116,8 +116,7 @@
 
 
 @pytest.mark.parametrize(
-    ("sizes", "other_domain_count"),
-    [((1, 1), 1), ((4, 4), 1), ((3, 3, 3), 2), ((5, 5, 5, 5), 3)],
+    ("sizes", "other_domain_count"), [((1, 1), 1), ((4, 4), 1), ((3, 3, 3), 2), ((5, 5, 5, 5), 3)]
 )
 def test_watchers_are_in_other_failure_domains(
     sizes: tuple[int, ...], other_domain_count: int
--- a/tests/peers/test_ring.py
+++ b/tests/peers/test_ring.py
@@ -7,12 +7,7 @@
 
 @pytest.mark.parametrize(
     ("vms", "domains", "readers", "distinct"),
-    [
-        (1, 1, 1, 1),
-        (3, 6, 3, 3),
-        (12, 6, READERS, READERS),
-        (800, 150, READERS, READERS),
-    ],
+    [(1, 1, 1, 1), (3, 6, 3, 3), (12, 6, READERS, READERS), (800, 150, READERS, READERS)],
 )
 def test_store_calls_grow_with_the_fleet(
     vms: int, domains: int, readers: int, distinct: int
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -19,11 +19,7 @@
             (b"x-chervilmill-deadline-milliseconds", b"2500"),
         ]
     )
-    assert (
-        request_headers.request_id,
-        request_headers.affinity,
-        request_headers.time_left_s,
-    ) == (
+    assert (request_headers.request_id, request_headers.affinity, request_headers.time_left_s) == (
         "one",
         "17",
         2.5,
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -35,10 +35,7 @@
         {"service": "app", "weight": 90},
         {"service": "other", "weight": 10},
     ]
-    routes = (
-        RouteRow("a", "/a/", "upload", split=split, homes=["north"]),
-        RouteRow("b", "/b/"),
-    )
+    routes = (RouteRow("a", "/a/", "upload", split=split, homes=["north"]), RouteRow("b", "/b/"))
     read = read_configuration(StoredObject("main", 3, configuration(12, routes)))
     assert read.version == 12
     first, second = read.routes
@@ -145,9 +142,7 @@
 
 
 @pytest.mark.parametrize("version", ["r" + "9" * 5000, "r-1", "r1.5", "r"])
-def test_configuration_with_a_version_beyond_all_bounds_is_refused(
-    version: str,
-) -> None:
+def test_configuration_with_a_version_beyond_all_bounds_is_refused(version: str) -> None:
     with pytest.raises(InvalidObjectError):
         read_configuration(StoredObject("main", 3, configuration(1) | {"version": version}))
 
@@ -158,9 +153,7 @@
 
 
 @pytest.mark.parametrize("value", [*UNUSABLE_VALUES, *CONTROL_TEXTS], ids=lambda v: ascii(v)[:24])
-def test_registration_with_another_host_than_an_ip_address_is_refused(
-    value: object,
-) -> None:
+def test_registration_with_another_host_than_an_ip_address_is_refused(value: object) -> None:
     """A datagram to such a host would close the socket of the gossip protocol."""
     with pytest.raises(InvalidObjectError):
         read_registration(StoredObject("vm", 1, {"host": value, "failure_domain": "north-a"}))
--- a/tests/requests/test_admission.py
+++ b/tests/requests/test_admission.py
@@ -2,13 +2,7 @@
 
 import pytest
 
-from chervilmill.requests import (
-    AdmissionQueue,
-    Priority,
-    QueuedRequest,
-    RequestKind,
-    priority_of,
-)
+from chervilmill.requests import AdmissionQueue, Priority, QueuedRequest, RequestKind, priority_of
 
 
 def drain(queue: AdmissionQueue, now_s: float) -> list[QueuedRequest]:
@@ -38,12 +32,7 @@
         queue.slot_freed(0.0)
     waiting = [
         QueuedRequest(priority, 0.0, 10.0)
-        for priority in (
-            Priority.BULK,
-            Priority.NORMAL,
-            Priority.ORDER,
-            Priority.NEAR_DEADLINE,
-        )
+        for priority in (Priority.BULK, Priority.NORMAL, Priority.ORDER, Priority.NEAR_DEADLINE)
     ]
     for waiting_request in waiting:
         assert queue.join(waiting_request, 0.0) is None
--- a/tests/requests/test_order_records.py
+++ b/tests/requests/test_order_records.py
@@ -4,14 +4,7 @@
 
 import pytest
 
-from chervilmill.requests import (
-    Claim,
-    ClaimResult,
-    OrderKey,
-    Outcome,
-    RecordOutcome,
-    order_key,
-)
+from chervilmill.requests import Claim, ClaimResult, OrderKey, Outcome, RecordOutcome, order_key
 from chervilmill.requests._order_model import (
     EMPTY_SHARD,
     MAX_OUTCOME_BYTES,
@@ -48,12 +41,7 @@
         (dated_key(NOW_MS), OLD_MS, ClaimResult.KEY_EXPIRED),
         (dated_key(NOW_MS), -HOUR_MS, ClaimResult.KEY_EXPIRED),
     ],
-    ids=[
-        "key without time",
-        "much later",
-        "dated key",
-        "dated key and a clock that is behind",
-    ],
+    ids=["key without time", "much later", "dated key", "dated key and a clock that is behind"],
 )
 def test_key_of_a_dropped_record_is_never_new(
     key: str, later_ms: int, expected: ClaimResult
@@ -89,10 +77,7 @@
     count = MAX_SHARD_BYTES // MAX_OUTCOME_BYTES + 20
     for number in range(count):
         order_claim = claim(f"k{number}", number)
-        changes = [
-            order_claim,
-            RecordOutcome(order_claim.key, order_claim.nonce, answer),
-        ]
+        changes = [order_claim, RecordOutcome(order_claim.key, order_claim.nonce, answer)]
         shard, replies = apply_changes(shard, changes, NOW_MS + number)
         assert replies[order_claim.nonce].result is ClaimResult.GRANTED
     assert shard.size <= MAX_SHARD_BYTES
--- a/tests/requests/test_orders_at_most_once.py
+++ b/tests/requests/test_orders_at_most_once.py
@@ -307,11 +307,7 @@
         _world_with(_commit_ignoring_conflicts),
         _LostTakenAsNotRunWorld,
     ],
-    ids=[
-        "unsure write taken as applied",
-        "condition ignored",
-        "lost answer taken as not run",
-    ],
+    ids=["unsure write taken as applied", "condition ignored", "lost answer taken as not run"],
 )
 def test_a_planted_fault_is_found(world: type[World]) -> None:
     assert _all_violations(world, range(1_000))
@@ -339,7 +335,4 @@
                     call = steps.send(store.apply(call))
         except StopIteration as stop:
             queue.end_commit(stop.value)
-    assert [reply.result for reply in replies] == [
-        ClaimResult.GRANTED,
-        ClaimResult.GRANTED,
-    ]
+    assert [reply.result for reply in replies] == [ClaimResult.GRANTED, ClaimResult.GRANTED]
--- a/tests/requests/test_quarantine.py
+++ b/tests/requests/test_quarantine.py
@@ -246,9 +246,7 @@
     assert isinstance(vm.verdict(CRASHING, 7.0), Quarantined)
 
 
-def test_quarantined_request_outlasts_a_flood_of_losses(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_quarantined_request_outlasts_a_flood_of_losses(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(_quarantine, "MAX_RECORDS", 20)
     [vm] = entry_vms(1)
     for target in ("t0", "t1", "t2"):
@@ -413,11 +411,7 @@
         crashing = [_sender(step, "/bad")] if step < 2 else []
         _crash(quarantine, f"t{step}", at_s, _sender(step, "/popular"), *crashing)
         quarantine.record_end(
-            _sender(9, "/popular"),
-            "t9",
-            is_answered=True,
-            sent_s=at_s + 1,
-            now_s=at_s + 2,
+            _sender(9, "/popular"), "t9", is_answered=True, sent_s=at_s + 1, now_s=at_s + 2
         )
         quarantine.judgement(_sender(step, "/popular"), at_s + 2)
     assert isinstance(quarantine.verdict(_sender(7, "/bad"), 13.0, lambda _: True), Quarantined)
--- a/tests/requests/test_retry.py
+++ b/tests/requests/test_retry.py
@@ -4,13 +4,7 @@
 
 import pytest
 
-from chervilmill.requests import (
-    FailedAttempt,
-    Failure,
-    RequestKind,
-    RetryBudget,
-    decide_retry,
-)
+from chervilmill.requests import FailedAttempt, Failure, RequestKind, RetryBudget, decide_retry
 
 GET, ORDER, PUT = RequestKind.IDEMPOTENT, RequestKind.ORDER, RequestKind.UPLOAD
 
@@ -48,9 +42,7 @@
 
 
 @pytest.mark.parametrize("marked_share", [0.0, 0.05, 0.5])
-def test_steady_failure_sends_at_most_a_tenth_more_at_all_levels(
-    marked_share: float,
-) -> None:
+def test_steady_failure_sends_at_most_a_tenth_more_at_all_levels(marked_share: float) -> None:
     budget, rng = RetryBudget(), random.Random(1)
     marked = 0
     for _ in range(20_000):
--- a/tests/soak/test_command.py
+++ b/tests/soak/test_command.py
@@ -17,15 +17,7 @@
 
 def test_soak_that_is_ended_leaves_no_process_behind(tmp_path: Path) -> None:
     """Entry VMs left running would answer the requests of the next soak at the same addresses."""
-    command = [
-        sys.executable,
-        "-m",
-        "soak",
-        "--network",
-        str(NETWORK),
-        "--keep",
-        str(tmp_path),
-    ]
+    command = [sys.executable, "-m", "soak", "--network", str(NETWORK), "--keep", str(tmp_path)]
     running = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
     try:
         assert _port_becomes(True, START_TIMEOUT_S)
--- a/tests/standins/test_process.py
+++ b/tests/standins/test_process.py
@@ -27,13 +27,7 @@
 def test_signals_in_a_burst_block_a_stand_in(arguments: list[str]) -> None:
     address = free_address()
     module, *options = arguments
-    command = [
-        sys.executable,
-        "-m",
-        f"chervilmill.standins.{module}",
-        "--address",
-        str(address),
-    ]
+    command = [sys.executable, "-m", f"chervilmill.standins.{module}", "--address", str(address)]
     process = subprocess.Popen([*command, *options])
     try:
         assert retry_until(lambda: _is_up(address), TIMEOUT_S)
--- a/tests/steering/support.py
+++ b/tests/steering/support.py
@@ -71,12 +71,7 @@
 
     def routes(self):
         return SteeringRoutes(
-            self.store,
-            self.settings,
-            self.model,
-            self.table,
-            self.metrics,
-            lambda: self.wall_s,
+            self.store, self.settings, self.model, self.table, self.metrics, lambda: self.wall_s
         ).routes()
 
     def receive_configuration(self) -> None:
--- a/tests/steering/test_blocks.py
+++ b/tests/steering/test_blocks.py
@@ -26,10 +26,7 @@
     table = block_table(3, SMALL)
     rng = random.Random(3)
     edges = [int(start) + offset for start in table.starts[1:50] for offset in (-1, 0, 1)]
-    for number in [
-        *edges,
-        *(rng.randrange(int(table.starts[0]), 2**32) for _ in range(200)),
-    ]:
+    for number in [*edges, *(rng.randrange(int(table.starts[0]), 2**32) for _ in range(200))]:
         index = int(np.flatnonzero(table.starts <= number)[-1])
         block = table.find(str(ipaddress.IPv4Address(number)))
         assert block is not None
--- a/tests/steering/test_capacity.py
+++ b/tests/steering/test_capacity.py
@@ -28,11 +28,7 @@
 
 
 def problem(
-    fleet: Fleet,
-    base: ShareMap,
-    closed: tuple[int, ...] = (),
-    headroom_share: float = 1.0,
-    pins=(),
+    fleet: Fleet, base: ShareMap, closed: tuple[int, ...] = (), headroom_share: float = 1.0, pins=()
 ) -> CapacityProblem:
     topology = fleet.topology
     retainable_load = loads_by_region_and_place(topology, base, fleet.demand)
@@ -51,19 +47,11 @@
 
 
 def solve_and_build(
-    fleet: Fleet,
-    base: ShareMap,
-    closed: tuple[int, ...] = (),
-    headroom_share: float = 1.0,
+    fleet: Fleet, base: ShareMap, closed: tuple[int, ...] = (), headroom_share: float = 1.0
 ) -> tuple[CapacitySolution, ShareMap]:
     solution = solve_capacity(problem(fleet, base, closed, headroom_share))
     goal = build_share_map(
-        fleet.topology,
-        base,
-        fleet.demand,
-        solution.loads,
-        solution.max_level,
-        frozenset(closed),
+        fleet.topology, base, fleet.demand, solution.loads, solution.max_level, frozenset(closed)
     )
     return solution, goal
 
--- a/tests/steering/test_confirm.py
+++ b/tests/steering/test_confirm.py
@@ -8,17 +8,8 @@
 
 import pytest
 
-from chervilmill.coordination import (
-    CONFIGURATION_KIND,
-    StoreUnavailableError,
-    WriteUnsureError,
-)
-from chervilmill.steering import (
-    Confirmer,
-    ConfirmRefusal,
-    ConfirmRefusedError,
-    ConfirmRequest,
-)
+from chervilmill.coordination import CONFIGURATION_KIND, StoreUnavailableError, WriteUnsureError
+from chervilmill.steering import Confirmer, ConfirmRefusal, ConfirmRefusedError, ConfirmRequest
 from chervilmill.steering._confirmed import confirmed_plans
 from tests.steering.support import Node, steering_node
 
@@ -116,18 +107,8 @@
 
 CASES = [
     ("once", ["plan one", "confirm one"], ["confirmed"], ["souhrny"]),
-    (
-        "twice",
-        ["plan one", "confirm one", "confirm one"],
-        ["confirmed"] * 2,
-        ["souhrny"],
-    ),
-    (
-        "reply lost",
-        ["plan one", "lose one reply", "confirm one"],
-        ["confirmed"],
-        ["souhrny"],
-    ),
+    ("twice", ["plan one", "confirm one", "confirm one"], ["confirmed"] * 2, ["souhrny"]),
+    ("reply lost", ["plan one", "lose one reply", "confirm one"], ["confirmed"], ["souhrny"]),
     (
         "reply lost and repeated",
         ["plan one", "lose one reply", "confirm one", "confirm one"],
@@ -141,24 +122,9 @@
         ["souhrny"],
     ),
     ("lapsed", ["plan one", "time passes", "confirm one"], ["plan_lapsed"], []),
-    (
-        "intent replaced",
-        ["plan one", "intent replaced", "confirm one"],
-        ["plan_stale"],
-        [],
-    ),
-    (
-        "capacity changed",
-        ["plan one", "target lost", "confirm one"],
-        ["plan_stale"],
-        [],
-    ),
-    (
-        "store down",
-        ["plan one", "store down", "confirm one", "store up"],
-        ["unavailable"],
-        [],
-    ),
+    ("intent replaced", ["plan one", "intent replaced", "confirm one"], ["plan_stale"], []),
+    ("capacity changed", ["plan one", "target lost", "confirm one"], ["plan_stale"], []),
+    ("store down", ["plan one", "store down", "confirm one", "store up"], ["unavailable"], []),
     (
         "one after the other",
         ["plan one", "plan other", "confirm other", "confirm one"],
--- a/tests/steering/test_executor.py
+++ b/tests/steering/test_executor.py
@@ -8,14 +8,7 @@
 from bench._steering_fleet import FleetSize, block_table
 from chervilmill.steering import ShareMap
 from chervilmill.steering._confirmed import ConfirmedPlan
-from chervilmill.steering._executor import (
-    Evidence,
-    Executor,
-    ShiftLoads,
-    Wait,
-    WaitReason,
-    Write,
-)
+from chervilmill.steering._executor import Evidence, Executor, ShiftLoads, Wait, WaitReason, Write
 from chervilmill.steering._hashing import HASH_SPAN
 from chervilmill.steering._initial_state import initial_state
 from chervilmill.steering._state import Phase, ShiftState, decode_state
@@ -31,22 +24,7 @@
 
 def state(fraction: int = 0, phase: Phase = Phase.MOVING, settled: bool = True) -> ShiftState:
     return ShiftState(
-        "p",
-        "i",
-        3,
-        4,
-        ("a", "b"),
-        BASE,
-        GOAL,
-        fraction,
-        STEPS,
-        100,
-        60,
-        phase,
-        "",
-        7,
-        settled,
-        {},
+        "p", "i", 3, 4, ("a", "b"), BASE, GOAL, fraction, STEPS, 100, 60, phase, "", 7, settled, {}
     )
 
 
@@ -60,13 +38,7 @@
 CASES = [
     ("advances", state(HALF), GOOD, 75, Phase.MOVING),
     ("ends", state(STEPS[2].fraction), GOOD, 100, Phase.DONE),
-    (
-        "former step not in force",
-        state(HALF),
-        NOT_IN_FORCE,
-        WaitReason.NOT_IN_FORCE,
-        None,
-    ),
+    ("former step not in force", state(HALF), NOT_IN_FORCE, WaitReason.NOT_IN_FORCE, None),
     ("measurements stopped", state(HALF), STALE_MEASUREMENTS, 50, Phase.PAUSED),
     (
         "still stopped",
@@ -81,34 +53,14 @@
     ("gaining place failed", state(HALF), FAILED, 50, Phase.RETURNING),
     ("goes back", state(HALF, Phase.RETURNING), GOOD, 25, Phase.RETURNING),
     ("is back", state(STEPS[0].fraction, Phase.RETURNING), GOOD, 0, Phase.RETURNED),
-    (
-        "no way back",
-        state(HALF, Phase.RETURNING),
-        ALL_FAILED,
-        WaitReason.PLACE_OVERLOADED,
-        None,
-    ),
-    (
-        "ended and settled",
-        state(HASH_SPAN, Phase.DONE),
-        GOOD,
-        WaitReason.SETTLING,
-        None,
-    ),
-    (
-        "predecessor just moved",
-        state(HALF, settled=False),
-        GOOD,
-        WaitReason.STEP_INTERVAL,
-        None,
-    ),
+    ("no way back", state(HALF, Phase.RETURNING), ALL_FAILED, WaitReason.PLACE_OVERLOADED, None),
+    ("ended and settled", state(HASH_SPAN, Phase.DONE), GOOD, WaitReason.SETTLING, None),
+    ("predecessor just moved", state(HALF, settled=False), GOOD, WaitReason.STEP_INTERVAL, None),
 ]
 
 
 @pytest.mark.parametrize(
-    ("old", "evidence", "expected", "phase"),
-    [c[1:] for c in CASES],
-    ids=[c[0] for c in CASES],
+    ("old", "evidence", "expected", "phase"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
 )
 def test_decision(old: ShiftState, evidence: Evidence, expected: object, phase: object) -> None:
     action = Executor(old).decide(NOW_S, old, SHIFT_LOADS, evidence)
--- a/tests/steering/test_intents.py
+++ b/tests/steering/test_intents.py
@@ -13,38 +13,18 @@
     ("unknown service", {**GOOD, "service": "x"}, ["service"]),
     ("unknown place", {**GOOD, "shares": {"mars": 4}}, ["shares.mars"]),
     ("over a hundred", {**GOOD, "shares": {"brno": 60, "praha": 50}}, ["shares"]),
-    (
-        "under a hundred",
-        {**GOOD, "shares": {"brno": 1, "praha": 1, "ostrava": 1}},
-        ["shares"],
-    ),
-    (
-        "domain over its region",
-        {**GOOD, "shares": {"brno": 10, "brno-a": 20}},
-        ["shares"],
-    ),
+    ("under a hundred", {**GOOD, "shares": {"brno": 1, "praha": 1, "ostrava": 1}}, ["shares"]),
+    ("domain over its region", {**GOOD, "shares": {"brno": 10, "brno-a": 20}}, ["shares"]),
     ("share is no number", {**GOOD, "shares": {"brno": "all"}}, ["shares.brno"]),
     ("share of a leaving place", {**GOOD, "leaving": ["brno"]}, ["shares.brno"]),
-    (
-        "share of a leaving half",
-        {**GOOD, "leaving": ["brno-a", "brno-b"]},
-        ["shares.brno"],
-    ),
+    ("share of a leaving half", {**GOOD, "leaving": ["brno-a", "brno-b"]}, ["shares.brno"]),
     (
         "everything leaves",
         {**GOOD, "shares": {}, "leaving": ["praha", "brno"], "lost": ["ostrava"]},
         ["leaving"],
     ),
-    (
-        "cap of nothing",
-        {**GOOD, "cap": {"percent_of_blocks_per_min": 0}},
-        ["cap.percent"],
-    ),
-    (
-        "unknown member",
-        {**GOOD, "cap": {"speed": 1}, "colour": 2},
-        ["cap.speed", "colour"],
-    ),
+    ("cap of nothing", {**GOOD, "cap": {"percent_of_blocks_per_min": 0}}, ["cap.percent"]),
+    ("unknown member", {**GOOD, "cap": {"speed": 1}, "colour": 2}, ["cap.speed", "colour"]),
     ("priority", {**GOOD, "priority": 101}, ["priority"]),
     ("leaving is no list", {**GOOD, "leaving": "brno"}, ["leaving"]),
 ]
--- a/tests/steering/test_plan_refusals.py
+++ b/tests/steering/test_plan_refusals.py
@@ -17,13 +17,7 @@
 CASES = [
     ("harmless", {"shares": {"brno": 40}}, {}, 36, []),
     ("one domain for most", {"shares": {"brno-a": 80}}, {}, 36, ["share_not_possible"]),
-    (
-        "no link",
-        {"shares": {"brno": 40}},
-        {"links": NO_LINKS},
-        36,
-        ["share_not_possible"],
-    ),
+    ("no link", {"shares": {"brno": 40}}, {"links": NO_LINKS}, 36, ["share_not_possible"]),
     (
         "cap on links",
         {"shares": {"brno": 45}, "cap": {"mbit_per_s": 1}},
@@ -31,13 +25,7 @@
         36,
         ["share_not_possible"],
     ),
-    (
-        "region leaves without room",
-        {"leaving": ["brno"]},
-        {},
-        18,
-        ["not_enough_capacity"],
-    ),
+    ("region leaves without room", {"leaving": ["brno"]}, {}, 18, ["not_enough_capacity"]),
     (
         "loss of a domain would refuse",
         {"shares": {"brno": 60}},
@@ -65,9 +53,7 @@
 
 
 @pytest.mark.parametrize(
-    ("intent", "changes", "targets", "causes"),
-    [c[1:] for c in CASES],
-    ids=[c[0] for c in CASES],
+    ("intent", "changes", "targets", "causes"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
 )
 def test_causes(intent: dict, changes: dict, targets: int, causes: list[str]) -> None:
     node = steering_node(**changes)
--- a/tests/steering/test_shares.py
+++ b/tests/steering/test_shares.py
@@ -54,9 +54,7 @@
 
 
 @pytest.mark.parametrize("pairs", [[], [[HASH_SPAN - 1, 0]], [[9, 0], [9, 1], [HASH_SPAN, 0]]])
-def test_map_that_leaves_blocks_without_a_place_is_refused(
-    pairs: list[list[int]],
-) -> None:
+def test_map_that_leaves_blocks_without_a_place_is_refused(pairs: list[list[int]]) -> None:
     with pytest.raises(ValueError, match="cover"):
         ShareMap.from_lists([pairs])
 
--- a/tests/steering/test_shift_race.py
+++ b/tests/steering/test_shift_race.py
@@ -76,16 +76,7 @@
 def plan_for(number: int, share: float) -> ConfirmedPlan:
     goal = goal_map(share)
     return ConfirmedPlan(
-        f"plan-{number}",
-        SERVICE.name,
-        "i",
-        1,
-        1,
-        False,
-        PERCENT_PER_MIN,
-        ("a", "b"),
-        goal,
-        {},
+        f"plan-{number}", SERVICE.name, "i", 1, 1, False, PERCENT_PER_MIN, ("a", "b"), goal, {}
     )
 
 
--- a/tests/steering/test_table.py
+++ b/tests/steering/test_table.py
@@ -60,12 +60,7 @@
 
 @pytest.mark.parametrize(
     ("client", "home"),
-    [
-        ("10.1.9.9", "praha"),
-        ("10.2.9.9", "brno"),
-        ("192.0.2.9", "praha"),
-        ("::1", "praha"),
-    ],
+    [("10.1.9.9", "praha"), ("10.2.9.9", "brno"), ("192.0.2.9", "praha"), ("::1", "praha")],
 )
 def test_blocks_are_served_at_home_before_any_plan(client: str, home: str) -> None:
     node = steering_node()
--- a/tests/steering/test_whole_shift.py
+++ b/tests/steering/test_whole_shift.py
@@ -74,11 +74,7 @@
     moved = console.json("explain", "souhrny", "10.3.7.7")
     assert moved["home"].startswith("ostrava")
     assert not moved["place"].startswith("ostrava")
-    assert (moved["intent"], moved["plan"], moved["block"]) == (
-        "leave",
-        plan,
-        "10.3.7.0",
-    )
+    assert (moved["intent"], moved["plan"], moved["block"]) == ("leave", plan, "10.3.7.0")
     assert console.run("explain", "nothing", "10.3.7.7")[0] == 1
     assert console.run("explain", "souhrny", "10.3.7")[0] == 1
 
@@ -165,11 +161,7 @@
 
 def test_every_fault_of_an_intent_is_reported_at_once(console: Console) -> None:
     code, text = console.state(
-        name="x",
-        service="none",
-        shares={"brno": 70, "mars": 50},
-        leaving=["brno"],
-        colour=1,
+        name="x", service="none", shares={"brno": 70, "mars": 50}, leaving=["brno"], colour=1
     )
     assert code == 1
     for fault in ("colour", "service", "shares.mars", "shares.brno"):
--- a/tests/support.py
+++ b/tests/support.py
@@ -97,13 +97,7 @@
     env = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
     with open(settings_file.with_suffix(".log"), "ab") as log:
         return subprocess.Popen(
-            [
-                sys.executable,
-                "-m",
-                "chervilmill.daemon",
-                "--settings",
-                str(settings_file),
-            ],
+            [sys.executable, "-m", "chervilmill.daemon", "--settings", str(settings_file)],
             env=env,
             stderr=log,
         )
--- a/tests/targets/test_contract.py
+++ b/tests/targets/test_contract.py
@@ -66,10 +66,7 @@
     ],
 )
 def test_faulty_answer_is_an_error_and_the_next_one_is_right(
-    harness: TargetHarness,
-    fault: AnswerFault,
-    timeout_s: float,
-    error: type[TargetError],
+    harness: TargetHarness, fault: AnswerFault, timeout_s: float, error: type[TargetError]
 ) -> None:
     harness.get("r-1")
     harness.state.faults.append(fault)
@@ -94,9 +91,7 @@
     assert harness.get("r-7") == expected("r-7")
 
 
-def test_shed_answer_states_that_the_request_was_not_run(
-    harness: TargetHarness,
-) -> None:
+def test_shed_answer_states_that_the_request_was_not_run(harness: TargetHarness) -> None:
     harness.state.behave({"shed_next": 1})
     req = TargetRequest("r-1", "GET", "/digest", (), None, 0)
     answer = harness.targets.send(harness.vm, req, TIMEOUT_S)
--- a/tests/whole_path.py
+++ b/tests/whole_path.py
@@ -9,14 +9,7 @@
 from chervilmill.standins.platform_server import platform_server
 from chervilmill.standins.store import MemoryStore, retry_until
 from chervilmill.standins.target_server import TargetState, target_server
-from tests.support import (
-    TOKEN,
-    entry_vm,
-    free_address,
-    raw_settings,
-    start_daemon,
-    target_vm,
-)
+from tests.support import TOKEN, entry_vm, free_address, raw_settings, start_daemon, target_vm
 
 START_TIMEOUT_S = 10
 
