--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -53,19 +53,7 @@
     "limits": (LimitReport(T1, 2.5, 7 * AGE_UNIT_S), LimitReport(T2, None, 0.0)),
 }
 ADDED = {"added": [1, "by a later version"]}
-ODD_VALUES = [
-    None,
-    "x",
-    b"x",
-    -1,
-    2**70,
-    float("inf"),
-    float("nan"),
-    [],
-    {},
-    [[[]]],
-    ADDED,
-]
+ODD_VALUES = [None, "x", b"x", -1, 2**70, float("inf"), float("nan"), [], {}, [[[]]], ADDED]
 
 
 def _expected(version: str, kind: str) -> object:
@@ -75,12 +63,7 @@
         HeartbeatEntry(7, 2, 41, True),
         HeartbeatEntry(9, 1, 300, False, is_suspected=True, age_s=1.5),
         HeartbeatEntry(
-            11,
-            3,
-            5,
-            True,
-            is_cut_off=version == FIRST_VERSION_THAT_ANNOUNCES_CUTS,
-            age_s=0.2,
+            11, 3, 5, True, is_cut_off=version == FIRST_VERSION_THAT_ANNOUNCES_CUTS, age_s=0.2
         ),
     )
     revisions = {"servers": StoreVersion(0, 12), "config": StoreVersion(0, 3)}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -34,10 +34,7 @@
 
 
 def _item(name: str, revision: int = 1) -> dict[str, object]:
-    return {
-        "metadata": {"name": name, "revision": revision},
-        "specification": {"n": name},
-    }
+    return {"metadata": {"name": name, "revision": revision}, "specification": {"n": name}}
 
 
 def _answer(value: object, status: int = 200, era: str | None = None) -> HttpAnswer:
@@ -60,12 +57,7 @@
 
 
 def test_watch_returns_events_and_skips_malformed_ones() -> None:
-    events = [
-        {"object": _item("a", 8), "deleted": True},
-        "?",
-        {"object": 3},
-        {"deleted": False},
-    ]
+    events = [{"object": _item("a", 8), "deleted": True}, "?", {"object": 3}, {"deleted": False}]
     script = _ScriptedExchange(_answer({"events": events, "as-of": 8}))
     store = PlatformStore(script, "store")
     result = asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
@@ -152,9 +144,7 @@
 
 
 @pytest.mark.parametrize("era", [None, "2", "-1", "x", "", "4.0", "9" * 400])
-def test_answer_of_an_earlier_or_unreadable_era_changes_nothing(
-    era: str | None,
-) -> None:
+def test_answer_of_an_earlier_or_unreadable_era_changes_nothing(era: str | None) -> None:
     store = PlatformStore(_ScriptedExchange(_answer(EVENT, era=era)), "store")
     with pytest.raises(StoreError) as caught:
         asyncio.run(store.watch("servers", StoreVersion(3, 7), 5.0, 1.0, allow_stale=True))
