--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -176,3 +176,17 @@
     await conn.read_head()
     while await conn.read_part() is not None:
         pass
+
+
+# A library that takes the end of the stream for the end of a head would return such an answer.
+@pytest.mark.parametrize(
+    "answer", [OK, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n02\r\nok\r\n00\r\n\r\n"]
+)
+def test_answer_cut_at_any_place_is_taken_for_a_whole_one(answer: bytes) -> None:
+    async def scenario() -> None:
+        for length in range(len(answer)):
+            async with answering(answer[:length]) as address:
+                with pytest.raises(ExchangeError):
+                    await HttpClient(address)("GET", "/", b"", 2.0)
+
+    run_async(scenario)
