--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,6 +50,9 @@
         metavar="COMMIT",
         help="start with this version, upgrade the entry VMs one by one, and go back",
     )
+    parser.add_argument(
+        "--replica-age", type=float, default=0.0, help="age of reads that may be stale, in seconds"
+    )
     parser.add_argument("--keep", type=Path, help="keep settings and logs in this folder")
     args = parser.parse_args()
     seeds = range(args.seed, args.seed + args.seeds)
@@ -78,6 +81,7 @@
         names_limits=args.limits,
         crash_hosts=args.crash_hosts,
         previous=previous,
+        replica_age_s=args.replica_age,
     )
     with tempfile.TemporaryDirectory() as temporary:
         folder = (args.keep or Path(temporary)) / f"seed-{seed}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -42,7 +42,8 @@
     and comes several times a second. With `names_limits`, targets name limits, one after the other.
     The crashing requests come from `crash_hosts` addresses, or from that of all callers if it is 0.
     With `previous`, the root of an earlier build, all VMs run that build at first. One after the
-    other, they are replaced by this version, and then by the earlier one again.
+    other, they are replaced by this version, and then by the earlier one again. Reads of the store
+    that may be stale are `replica_age_s` old.
     """
 
     seed: int
@@ -56,6 +57,7 @@
     names_limits: bool = False
     crash_hosts: int = 0
     previous: Path | None = None
+    replica_age_s: float = 0.0
 
 
 class Soak:
@@ -72,6 +74,7 @@
         self._crash_modes = self._crash_rng.choice([list(CrashMode), [CrashMode.SILENT]])
         self._folder = folder
         self._store = StandInStore()
+        self._store.faults.replica_age_s = options.replica_age_s
         self._vms: list[VmProcess] = []
         self._store_links: list[Proxy] = []
         self._targets: dict[str, tuple[StandInTarget, Proxy, str, Address]] = {}
--- a/soak/store.py
+++ b/soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -13,16 +14,21 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 LIMITS = ServerLimits(header_bytes=16_384, header_timeout_s=5.0, idle_s=60.0)
 PREFIX = "/v1/objects/"
+REPLICA_POLL_S = 0.05
 
 
 @dataclass(slots=True)
 class StoreFaults:
-    """Faults of the store; requests from `refused_hosts` are answered with 503."""
+    """Faults of the store; requests from `refused_hosts` are answered with 503.
+
+    Watches that may be stale are answered from data that is `replica_age_s` old.
+    """
 
     is_down: bool = False
     delay_s: float = 0.0
     loses_answers: bool = False
     refused_hosts: set[str] = field(default_factory=set)
+    replica_age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +45,7 @@
     kind: str
     value: dict[str, Any]
     is_deleted: bool
+    at_s: float
 
 
 class StandInStore:
@@ -112,7 +119,7 @@
         self._notify_watchers()
 
     def _record_change(self, kind: str, value: dict[str, Any], *, is_deleted: bool) -> None:
-        self._history.append(_Change(self.revision, kind, value, is_deleted))
+        self._history.append(_Change(self.revision, kind, value, is_deleted, time.monotonic()))
         self._notify_watchers()
 
     def _notify_watchers(self) -> None:
@@ -139,7 +146,8 @@
         kind, _, name = unquote(parts.path.removeprefix(PREFIX)).partition("/")
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         if method == "GET" and "watch" in query:
-            return await self._watch(kind, int(query["watch"]), int(query["wait-ms"]) / 1000)
+            since, wait_s = int(query["watch"]), int(query["wait-ms"]) / 1000
+            return await self._watch(kind, since, wait_s, may_be_stale="serializable" in query)
         if method == "GET":
             return 200, self._list(kind, query.get("after", ""))
         if method == "DELETE":
@@ -157,23 +165,30 @@
         page = [self._objects[(kind, name)] for name in names[: self._page_size]]
         return {"items": page, "more": len(names) > self._page_size, "as-of": self.revision}
 
-    async def _watch(self, kind: str, since: int, wait_s: float) -> tuple[int, object]:
+    async def _watch(
+        self, kind: str, since: int, wait_s: float, *, may_be_stale: bool
+    ) -> tuple[int, object]:
         loop = asyncio.get_running_loop()
         until_s = loop.time() + wait_s
         era = self.era
         while self._oldest_watchable <= since <= self.revision and era == self.era:
+            age_s = self.faults.replica_age_s if may_be_stale else 0.0
+            old_s = time.monotonic() - age_s
+            known = [change for change in self._history if change.at_s <= old_s]
             changes = [
-                change
-                for change in self._history
-                if change.kind == kind and change.revision > since
+                change for change in known if change.kind == kind and change.revision > since
             ]
             if changes or loop.time() >= until_s:
                 events = [
                     {"object": change.value, "deleted": change.is_deleted} for change in changes
                 ]
-                return 200, {"events": events, "as-of": self.revision}
+                replicated = max([since, *(change.revision for change in known)])
+                as_of = replicated if age_s else self.revision
+                return 200, {"events": events, "as-of": as_of}
             try:
-                async with asyncio.timeout_at(until_s):
+                # Changes of the replica wake nobody.
+                wake_s = min(until_s, loop.time() + REPLICA_POLL_S) if age_s else until_s
+                async with asyncio.timeout_at(wake_s):
                     await self._changed.wait()
             except TimeoutError:
                 continue
--- a/src/chervilmill/entry/_catch_up.py
+++ b/src/chervilmill/entry/_catch_up.py
@@ -2,7 +2,8 @@
 
 A call to the store may stay open for its whole time although the store swallowed it or its
 connection is silent, so an open call is no proof that a copy is current. A VM that is behind sends
-its call again, on another connection, and then fetches a copy from the peers that are ahead.
+its call again, on another connection and linearizable, and then fetches a copy from the peers that
+are ahead.
 """
 
 import asyncio
@@ -27,15 +28,15 @@
 class CatchUp:
     """Brings the copy of one kind up to the versions that peers state.
 
-    `restart_call` sends the VM's open call to the store again. `fetch_copy` replaces the copy by
-    that of a peer.
+    `restart_call` sends the VM's open call to the store again, and returns whether it did.
+    `fetch_copy` replaces the copy by that of a peer.
     """
 
     def __init__(
         self,
         replica: KindReplica,
         store_state: StoreState,
-        restart_call: Callable[[str], None],
+        restart_call: Callable[[str], bool],
         fetch_copy: FetchCopy,
     ) -> None:
         self._replica = replica
@@ -59,8 +60,7 @@
         """Reach a version; where objects keep changing, later ones are always on their way."""
         try:
             await asyncio.sleep(CATCH_UP_DELAY_S)
-            if self._is_behind(wanted) and not self._store_state.is_unreachable:
-                self._restart_old_call()
+            if self._is_behind(wanted) and self._restart_old_call():
                 await asyncio.sleep(RESTARTED_CALL_S)
             if self._is_behind(wanted):
                 await self._fetch_from_peers(wanted)
@@ -71,12 +71,15 @@
     def _is_behind(self, wanted: StoreVersion) -> bool:
         return self._replica.known_version < wanted
 
-    def _restart_old_call(self) -> None:
-        """Restart a call that was open before the peer's version arrived."""
+    def _restart_old_call(self) -> bool:
+        """Return whether an answer may come: of a call just sent, or of one that is restarted."""
+        if self._store_state.is_unreachable:
+            return False
         now_s = asyncio.get_running_loop().time()
         open_s = self._store_state.call_open_s(self._replica.kind, now_s)
-        if open_s is not None and open_s >= CATCH_UP_DELAY_S:
-            self._restart_call(self._replica.kind)
+        if open_s is None or open_s < CATCH_UP_DELAY_S:
+            return True
+        return self._restart_call(self._replica.kind)
 
     async def _fetch_from_peers(self, wanted: StoreVersion) -> None:
         """Ask one peer after the other, without giving up on those asked before."""
@@ -111,7 +114,7 @@
         now_s = asyncio.get_running_loop().time()
         kind = self._replica.kind
         call_open_s = self._store_state.call_open_s(kind, now_s)
-        age_s = self._store_state.copy_ages_s(now_s).get(kind)
+        age_s = self._store_state.confirmed_ages_s(now_s).get(kind)
         log_event(
             "copy is behind",
             step="follow",
@@ -120,5 +123,5 @@
             known=astuple(self._replica.known_version),
             wanted=astuple(wanted),
             call_open_s=None if call_open_s is None else round(call_open_s, 3),
-            answer_age_s=None if age_s is None else round(age_s, 3),
+            confirmed_age_s=None if age_s is None else round(age_s, 3),
         )
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -13,6 +13,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import HttpClient, HttpServer, RequestHead, ServerConnection, ServerLimits
+from chervilmill.entry._confirmation import UNCONFIRMED_AFTER_S
 from chervilmill.entry._control_handlers import LookupHandler, ReadinessHandler, ReplicaHandler
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.entry._dispatch import Dispatcher
@@ -59,7 +60,6 @@
 REGISTER_RETRY_S = 2.0
 REGISTERED_WAIT_S = 30.0  # a watch returns the VM's own write within this time
 TICK_S = 0.25
-STALE_AFTER_S = 30.0  # the store answers a watch at least this often, even without changes
 # A stopping VM refuses new requests from this long before the end of the grace period. Requests
 # accepted earlier still have time for the longest usual time-out of a route.
 REFUSE_BEFORE_GRACE_END_S = 3.1
@@ -96,7 +96,12 @@
         self._replicas = {kind: KindReplica(kind) for kind in KINDS}
         self._store = PlatformStore(HttpClient(settings.store), str(settings.store))
         self._sync = ReplicaSync(
-            self._store, self._replicas, self._site_state.apply_change, URGENT_KINDS, rng
+            self._store,
+            self._replicas,
+            self._site_state.apply_change,
+            URGENT_KINDS,
+            EVACUATION_KIND,
+            rng,
         )
         self._gossip = GossipEndpoint(
             self._membership,
@@ -109,7 +114,9 @@
             ],
             self._handle_digest,
         )
+        self._gossip.confirmed_age_s = self._sync.confirmed_age_s
         self._sync.on_urgent_change = self._gossip.announce_revisions
+        self._sync.confirmer.on_confirmed = self._gossip.announce_to_readers
         self._crashes.on_urgent_report = self._gossip.request_urgent_round
         self._metrics = Metrics()
         self._reach = ReachTracker(self._site_state, self._pool, rng)
@@ -179,6 +186,7 @@
         await self._gossip.open(self._settings.host)
         for kind in KINDS:
             self._spawn(self._sync.run(kind))
+        self._spawn(self._sync.confirmer.run())
         self._spawn(self._gossip.run())
         self._spawn(self._become_ready())
         self._spawn(self._tick())
@@ -243,7 +251,7 @@
             await asyncio.sleep(TICK_S)
             self._site_state.drop_expired()
             self._update_vms_by_region()
-            self._sync.set_reader(self._membership.is_reader)
+            self._sync.confirmer.reader_rank = self._membership.reader_rank
 
     def _update_vms_by_region(self) -> None:
         """Update the live entry VMs of each region, which share the rates of targets.
@@ -304,7 +312,7 @@
         if peer is not None:
             self._earlier_peers.note_digest(peer.name, digest)
             host = Address(peer.host, self._settings.peer_address.port)
-            self._sync.handle_peer_versions(host, digest.revisions)
+            self._sync.handle_peer_versions(host, digest.revisions, digest.confirmed_age_s)
 
     async def _stop(self) -> None:
         """Stop gracefully: leave look-ups, then refuse new requests, then finish the others."""
@@ -349,9 +357,9 @@
         return 1 + len(self._membership.serving_peers(self._clock()))
 
     def _is_view_fresh(self) -> bool:
-        now_s = self._clock()
-        has_answered = self._sync.has_store_answered_since(now_s - STALE_AFTER_S)
-        return has_answered and not self._sync.is_store_unreachable and not self._relay.is_behind()
+        age_s = self._sync.confirmed_age_s()
+        is_confirmed = age_s is not None and age_s <= UNCONFIRMED_AFTER_S
+        return is_confirmed and not self._sync.is_store_unreachable and not self._relay.is_behind()
 
     def _caller_limits(self) -> ServerLimits:
         cfg = self._site_state.view.configuration
--- a/src/chervilmill/entry/_store_state.py
+++ b/src/chervilmill/entry/_store_state.py
@@ -1,4 +1,4 @@
-"""Record whether the store answers this entry VM, and since when."""
+"""Record whether the store answers this entry VM, and up to when its copies are confirmed."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -15,20 +15,28 @@
 class StoreState:
     """Whether the store answers this VM; times are readings of one clock in seconds.
 
-    `recovered_s` is when the last outage ended, `last_answer_s` when the store last answered.
-    `answered_s` is the time of the last answer about each kind, and `called_s` the time since which
-    a call about the kind has been open.
+    `failed_s` is when a call last failed, and `recovered_s` when the last outage ended. Only a
+    linearizable answer ends an outage. `has_stale_answer` says that a stale one, which may come
+    from a replica without the store, has come since a call failed.
+
+    `confirmed_s` is, for each kind, the time up to which the copy is known to reflect the store.
+    `called_s` is the time since which a call about the kind has been open.
     """
 
     is_unreachable: bool = False
+    has_stale_answer: bool = False
+    failed_s: float = float("-inf")
     recovered_s: float = float("-inf")
-    last_answer_s: float = float("-inf")
-    answered_s: dict[str, float] = field(default_factory=dict)
+    confirmed_s: dict[str, float] = field(default_factory=dict)
     called_s: dict[str, float] = field(default_factory=dict)
 
-    def copy_ages_s(self, now_s: float) -> dict[str, float]:
-        """Return the time since the store last answered about each kind."""
-        return {kind: now_s - at_s for kind, at_s in self.answered_s.items()}
+    def confirm(self, kind: str, at_s: float) -> None:
+        """Record that the copy of a kind reflects the store as it was at a time."""
+        self.confirmed_s[kind] = max(at_s, self.confirmed_s.get(kind, at_s))
+
+    def confirmed_ages_s(self, now_s: float) -> dict[str, float]:
+        """Return for each kind for how long the copy has not been confirmed."""
+        return {kind: now_s - at_s for kind, at_s in self.confirmed_s.items()}
 
     def call_open_s(self, kind: str, now_s: float) -> float | None:
         """Return for how long a call about a kind has been open, or None if none is."""
@@ -44,20 +52,25 @@
         finally:
             del self.called_s[kind]
 
-    def record_answer(self, kind: str, now_s: float) -> None:
-        """Record an answer about a kind."""
-        self.last_answer_s = self.answered_s[kind] = now_s
+    def record_answer(self, now_s: float) -> None:
+        """Record a linearizable answer, which only the store itself gives."""
         if self.is_unreachable:
             self.is_unreachable = False
             self.recovered_s = now_s
-            log_event("store is back", step="watch", peer="store")
+            log_event("store is back", step="follow", peer="store")
+
+    def record_stale_answer(self) -> None:
+        """Record an answer that a replica may have given."""
+        self.has_stale_answer = True
 
     def record_restored(self, now_s: float) -> None:
         """Record that the store came back from an older copy, which is the end of an outage."""
         self.recovered_s = now_s
 
-    def record_failure(self, kind: str, exc: StoreError) -> None:
+    def record_failure(self, kind: str, exc: StoreError, now_s: float) -> None:
         """Record that a call about a kind failed."""
+        self.failed_s = now_s
+        self.has_stale_answer = False
         if not self.is_unreachable:
             self.is_unreachable = True
             log_problem("store is lost", step=exc.step, peer=exc.peer, kind=kind, error=exc.message)
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -94,7 +94,7 @@
         )
         self.copy_age = Gauge(
             "chervilmill_copy_age_seconds",
-            "Time since the store last answered this entry VM about a kind of object",
+            "Time since a linearizable read last confirmed the copy of a kind of object",
             ["kind"],
             registry=self.registry,
         )
--- a/src/chervilmill/peers/__init__.py
+++ b/src/chervilmill/peers/__init__.py
@@ -12,7 +12,15 @@
 from chervilmill.peers._endpoint import GossipEndpoint, ReportChannel, ReportExchange
 from chervilmill.peers._leaving_reports import decode_leaving, encode_leaving
 from chervilmill.peers._limit_reports import decode_limits, encode_limits
-from chervilmill.peers._membership import DEAD_AFTER_S, Membership, MemberState, Peer, peer_key
+from chervilmill.peers._membership import (
+    DEAD_AFTER_S,
+    ROUND_S,
+    SUSPECT_AFTER_S,
+    Membership,
+    MemberState,
+    Peer,
+    peer_key,
+)
 from chervilmill.peers._replica import KindReplica, ReplicaChange
 
 __all__ = [
@@ -25,9 +33,11 @@
     "MemberState",
     "Membership",
     "Peer",
+    "ROUND_S",
     "ReplicaChange",
     "ReportChannel",
     "ReportExchange",
+    "SUSPECT_AFTER_S",
     "TableCursor",
     "UpdateQueue",
     "decode_leaving",
--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -1,5 +1,6 @@
 """Encode and decode the digests that entry VMs exchange: one CBOR datagram each."""
 
+import math
 from dataclasses import dataclass
 
 import cbor2
@@ -10,7 +11,7 @@
 _SERVING_FLAG = 1
 _SUSPECTED_FLAG = 2
 _CUT_OFF_FLAG = 4
-PROTOCOL_VERSION = 2  # raised with each change of what VMs send each other
+PROTOCOL_VERSION = 3  # raised with each change of what VMs send each other
 UNSTATED_PROTOCOL_VERSION = 0  # of the versions that do not state theirs
 _AGE_UNIT_S = 0.1  # a fifth of a gossip round
 
@@ -40,7 +41,8 @@
 
     The first heartbeat is the sender's own. `revisions` holds, by kind of object, the version of
     the last change known to the sender. `wants_reply` asks the receiver for a heartbeat
-    of its own. `protocol_version` is the sender's.
+    of its own. `protocol_version` is the sender's. `confirmed_age_s` is the age at which all copies
+    of the sender are known to reflect the store, or None if the sender does not state it.
     """
 
     sender: int
@@ -48,6 +50,7 @@
     revisions: dict[str, StoreVersion]
     wants_reply: bool = False
     protocol_version: int = PROTOCOL_VERSION
+    confirmed_age_s: float | None = None
 
     def encode(self) -> bytes:
         """Return the digest as a datagram."""
@@ -55,7 +58,9 @@
         revisions = {kind: known.revision for kind, known in self.revisions.items()}
         eras = {kind: known.era for kind, known in self.revisions.items() if known.era}
         # Protocol version 0 takes no sixth field, but any value in this one.
-        versions = [self.protocol_version, eras]
+        versions: list[object] = [self.protocol_version, eras]
+        if self.confirmed_age_s is not None:
+            versions.append(math.ceil(self.confirmed_age_s / _AGE_UNIT_S))
         return cbor2.dumps([self.sender, rows, revisions, versions, self.wants_reply])
 
 
@@ -70,7 +75,14 @@
             for kind, revision in revisions.items()
         }
         version = int(versions[0]) if versions else UNSTATED_PROTOCOL_VERSION
-        return Digest(int(sender), heartbeats, known_revisions, bool(wants_reply), version)
+        return Digest(
+            int(sender),
+            heartbeats,
+            known_revisions,
+            bool(wants_reply),
+            version,
+            _decode_age_s(versions[2]) if len(versions) > 2 else None,  # unstated before version 3
+        )
 
 
 def _encode_heartbeat(entry: HeartbeatEntry) -> list[int]:
@@ -81,8 +93,6 @@
 
 def _decode_heartbeat(row: list[int]) -> HeartbeatEntry:
     key, incarnation, counter, flags, age_units = (int(value) for value in row[:5])
-    if age_units < 0:
-        raise ValueError("negative age of a heartbeat")
     return HeartbeatEntry(
         key,
         incarnation,
@@ -90,5 +100,11 @@
         bool(flags & _SERVING_FLAG),
         bool(flags & _SUSPECTED_FLAG),
         bool(flags & _CUT_OFF_FLAG),
-        age_units * _AGE_UNIT_S,
+        _decode_age_s(age_units),
     )
+
+
+def _decode_age_s(units: int) -> float:
+    if int(units) < 0:
+        raise ValueError("negative age")
+    return int(units) * _AGE_UNIT_S
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -70,7 +70,10 @@
 
 
 class GossipEndpoint(asyncio.DatagramProtocol):
-    """The UDP endpoint of one VM: sends digests to a few peers each round and receives theirs."""
+    """The UDP endpoint of one VM: sends digests to a few peers each round and receives theirs.
+
+    `confirmed_age_s` returns the age up to which this VM's copies reflect the store, if known.
+    """
 
     def __init__(
         self,
@@ -85,6 +88,7 @@
         self._revisions = revisions
         self._channels = channels
         self._on_digest = on_digest
+        self.confirmed_age_s: Callable[[], float | None] = lambda: None
         self._transport: asyncio.DatagramTransport | None = None
         self._urgent_round: asyncio.TimerHandle | None = None
         self._is_digest_urgent = False
@@ -193,9 +197,15 @@
         """Send a digest to one address at once, such as a seed that is not registered here yet."""
         self._send(self._make_digest().encode(), address.host)
 
+    def announce_to_readers(self) -> None:
+        """Send a digest to the other readers at once, which then need not read the store."""
+        data = self._make_digest().encode()
+        for peer in self._membership.other_readers():
+            self._send(data, peer.host)
+
     def _make_digest(self) -> Digest:
         now_s = asyncio.get_running_loop().time()
-        return self._membership.digest(self._revisions(), now_s)
+        return self._membership.digest(self._revisions(), now_s, self.confirmed_age_s())
 
     def _send_round(self, *, to_all: bool = False) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/chervilmill/peers/_membership.py
+++ b/src/chervilmill/peers/_membership.py
@@ -25,6 +25,7 @@
 ROUND_S = 0.5  # SUSPECT_AFTER_S spans three rounds
 RANDOM_FANOUT = 1  # random peers that receive a digest each round, besides the watchers
 UPDATE_FANOUT = 3  # the same while updates are queued; reaches a thousand VMs in six rounds
+READER_FANOUT = 12  # the same of a reader, from which changes of the store start
 DEAD_PEER_FANOUT = 1  # dead peers a round, so that the halves of a partition find each other again
 TABLE_SLICE_ENTRIES = 4  # table entries in a digest besides the updates
 SUSPECT_AFTER_S = 1.5  # three lost datagrams in a row
@@ -93,7 +94,7 @@
         self._table_cursor: TableCursor[int] = TableCursor()
         self._ring = WatchRing({})
         self._ring_keys: frozenset[int] = frozenset()
-        self._is_reader = False
+        self._readers: tuple[int, ...] = ()
         self._watched: frozenset[int] = frozenset()
         self._probed: set[int] = set()
         self._last_round_s: float | None = None
@@ -113,9 +114,15 @@
         self.raise_fanout()
 
     @property
-    def is_reader(self) -> bool:
-        """Return whether this VM asks the store at short intervals, for all others."""
-        return self._is_reader
+    def reader_rank(self) -> int | None:
+        """Return the place of this VM among the readers of the store, or None if it is none."""
+        return self._readers.index(self._key) if self._key in self._readers else None
+
+    def other_readers(self) -> list[Peer]:
+        """Return the readers of the store without this VM."""
+        return [
+            self._peers[key] for key in self._readers if key != self._key and key in self._peers
+        ]
 
     def begin_round(self, now_s: float) -> None:
         """Begin a round: suspect overdue VMs and update which VMs are watched."""
@@ -133,7 +140,12 @@
         """Send to more peers in the next rounds, as there is something new to tell."""
         self._queue_update(self._key)  # adds no entry
 
-    def digest(self, revisions: dict[str, StoreVersion], now_s: float) -> Digest:
+    def digest(
+        self,
+        revisions: dict[str, StoreVersion],
+        now_s: float,
+        confirmed_age_s: float | None = None,
+    ) -> Digest:
         """Return the digest to send in this round."""
         if revisions != self._revisions:
             self._revisions = dict(revisions)
@@ -149,6 +161,7 @@
             (self._own_entry(), *self._entries([*updated, *table_slice], now_s)),
             revisions,
             wants_reply=bool(self._probed),
+            confirmed_age_s=confirmed_age_s,
         )
 
     def is_joining(self, digest: Digest, now_s: float) -> bool:
@@ -218,7 +231,8 @@
         suspects = [key for key in self._watched if self._records[key].is_suspected]
         chosen = dict.fromkeys([*self._ring.watchers(self._key), *suspects, *self._probed])
         unchosen = [key for key in alive if key not in chosen]
-        fanout = UPDATE_FANOUT if self._updates else RANDOM_FANOUT
+        update_fanout = UPDATE_FANOUT if self.reader_rank is None else READER_FANOUT
+        fanout = update_fanout if self._updates else RANDOM_FANOUT
         chosen.update(dict.fromkeys(self._sample(unchosen, fanout)))
         dead_fanout = max(0, RANDOM_FANOUT - len(unchosen)) + DEAD_PEER_FANOUT
         chosen.update(dict.fromkeys(self._sample(dead, dead_fanout)))
@@ -254,7 +268,7 @@
         domains = {key: self._peers[key].failure_domain for key in keys}
         domains[self._key] = self._failure_domain
         self._ring = WatchRing(domains)
-        self._is_reader = self._key in self._ring.readers()
+        self._readers = self._ring.readers()
 
     def _update_watched(self, now_s: float) -> None:
         """Watch the assigned VMs, or all live VMs if at least half of the assigned are suspected.
--- a/src/chervilmill/peers/_replica.py
+++ b/src/chervilmill/peers/_replica.py
@@ -54,15 +54,23 @@
         self.objects = dict(listing.objects)
         newest = max((stored.revision for stored in listing.objects.values()), default=0)
         self._record_change(newest)
+        if listing.last_change is not None:
+            self.last_change = max(self.last_change, listing.last_change)
+        elif removed and not is_restored:
+            self.last_change = listing.as_of  # the removals are no later
         return ReplicaChange(written, removed, is_full_listing=True, is_restored=is_restored)
 
     def apply_events(self, result: WatchResult) -> ReplicaChange | None:
-        """Apply events and return the change, or None if the events end before the copy."""
+        """Apply events and return the change, or None if the events end before the copy.
+
+        Several reads may return the same events; an object that is known is not written again.
+        """
         if result.as_of < self.as_of:
             return None
         self.as_of = result.as_of
         written: dict[str, StoredObject] = {}
         removed: dict[str, None] = {}
+        before = dict(self.objects)
         for event in result.events:
             name = event.stored.name
             self._record_change(event.stored.revision)
@@ -74,7 +82,8 @@
                 self.objects[name] = event.stored
                 removed.pop(name, None)
                 written[name] = event.stored
-        return ReplicaChange(tuple(written.values()), tuple(removed), is_full_listing=False)
+        new = tuple(stored for name, stored in written.items() if before.get(name) != stored)
+        return ReplicaChange(new, tuple(removed), is_full_listing=False)
 
     def _record_change(self, revision: int) -> None:
         self.last_change = max(self.last_change, StoreVersion(self.as_of.era, revision))
--- a/src/chervilmill/platform/__init__.py
+++ b/src/chervilmill/platform/__init__.py
@@ -42,10 +42,12 @@
 )
 from chervilmill.platform._store import (
     UNSTATED_ERA,
+    EarlierEraError,
     Exchange,
     HistoryGoneError,
     Listing,
     PlatformStore,
+    StoreBusyError,
     StoredObject,
     StoreError,
     StoreRestoredError,
@@ -62,6 +64,7 @@
     "Bounds",
     "CONFIGURATION_KIND",
     "EVACUATION_KIND",
+    "EarlierEraError",
     "EntrySettings",
     "EntryVmRegistration",
     "Exchange",
@@ -76,6 +79,7 @@
     "RequestHeaders",
     "SETTINGS_VARIABLE",
     "SettingsError",
+    "StoreBusyError",
     "StoreError",
     "StoreRestoredError",
     "StoreSilentError",
--- a/src/chervilmill/platform/_store.py
+++ b/src/chervilmill/platform/_store.py
@@ -2,7 +2,9 @@
 
 A failed call states whether it may have been executed: StoreError sets `is_outcome_unknown` for a
 write that may have been. A read for which the caller allows a stale answer may be out of date by
-up to seconds, and costs a tenth of the price of any other read.
+up to seconds, and costs a tenth of the price of any other read, which is linearizable. Only a
+linearizable answer proves anything about the store: a stale one may come from a replica that has
+lost touch with it.
 
 The store may come back from an older copy. It then loses what was written since, gives revisions
 out again, and states a higher era. A revision is therefore only compared within an era.
@@ -46,6 +48,14 @@
     """Raised if no answer came in time; the connection, or the store itself, may be silent."""
 
 
+class StoreBusyError(StoreError):
+    """Raised if the store refused a call as there were too many; it says nothing of an outage."""
+
+
+class EarlierEraError(StoreError):
+    """Raised for an answer of an era before the one known, such as that of a late replica."""
+
+
 class Exchange(Protocol):
     """A callable that sends one HTTP request to a peer and returns the whole answer.
 
@@ -77,10 +87,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind as of a version of the store."""
+    """All objects of a kind as of a version of the store.
+
+    `last_change` is the version of the last change of the kind, where it is known.
+    """
 
     objects: dict[str, StoredObject]
     as_of: StoreVersion
+    last_change: StoreVersion | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,7 +196,8 @@
             raise StoreRestoredError(message, step=step, peer=self._peer)
         self._raise_for_status(step, answer)
         if known_era is not None and era < known_era:
-            raise self._store_error(step, f"the answer is of era {era}, before era {known_era}")
+            message = f"the answer is of era {era}, before era {known_era}"
+            raise EarlierEraError(message, step=step, peer=self._peer)
         try:
             decoded = decode_document(answer.body)
         except ValueError as exc:
@@ -217,6 +232,8 @@
     def _raise_for_status(self, step: str, answer: HttpAnswer) -> None:
         if answer.status == 410:
             raise HistoryGoneError("history is gone", step=step, peer=self._peer)
+        if answer.status == 429:
+            raise StoreBusyError("too many calls", step=step, peer=self._peer)
         if not 200 <= answer.status < 300:
             raise self._store_error(step, f"status {answer.status}")
 
--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -35,12 +35,16 @@
 
     `silenced` VMs get no answer on the connections that were open at `at_s`. `refused` VMs get 503
     from `at_s` on. `swallowed_for_s` is how long all calls that begin after `at_s` stay unanswered.
+    Reads that may be stale are answered from data that is `replica_age_s` old. The store refuses
+    the share `busy_share` of all other reads from `at_s` on, as there are too many.
     """
 
     at_s: float = 5.0
     silenced: Callable[[int], bool] = lambda _: False
     refused: Callable[[int], bool] = lambda _: False
     swallowed_for_s: float = 0.0
+    replica_age_s: float = 0.0
+    busy_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,54 +69,65 @@
     def __init__(self, case: FleetCase) -> None:
         self.case = case
         self.events: list[tuple[int, str]] = []
+        self.replicated: list[tuple[int, str]] = []
         self.changed = asyncio.Event()
-        self.calls = 0
-
-    @property
-    def revision(self) -> int:
-        return 10 + len(self.events)
+        self.stale_reads = 0
+        self.linearizable_reads = 0
+        self._rng = random.Random(case.vms)
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         for number, at_s in enumerate(self.case.changes_s):
             await asyncio.sleep(at_s - loop.time())
             is_last = number == len(self.case.changes_s) - 1
-            self.events.append((self.revision + 1, LEAVING if is_last else f"other-{number}"))
-            self.changed.set()
-            self.changed = asyncio.Event()
+            event = (11 + number, LEAVING if is_last else f"other-{number}")
+            self.events.append(event)
+            loop.call_later(self.case.fault.replica_age_s, self.replicated.append, event)
+            loop.call_later(self.case.fault.replica_age_s, self._notify)
+            self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def answer(self, vm: int, path: str) -> HttpAnswer:
         """Answer a call of a VM as the store and the link to it do."""
-        self.calls += 1
+        is_stale = "serializable=1" in path
+        self.stale_reads += is_stale
+        self.linearizable_reads += not is_stale
         loop, fault = asyncio.get_running_loop(), self.case.fault
         began_s, delay_s = loop.time(), DELAYS_S[vm % 2]
         await asyncio.sleep(delay_s)
         if fault.refused(vm) and loop.time() >= fault.at_s:
             return HttpAnswer(503, b"")
+        is_busy = not is_stale and self._rng.random() < fault.busy_share
+        if is_busy and loop.time() >= fault.at_s:
+            return HttpAnswer(429, b"")
         if fault.at_s <= began_s < fault.at_s + fault.swallowed_for_s:
             await asyncio.Event().wait()
-        body = await self._result(path)
+        body = await self._result(path, self.replicated if is_stale else self.events)
         if fault.silenced(vm) and began_s < fault.at_s <= loop.time():
             await asyncio.Event().wait()
         await asyncio.sleep(delay_s)
         return HttpAnswer(200, json.dumps(body).encode())
 
-    async def _result(self, path: str) -> dict[str, Any]:
+    async def _result(self, path: str, events: list[tuple[int, str]]) -> dict[str, Any]:
+        """Return the result of a read of the store, or of a replica that has fewer events."""
         if "watch=" not in path:
-            items = [_entry(name, revision) for revision, name in self.events]
-            return {"items": items, "as-of": self.revision}
+            items = [_entry(name, revision) for revision, name in events]
+            return {"items": items, "as-of": 10 + len(events)}
         since = int(path.split("watch=")[1].split("&")[0])
         wait_s = int(path.split("wait-ms=")[1].split("&")[0]) / 1000
         try:
             async with asyncio.timeout(wait_s):
-                while self.revision <= since:
+                while 10 + len(events) <= since:
                     await self.changed.wait()
         except TimeoutError:
             pass
-        events = [
-            {"object": _entry(name, revision)} for revision, name in self.events if revision > since
+        changes = [
+            {"object": _entry(name, revision)} for revision, name in events if revision > since
         ]
-        return {"events": events, "as-of": self.revision}
+        return {"events": changes, "as-of": max(since, 10 + len(events))}
 
 
 def _entry(name: str, revision: int) -> dict[str, object]:
@@ -144,13 +159,16 @@
             self.membership, PEER_PORT, self.sync.versions, [], self._handle_digest
         )
         endpoint.connection_made(_Link(self._fleet, self.peer.host))
+        endpoint.confirmed_age_s = self.sync.confirmed_age_s
         self.sync.on_urgent_change = endpoint.announce_revisions
+        self.sync.confirmer.on_confirmed = endpoint.announce_to_readers
         return endpoint
 
     async def update_reader(self) -> None:
-        """Tell the copy every quarter of a second whether this VM is a reader."""
+        """Tell the copy every quarter of a second which reader this VM is, and of how many VMs."""
         while True:
-            self.sync.set_reader(self.membership.is_reader)
+            self.sync.confirmer.reader_rank = self.membership.reader_rank
+            self.sync.fleet_size = len(self._fleet.vms)
             await asyncio.sleep(0.25)
 
     async def _call(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
@@ -168,7 +186,9 @@
         _ASKING_VM.set(self.number)
         peer = self.membership.peer(digest.sender)
         if peer is not None:
-            self.sync.handle_peer_versions(Address(peer.host, PEER_PORT), digest.revisions)
+            self.sync.handle_peer_versions(
+                Address(peer.host, PEER_PORT), digest.revisions, digest.confirmed_age_s
+            )
 
 
 class _Link(asyncio.DatagramTransport):
@@ -232,7 +252,9 @@
         for seed in self.vms[:3]:
             if seed is not vm:
                 vm.endpoint.send_digest(Address(seed.peer.host, PEER_PORT))
-        await asyncio.gather(vm.endpoint.run(), vm.sync.run(KIND), vm.update_reader())
+        await asyncio.gather(
+            vm.endpoint.run(), vm.sync.run(KIND), vm.sync.confirmer.run(), vm.update_reader()
+        )
 
     async def _fetch(self, host: Address, kind: str) -> FetchedReplica:
         """Copy a peer's objects, unless this is one of the asking VM's first fetches to be lost."""
@@ -242,4 +264,5 @@
         if asker.fetches <= self.case.lost_fetches:
             await asyncio.sleep(_replica_copies.PEER_TIMEOUT_S - 4 * DELAYS_S[1])
             raise ExchangeError("no answer", step="GET", peer=str(host))
-        return FetchedReplica(Listing(dict(giver.replica.objects), giver.replica.as_of), True)
+        copied = giver.replica
+        return FetchedReplica(Listing(dict(copied.objects), copied.as_of, copied.last_change), True)
--- /dev/null
+++ b/tests/entry/test_confirmation.py
@@ -0,0 +1,255 @@
+"""Test when an entry VM reads the store itself to confirm its copies, and what confirms them."""
+
+import asyncio
+import json
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from chervilmill.addresses import Address
+from chervilmill.aio import ConnectError, ExchangeTimeoutError, HttpAnswer
+from chervilmill.entry._confirmation import (
+    CONFIRM_INTERVAL_S,
+    HOP_S,
+    MAX_CONFIRM_TIMEOUT_S,
+    STANDBY_STEP_S,
+    UNCONFIRMED_AFTER_S,
+    max_age_s,
+)
+from chervilmill.entry._replica_sync import ReplicaSync
+from chervilmill.peers import KindReplica, ReplicaChange
+from chervilmill.platform import PlatformStore, StoreVersion
+from tests.virtual_time import run_virtually
+
+CALL_S = 0.02
+LISTED, OTHER = "evacuations", "servers"
+PEER = Address("10.0.0.2", 7720)
+
+
+class _Store:
+    """A store of two kinds whose replica never learns of a change; `failure` answers all else."""
+
+    def __init__(self) -> None:
+        self.revision = 5
+        self.changed: dict[str, int] = {}
+        self.failure: HttpAnswer | Exception | None = None
+        self.linearizable: list[str] = []
+        self.called_s: list[float] = []
+
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        if "serializable=1" in path:
+            await asyncio.sleep(timeout_s - 1.0)
+            return self._answer({"events": [], "as-of": 5})
+        self.linearizable.append(path)
+        self.called_s.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(CALL_S)
+        if isinstance(self.failure, ExchangeTimeoutError):
+            await asyncio.sleep(timeout_s)
+        if isinstance(self.failure, Exception):
+            raise self.failure
+        if self.failure is not None:
+            return self.failure
+        kind = path.split("?")[0].rpartition("/")[2]
+        revision = self.changed.get(kind, 5)
+        entry = {"metadata": {"name": "a", "revision": revision}, "specification": {}}
+        if "watch=" not in path:
+            return self._answer({"items": [entry], "as-of": self.revision})
+        since = int(path.split("watch=")[1].split("&")[0])
+        events = [{"object": entry}] if revision > since else []
+        return self._answer({"events": events, "as-of": since if not events else revision})
+
+    def change(self, kind: str) -> None:
+        """Change the object of a kind."""
+        self.revision += 1
+        self.changed[kind] = self.revision
+
+    def _answer(self, value: object) -> HttpAnswer:
+        return HttpAnswer(200, json.dumps(value).encode())
+
+
+class _Follower:
+    """The copies of one VM, and the times at which they changed."""
+
+    def __init__(self, reader_rank: int | None) -> None:
+        self.store = _Store()
+        self.replicas = {kind: KindReplica(kind) for kind in (LISTED, OTHER)}
+        self.written: list[str] = []
+        self.sync = ReplicaSync(
+            PlatformStore(self.store, "store"), self.replicas, self._record, (), LISTED
+        )
+        self.sync.confirmer.reader_rank = reader_rank
+        self.sync.confirmer.fleet_size = 12
+
+    def _record(self, kind: str, change: ReplicaChange, kept_until_s: float | None) -> None:
+        self.written.extend(kind for _ in change.written)
+
+    def hear(self, age_s: float | None, versions: dict[str, StoreVersion] | None = None) -> None:
+        """Receive the digest of a peer, by default of one that knows as much."""
+        self.sync.handle_peer_versions(PEER, versions or self.sync.versions(), age_s)
+
+    def run(self, scenario: Coroutine[Any, Any, None]) -> None:
+        """Run a scenario while the VM follows the store."""
+
+        async def following() -> None:
+            tasks = [asyncio.ensure_future(self.sync.run(kind)) for kind in self.replicas]
+            tasks.append(asyncio.ensure_future(self.sync.confirmer.run()))
+            await self.sync.wait_until_loaded()
+            try:
+                await scenario
+            finally:
+                for task in tasks:
+                    task.cancel()
+
+        run_virtually(following())
+
+
+@pytest.mark.parametrize(
+    ("rank", "vms", "hears_peers", "expected_s"),
+    [
+        (0, 800, True, CONFIRM_INTERVAL_S),
+        (0, 1, False, CONFIRM_INTERVAL_S),
+        (3, 12, True, CONFIRM_INTERVAL_S + 3 * STANDBY_STEP_S),
+        (None, 12, False, CONFIRM_INTERVAL_S),
+    ],
+)
+def test_age_at_which_a_vm_reads(
+    rank: int | None, vms: int, hears_peers: bool, expected_s: float
+) -> None:
+    assert max_age_s(rank, vms, hears_peers=hears_peers) == expected_s
+
+
+def test_vm_that_hears_peers_reads_later_in_a_larger_fleet_but_within_its_bound() -> None:
+    ages_s = [max_age_s(None, vms, hears_peers=True) for vms in (1, 12, 83, 195, 800)]
+    assert ages_s == sorted(ages_s)
+    assert ages_s[0] > CONFIRM_INTERVAL_S + 3 * STANDBY_STEP_S
+    assert ages_s[-1] < UNCONFIRMED_AFTER_S / 2
+
+
+# A watch that a replica answered was taken for a proof that nothing had changed.
+def test_reader_learns_of_a_change_that_replicas_never_get() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        vm.written.clear()
+        vm.store.change(OTHER)
+        await asyncio.sleep(CONFIRM_INTERVAL_S + 4 * CALL_S)
+        assert vm.written == [OTHER]
+        assert (vm.sync.confirmed_age_s() or 0.0) <= CONFIRM_INTERVAL_S + 4 * CALL_S
+
+    vm.run(scenario())
+
+
+def test_only_the_first_of_the_readers_calls_the_store() -> None:
+    first, standby = _Follower(0), _Follower(1)
+
+    async def of_first() -> None:
+        await asyncio.sleep(10.0)
+        assert len(first.store.linearizable) <= 2 + 10.0 / CONFIRM_INTERVAL_S
+
+    async def of_standby() -> None:
+        before = len(standby.store.linearizable)
+        for _ in range(20):
+            standby.hear(0.0)
+            await asyncio.sleep(CONFIRM_INTERVAL_S)
+        assert len(standby.store.linearizable) == before
+        await asyncio.sleep(10.0)
+        assert len(standby.store.linearizable) - before >= 8
+
+    first.run(of_first())
+    standby.run(of_standby())
+
+
+def test_unchanged_store_costs_one_linearizable_read() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        before = len(vm.store.linearizable)
+        await asyncio.sleep(5 * CONFIRM_INTERVAL_S)
+        assert {path.rpartition("/")[2] for path in vm.store.linearizable[before:]} == {LISTED}
+
+    vm.run(scenario())
+
+
+@pytest.mark.parametrize("knows_as_much", [True, False])
+def test_peer_confirms_copies_that_lack_nothing_it_knows(knows_as_much: bool) -> None:
+    vm = _Follower(None)
+
+    async def scenario() -> None:
+        await asyncio.sleep(2.0)
+        own_age_s = vm.sync.copy_ages_s()[OTHER]
+        later = {LISTED: StoreVersion(0, 5), OTHER: StoreVersion(0, 9)}
+        vm.hear(0.3, None if knows_as_much else later)
+        age_s = vm.sync.copy_ages_s()[OTHER]
+        assert age_s == pytest.approx(0.3 + HOP_S if knows_as_much else own_age_s)
+
+    vm.run(scenario())
+
+
+def test_age_does_not_shrink_when_vms_pass_it_on() -> None:
+    vm = _Follower(None)
+
+    async def scenario() -> None:
+        for _ in range(20):
+            before_s = vm.sync.confirmed_age_s()
+            vm.hear(before_s)
+            assert vm.sync.confirmed_age_s() == before_s
+            await asyncio.sleep(0.05)
+
+    vm.run(scenario())
+
+
+def test_vm_whose_peers_state_no_age_reads_for_itself() -> None:
+    """Entry VMs of earlier versions state none."""
+    vm = _Follower(None)
+
+    async def scenario() -> None:
+        before = len(vm.store.linearizable)
+        for _ in range(20):
+            vm.hear(None)
+            await asyncio.sleep(0.5)
+        assert len(vm.store.linearizable) > before
+        assert max(vm.sync.copy_ages_s().values()) < UNCONFIRMED_AFTER_S / 2
+
+    vm.run(scenario())
+
+
+# An answer of a replica ended an outage, although the store still did not answer.
+def test_replica_does_not_end_an_outage() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        vm.store.failure = ConnectError("refused", step="connect", peer="store")
+        await asyncio.sleep(60.0)  # replicas answer watches in this time
+        assert vm.sync.is_store_unreachable and not vm.sync.is_settled
+        vm.store.failure = None
+        await asyncio.sleep(1.0 + 2 * CALL_S)
+        assert not vm.sync.is_store_unreachable
+
+    vm.run(scenario())
+
+
+def test_refusal_for_too_many_calls_is_no_outage() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        vm.store.failure = HttpAnswer(429, b"{}")
+        await asyncio.sleep(3.0)
+        assert not vm.sync.is_store_unreachable
+        assert (vm.sync.confirmed_age_s() or 0.0) > 2.0
+
+    vm.run(scenario())
+
+
+def test_call_on_a_silent_connection_is_repeated_at_once() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        vm.store.failure = ExchangeTimeoutError("no answer", step="GET", peer="store")
+        await asyncio.sleep(1.0)
+        vm.store.failure = None
+        await asyncio.sleep(MAX_CONFIRM_TIMEOUT_S)
+        assert (vm.sync.confirmed_age_s() or 9.0) <= CONFIRM_INTERVAL_S + 4 * CALL_S
+        assert not vm.sync.is_store_unreachable
+
+    vm.run(scenario())
--- a/tests/entry/test_late_news_of_targets.py
+++ b/tests/entry/test_late_news_of_targets.py
@@ -22,6 +22,10 @@
 CONNECTIONS_SILENT = StoreFault(SILENT_AT_S, silenced=_one_in_three)
 VM_REFUSED = StoreFault(SILENT_AT_S, refused=_one_in_twelve)
 CALLS_SWALLOWED = StoreFault(SILENT_AT_S, swallowed_for_s=3.4)
+REPLICA_STALE = StoreFault(replica_age_s=4.0)
+REPLICA_VERY_STALE = StoreFault(replica_age_s=11.0)
+REPLICA_STALE_STORE_BUSY = StoreFault(SILENT_AT_S, replica_age_s=4.0, busy_share=0.75)
+REPLICA_STALE_VM_REFUSED = StoreFault(SILENT_AT_S, refused=_one_in_twelve, replica_age_s=4.0)
 
 CASES = {
     "silent-12": FleetCase(12, CONNECTIONS_SILENT, (10.0, 10.2)),
@@ -35,6 +39,15 @@
     "swallowed-lossy-12": FleetCase(12, CALLS_SWALLOWED, (7.9, 15.4), 0.1),
     "swallowed-83": FleetCase(83, CALLS_SWALLOWED, (7.9, 15.4)),
     "swallowed-195": FleetCase(195, CALLS_SWALLOWED, (7.9, 15.4)),
+    "stale-1": FleetCase(1, REPLICA_STALE, (10.0, 10.2)),
+    "stale-3": FleetCase(3, REPLICA_STALE, (10.0, 10.2)),
+    "stale-12": FleetCase(12, REPLICA_STALE, (10.0, 10.2)),
+    "very-stale-12": FleetCase(12, REPLICA_VERY_STALE, (10.0, 10.2)),
+    "stale-lossy-12": FleetCase(12, REPLICA_STALE, (10.0, 10.2), 0.1),
+    "stale-busy-12": FleetCase(12, REPLICA_STALE_STORE_BUSY, (10.0, 10.2)),
+    "stale-refused-12": FleetCase(12, REPLICA_STALE_VM_REFUSED, (10.0, 10.2)),
+    "stale-83": FleetCase(83, REPLICA_STALE, (10.0, 10.2)),
+    "stale-195": FleetCase(195, REPLICA_STALE, (10.0, 10.2)),
 }
 
 
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -9,7 +9,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import ConnectError, HttpAnswer
-from chervilmill.entry import _catch_up, _replica_sync, _store_state
+from chervilmill.entry import _catch_up, _confirmation, _replica_sync, _store_state
 from chervilmill.entry._replica_copies import FetchedReplica
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.peers import KindReplica, ReplicaChange
@@ -78,9 +78,13 @@
         self._away_s = away_s
         self._removals_s = list(removals_s)
         self._revision = 10
+        self._lists = 0
 
     async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
         since_return_s = time.monotonic() - self._began_s - self._away_s
+        self._lists += "watch=" not in path
+        if "watch=" not in path and self._lists > 1 and since_return_s < 0:
+            raise ConnectError("refused", step="connect", peer="store")
         if "watch=" not in path:
             items = [_entry(f"t-{n}", 1 + n) for n in range(len(self._removals_s))]
             return _answer({"items": items, "as-of": self._revision})
@@ -88,7 +92,8 @@
             raise ConnectError("refused", step="connect", peer="store")
         if not self._removals_s:
             await asyncio.Event().wait()
-        await asyncio.sleep(max(0.0, self._removals_s.pop(0) - since_return_s))
+        await asyncio.sleep(max(0.0, self._removals_s[0] - since_return_s))
+        self._removals_s.pop(0)
         self._revision += 1
         removed = {"object": _entry(f"t-{len(self._removals_s)}", self._revision), "deleted": True}
         return _answer({"events": [removed], "as-of": self._revision})
@@ -104,6 +109,8 @@
     """The time counts from the return of the store, not from the removal of the entry."""
     monkeypatch.setattr(_store_state, "REGISTER_AGAIN_S", 0.6)
     monkeypatch.setattr(_replica_sync, "RETRY_DELAY_S", 0.02)
+    monkeypatch.setattr(_confirmation, "CONFIRM_INTERVAL_S", 0.1)
+    monkeypatch.setattr(_confirmation, "CONFIRM_RETRY_S", 0.02)
     monkeypatch.setattr(_replica_sync, "WATCH_PAUSE_S", 0.0)
     kept: list[tuple[str, float | None]] = []
     began_s = time.monotonic()
@@ -113,10 +120,11 @@
             kept.append((name, None if kept_until_s is None else kept_until_s - began_s))
 
     async def scenario() -> None:
-        store = PlatformStore(_StoreWithOutage(0.2, (0.0, 0.4, 0.9)), "store")
+        store = PlatformStore(_StoreWithOutage(0.2, (0.1, 0.4, 0.9)), "store")
         sync = ReplicaSync(store, {KIND: KindReplica(KIND)}, record)
         with suppress(TimeoutError):
-            await asyncio.wait_for(sync.run(KIND), 1.5)
+            async with asyncio.timeout(1.5):
+                await asyncio.gather(sync.run(KIND), sync.confirmer.run())
 
     asyncio.run(scenario())
     assert [name for name, _ in kept] == ["t-2", "t-1", "t-0"]
--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -31,7 +31,9 @@
 BY_VERSION: dict[str, dict[str, str]] = json.loads(
     (Path(__file__).parent / "data" / "datagrams_by_version.json").read_text()
 )
+VERSION_THAT_ANNOUNCES_NO_CUTS = "a3591d5"
 FIRST_VERSION_THAT_ANNOUNCES_CUTS = "1559793"
+FIRST_VERSION_THAT_STATES_ERAS = "7ef8abe"  # the other datagrams are as before
 DECODERS: dict[str, Callable[[bytes, str], object]] = {
     "digest": decode_digest,
     "crash reports": decode_reports,
@@ -63,11 +65,12 @@
         HeartbeatEntry(7, 2, 41, True),
         HeartbeatEntry(9, 1, 300, False, is_suspected=True, age_s=1.5),
         HeartbeatEntry(
-            11, 3, 5, True, is_cut_off=version == FIRST_VERSION_THAT_ANNOUNCES_CUTS, age_s=0.2
+            11, 3, 5, True, is_cut_off=version != VERSION_THAT_ANNOUNCES_NO_CUTS, age_s=0.2
         ),
     )
-    revisions = {"servers": StoreVersion(0, 12), "config": StoreVersion(0, 3)}
-    return Digest(7, heartbeats, revisions, wants_reply=True, protocol_version=0)
+    era, protocol_version = (2, 2) if version == FIRST_VERSION_THAT_STATES_ERAS else (0, 0)
+    revisions = {"servers": StoreVersion(era, 12), "config": StoreVersion(era, 3)}
+    return Digest(7, heartbeats, revisions, wants_reply=True, protocol_version=protocol_version)
 
 
 def _lists_in(value: Any) -> list[list[Any]]:
@@ -77,8 +80,9 @@
     return [value, *(inner for item in value for inner in _lists_in(item))]
 
 
-@pytest.mark.parametrize("kind", DECODERS)
-@pytest.mark.parametrize("version", BY_VERSION)
+@pytest.mark.parametrize(
+    ("version", "kind"), [(version, kind) for version in BY_VERSION for kind in BY_VERSION[version]]
+)
 def test_datagram_of_an_earlier_version_is_not_understood(version: str, kind: str) -> None:
     decoded = DECODERS[kind](bytes.fromhex(BY_VERSION[version][kind]), "x")
     assert decoded == _expected(version, kind)
@@ -132,6 +136,21 @@
     assert decode_digest(digest.encode(), "x") == digest
 
 
+def test_age_makes_a_digest_unreadable_for_protocol_version_2() -> None:
+    """That version reads the first two of the versions, and no more."""
+    revisions = {"servers": StoreVersion(3, 12)}
+    digest = Digest(7, (), revisions, confirmed_age_s=0.5)
+    versions = cbor2.loads(digest.encode())[3]
+    assert versions[1:] == [{"servers": 3}, 5]
+    assert decode_digest(digest.encode(), "x") == digest
+
+
+def test_age_is_stated_as_younger_than_it_is() -> None:
+    """Ages that are passed on would otherwise shrink."""
+    stated = decode_digest(Digest(7, (), {}, confirmed_age_s=1.23).encode(), "x").confirmed_age_s
+    assert stated is not None and stated >= 1.23
+
+
 def _read_or_refuse(kind: str, data: bytes) -> None:
     """Read a datagram, merge what it says and encode what is known then."""
     try:
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -10,6 +10,7 @@
 FIXED_SEED = [
     SoakOptions(1, seconds=5.0, vms=3, targets=4, callers=4, network=91),
 ]
+STALE_REPLICA = SoakOptions(51, seconds=12.0, network=114, disturbs_store=False, replica_age_s=4.0)
 SEEDS_THAT_FAILED = [
     # A kill excused failures for 4 s, but VMs on an overloaded machine took 13 s to restart.
     SoakOptions(106, seconds=12.0, network=106),
@@ -42,7 +43,7 @@
 
 @pytest.mark.parametrize(
     "options",
-    [*FIXED_SEED, *SEEDS_THAT_FAILED],
+    [*FIXED_SEED, STALE_REPLICA, *SEEDS_THAT_FAILED],
     ids=lambda options: f"{options.seed}{'-many-callers' if options.crash_hosts else ''}",
 )
 def test_no_promise_is_broken(tmp_path: Path, options: SoakOptions) -> None:
