Refuse entries with a text that cannot be read

What callers saw: nothing yet. A target whose failure domain had bytes that are not UTF-8, or control characters, got requests, although such an entry names no target to use; it counted as one of an unknown failure domain, which no evacuation and no home region covers. On our own interface, a VM with such a name, service, region or failure domain was listed.

Cause: bytes that cannot be decoded become replacement characters, and control characters are let through, so that one of them does not cost the whole answer. Text fields then accepted both.

Why it works: both readers of text fields refuse what was not read in full, which costs that entry.

--- a/src/chervilmill/coordination/_codec.py
+++ b/src/chervilmill/coordination/_codec.py
@@ -5,7 +5,7 @@
 
 from chervilmill.addresses import parse_address
 from chervilmill.coordination._model import StoredObject, Vm, VmRole, VmState, WatchResult
-from chervilmill.documents import MALFORMED_ERRORS
+from chervilmill.documents import MALFORMED_ERRORS, is_readable
 from chervilmill.logs import log_problem
 
 MAX_TEXT_CHARACTERS = 512  # as in the messages between nodes
@@ -84,5 +84,7 @@
     """Return a string that other nodes can read, or raise ValueError."""
     if not isinstance(value, str) or len(value) > MAX_TEXT_CHARACTERS:
         raise ValueError(f"expected a string of at most {MAX_TEXT_CHARACTERS} characters")
+    if not is_readable(value):
+        raise ValueError("the string has characters that cannot be read")
     value.encode()  # UnicodeEncodeError is a ValueError
     return value
--- a/src/chervilmill/documents.py
+++ b/src/chervilmill/documents.py
@@ -24,6 +24,7 @@
     ValueError,
 )
 
+_REPLACEMENT_CHARACTER = "\ufffd"  # in place of bytes that are not UTF-8
 _STRUCTURE = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 _OPENING = "[{"
 
@@ -41,6 +42,11 @@
         return _decode(_prune_nesting(text))
 
 
+def is_readable(text: str) -> bool:
+    """Return whether a decoded text has neither control characters nor replaced bytes."""
+    return text.isprintable() and _REPLACEMENT_CHARACTER not in text
+
+
 def is_nested_within(value: Any, depth: int) -> bool:
     """Return whether at most `depth` lists or objects stand in each other in a decoded value."""
     level = [value]
--- a/src/chervilmill/platform/_fields.py
+++ b/src/chervilmill/platform/_fields.py
@@ -2,6 +2,8 @@
 
 import re
 
+from chervilmill.documents import is_readable
+
 MAX_TEXT_CHARACTERS = 1024
 MAX_COUNT = 2**31 - 1
 MAX_INTEGER = 2**63 - 1
@@ -11,9 +13,11 @@
 
 
 def read_text(value: object) -> str:
-    """Return a non-empty string that can be encoded."""
+    """Return a non-empty string that was read in full and can be encoded."""
     if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_CHARACTERS:
         raise ValueError(f"{_shorten(value)} is not a non-empty string of usual length")
+    if not is_readable(value):
+        raise ValueError(f"{_shorten(value)} has characters that cannot be read")
     value.encode()  # UnicodeEncodeError is a ValueError
     return value
 
--- a/tests/coordination/test_foreign_entries.py
+++ b/tests/coordination/test_foreign_entries.py
@@ -51,6 +51,7 @@
 
 
 PARTS = [b"null", b"[]", b"9" * 401, b"9" * 5000, b"NaN", b"[" * 5000 + b"]" * 5000, b'"\\ud800"']
+ODD_ADDRESSES = [b"10.0.0.1:" + port for port in (b"65536", b"0", b"-1", b"8e1", b"", b"9" * 5000)]
 
 
 # One malformed entry ended the thread that reads the list of VMs.
@@ -65,6 +66,34 @@
     assert [vm.name for vm in platform.vms()] == ["t-1"]
 
 
+@pytest.mark.parametrize("address", ODD_ADDRESSES, ids=lambda address: address[9:15].decode())
+def test_vm_with_a_port_out_of_range_costs_only_that_vm(
+    monkeypatch: pytest.MonkeyPatch, address: bytes
+) -> None:
+    platform = _platform(monkeypatch, _with_part(VM, "address", b'"' + address + b'"'))
+    assert [vm.name for vm in platform.vms()] == ["t-1"]
+
+
+# A VM with an unreadable failure domain was listed as one of a domain of its own.
+@pytest.mark.parametrize("text", [b'"\xff\xfe"', b'"a\x00\x01b"', b'"a\\u0007"'])
+@pytest.mark.parametrize("name", ["name", "service", "region", "failure_domain"])
+def test_vm_with_an_unreadable_text_costs_only_that_vm(
+    monkeypatch: pytest.MonkeyPatch, name: str, text: bytes
+) -> None:
+    platform = _platform(monkeypatch, _with_part(VM, name, text))
+    assert [vm.name for vm in platform.vms()] == ["t-1"]
+
+
+@pytest.mark.parametrize("whole", [b"[" * 5000 + b"]" * 5000, b'{"a":' * 5000 + b"1" + b"}" * 5000])
+def test_deeply_nested_entry_costs_only_that_entry(
+    monkeypatch: pytest.MonkeyPatch, whole: bytes
+) -> None:
+    vms = b"[" + whole + b", " + json.dumps(VM).encode() + b"]"
+    assert [vm.name for vm in _platform(monkeypatch, vms).vms()] == ["t-1"]
+    objects = b"[" + whole + b", " + json.dumps(OBJECT).encode() + b"]"
+    assert [stored.name for stored in _platform(monkeypatch, objects).list("k")] == ["a"]
+
+
 @pytest.mark.parametrize("part", PARTS, ids=lambda part: part[:12].decode())
 @pytest.mark.parametrize("name", ["version", "value"])
 def test_malformed_object_costs_only_that_object(
