Try stale reads again after replicas were late

What callers saw: nothing; a reader that had once met a late replica read all kinds linearizably for as long as the store's revision kept rising.

Cause: each linearizable read put off the next stale one, also where none had been tried.

Evidence: test_replica_that_keeps_up_spares_linearizable_reads_even_if_it_was_late failed before.

Also, a list that shows removals never lowers the version of the last change.

--- a/src/chervilmill/entry/_confirmation.py
+++ b/src/chervilmill/entry/_confirmation.py
@@ -199,8 +199,9 @@
         """Read the changes of a copy that may be below a version of the store."""
         if replica.as_of < version and self._replicas_late_until_s <= began_s:
             await self._try_replica(replica)
+            if replica.as_of < version:
+                self._replicas_late_until_s = began_s + STALE_RETRY_S
         if replica.as_of < version:
-            self._replicas_late_until_s = began_s + STALE_RETRY_S
             try:
                 result = await self._store.watch(
                     replica.kind, replica.as_of, CHANGES_WAIT_S, timeout_s, allow_stale=False
--- a/src/chervilmill/peers/_replica.py
+++ b/src/chervilmill/peers/_replica.py
@@ -57,7 +57,7 @@
         if listing.last_change is not None:
             self.last_change = max(self.last_change, listing.last_change)
         elif removed and not is_restored:
-            self.last_change = listing.as_of  # the removals are no later
+            self.last_change = max(self.last_change, listing.as_of)  # the removals are no later
         return ReplicaChange(written, removed, is_full_listing=True, is_restored=is_restored)
 
     def apply_events(self, result: WatchResult) -> ReplicaChange | None:
--- a/tests/entry/test_confirmation.py
+++ b/tests/entry/test_confirmation.py
@@ -13,6 +13,7 @@
     CONFIRM_INTERVAL_S,
     HOP_S,
     MAX_CONFIRM_TIMEOUT_S,
+    STALE_RETRY_S,
     STANDBY_STEP_S,
     UNCONFIRMED_AFTER_S,
     max_age_s,
@@ -34,13 +35,18 @@
         self.revision = 5
         self.changed: dict[str, int] = {}
         self.failure: HttpAnswer | Exception | None = None
+        self.has_current_replica = False
+        self.stale: list[str] = []
         self.linearizable: list[str] = []
         self.called_s: list[float] = []
 
     async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
         if "serializable=1" in path:
-            await asyncio.sleep(timeout_s - 1.0)
-            return self._answer({"events": [], "as-of": 5})
+            self.stale.append(path)
+            if timeout_s > 1.0:
+                await asyncio.sleep(timeout_s - 1.0)
+            as_of = self.revision if self.has_current_replica else 5
+            return self._answer({"events": [], "as-of": as_of})
         self.linearizable.append(path)
         self.called_s.append(asyncio.get_running_loop().time())
         await asyncio.sleep(CALL_S)
@@ -64,6 +70,12 @@
         self.revision += 1
         self.changed[kind] = self.revision
 
+    async def change_other_kinds(self, seconds: int) -> None:
+        """Change objects of kinds that nobody follows, once a second."""
+        for _ in range(seconds):
+            self.revision += 1
+            await asyncio.sleep(1.0)
+
     def _answer(self, value: object) -> HttpAnswer:
         return HttpAnswer(200, json.dumps(value).encode())
 
@@ -171,6 +183,23 @@
     vm.run(scenario())
 
 
+def test_replica_that_keeps_up_spares_linearizable_reads_even_if_it_was_late() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        await vm.store.change_other_kinds(15)
+        assert len([path for path in vm.store.linearizable if "watch=" in path]) >= 10
+        assert len(vm.store.stale) <= 4
+        vm.store.has_current_replica = True
+        await vm.store.change_other_kinds(1 + round(STALE_RETRY_S))
+        before = len(vm.store.linearizable)
+        await vm.store.change_other_kinds(15)
+        assert not [path for path in vm.store.linearizable[before:] if "watch=" in path]
+        assert max(vm.sync.copy_ages_s().values()) <= CONFIRM_INTERVAL_S + 4 * CALL_S
+
+    vm.run(scenario())
+
+
 @pytest.mark.parametrize("knows_as_much", [True, False])
 def test_peer_confirms_copies_that_lack_nothing_it_knows(knows_as_much: bool) -> None:
     vm = _Follower(None)
