Model entry VMs that hear no peer while replicas are late

A third of 12 VMs send and get no datagrams; each learns of the leaving target within its bound, as it reads for itself (passes as it is; no test covered this path).

--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -25,6 +25,7 @@
 KIND = "servers"
 DELAYS_S = (0.004, 0.055)  # one way, within a region and between two
 LEAVING = "t-0"
+UNHEARD_FROM_S = 5.0
 PEER_PORT = 7720
 _ASKING_VM: ContextVar[int] = ContextVar("asking VM")
 
@@ -53,7 +54,7 @@
 
     Targets change one after the other at `changes_s`; the last of these changes is the leaving
     target's. `datagram_loss` is the lost share of datagrams, and the first `lost_fetches` copies
-    that each VM fetches from peers are lost.
+    that each VM fetches from peers are lost. `unheard` VMs send and get no datagrams from 5 s on.
     """
 
     vms: int
@@ -61,6 +62,7 @@
     changes_s: tuple[float, ...]
     datagram_loss: float = 0.0
     lost_fetches: int = 0
+    unheard: Callable[[int], bool] = lambda _: False
 
 
 class _Store:
@@ -203,13 +205,18 @@
         if self._fleet.rng.random() < self._fleet.case.datagram_loss:
             return
         receiver = self._fleet.by_host.get(addr[0])
-        if receiver is not None:
+        if receiver is not None and not self._is_cut(receiver.peer.host):
             delay_s = self._fleet.rng.choice(DELAYS_S)
             loop = asyncio.get_running_loop()
             loop.call_later(
                 delay_s, receiver.endpoint.datagram_received, bytes(data), (self._host, PEER_PORT)
             )
 
+    def _is_cut(self, receiver: str) -> bool:
+        case, now_s = self._fleet.case, asyncio.get_running_loop().time()
+        numbers = [self._fleet.by_host[host].number for host in (self._host, receiver)]
+        return now_s >= UNHEARD_FROM_S and any(case.unheard(number) for number in numbers)
+
 
 @dataclass(slots=True)
 class StoreFleet:
--- a/tests/entry/test_late_news_of_targets.py
+++ b/tests/entry/test_late_news_of_targets.py
@@ -46,6 +46,7 @@
     "stale-lossy-12": FleetCase(12, REPLICA_STALE, (10.0, 10.2), 0.1),
     "stale-busy-12": FleetCase(12, REPLICA_STALE_STORE_BUSY, (10.0, 10.2)),
     "stale-refused-12": FleetCase(12, REPLICA_STALE_VM_REFUSED, (10.0, 10.2)),
+    "stale-unheard-12": FleetCase(12, REPLICA_STALE, (10.0, 10.2), unheard=_one_in_three),
     "stale-83": FleetCase(83, REPLICA_STALE, (10.0, 10.2)),
     "stale-195": FleetCase(195, REPLICA_STALE, (10.0, 10.2)),
 }
