Decide in the target stand-in once a run whether it crashes the target

Callers saw nothing: no request ran at a target that it should not have reached.

Cause: the stand-in looked at `crash_path` again after each part of an answer. The test sets it as soon as it has read a whole answer of a failing target. The thread of that answer, resumed after its last part, then counted a crash for a request that had been harmless and answered in full.

test_request_that_began_as_harmless_does_not_crash_the_target breaks off after one of three parts before this change.

--- a/src/chervilmill/standins/target_run.py
+++ b/src/chervilmill/standins/target_run.py
@@ -51,6 +51,7 @@
         self._id = environ.get("HTTP_X_REQUEST_ID", "")
         self._path = environ["PATH_INFO"]
         self._fault: AnswerFault | None = None
+        self._is_crashing = False
         self._previous_request_id = ""
         self._has_slot = False
         self._is_start_reported = False
@@ -101,6 +102,7 @@
         state.running_ids.add(self._id)
         self._previous_request_id, state.last_request_id = state.last_request_id, self._id
         self._fault = state.faults.popleft() if state.faults else None
+        self._is_crashing = bool(state.crash_path) and self._path.startswith(state.crash_path)
         self._has_slot = True
 
     def _release_slot(self) -> None:
@@ -156,11 +158,6 @@
             return self._digest_answer()
         return self._json_answer("200 OK", value)
 
-    @property
-    def _is_crashing(self) -> bool:
-        crash_path = self._state.crash_path
-        return bool(crash_path) and self._path.startswith(crash_path)
-
     def _crash_target(self) -> NoReturn:
         if self._state.crash_mode is not CrashMode.SILENT:
             self._crash()
--- a/src/chervilmill/standins/target_state.py
+++ b/src/chervilmill/standins/target_state.py
@@ -54,8 +54,8 @@
     - `shed_next` is the number of next requests to shed, whatever the load;
     - `work_s` is the time before an answer begins. On a cold target that time is multiplied by
       `cold_factor`, and the factor falls linearly to 1 within `cold_start_s`;
-    - `crash_path` is a path prefix: a matching request crashes the target, which then stays down
-      for `crash_away_s`. `crash_mode` is how the crash shows;
+    - `crash_path` is a path prefix: a request that matches it when it gets its slot crashes the
+      target, which then stays down for `crash_away_s`. `crash_mode` is how the crash shows;
     - `faults` apply to the next answers, one fault to each answer. `late_s` is how long a late
       answer is delayed or a stalled answer pauses;
     - `limit` is the text of the limit that the target names in its answers, if any;
--- a/tests/standins/test_target_server.py
+++ b/tests/standins/test_target_server.py
@@ -110,6 +110,16 @@
     assert target.state.stats()["crashes"] == 1
 
 
+def test_request_that_began_as_harmless_does_not_crash_the_target(target: Target) -> None:
+    """Guard against a crash, counted after the answer, that no entry VM could have prevented."""
+    target.state.behave({"crash_path": "", "part_delay_s": 0.2})
+    headers = {"X-Request-Id": "r-1"}
+    resp = target.pool.request("GET", "/crash/1", headers=headers, preload_content=False)
+    target.state.behave({"crash_path": "/crash"})
+    assert len(resp.read().splitlines()) == target.state.parts
+    assert target.state.stats()["crashes"] == 0
+
+
 def _is_up(target: Target) -> bool:
     try:
         return target.get("/-/health").status == 200
