List a kind at once whose history the store has dropped

Callers saw nothing; the users' store was read more than it had to be. When it dropped its history, all VMs of a fleet sent two linearizable watches for each of three kinds, one before and one after the list that they needed: 369 on 63 VMs within three seconds.

Cause: a watch that allows a stale answer may get 410 from a replica that lacks the revision it asks for. Every 410 of such a watch was taken for that, and the kind was followed linearizably until the next answer, up to 25 s later. But replicas are only seconds behind: they have what one of them gave, and what this VM has known for 10 s.

Now a 410 leads to the list unless the copy advanced within the last 10 s by a list, a linearizable watch or a peer's copy, and after the list the watches may be stale again. If the list is followed by a further 410, the linearizable watch is kept, as before.

Its twin, a replica that lacks what was just listed, still costs no second list.

--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -51,6 +51,8 @@
 SHORT_MARGIN_S = 0.6  # doubled for each call without an answer, up to WATCH_SLACK_S
 # At most so many VMs ask the store anew about one change; the others ask their peers.
 MAX_ASKING_VMS = 400.0
+# Replicas are seconds behind. What a VM has known for longer, they have too.
+REPLICA_LAG_S = 10.0
 # With 800 VMs, a kind that keeps changing causes at most 2,000 reads a second.
 WATCH_PAUSE_S = 0.4
 RETRY_DELAY_S = 1.0  # refused calls are paid for too
@@ -110,6 +112,7 @@
         self._to_list = set(replicas)
         self._to_ask_anew: set[str] = set()
         self._ahead_of_replica: set[str] = set()
+        self._read_ahead_s: dict[str, float] = {}
         self._rng = rng or random.Random()
         self.on_urgent_change: Callable[[], None] = lambda: None
 
@@ -159,6 +162,8 @@
             try:
                 if kind in self._to_list:
                     await self._list(replica)
+                    if not lists_without_watch:
+                        self._ahead_of_replica.discard(kind)
                     lists_without_watch += 1
                 else:
                     await self._watch(replica)
@@ -195,10 +200,18 @@
         await asyncio.sleep(RETRY_DELAY_S)
 
     def _is_of_replica(self, kind: str, exc: StoreError) -> bool:
-        """Return whether an error may be that of a replica, which lacks what this VM has seen."""
+        """Return whether an error may be that of a replica, which lacks what this VM has seen.
+
+        Only a version that did not come from a replica, and not long ago, may be one that replicas
+        lack. Otherwise the store itself has dropped its history, and a list is needed.
+        """
         if kind in self._to_list or isinstance(exc, StoreRestoredError):
             return False
-        return self._allows_stale(kind)
+        if not self._allows_stale(kind):
+            return False
+        read_ahead_s = self._read_ahead_s.get(kind, float("-inf"))
+        is_recent = asyncio.get_running_loop().time() - read_ahead_s < REPLICA_LAG_S
+        return is_recent or isinstance(exc, EarlierEraError)
 
     def _allows_stale(self, kind: str) -> bool:
         return kind not in self._to_ask_anew and kind not in self._ahead_of_replica
@@ -242,7 +255,7 @@
             return
         self._ahead_of_replica.discard(kind)
         self._record_answer(kind, began_s, is_stale=allow_stale)
-        self._apply_changes(replica, result)
+        self._apply_changes(replica, result, is_stale=allow_stale)
         waited_s = asyncio.get_running_loop().time() - began_s
         if result.events or waited_s < WATCH_PAUSE_S:
             await asyncio.sleep(WATCH_PAUSE_S)  # one call then returns all changes of the pause
@@ -298,8 +311,13 @@
     def _apply_read_listing(self, replica: KindReplica, listing: Listing) -> None:
         self._apply_listing(replica, listing, _Source.LIST)
 
-    def _apply_changes(self, replica: KindReplica, result: WatchResult) -> None:
+    def _apply_changes(
+        self, replica: KindReplica, result: WatchResult, *, is_stale: bool = False
+    ) -> None:
+        before = replica.as_of
         change = replica.apply_events(result)
+        if not is_stale:
+            self._record_read_ahead(replica, before)
         if change is not None and (change.written or change.removed):
             self._record_change(replica, change, self._register_again_until_s(), _Source.WATCH)
 
@@ -309,6 +327,7 @@
         """Apply a listing; `is_settled` says that no outage explains what is missing from it."""
         before = replica.as_of
         change = replica.apply_listing(listing)
+        self._record_read_ahead(replica, before)
         if change is not None:
             if change.is_restored:
                 self._record_restored(replica, before, change)
@@ -316,6 +335,11 @@
             self._record_change(replica, change, kept_until_s, source)
         self._loaded[replica.kind].set()
 
+    def _record_read_ahead(self, replica: KindReplica, before: StoreVersion) -> None:
+        """Record when a copy advances to a version that replicas may not have yet."""
+        if replica.as_of != before:
+            self._read_ahead_s[replica.kind] = asyncio.get_running_loop().time()
+
     async def _fetch_copy(self, replica: KindReplica, host: Address) -> None:
         fetched = await fetch_replica(host, replica.kind)
         self._apply_listing(replica, fetched.listing, _Source.PEER, is_settled=fetched.is_settled)
