Charge requests to the link to their target's region

Callers on our own interface got no wrong answer; links between regions could carry more requests than the share of their rate that requests may use, which is half of the node's part.

The bucket of a link was only ever filled, so every request that asked whether it may cross was told that it may.

Evidence: by reading, and by the new test: no link was charged for three requests, nor for a repeated attempt. Units tests of the budget and of the steering charged it themselves.

Each attempt is now charged once it holds a slot at its target, as the budget's description says. test_each_attempt_is_charged_to_its_link failed before.

--- a/src/chervilmill/callers/_attempts.py
+++ b/src/chervilmill/callers/_attempts.py
@@ -20,7 +20,11 @@
 
 
 class Attempts:
-    """Takes a slot at a target for each attempt and sends the attempt there."""
+    """Takes a slot at a target for each attempt and sends the attempt there.
+
+    With `steered`, requests are limited to the failure domains that steering allows, and each
+    attempt is charged to the link to its target's region.
+    """
 
     def __init__(
         self,
@@ -44,6 +48,8 @@
         state = self._services[attempt.req.service]
         target = self._take_slot(state, attempt)
         attempt.taken_targets.append(target.name)
+        if self._steered is not None:
+            self._steered.record_sent(attempt.req, target)
         return AttemptRun(
             self._targets, self._links, self._metrics, state, target, attempt
         ).answer()
--- a/src/chervilmill/callers/_steered_requests.py
+++ b/src/chervilmill/callers/_steered_requests.py
@@ -90,7 +90,7 @@
         )
         return AllowedDomains(own_domains | other_domains, choices[0].failure_domain)
 
-    def sent(self, req: CallerRequest, target: Vm) -> None:
+    def record_sent(self, req: CallerRequest, target: Vm) -> None:
         """Charge the link to the target that a request is sent to."""
         self._links.charge_request(req.service, target.region)
 
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -22,6 +22,7 @@
     Orders,
     Prober,
     Retries,
+    SteeredRequests,
     build_services,
 )
 from chervilmill.coordination import OrderLedger, Vm
@@ -91,7 +92,12 @@
     """One entry VM that runs in this process, and a client for it."""
 
     def __init__(
-        self, entries: list[Vm], targets: list[Vm], store: MemoryStore, name: str = "entry-1"
+        self,
+        entries: list[Vm],
+        targets: list[Vm],
+        store: MemoryStore,
+        name: str = "entry-1",
+        steered: SteeredRequests | None = None,
     ) -> None:
         raw = raw_settings(name, Address("127.0.0.1", 1))
         raw["node"].update(callers=str(free_address()))
@@ -117,7 +123,7 @@
         )
         self.prober = Prober([service.slots for service in self.services.values()], self.client)
         links = Links(FixedAllotments(), "praha", link_resource)
-        attempts = Attempts(self.services, self.client, links, self.metrics)
+        attempts = Attempts(self.services, self.client, links, self.metrics, steered)
         retries = Retries(attempts, self.services, self.watch, self.metrics, random.Random(2))
         owners = OrderOwners(
             self.directory,
@@ -178,9 +184,15 @@
 
 @contextmanager
 def running(
-    targets: int = 1, entries: int = 1, **behaviour: object
+    targets: int = 1,
+    entries: int = 1,
+    steered: SteeredRequests | None = None,
+    **behaviour: object,
 ) -> Iterator[tuple[list[Entry], list[TargetState]]]:
-    """Run entry VMs that share targets and a store; `behaviour` applies to every target."""
+    """Run entry VMs that share targets and a store; `behaviour` applies to every target.
+
+    With `steered`, requests are limited to the failure domains that it allows.
+    """
     states = [TargetState(f"target-{index}", late_s=3.0) for index in range(targets)]
     servers = [target_server(free_address(), state) for state in states]
     for state, server in zip(states, servers, strict=True):
@@ -192,7 +204,9 @@
     ]
     store = MemoryStore()
     listed: list[Vm] = []
-    started = [Entry(listed, list(vms), store, f"entry-{index}") for index in range(entries)]
+    started = [
+        Entry(listed, list(vms), store, f"entry-{index}", steered) for index in range(entries)
+    ]
     for entry in started:
         entry.start()
     try:
--- a/tests/callers/test_steered.py
+++ b/tests/callers/test_steered.py
@@ -99,10 +99,24 @@
     links = FixedLinks(*open_regions)
     steered = SteeredRequests(FixedSteering(is_steered=True, **weights), links, "praha")
     assert steered.domains(request(1)).allowed == expected
-    steered.sent(request(1), SimpleNamespace(region="brno"))
+    steered.record_sent(request(1), SimpleNamespace(region="brno"))
     assert links.sent_to == ["brno"]
 
 
+# Links were never charged, so the share of a link that requests may use did not bind.
+def test_each_attempt_is_charged_to_its_link() -> None:
+    links = FixedLinks("praha")
+    steered = SteeredRequests(FixedSteering(is_steered=False, praha_a=1.0), links, "praha")
+    with running(targets=2, steered=steered) as ([entry], states):
+        for number in range(3):
+            assert entry.get(f"/digest/{number}").status == 200
+        assert links.sent_to == ["praha"] * 3
+        for state in states:
+            state.behave({"faults": ["lost"]})
+        assert entry.get("/digest/3").status == 200
+        assert len(links.sent_to) - 3 == sum(state.requests for state in states) - 3 > 1
+
+
 def test_requests_beyond_what_is_admitted_are_refused_as_not_run() -> None:
     steered = SteeredRequests(
         FixedSteering(is_steered=True, admitted=0.0, praha_a=1.0), ALL_OPEN, "praha"
