--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -112,6 +112,7 @@
         self._to_list = set(replicas)
         self._to_ask_anew: set[str] = set()
         self._ahead_of_replica: set[str] = set()
+        # When each copy last advanced to a version that no replica gave.
         self._read_ahead_s: dict[str, float] = {}
         self._rng = rng or random.Random()
         self.on_urgent_change: Callable[[], None] = lambda: None
