Do not report a write that may be in force as refused

Operators could have been told of a step of a shift as refused by a later holder although it was in force: StaleEpochError says that a write was refused.

Cause: a write whose reply is lost is resolved by reading the object again. If a later holder had taken the object over meanwhile, the write counted as refused. But a later holder keeps the body that it finds, so the write may be in force.

Now such a write has an unknown outcome (WriteUnsureError); a write that was refused before is still stale. test_write_that_a_later_holder_took_over_is_not_ reported_as_refused failed before.

--- a/src/chervilmill/coordination/_fencing.py
+++ b/src/chervilmill/coordination/_fencing.py
@@ -93,17 +93,31 @@
         raise self._unsure_error("take over")
 
     def write(self, body: bytes) -> int:
-        """Replace the body and return the new version; raise the same errors as `take_over`."""
+        """Replace the body and return the new version; raise the same errors as `take_over`.
+
+        A later holder keeps the body that it finds. A write without a reply may therefore be in
+        force although a later holder has taken the object over.
+        """
         if not self._lease.is_held or self._lease.epoch != self._epoch:
             raise self._stale_epoch_error("write", self._epoch, "lease lapsed or acquired anew")
+        unsure: WriteUnsureError | None = None
         for _attempt in range(MAX_ATTEMPTS):
-            fenced = FencedValue(self._epoch, body)
-            version = self._try_update(fenced, self._version)
-            if version is not None:
+            value = encode_fenced(FencedValue(self._epoch, body))
+            try:
+                version = self._store.update(self._kind, self._name, value, self._version)
                 self._set_current(self._epoch, version, body)
                 return version
-            if self._reread().body == body:
-                return self._version
+            except VersionConflictError:
+                pass
+            except WriteUnsureError as exc:
+                unsure = exc
+            try:
+                if self._reread().body == body:
+                    return self._version
+            except StaleEpochError as exc:
+                if unsure is not None:
+                    raise unsure from exc
+                raise
         raise self._unsure_error("write")
 
     def _reread(self) -> FencedValue:
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -220,6 +220,49 @@
     assert any(is_caught(seed) for seed in range(500))
 
 
+class _LateReplyStore(MemoryStore):
+    """A store that applies the next update and loses the reply, while the object is taken over."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.take_over: Callable[[], object] | None = None
+
+    def update(self, kind: str, name: str, value: bytes, version: int) -> int:
+        updated = super().update(kind, name, value, version)
+        take_over, self.take_over = self.take_over, None
+        if take_over is not None:
+            take_over()
+            raise WriteUnsureError("reply lost", step="update object", peer="store")
+        return updated
+
+
+def _fenced_object(store: MemoryStore, holder: str, time: FakeTime) -> tuple[Lease, FencedObject]:
+    lease = Lease(store, "planner", holder, DURATION_S, lambda: time.now_s)
+    return lease, FencedObject(store, "table", "t", lease)
+
+
+# A write that was in force was reported as refused.
+def test_write_that_a_later_holder_took_over_is_not_reported_as_refused() -> None:
+    time, store = FakeTime(), _LateReplyStore()
+    first_lease, first = _fenced_object(store, "a", time)
+    later_lease, later = _fenced_object(store, "b", time)
+    assert first_lease.step()
+    first.take_over()
+    first.write(b"one")
+
+    def take_over() -> None:
+        first_lease.release()
+        assert later_lease.step()
+        later.take_over()
+
+    store.take_over = take_over
+    with pytest.raises(WriteUnsureError):
+        first.write(b"two")
+    assert later.read() == b"two"
+    with pytest.raises(StaleEpochError):
+        first.write(b"three")
+
+
 def test_released_lease_can_be_acquired_at_once() -> None:
     time = FakeTime()
     store = MemoryStore()
