Divide the rate of writes for orders that was asked for among the nodes

Callers saw nothing: no program passes a rate of its own. An OrderLedger that was given one used the default from the first change of the fleet on, as set_node_count divided the constant. Found by reading; test_node_count_divides_the_stated_rate_of_writes failed before.

--- a/src/chervilmill/coordination/_order_ledger.py
+++ b/src/chervilmill/coordination/_order_ledger.py
@@ -58,6 +58,7 @@
     ) -> None:
         self._store = store
         self._clock = clock
+        self._writes_per_s = writes_per_s
         self._pacer = WritePacer(writes_per_s)
         self._queues = [ShardQueue() for _ in range(shards)]
         self._cached_shard_bytes = 0
@@ -82,7 +83,7 @@
     def set_node_count(self, nodes: int) -> None:
         """Limit this node to its share of the store writes for orders, among `nodes` nodes."""
         with self._lock:
-            self._pacer.set_rate(ORDER_WRITES_PER_S / nodes)
+            self._pacer.set_rate(self._writes_per_s / nodes)
 
     def start(self) -> None:
         """Start the writer threads."""
--- a/tests/coordination/test_order_ledger.py
+++ b/tests/coordination/test_order_ledger.py
@@ -118,3 +118,11 @@
     assert is_written(ledger)
     ledger.stop(0)
     assert store.calls == 3
+
+
+# The rate that was passed in was replaced by the default with the first change of the fleet.
+def test_node_count_divides_the_stated_rate_of_writes(store: MemoryStore) -> None:
+    ledger = OrderLedger(store, shards=4, writes_per_s=10.0)
+    ledger.set_node_count(2)
+    pauses_s = [ledger._pacer.schedule(0.0) for _ in range(6)]
+    assert pauses_s[-1] == pytest.approx(4 / 5.0)
