--- a/bench/overload/_replay.py
+++ b/bench/overload/_replay.py
@@ -261,15 +261,15 @@
             SERVICE,
             AffinityWorkload(work, call.key),
             AdmissionRequest(
-                kind.objective_s,
-                age_s,
-                left_s,
-                kind.priority,
-                fleet.service_times.is_trusted(work, self.now_s),
+                objective_s=kind.objective_s,
+                age_s=age_s,
+                time_left_s=left_s,
+                priority=kind.priority,
+                is_work_known=fleet.service_times.is_trusted(work, self.now_s),
             ),
-            frozenset(),
-            self.rng.random(),
-            excluded_targets,
+            home_regions=frozenset(),
+            region_position=self.rng.random(),
+            excluded_targets=excluded_targets,
         )
         decision = fleet.place(query, self.view, self.now_s)
         if isinstance(decision, Admitted):
