Log and count how late the event loop of an entry VM is

What callers saw cannot be told from stale reads by the logs: no line says how late the loop is, nor how old the copies were by which a request was sent. Ticks due every 0.1 s now give chervilmill_loop_late_seconds and 'event loop is late', and the lines of a request have copy_age_s. No decision uses them.

--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -58,6 +58,7 @@
         leaving: LeavingTracker,
         reach: ReachTracker,
         relay: Relay,
+        copy_age_s: Callable[[], float | None],
     ) -> None:
         self._site_state = site_state
         self._pool = pool
@@ -69,6 +70,7 @@
         self._crashes = crashes
         self._reach = reach
         self._relay = relay
+        self._copy_age_s = copy_age_s
         self._outcomes = OutcomeRecorder(site_state.fleet, crashes, limits, leaving, reach)
         self._retry_budgets: dict[str, RetryBudgetShare] = {}
 
@@ -194,6 +196,7 @@
         self._outcomes.record_sent(progress, candidate, sent_s)
         progress.tried.append(record.target.name)
         progress.last_candidate, progress.sent_s = candidate, sent_s
+        progress.copy_age_s = self._copy_age_s()
         left_s = progress.deadline_s - sent_s
         round_trip_s = self._site_state.fleet.round_trips_s.get(record.target.failure_domain, 0.0)
         attempt = Attempt(
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -19,6 +19,7 @@
 from chervilmill.entry._forward import Forwarder
 from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
+from chervilmill.entry._loop_watch import LoopWatch
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._reach import ReachTracker
 from chervilmill.entry._relay import Relay
@@ -119,6 +120,7 @@
         self._sync.confirmer.on_confirmed = self._gossip.announce_to_readers
         self._crashes.on_urgent_report = self._gossip.request_urgent_round
         self._metrics = Metrics()
+        self._loop_watch = LoopWatch(self._metrics, self._started_s)
         self._reach = ReachTracker(self._site_state, self._pool, rng)
         self._reach.on_change = self._handle_reach_change
         own_basis = OwnBasis(self._site_state, self._replicas[EVACUATION_KIND])
@@ -147,6 +149,7 @@
             self._leaving,
             self._reach,
             self._relay,
+            self._sync.confirmed_age_s,
         )
         self._forwarder = Forwarder(
             self._site_state, dispatcher, self._metrics, self._is_view_fresh
@@ -187,6 +190,7 @@
         self._spawn(self._become_ready())
         self._spawn(self._tick())
         self._spawn(self._reach.run())
+        self._spawn(self._loop_watch.run())
         await self._stop_requested.wait()
         await self._stop()
 
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -182,7 +182,7 @@
         took_s = asyncio.get_running_loop().time() - progress.began_s
         self._metrics.latency.labels(progress.service).observe(took_s)
         fields = (
-            _decision_fields(progress.last_candidate) if progress.last_candidate is not None else {}
+            _decision_fields(progress, progress.last_candidate) if progress.last_candidate else {}
         )
         log_event(
             event,
@@ -204,9 +204,11 @@
     return route.timeout_s if time_left_s is None else time_left_s
 
 
-def _decision_fields(candidate: Candidate) -> dict[str, object]:
-    """Return the log fields with the estimates on which a placement was based."""
+def _decision_fields(progress: Progress, candidate: Candidate) -> dict[str, object]:
+    """Return the log fields with what a placement was based on."""
+    copy_age_s = progress.copy_age_s
     return {
+        "copy_age_s": None if copy_age_s is None else round(copy_age_s, 3),
         "wait_s": round(candidate.wait_s, 4),
         "work_s": round(candidate.work_s, 4),
         "expected_s": round(candidate.expected_answer_s, 4),
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -98,6 +98,7 @@
             status=result.status,
             detail=result.detail,
             took_s=round(took_s, 4),
+            copy_age_s=progress.copy_age_s and round(progress.copy_age_s, 3),
         )
 
     def record_timeout(self, progress: Progress, now_s: float) -> None:
--- a/src/chervilmill/entry/_progress.py
+++ b/src/chervilmill/entry/_progress.py
@@ -27,7 +27,8 @@
     started, or None between attempts, and `attempt` is the current attempt. `sent_count` counts
     the attempts that reached a target. `next_placement` is where an overdue request moves to, if
     another target has admitted it. `is_relayed` says that a peer sent the request. `status` is the
-    status of the answer given to the caller.
+    status of the answer given to the caller. `copy_age_s` is the age of the oldest copy of the
+    store's objects when the current or last attempt was sent.
     """
 
     caller: ServerConnection
@@ -49,6 +50,7 @@
     may_have_run: bool = False
     attempt: Attempt | None = None
     next_placement: Admitted | None = None
+    copy_age_s: float | None = None
 
     @property
     def may_still_run(self) -> bool:
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -98,6 +98,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.loop_lateness = Histogram(
+            "chervilmill_loop_late_seconds",
+            "How late the event loop ran a tick that is due every 0.1 s",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.headroom = Gauge(
             "chervilmill_headroom_ratio",
             "Unused part of a failure domain's capacity, by service",
--- a/src/chervilmill/overload/__init__.py
+++ b/src/chervilmill/overload/__init__.py
@@ -14,6 +14,7 @@
     choose_candidates,
 )
 from chervilmill.overload._fleet import PlacementQuery, TargetFleet
+from chervilmill.overload._lateness import TICK_S, Lateness
 from chervilmill.overload._reachability import TargetReachability
 from chervilmill.overload._region_shares import RegionShares, desired_region_shares
 from chervilmill.overload._retry_budget_share import RetryBudgetShare
@@ -45,6 +46,7 @@
     "CallerAgeEstimator",
     "Candidate",
     "LIMIT_TTL_S",
+    "Lateness",
     "LimitReport",
     "PlacementOptions",
     "PlacementQuery",
@@ -58,6 +60,7 @@
     "SpillBudget",
     "StatedLimit",
     "StatedPause",
+    "TICK_S",
     "TargetFleet",
     "TargetLimits",
     "TargetReachability",
