Count the time that a digest waits in the socket as part of its age

Cause: the event loop reads one datagram a turn, and counted the age that a digest states from then. On a VM that is late or was frozen, digests are seconds old by that time. The proof in them then seemed younger than changes that came since by the VM's own watch, which were dropped as wrong: the VM went back to an older configuration, and a draining target was ready again.

The socket now hands on all datagrams in one turn, is polled every 0.1 s, and knows when it was last empty, which bounds the wait without any clock of the kernel.

--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -81,6 +81,8 @@
         self._started_s = self._clock()
         rng = random.Random()
         self._stop_requested = asyncio.Event()
+        self._metrics = Metrics()
+        self._loop_watch = LoopWatch(self._metrics, self._started_s)
         own = Peer(settings.name, settings.host, settings.failure_domain)
         self._own = own
         self._membership = Membership(settings.name, int(time.time()), rng, settings.failure_domain)
@@ -116,11 +118,10 @@
         )
         self._gossip.confirmed_age_s = self._sync.confirmed_age_s
         self._gossip.proofs = self._sync.proofs
+        self._loop_watch.on_tick = self._gossip.poll
         self._sync.on_urgent_change = self._gossip.announce_revisions
         self._sync.confirmer.on_confirmed = self._gossip.announce_to_readers
         self._crashes.on_urgent_report = self._gossip.request_urgent_round
-        self._metrics = Metrics()
-        self._loop_watch = LoopWatch(self._metrics, self._started_s)
         self._reach = ReachTracker(self._site_state, self._pool, rng)
         self._reach.on_change = self._handle_reach_change
         own_basis = OwnBasis(self._site_state, self._replicas[EVACUATION_KIND])
--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
-from typing import Any, Generic, Protocol, TypeVar, cast
+from dataclasses import dataclass, replace
+from typing import Any, Generic, Protocol, TypeVar
 
 from chervilmill.addresses import Address
 from chervilmill.errors import ChervilmillError
 from chervilmill.logs import log_event, log_problem
+from chervilmill.peers._datagram_socket import DatagramSocket
 from chervilmill.peers._digest import PROTOCOL_VERSION, Digest, decode_digest
 from chervilmill.peers._membership import ROUND_S, Membership
 from chervilmill.peers._replica import CopyProof
@@ -15,6 +16,7 @@
 
 LEAVING_REPEATS = 3  # a single datagram may get lost
 URGENT_ROUND_S = 0.1  # a fifth of a round; gathers the reports on one event
+POLL_S = 0.1  # at which the user of an endpoint polls it, also when nothing arrives
 
 
 Report = TypeVar("Report")
@@ -75,6 +77,10 @@
 
     `confirmed_age_s` returns the age up to which this VM's copies reflect the store, if known, and
     `proofs` what is proven of them, by kind.
+
+    A digest that waited in the socket, as the event loop was late or the process frozen, is older
+    than it says. The age of its sender's confirmation is raised by the longest time that it may
+    have waited beyond POLL_S.
     """
 
     def __init__(
@@ -93,18 +99,25 @@
         self.confirmed_age_s: Callable[[], float | None] = lambda: None
         self.proofs: Callable[[], Mapping[str, CopyProof]] = dict
         self._transport: asyncio.DatagramTransport | None = None
+        self._socket: DatagramSocket | None = None
         self._urgent_round: asyncio.TimerHandle | None = None
         self._is_digest_urgent = False
         self._other_versions: dict[int, int] = {}
 
     async def open(self, host: str) -> None:
         """Bind the gossip port on a host, or raise OSError."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, self._port))
+        self._socket = DatagramSocket(host, self._port, self)
+        self.connection_made(self._socket)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the bound transport."""
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def poll(self) -> None:
+        """Receive the datagrams there are; call this every POLL_S."""
+        if self._socket is not None:
+            self._socket.poll()
 
     def datagram_received(self, data: bytes, addr: tuple[str | int, ...]) -> None:
         """Merge received reports or a digest, and reply if needed; log and drop all else."""
@@ -117,6 +130,7 @@
         except ChervilmillError as exc:
             log_problem("datagram dropped", step=exc.step, peer=exc.peer, reason=exc.message)
             return
+        digest = self._with_true_age(digest)
         self._log_other_version(digest, host)
         if self._membership.is_joining(digest, now_s):
             for channel in self._channels:
@@ -126,6 +140,12 @@
             self._send(reply.encode(), host)
         self._on_digest(digest)
 
+    def _with_true_age(self, digest: Digest) -> Digest:
+        held_s = self._socket.held_s() - POLL_S if self._socket is not None else 0.0
+        if digest.confirmed_age_s is None or held_s <= 0.0:
+            return digest
+        return replace(digest, confirmed_age_s=digest.confirmed_age_s + held_s)
+
     def _log_other_version(self, digest: Digest, host: str) -> None:
         """Log that a registered peer is of another version, once for each version of it."""
         version = digest.protocol_version
--- a/tests/peers/test_endpoint.py
+++ b/tests/peers/test_endpoint.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import random
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import cbor2
 import pytest
 
+from chervilmill.addresses import Address
 from chervilmill.overload import LimitReport
 from chervilmill.peers import (
     Digest,
@@ -32,7 +34,7 @@
 from chervilmill.peers._membership import ROUND_S
 from chervilmill.platform import StoreVersion
 from chervilmill.requests import CrashReport, Lifetime, ReportedLoss
-from tests.support import free_address
+from tests.support import free_address, run_async
 
 LATER_VERSION = PROTOCOL_VERSION + 1
 
@@ -234,3 +236,37 @@
         UNSTATED_PROTOCOL_VERSION,
         LATER_VERSION,
     ]
+
+
+# Ages counted from the reading of a digest, so true changes were dropped as older than a proof.
+@pytest.mark.parametrize(("blocked_s", "least_s", "most_s"), [(0.0, 0.2, 0.4), (1.5, 1.6, 2.0)])
+def test_digest_that_waited_in_the_socket_counts_as_just_sent(
+    blocked_s: float, least_s: float, most_s: float
+) -> None:
+    async def scenario() -> None:
+        async with _gossiping_nodes(2) as (sender, receiver):
+            await asyncio.sleep(0.3)
+            receiver.endpoint.poll()
+            receiver.received.clear()
+            sender.endpoint.confirmed_age_s = lambda: 0.2
+            sender.endpoint.send_digest(Address(receiver.peer.host, 1))
+            time.sleep(blocked_s)
+            await asyncio.sleep(0.02)
+            ages_s = [digest.confirmed_age_s for digest in receiver.received]
+            stated_s = [age_s for age_s in ages_s if age_s is not None]
+            assert least_s <= stated_s[0] <= most_s
+
+    run_async(scenario)
+
+
+def test_all_datagrams_that_wait_are_received_at_once() -> None:
+    async def scenario() -> None:
+        async with _gossiping_nodes(2) as (sender, receiver):
+            await asyncio.sleep(0.05)
+            receiver.received.clear()
+            for _ in range(100):
+                sender.endpoint.send_digest(Address(receiver.peer.host, 1))
+            receiver.endpoint.poll()
+            assert len(receiver.received) >= 100
+
+    run_async(scenario)
