Do not take the store for lost when a late event loop lets a call time out

Cause: a time-out ends a call although the answer waits in its socket, where the event loop is seconds late.

A call that timed out, on its connection or its answer, while the loop was late within the time of such calls now shows nothing. Refused connections and answers such as 503 show an outage as before.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -20,6 +20,10 @@
     """Raised when no connection could be made, so that nothing was sent."""
 
 
+class ConnectTimeoutError(ConnectError):
+    """Raised when the peer did not take the connection in time."""
+
+
 class ExchangeError(ChervilmillError):
     """Raised when an exchange breaks off after parts of the request may have been sent."""
 
@@ -185,5 +189,6 @@
             _, conn = await loop.create_connection(ClientConnection, address.host, address.port)
     except (OSError, TimeoutError) as exc:
         message = str(exc) or type(exc).__name__
-        raise ConnectError(message, step="connect", peer=str(address)) from exc
+        error = ConnectTimeoutError if isinstance(exc, TimeoutError) else ConnectError
+        raise error(message, step="connect", peer=str(address)) from exc
     return conn
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -104,6 +104,7 @@
             URGENT_KINDS,
             EVACUATION_KIND,
             rng,
+            self._loop_watch.was_late_since,
         )
         self._gossip = GossipEndpoint(
             self._membership,
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -75,7 +75,7 @@
 
     Changes of `urgent_kinds` have to take effect within a bound. `on_urgent_change` is called after
     each, to announce it to the other VMs. `listed_kind`, one with few objects, is listed to confirm
-    all copies.
+    all copies. `was_late_since` returns whether the event loop was late since a time.
     """
 
     def __init__(
@@ -86,10 +86,11 @@
         urgent_kinds: tuple[str, ...] = (),
         listed_kind: str | None = None,
         rng: random.Random | None = None,
+        was_late_since: Callable[[float], bool] = lambda _: False,
     ) -> None:
         self._store = store
         self._replicas = replicas
-        self._store_state = StoreState()
+        self._store_state = StoreState(was_late_since=was_late_since)
         self._catch_ups = {
             kind: CatchUp(replica, self._store_state, self._ask_anew, self._fetch_copy)
             for kind, replica in replicas.items()
--- a/src/chervilmill/entry/_store_state.py
+++ b/src/chervilmill/entry/_store_state.py
@@ -1,6 +1,11 @@
-"""Record whether the store answers this entry VM, and up to when its copies are confirmed."""
+"""Record whether the store answers this entry VM, and up to when its copies are confirmed.
 
-from collections.abc import Iterator
+A call that times out while this VM's event loop is late says nothing of the store, whose answer may
+have waited in the socket. A VM that took it for an outage would go on with what it knows, as it has
+to while the store is away, although the changes of the store are at its door.
+"""
+
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -9,6 +14,7 @@
 
 # Live targets whose entries expired during an outage register again within this time of its end.
 REGISTER_AGAIN_S = 2.0
+TIMED_OUT_S = 3.0  # the longest time that calls wait for an answer that is due
 
 
 @dataclass(slots=True)
@@ -20,7 +26,8 @@
     from a replica without the store, has come since a call failed.
 
     `confirmed_s` is, for each kind, the time up to which the copy is known to reflect the store.
-    `called_s` is the time since which a call about the kind has been open.
+    `called_s` is the time since which a call about the kind has been open. `was_late_since` returns
+    whether the event loop was late since a time.
     """
 
     is_unreachable: bool = False
@@ -29,6 +36,7 @@
     recovered_s: float = float("-inf")
     confirmed_s: dict[str, float] = field(default_factory=dict)
     called_s: dict[str, float] = field(default_factory=dict)
+    was_late_since: Callable[[float], bool] = lambda _: False
 
     def confirm(self, kind: str, at_s: float) -> None:
         """Record that the copy of a kind reflects the store as it was at a time."""
@@ -69,6 +77,8 @@
 
     def record_failure(self, kind: str, exc: StoreError, now_s: float) -> None:
         """Record that a call about a kind failed."""
+        if exc.has_timed_out and self.was_late_since(now_s - TIMED_OUT_S):
+            return
         self.failed_s = now_s
         self.has_stale_answer = False
         if not self.is_unreachable:
--- a/src/chervilmill/platform/_store.py
+++ b/src/chervilmill/platform/_store.py
@@ -16,7 +16,7 @@
 from typing import Any, Protocol
 from urllib.parse import quote, urlencode
 
-from chervilmill.aio import ExchangeTimeoutError, HttpAnswer
+from chervilmill.aio import ConnectTimeoutError, ExchangeTimeoutError, HttpAnswer
 from chervilmill.documents import MAX_NESTING_DEPTH, decode_document, is_nested_within
 from chervilmill.errors import ChervilmillError
 
@@ -27,7 +27,12 @@
 
 
 class StoreError(ChervilmillError):
-    """Raised for a call that failed; `is_outcome_unknown` says that it may still take effect."""
+    """Raised for a call that failed; `is_outcome_unknown` says that it may still take effect.
+
+    `has_timed_out` says that nothing but the end of its time showed the failure.
+    """
+
+    has_timed_out = False
 
     def __init__(
         self, message: str, *, step: str, peer: str, is_outcome_unknown: bool = False
@@ -214,9 +219,11 @@
         except ChervilmillError as exc:
             is_outcome_unknown = method != "GET"
             error = StoreSilentError if isinstance(exc, ExchangeTimeoutError) else StoreError
-            raise error(
+            failure = error(
                 str(exc), step=step, peer=self._peer, is_outcome_unknown=is_outcome_unknown
-            ) from exc
+            )
+            failure.has_timed_out = isinstance(exc, (ExchangeTimeoutError, ConnectTimeoutError))
+            raise failure from exc
 
     def _read_era(self, step: str, answer: HttpAnswer) -> int:
         stated = dict(answer.headers).get(_ERA_HEADER)
