Act only on copies that are recent enough when the VM itself is late

Cause: the age of what a VM knows is bounded while its event loop turns, but nothing looked at that age when a request was sent. A late VM went on matching and sending by what it knew before, with changes waiting in its sockets. A request was also sent on, late, after a connection had been opened, whatever had become of its target or its deadline meanwhile.

CopyCurrency decides it: copies that are older than the operators' bounds less 0.3 s are too old, unless the store is known to be away or the loop was on time all the while. It is asked when a request is matched, when it is placed, and once more right before it is written, together with the target's state and the deadline, from which the time for the target is now counted at that moment.

test_requests_that_waited_are_decided_by_the_configuration_before got 404 before. Its twin for a leaving target passed before too; it guards the second check.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -57,6 +57,7 @@
 
     ANSWERED = "answered"
     NOT_SENT = "not_sent"  # no connection, so the target has seen nothing of the request
+    WITHDRAWN = "withdrawn"  # not sent, as it may not be sent there any more
     NOT_RUN = "not_run"  # the target states that it did not run the request
     LOST = "lost"  # the exchange failed before the caller got any part of the answer
     OVERDUE = "overdue"  # abandoned without an answer
@@ -77,7 +78,7 @@
     @property
     def proves_not_run(self) -> bool:
         """Return whether the target cannot have run the request."""
-        return self.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN)
+        return self.end in (AttemptEnd.NOT_SENT, AttemptEnd.WITHDRAWN, AttemptEnd.NOT_RUN)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +108,8 @@
     """One try to have a request answered by one target.
 
     `is_sent` is True once the target may have received any part of the request. `on_answer` is
-    called with the headers of the answer, before its body arrives.
+    called with the headers of the answer, before its body arrives. `may_send` is called once a
+    connection is there, right before the request is sent.
     """
 
     requires_ids = True  # once the peer has stated one on the connection
@@ -119,12 +121,14 @@
         pool: TargetPool,
         target: Target,
         on_answer: OnAnswer,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         self._caller = caller
         self._outgoing = outgoing
         self._pool = pool
         self._target = target
         self._on_answer = on_answer
+        self._may_send = may_send
         self.is_sent = False
         self._is_answer_identified = False
 
@@ -133,10 +137,12 @@
         """Return the result of the attempt if it is abandoned now, without an answer."""
         return AttemptResult(AttemptEnd.OVERDUE if self.is_sent else AttemptEnd.NOT_SENT)
 
-    async def run(self, time_left_s: float) -> AttemptResult:
+    async def run(self, deadline_s: float) -> AttemptResult:
         """Send the request and return the result.
 
-        If the result is ANSWERED, the answer has been relayed to the caller.
+        If the result is ANSWERED, the answer has been relayed to the caller. A request is not sent
+        after its deadline, a reading of the event loop's clock; the target gets the time that is
+        left when it is sent.
         """
         loop = asyncio.get_running_loop()
         began_s = loop.time()
@@ -145,6 +151,10 @@
         except ConnectError as exc:
             return AttemptResult(AttemptEnd.NOT_SENT, detail=str(exc))
         connect_s = loop.time() - began_s if conn.exchanges == 0 else None
+        time_left_s = deadline_s - loop.time()
+        if time_left_s <= 0.0 or not self._may_send():
+            self._pool.put_back(self._target, conn)
+            return AttemptResult(AttemptEnd.WITHDRAWN)
         is_done = False
         self.is_sent = True
         idle_s = loop.time() - conn.idle_since_s if conn.exchanges else None
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult
+from chervilmill.entry._copy_currency import CopyCurrency
 from chervilmill.entry._crashes import CrashTracker, only_target
 from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
@@ -26,14 +27,17 @@
 from chervilmill.platform import Bounds
 from chervilmill.reasons import RefusalReason, RetryReason
 from chervilmill.requests import Quarantined, RequestKind, Verdict
+from chervilmill.routing import Target
 
 # Interval of the checks for an overdue attempt: a third of the shortest objective.
 OVERDUE_CHECK_S = 0.1
 MAX_TARGETS_TRIED = 4  # including targets that could not be reached
+LATE_RETRY_AFTER_S = (0.2, 0.6)  # the VM confirms its copies meanwhile; other VMs serve at once
 SHED_RETRY_AFTER_S = 0.15  # for requests that the chosen targets shed or did not get in time
 
 _RETRY_REASONS = {
     AttemptEnd.NOT_SENT: RetryReason.CONNECT_FAILED,
+    AttemptEnd.WITHDRAWN: RetryReason.WITHDRAWN,
     AttemptEnd.NOT_RUN: RetryReason.TARGET_SHED,
     AttemptEnd.LOST: RetryReason.ANSWER_LOST,
     AttemptEnd.OVERDUE: RetryReason.ANSWER_LOST,
@@ -41,6 +45,11 @@
 }
 
 
+def late_retry_after_s(rng: random.Random) -> float:
+    """Return after what time the caller of a late VM may come back, spread over a range."""
+    return rng.uniform(*LATE_RETRY_AFTER_S)
+
+
 class Dispatcher:
     """Sends requests to targets and applies the retry rules."""
 
@@ -59,6 +68,7 @@
         reach: ReachTracker,
         relay: Relay,
         copy_age_s: Callable[[], float | None],
+        currency: CopyCurrency,
     ) -> None:
         self._site_state = site_state
         self._pool = pool
@@ -71,6 +81,7 @@
         self._reach = reach
         self._relay = relay
         self._copy_age_s = copy_age_s
+        self._currency = currency
         self._outcomes = OutcomeRecorder(site_state.fleet, crashes, limits, leaving, reach)
         self._retry_budgets: dict[str, RetryBudgetShare] = {}
 
@@ -132,6 +143,8 @@
     def _place(self, progress: Progress) -> Admitted | Refused | Refusal:
         """Choose a target among those that may run the request, or refuse the request."""
         now_s = asyncio.get_running_loop().time()
+        if not self._currency.is_current(now_s):
+            return self._refuse_as_late(progress)
         verdict = self._verdict(progress, now_s)
         if isinstance(verdict, Quarantined):
             return self._refuse_quarantined(progress, verdict)
@@ -155,6 +168,21 @@
             return Refusal(RefusalReason.TARGET_FAILED, detail=detail)
         return Refusal(RefusalReason.QUARANTINED, verdict.expires_in_s, detail)
 
+    def _refuse_as_late(self, progress: Progress) -> Refusal:
+        if progress.may_have_run:
+            return Refusal(RefusalReason.TARGET_FAILED, detail="this VM is late")
+        return Refusal(RefusalReason.ENTRY_LATE, late_retry_after_s(self._rng), "copies are old")
+
+    def _may_send(self, progress: Progress, target: Target) -> bool:
+        """Return whether a target that was chosen a moment ago may still get the request."""
+        view, now_s = self._site_state.view, asyncio.get_running_loop().time()
+        known = view.targets.get(target.name)
+        if known is None or known.incarnation != target.incarnation:
+            return False
+        home_regions = progress.route.home_regions
+        is_allowed = self._site_state.fleet.is_allowed(known, progress.service, home_regions, view)
+        return is_allowed and self._currency.is_current(now_s)
+
     def _is_usable(self, name: str, progress: Progress, now_s: float) -> bool:
         fleet = self._site_state.fleet
         record = fleet.record(name)
@@ -197,7 +225,6 @@
         progress.tried.append(record.target.name)
         progress.last_candidate, progress.sent_s = candidate, sent_s
         progress.copy_age_s = self._copy_age_s()
-        left_s = progress.deadline_s - sent_s
         round_trip_s = self._site_state.fleet.round_trips_s.get(record.target.failure_domain, 0.0)
         attempt = Attempt(
             progress.caller,
@@ -207,9 +234,10 @@
             lambda headers: self._outcomes.record_answer_headers(
                 record.target, headers, loop.time()
             ),
+            lambda: self._may_send(progress, record.target),
         )
         progress.attempt = attempt
-        running = asyncio.create_task(attempt.run(max(0.001, left_s - round_trip_s / 2)))
+        running = asyncio.create_task(attempt.run(progress.deadline_s - round_trip_s / 2))
         try:
             if await self._wait_or_abandon(progress, candidate, running):
                 result = attempt.result_if_abandoned
@@ -286,7 +314,7 @@
             return False
         if not progress.outgoing.body.can_replay:
             return False
-        if result.end is AttemptEnd.NOT_SENT:
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.WITHDRAWN):
             return True
         now_s = asyncio.get_running_loop().time()
         if progress.sent_count >= progress.route.max_attempts or progress.deadline_s <= now_s:
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -14,6 +14,7 @@
 from chervilmill.aio import HttpClient, HttpServer, RequestHead, ServerConnection, ServerLimits
 from chervilmill.entry._confirmation import UNCONFIRMED_AFTER_S
 from chervilmill.entry._control_handlers import LookupHandler, ReadinessHandler, ReplicaHandler
+from chervilmill.entry._copy_currency import CopyCurrency
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.entry._dispatch import Dispatcher
 from chervilmill.entry._forward import Forwarder
@@ -138,6 +139,12 @@
             self._metrics,
             rng,
         )
+        currency = CopyCurrency(
+            settings.bounds,
+            self._sync.confirmer.confirmed_s,
+            lambda: self._sync.is_store_unreachable,
+            self._loop_watch.was_late_since,
+        )
         dispatcher = Dispatcher(
             self._site_state,
             self._pool,
@@ -152,9 +159,10 @@
             self._reach,
             self._relay,
             self._sync.confirmed_age_s,
+            currency,
         )
         self._forwarder = Forwarder(
-            self._site_state, dispatcher, self._metrics, self._is_view_fresh
+            self._site_state, dispatcher, self._metrics, self._is_view_fresh, currency, rng
         )
         self._lookups = LookupHandler(
             own, settings.caller_address, settings.regions, self._membership, self._clock, rng
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -1,13 +1,15 @@
 """Route each request of a caller, have it dispatched to a target, and refuse it on failure."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from chervilmill.aio import RequestHead, ServerConnection, header_value
 from chervilmill.entry._attempt import OutgoingRequest
 from chervilmill.entry._body import ReplayableBody
+from chervilmill.entry._copy_currency import CopyCurrency
 from chervilmill.entry._crashes import fingerprint_request
-from chervilmill.entry._dispatch import Dispatcher
+from chervilmill.entry._dispatch import Dispatcher, late_retry_after_s
 from chervilmill.entry._progress import Origin, Progress, Refusal
 from chervilmill.entry._site_state import SiteState
 from chervilmill.logs import log_event, log_failure
@@ -37,11 +39,15 @@
         dispatcher: Dispatcher,
         metrics: Metrics,
         is_view_fresh: Callable[[], bool],
+        currency: CopyCurrency,
+        rng: random.Random,
     ) -> None:
         self._site_state = site_state
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._is_view_fresh = is_view_fresh
+        self._currency = currency
+        self._rng = rng
         self._splitter = TrafficSplitter()
         self._ages = CallerAgeEstimator()
         self.is_stopping = False
@@ -97,6 +103,10 @@
                 UNKNOWN_CONFIGURATION_RETRY_AFTER_S,
                 "no configuration",
             )
+        if not self._currency.is_current(asyncio.get_running_loop().time()):
+            return Refusal(
+                RefusalReason.ENTRY_LATE, late_retry_after_s(self._rng), "copies are old"
+            )
         host = (header_value(head.headers, b"host") or b"").decode("latin-1")
         path = head.target.split(b"?", 1)[0].decode("latin-1")
         route = find_route(cfg.routes, host, path)
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -70,6 +70,10 @@
         progress.sent_s = None
         took_s = now_s - sent_s
         record = candidate.record
+        if result.end is AttemptEnd.WITHDRAWN:
+            target = record.target.name
+            self._crashes.record_inconclusive_end(progress.fingerprint, target, sent_s)
+            return
         if result.connect_s is not None:
             took_s -= result.connect_s
             self._fleet.record_round_trip(record.target.failure_domain, result.connect_s)
--- a/src/chervilmill/entry/_pool.py
+++ b/src/chervilmill/entry/_pool.py
@@ -77,6 +77,14 @@
         else:
             conn.abort()
 
+    def put_back(self, target: Target, conn: ClientConnection) -> None:
+        """Return a connection on which nothing was sent, or close it if it was never used."""
+        idle = self._idle.setdefault((target.name, target.incarnation), [])
+        if conn.exchanges and len(idle) < MAX_IDLE_PER_TARGET:
+            idle.append(conn)
+        else:
+            conn.abort()
+
     def record_drop(self, target: Target, idle_s: float) -> None:
         """Record that a target dropped a connection that had been idle for a time.
 
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -159,8 +159,7 @@
         progress.attempt, progress.last_candidate = attempt, None
         self._in_flight[peer.name] = self._in_flight.get(peer.name, 0) + 1
         try:
-            left_s = progress.deadline_s - began_s - ANSWER_MARGIN_S
-            result = await attempt.run(max(0.001, left_s))
+            result = await attempt.run(progress.deadline_s - ANSWER_MARGIN_S)
         finally:
             self._in_flight[peer.name] -= 1
         progress.attempt = None
--- a/src/chervilmill/reasons.py
+++ b/src/chervilmill/reasons.py
@@ -22,6 +22,7 @@
     CALLER_GONE = "caller_gone"
     CONFIGURATION_UNKNOWN = "configuration_unknown"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    ENTRY_LATE = "entry_late"
     ENTRY_LEAVING = "entry_leaving"
     HEADERS_TOO_LARGE = "headers_too_large"
     HTTP_VERSION = "http_version"
@@ -56,6 +57,7 @@
     """The reason why a request was sent to a further target."""
 
     CONNECT_FAILED = "connect_failed"
+    WITHDRAWN = "withdrawn"
     TARGET_SHED = "target_shed"
     ANSWER_LOST = "answer_lost"
     HEDGE = "hedge"
@@ -77,6 +79,7 @@
     RefusalReason.CALLER_GONE: 499,
     RefusalReason.CONFIGURATION_UNKNOWN: 503,
     RefusalReason.DEADLINE_EXCEEDED: 504,
+    RefusalReason.ENTRY_LATE: 503,
     RefusalReason.ENTRY_LEAVING: 503,
     RefusalReason.HEADERS_TOO_LARGE: 431,
     RefusalReason.HTTP_VERSION: 505,
