Do not take a target for silent or crashed when the VM itself was late

Cause: an attempt that timed out while the event loop was late counted like the silence of its target, whose answer may have waited in the socket: the target was ejected, the request suspected, all VMs told, and targets in several failure domains taken for unreachable.

An attempt that only its time-out ended, with the loop late since it was sent, now has an inconclusive end. Refused and reset connections count as before.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -14,6 +14,7 @@
     AnswerHead,
     ClientConnection,
     ConnectError,
+    ConnectTimeoutError,
     ExchangeError,
     Headers,
     RequestHead,
@@ -67,13 +68,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
-    """The result of an attempt; `status` is 0 if there was no answer."""
+    """The result of an attempt; `status` is 0 if there was no answer.
+
+    `has_timed_out` says that nothing but the end of its time showed that the target was silent.
+    """
 
     end: AttemptEnd
     status: int = 0
     detail: str = ""
     load: LoadReport | None = None
     connect_s: float | None = None
+    has_timed_out: bool = False
 
     @property
     def proves_not_run(self) -> bool:
@@ -135,7 +140,8 @@
     @property
     def result_if_abandoned(self) -> AttemptResult:
         """Return the result of the attempt if it is abandoned now, without an answer."""
-        return AttemptResult(AttemptEnd.OVERDUE if self.is_sent else AttemptEnd.NOT_SENT)
+        end = AttemptEnd.OVERDUE if self.is_sent else AttemptEnd.NOT_SENT
+        return AttemptResult(end, has_timed_out=True)
 
     async def run(self, deadline_s: float) -> AttemptResult:
         """Send the request and return the result.
@@ -149,7 +155,8 @@
         try:
             conn = await self._pool.acquire(self._target)
         except ConnectError as exc:
-            return AttemptResult(AttemptEnd.NOT_SENT, detail=str(exc))
+            has_timed_out = isinstance(exc, ConnectTimeoutError)
+            return AttemptResult(AttemptEnd.NOT_SENT, detail=str(exc), has_timed_out=has_timed_out)
         connect_s = loop.time() - began_s if conn.exchanges == 0 else None
         time_left_s = deadline_s - loop.time()
         if time_left_s <= 0.0 or not self._may_send():
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -69,6 +69,7 @@
         relay: Relay,
         copy_age_s: Callable[[], float | None],
         currency: CopyCurrency,
+        was_late_since: Callable[[float], bool],
     ) -> None:
         self._site_state = site_state
         self._pool = pool
@@ -82,7 +83,9 @@
         self._relay = relay
         self._copy_age_s = copy_age_s
         self._currency = currency
-        self._outcomes = OutcomeRecorder(site_state.fleet, crashes, limits, leaving, reach)
+        self._outcomes = OutcomeRecorder(
+            site_state.fleet, crashes, limits, leaving, reach, was_late_since
+        )
         self._retry_budgets: dict[str, RetryBudgetShare] = {}
 
     def count_request(self, service: str) -> None:
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -160,6 +160,7 @@
             self._relay,
             self._sync.confirmed_age_s,
             currency,
+            self._loop_watch.was_late_since,
         )
         self._forwarder = Forwarder(
             self._site_state, dispatcher, self._metrics, self._is_view_fresh, currency, rng
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -1,4 +1,11 @@
-"""Update what is known of targets and requests from the results of attempts."""
+"""Update what is known of targets and requests from the results of attempts.
+
+An attempt that times out while this VM's event loop is late shows nothing of its target, whose
+answer may have waited in the socket. VMs that took it for a crash would have all others quarantine
+requests that crashed nothing.
+"""
+
+from collections.abc import Callable
 
 from chervilmill.entry._attempt import MISDIRECTED_STATUS, AttemptEnd, AttemptResult
 from chervilmill.entry._crashes import CrashTracker
@@ -20,7 +27,10 @@
 
 
 class OutcomeRecorder:
-    """Records the results of attempts with the target fleet and the trackers."""
+    """Records the results of attempts with the target fleet and the trackers.
+
+    `was_late_since` returns whether the event loop was late since a time.
+    """
 
     def __init__(
         self,
@@ -29,7 +39,9 @@
         limits: LimitTracker,
         leaving: LeavingTracker,
         reach: ReachTracker,
+        was_late_since: Callable[[float], bool] = lambda _: False,
     ) -> None:
+        self._was_late_since = was_late_since
         self._reach = reach
         self._fleet = fleet
         self._crashes = crashes
@@ -83,8 +95,13 @@
             progress.may_have_run = True
         if result.load is not None:
             self._fleet.record_load(record, result.load.running + result.load.waiting, now_s)
-        self._reach.record_result(record.target, result)
-        if not self._reach.is_cut_off:
+        is_void = result.has_timed_out and self._was_late_since(sent_s)
+        if is_void:
+            target = record.target.name
+            self._crashes.record_inconclusive_end(progress.fingerprint, target, sent_s)
+        else:
+            self._reach.record_result(record.target, result)
+        if not is_void and not self._reach.is_cut_off:
             self._update_target(candidate, result, sent_s, now_s)
             self._update_crashes(progress, candidate, result, sent_s, now_s)
         if _is_success(result):
@@ -130,7 +147,8 @@
         if attempt is None or candidate is None or not attempt.is_sent or not is_whole:
             return
         sent_s = progress.sent_s if progress.sent_s is not None else now_s
-        self._record_loss(progress, candidate, sent_s, now_s)
+        if not self._was_late_since(sent_s):
+            self._record_loss(progress, candidate, sent_s, now_s)
 
     def _update_target(
         self, candidate: Candidate, result: AttemptResult, sent_s: float, now_s: float
--- a/tests/entry/test_outcome.py
+++ b/tests/entry/test_outcome.py
@@ -20,7 +20,7 @@
 from chervilmill.overload import Candidate, TargetFleet
 from chervilmill.peers import Membership, Peer
 from chervilmill.platform import RequestHeaders
-from chervilmill.requests import LimitedToTarget, RequestKind
+from chervilmill.requests import LimitedToTarget, RequestKind, Unrestricted
 from chervilmill.routing import Route, SiteView, Target, TargetChanged
 
 SENT_S = 100.0
@@ -49,7 +49,9 @@
     return attempt
 
 
-def _set_up(*, is_complete: bool = True, last_answer_s: float = 0.0) -> _Setup:
+def _set_up(
+    *, is_complete: bool = True, last_answer_s: float = 0.0, was_late: bool = False
+) -> _Setup:
     fleet = TargetFleet("vm", "north", {"north-a": "north"}, random.Random(1))
     target = Target("t", 1, "app", Address("127.0.0.1", 1), "north-a", 6, False, 0.0)
     fleet.apply([TargetChanged(target, None)], SiteView(), 0.0)
@@ -99,6 +101,7 @@
             LimitTracker(fleet.rates.limits),
             LeavingTracker(lambda _: None),
             ReachTracker(site_state, TargetPool(), random.Random(1)),
+            lambda at_s: was_late,
         ),
         progress,
         candidate,
@@ -181,3 +184,38 @@
     assert setup.progress.may_still_run is is_sent
     setup.recorder.record_timeout(setup.progress, SENT_S + 1.0)
     assert setup.progress.may_have_run is is_sent
+
+
+NOT_CONNECTED = AttemptResult(AttemptEnd.NOT_SENT, has_timed_out=True)
+SILENT = AttemptResult(AttemptEnd.OVERDUE, has_timed_out=True)
+
+
+# The answer may have waited in the socket of a VM that was late itself.
+@pytest.mark.parametrize("result", [NOT_CONNECTED, SILENT], ids=["connection", "answer"])
+@pytest.mark.parametrize("was_late", [False, True])
+def test_attempt_that_timed_out_on_a_late_vm_ejects_its_target(
+    result: AttemptResult, was_late: bool
+) -> None:
+    setup = _set_up(was_late=was_late)
+    setup.recorder.record_result(setup.progress, setup.candidate, result, SENT_S + 1.0)
+    assert setup.is_ejected is not was_late
+
+
+@pytest.mark.parametrize("was_late", [False, True])
+def test_request_unanswered_on_a_late_vm_is_suspected_of_a_crash(was_late: bool) -> None:
+    setup = _set_up(was_late=was_late)
+    assert setup.progress.attempt is not None
+    setup.progress.attempt.is_sent = True
+    setup.recorder.record_unanswered(setup.progress, SENT_S + 1.0)
+    setup.progress.sent_s = None  # the request ends
+    refused = AttemptResult(AttemptEnd.NOT_SENT)
+    setup.recorder.record_result(setup.progress, setup.candidate, refused, SENT_S + 1.5)
+    verdict = setup.crashes.verdict(b"f", SENT_S + 5.0, lambda _: True)
+    assert (verdict == Unrestricted()) is was_late
+
+
+def test_refused_connection_ejects_its_target_also_on_a_late_vm() -> None:
+    setup = _set_up(was_late=True)
+    refused = AttemptResult(AttemptEnd.NOT_SENT)
+    setup.recorder.record_result(setup.progress, setup.candidate, refused, SENT_S + 1.0)
+    assert setup.is_ejected
