Bound the answers of the store and of peers by what a VM can hold

Cause: whole answers of the store and of peers were kept up to 64 MB each, and about ten calls are open at once, on VMs with 300 MB. Eight endless bodies took 538 MB (traced) before an error ended them.

--- a/src/chervilmill/aio/_http_client.py
+++ b/src/chervilmill/aio/_http_client.py
@@ -12,7 +12,9 @@
 )
 
 CONNECT_TIMEOUT_S = 1.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Answers of the store and of peers are read whole, about ten at once. One with the entries of 4,000
+# targets has 1 MB.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 6
 
 
