Bound the size and the time of the platform's answers on our own interface

Cause: the library reads an answer to its end, and its time-out is that of one read.

BoundedPool reads at most 16 MB, within the whole time of the call, after at most 16 interim answers, and closes the connection else.

--- a/src/chervilmill/coordination/_client.py
+++ b/src/chervilmill/coordination/_client.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from chervilmill.addresses import Address
+from chervilmill.coordination._bounded_pool import BoundedPool, PlatformAnswer
 from chervilmill.coordination._codec import object_from_json, vm_from_json, watch_from_json
 from chervilmill.coordination._errors import (
     StoreUnavailableError,
@@ -17,7 +18,6 @@
 from chervilmill.documents import MALFORMED_ERRORS, decode_document
 from chervilmill.logs import log_problem
 
-MAX_CONNECTIONS = 16
 WATCH_REPLY_MARGIN_S = 2.0  # time for the reply after a watch has waited its full timeout
 
 T = TypeVar("T")
@@ -29,9 +29,7 @@
     def __init__(self, address: Address, timeout_s: float) -> None:
         self._peer = str(address)
         self._timeout_s = timeout_s
-        self._pool = urllib3.HTTPConnectionPool(
-            address.host, address.port, maxsize=MAX_CONNECTIONS, retries=False
-        )
+        self._pool = BoundedPool(address)
 
     def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if there is none."""
@@ -69,9 +67,7 @@
         resp = self._read("list VMs", "/vms")
         return self._decode_each("list VMs", resp, vm_from_json)
 
-    def _read(
-        self, step: str, path: str, timeout_s: float | None = None
-    ) -> urllib3.BaseHTTPResponse:
+    def _read(self, step: str, path: str, timeout_s: float | None = None) -> PlatformAnswer:
         try:
             resp = self._pool.request("GET", path, timeout=timeout_s or self._timeout_s)
         except urllib3.exceptions.HTTPError as exc:
@@ -114,7 +110,7 @@
         except MALFORMED_ERRORS as exc:
             raise WriteUnsureError(f"no version: {exc!r:.200}", step=step, peer=self._peer) from exc
 
-    def _decode(self, step: str, resp: urllib3.BaseHTTPResponse, decode: Callable[[Any], T]) -> T:
+    def _decode(self, step: str, resp: PlatformAnswer, decode: Callable[[Any], T]) -> T:
         try:
             return decode(decode_document(resp.data))
         except MALFORMED_ERRORS as exc:
@@ -122,7 +118,7 @@
             raise StoreUnavailableError(message, step=step, peer=self._peer) from exc
 
     def _decode_each(
-        self, step: str, resp: urllib3.BaseHTTPResponse, decode: Callable[[Any], T]
+        self, step: str, resp: PlatformAnswer, decode: Callable[[Any], T]
     ) -> tuple[T, ...]:
         """Return the elements of a list, leaving out malformed ones."""
         decoded: list[T] = []
