Do not take a broken connection for a store that is away on a late VM

Cause: a VM whose store is away goes on with what it knows, and any failed call counted as that. A connection to the store that is reset while the processor is full switched the check of the copies' age off, until a read got through.

Only a refusal by the store or its host, or a time-out on a VM that was on time, now shows that the store is away. Without the condition the first case of the new test fails.

--- a/src/chervilmill/entry/_copy_currency.py
+++ b/src/chervilmill/entry/_copy_currency.py
@@ -18,22 +18,22 @@
 class CopyCurrency:
     """Whether the copies of the store's objects are recent enough; times are of the event loop.
 
-    `confirmed_s` returns the time up to which all copies are confirmed, if known,
-    `is_store_unreachable` whether the store fails, and `was_late_since` whether the event loop was
-    late since a time.
+    `confirmed_s` returns the time up to which all copies are confirmed, if known, `is_store_away`
+    whether the store is known not to serve, and `was_late_since` whether the event loop was late
+    since a time.
     """
 
     def __init__(
         self,
         bounds: Bounds,
         confirmed_s: Callable[[], float | None],
-        is_store_unreachable: Callable[[], bool],
+        is_store_away: Callable[[], bool],
         was_late_since: Callable[[float], bool],
     ) -> None:
         bound_s = min(bounds.drain_s, bounds.configuration_propagation_s)
         self.max_age_s = max(MIN_AGE_S, bound_s - SEND_MARGIN_S)
         self._confirmed_s = confirmed_s
-        self._is_store_unreachable = is_store_unreachable
+        self._is_store_away = is_store_away
         self._was_late_since = was_late_since
 
     def is_current(self, now_s: float) -> bool:
@@ -41,4 +41,4 @@
         confirmed_s = self._confirmed_s()
         if confirmed_s is None or now_s - confirmed_s <= self.max_age_s:
             return True
-        return self._is_store_unreachable() or not self._was_late_since(confirmed_s)
+        return self._is_store_away() or not self._was_late_since(confirmed_s)
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -142,7 +142,7 @@
         currency = CopyCurrency(
             settings.bounds,
             self._sync.confirmer.confirmed_s,
-            lambda: self._sync.is_store_unreachable,
+            lambda: self._sync.is_store_away,
             self._loop_watch.was_late_since,
         )
         dispatcher = Dispatcher(
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -139,6 +139,11 @@
         """Return whether the store currently does not answer this VM."""
         return self._store_state.is_unreachable
 
+    @property
+    def is_store_away(self) -> bool:
+        """Return whether the store itself is known not to serve this VM."""
+        return self._store_state.is_away
+
     @property
     def is_settled(self) -> bool:
         """Return whether no outage of the store can explain that an entry is missing here."""
--- a/src/chervilmill/entry/_store_state.py
+++ b/src/chervilmill/entry/_store_state.py
@@ -22,8 +22,9 @@
     """Whether the store answers this VM; times are readings of one clock in seconds.
 
     `failed_s` is when a call last failed, and `recovered_s` when the last outage ended. Only a
-    linearizable answer ends an outage. `has_stale_answer` says that a stale one, which may come
-    from a replica without the store, has come since a call failed.
+    linearizable answer ends an outage. `is_away` says that the store refused, or let a call of a VM
+    on time wait; a connection that broke shows neither. `has_stale_answer` says that a stale one,
+    which may come from a replica without the store, has come since a call failed.
 
     `confirmed_s` is, for each kind, the time up to which the copy is known to reflect the store.
     `called_s` is the time since which a call about the kind has been open. `was_late_since` returns
@@ -31,6 +32,7 @@
     """
 
     is_unreachable: bool = False
+    is_away: bool = False
     has_stale_answer: bool = False
     failed_s: float = float("-inf")
     recovered_s: float = float("-inf")
@@ -62,6 +64,7 @@
 
     def record_answer(self, now_s: float) -> None:
         """Record a linearizable answer, which only the store itself gives."""
+        self.is_away = False
         if self.is_unreachable:
             self.is_unreachable = False
             self.recovered_s = now_s
@@ -81,6 +84,7 @@
             return
         self.failed_s = now_s
         self.has_stale_answer = False
+        self.is_away = self.is_away or exc.is_refusal or exc.has_timed_out
         if not self.is_unreachable:
             self.is_unreachable = True
             log_problem("store is lost", step=exc.step, peer=exc.peer, kind=kind, error=exc.message)
--- a/src/chervilmill/platform/_store.py
+++ b/src/chervilmill/platform/_store.py
@@ -16,7 +16,12 @@
 from typing import Any, Protocol
 from urllib.parse import quote, urlencode
 
-from chervilmill.aio import ConnectTimeoutError, ExchangeTimeoutError, HttpAnswer
+from chervilmill.aio import (
+    ConnectError,
+    ConnectTimeoutError,
+    ExchangeTimeoutError,
+    HttpAnswer,
+)
 from chervilmill.documents import MAX_NESTING_DEPTH, decode_document, is_nested_within
 from chervilmill.errors import ChervilmillError
 
@@ -29,10 +34,12 @@
 class StoreError(ChervilmillError):
     """Raised for a call that failed; `is_outcome_unknown` says that it may still take effect.
 
-    `has_timed_out` says that nothing but the end of its time showed the failure.
+    `has_timed_out` says that nothing but the end of its time showed the failure, and `is_refusal`
+    that the store, or its host, stated that it does not serve. A connection that broke is neither.
     """
 
     has_timed_out = False
+    is_refusal = False
 
     def __init__(
         self, message: str, *, step: str, peer: str, is_outcome_unknown: bool = False
@@ -223,6 +230,7 @@
                 str(exc), step=step, peer=self._peer, is_outcome_unknown=is_outcome_unknown
             )
             failure.has_timed_out = isinstance(exc, (ExchangeTimeoutError, ConnectTimeoutError))
+            failure.is_refusal = isinstance(exc, ConnectError) and not failure.has_timed_out
             raise failure from exc
 
     def _read_era(self, step: str, answer: HttpAnswer) -> int:
@@ -239,7 +247,9 @@
         if answer.status == 429:
             raise StoreBusyError("too many calls", step=step, peer=self._peer)
         if not 200 <= answer.status < 300:
-            raise self._store_error(step, f"status {answer.status}")
+            refusal = self._store_error(step, f"status {answer.status}")
+            refusal.is_refusal = True
+            raise refusal
 
     def _store_error(self, step: str, message: str) -> StoreError:
         return StoreError(message, step=step, peer=self._peer)
--- a/tests/entry/test_late_vm.py
+++ b/tests/entry/test_late_vm.py
@@ -23,7 +23,7 @@
 
 
 @pytest.mark.parametrize(
-    ("age_s", "is_unreachable", "was_late", "is_current"),
+    ("age_s", "is_away", "was_late", "is_current"),
     [
         (2.1, False, True, True),
         (2.3, False, True, False),
@@ -34,12 +34,10 @@
     ],
 )
 def test_copies_are_too_old_only_on_a_late_vm(
-    age_s: float | None, is_unreachable: bool, was_late: bool, is_current: bool
+    age_s: float | None, is_away: bool, was_late: bool, is_current: bool
 ) -> None:
     confirmed_s = None if age_s is None else NOW_S - age_s
-    currency = CopyCurrency(
-        BOUNDS, lambda: confirmed_s, lambda: is_unreachable, lambda at_s: was_late
-    )
+    currency = CopyCurrency(BOUNDS, lambda: confirmed_s, lambda: is_away, lambda at_s: was_late)
     assert currency.is_current(NOW_S) is is_current
 
 
--- a/tests/entry/test_store_state.py
+++ b/tests/entry/test_store_state.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from chervilmill.aio import ConnectError, ConnectTimeoutError, ExchangeTimeoutError, HttpAnswer
+from chervilmill.aio import (
+    ConnectError,
+    ConnectTimeoutError,
+    ExchangeError,
+    ExchangeTimeoutError,
+    HttpAnswer,
+)
 from chervilmill.entry._store_state import TIMED_OUT_S, StoreState
 from chervilmill.errors import ChervilmillError
 from chervilmill.platform import PlatformStore, StoreError
@@ -11,6 +17,7 @@
 NOW_S = 100.0
 TIMED_OUT = ExchangeTimeoutError("no answer", step="GET", peer="store")
 NOT_CONNECTED = ConnectTimeoutError("TimeoutError", step="connect", peer="store")
+BROKEN = ExchangeError("the connection was reset", step="GET", peer="store")
 REFUSED = ConnectError("refused", step="connect", peer="store")
 UNAVAILABLE = HttpAnswer(503, b"{}")
 
@@ -52,3 +59,25 @@
     state = StoreState(was_late_since=lambda _: True)
     state.record_failure("config", _failure(result), NOW_S)
     assert state.is_unreachable
+
+
+# A late VM whose connection to the store was cut went on with what it knew, as in an outage.
+@pytest.mark.parametrize(
+    ("result", "was_late", "is_away"),
+    [
+        (BROKEN, True, False),
+        (BROKEN, False, False),
+        (TIMED_OUT, True, False),
+        (TIMED_OUT, False, True),
+        (REFUSED, True, True),
+        (UNAVAILABLE, True, True),
+    ],
+)
+def test_connection_that_broke_is_taken_for_a_store_that_is_away(
+    result: ChervilmillError | HttpAnswer, was_late: bool, is_away: bool
+) -> None:
+    state = StoreState(was_late_since=lambda _: was_late)
+    state.record_failure("config", _failure(result), NOW_S)
+    assert state.is_away is is_away
+    state.record_answer(NOW_S + 1.0)
+    assert not state.is_away
