Read the store on a late VM before its copies are too old to act on

VMs on time, and late ones that gossip confirms in time, make no further call. The new test failed before: no read within 2.25 s at 800 VMs.

--- a/src/chervilmill/entry/_confirmation.py
+++ b/src/chervilmill/entry/_confirmation.py
@@ -71,7 +71,8 @@
 class CopyConfirmer:
     """Keeps the age of all copies within a bound, while the store or a peer answers.
 
-    `list_again` is called for a kind whose changes the store no longer has.
+    `list_again` is called for a kind whose changes the store no longer has. A VM that was late
+    reads for itself once its copies are `late_max_age_s` old, as it soon may not act on them.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         self._is_unconfirmed = False
         self.reader_rank: int | None = None
         self.fleet_size = 1
+        self.late_max_age_s = math.inf
         self.on_confirmed: Callable[[], None] = lambda: None
 
     def confirmed_s(self) -> float | None:
@@ -164,7 +166,10 @@
         # Peers may not have had time to be heard. A store that fails is tried again all the same.
         started_s = float("-inf") if self._store_state.is_unreachable else self._loaded_s
         hears_peers = now_s - max(self._heard_s, started_s) < SUSPECT_AFTER_S
-        return confirmed_s + max_age_s(self.reader_rank, self.fleet_size, hears_peers=hears_peers)
+        age_s = max_age_s(self.reader_rank, self.fleet_size, hears_peers=hears_peers)
+        if age_s > self.late_max_age_s and self._store_state.was_late_since(confirmed_s):
+            age_s = self.late_max_age_s
+        return confirmed_s + age_s
 
     def _may_be_back(self) -> bool:
         """Return whether a replica, or the store to a peer, has answered since the last failure."""
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -14,7 +14,7 @@
 from chervilmill.aio import HttpClient, HttpServer, RequestHead, ServerConnection, ServerLimits
 from chervilmill.entry._confirmation import UNCONFIRMED_AFTER_S
 from chervilmill.entry._control_handlers import LookupHandler, ReadinessHandler, ReplicaHandler
-from chervilmill.entry._copy_currency import CopyCurrency
+from chervilmill.entry._copy_currency import SEND_MARGIN_S, CopyCurrency
 from chervilmill.entry._crashes import CrashTracker
 from chervilmill.entry._dispatch import Dispatcher
 from chervilmill.entry._forward import Forwarder
@@ -145,6 +145,7 @@
             lambda: self._sync.is_store_away,
             self._loop_watch.was_late_since,
         )
+        self._sync.confirmer.late_max_age_s = currency.max_age_s - SEND_MARGIN_S
         dispatcher = Dispatcher(
             self._site_state,
             self._pool,
--- a/tests/entry/test_confirmation.py
+++ b/tests/entry/test_confirmation.py
@@ -88,12 +88,17 @@
 class _Follower:
     """The copies of one VM, and the times at which they changed."""
 
-    def __init__(self, reader_rank: int | None) -> None:
+    def __init__(self, reader_rank: int | None, *, was_late: bool = False) -> None:
         self.store = _Store()
         self.replicas = {kind: KindReplica(kind) for kind in (LISTED, OTHER)}
         self.written: list[str] = []
         self.sync = ReplicaSync(
-            PlatformStore(self.store, "store"), self.replicas, self._record, (), LISTED
+            PlatformStore(self.store, "store"),
+            self.replicas,
+            self._record,
+            (),
+            LISTED,
+            was_late_since=lambda _: was_late,
         )
         self.sync.confirmer.reader_rank = reader_rank
         self.sync.confirmer.fleet_size = 12
@@ -168,6 +173,25 @@
     unheard.run(of_unheard())
 
 
+# A late VM of a large fleet waited for gossip, and refused requests meanwhile.
+@pytest.mark.parametrize("was_late", [False, True])
+def test_late_vm_waits_for_its_peers_until_its_copies_are_too_old(was_late: bool) -> None:
+    vm = _Follower(None, was_late=was_late)
+    vm.sync.confirmer.fleet_size = 800
+    vm.sync.confirmer.late_max_age_s = 1.9
+
+    async def scenario() -> None:
+        vm.hear(0.0)
+        before = len(vm.store.linearizable)
+        for _ in range(8):
+            vm.hear(None)
+            await asyncio.sleep(CHECK_S)
+        await asyncio.sleep(CHECK_S)
+        assert (len(vm.store.linearizable) > before) is was_late
+
+    vm.run(scenario())
+
+
 # A watch that a replica answered was taken for a proof that nothing had changed.
 def test_reader_learns_of_a_change_that_replicas_never_get() -> None:
     vm = _Follower(0)
