--- a/soak/run.py
+++ b/soak/run.py
@@ -3,11 +3,8 @@
 import asyncio
 import contextlib
 import functools
-import os
 import random
 import signal
-import subprocess
-import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -34,6 +31,7 @@
     VmStart,
 )
 from soak.routes import SERVICES, Routing
+from soak.shared_core import SharedCore
 from soak.site import REGION_BY_DOMAIN, VmPorts, configuration
 from soak.store import StandInStore
 from soak.target import CrashMode, StandInTarget
@@ -101,8 +99,7 @@
         self._crash_rng = random.Random(f"{options.seed}/crashes")
         self._route_rng = random.Random(f"{options.seed}/routes")
         self._routing = Routing()
-        self._core = max(os.sched_getaffinity(0))
-        self._busy: list[subprocess.Popen[bytes]] = []
+        self._shared_core = SharedCore()
         # Where every crash is silent, nothing confirms one before its entry expires.
         self._crash_modes = self._crash_rng.choice([list(CrashMode), [CrashMode.SILENT]])
         self._folder = folder
@@ -129,7 +126,7 @@
             await self._set_up()
             await asyncio.sleep(STARTUP_S)
             watching = asyncio.create_task(self._watch_own_loop())
-            self._start_busy_processes()
+            self._shared_core.start_busy(self.options.busy_processes, self.options.seconds)
             end_s = loop.time() + self.options.seconds
             last_s = end_s + RECOVERY_S + OBSERVATION_S
             seed = str(self.options.seed)
@@ -151,7 +148,7 @@
                 await asyncio.sleep(self._rng.uniform(0.2, 2.0))
             while not all(task.done() for task in self._tasks):
                 await asyncio.gather(*self._tasks)
-            self._end_busy_processes()
+            self._shared_core.end_busy()
             self.history.recovered_from_s = loop.time() + RECOVERY_S
             await asyncio.gather(*caller_tasks)
             watching.cancel()
@@ -184,18 +181,6 @@
             if lateness.record_tick(loop.time()) > TICK_S:
                 self.history.own_delays.append((began_s, loop.time()))
 
-    def _start_busy_processes(self) -> None:
-        for _ in range(self.options.busy_processes):
-            process = subprocess.Popen([sys.executable, "-c", "while True: pass"])
-            os.sched_setaffinity(process.pid, {self._core})
-            self._busy.append(process)
-
-    def _end_busy_processes(self) -> None:
-        while self._busy:
-            process = self._busy.pop()
-            process.kill()
-            process.wait()
-
     def _start_vm(self, vm: VmProcess) -> None:
         before = vm.pid
         vm.start()
@@ -203,7 +188,7 @@
             return
         self.history.vm_lifetimes.append((vm.caller_address, asyncio.get_running_loop().time()))
         if self.options.press_per_s:
-            os.sched_setaffinity(vm.pid, {self._core})
+            self._shared_core.pin(vm.pid)
 
     def _make_callers(
         self, caller_type: type[Caller], count: int, prefix: str, seed: str
@@ -514,7 +499,7 @@
             ]
 
     def _tear_down(self) -> None:
-        self._end_busy_processes()
+        self._shared_core.end_busy()
         for vm in self._vms:
             vm.kill()
         for _, link, _, _ in (*self._targets.values(), *self._desk_targets.values()):
