State in the log lines of a request which knowledge decided it

Records that were cut short lost `detail`, which alone tells a VM that has just started from one whose configuration is stale.

Change: `answered`, `attempt failed`, `request refused` and `request relayed` have `config_version` (the configuration that chose the route), `targets_version`, `copy_age_s` and `basis` (confirmed, store away or unconfirmed), read right before the request is written. `detail` stands right after the reason or end, and `request refused` has `uptime_s`. No decision changes.

--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -7,6 +7,7 @@
 from chervilmill.entry._attempt import Attempt, AttemptEnd, AttemptResult
 from chervilmill.entry._copy_currency import CopyCurrency
 from chervilmill.entry._crashes import CrashTracker, only_target
+from chervilmill.entry._decision_basis import BasisReader
 from chervilmill.entry._leaving import LeavingTracker
 from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._outcome import OutcomeRecorder, overdue_after_s
@@ -67,7 +68,7 @@
         leaving: LeavingTracker,
         reach: ReachTracker,
         relay: Relay,
-        copy_age_s: Callable[[], float | None],
+        basis_reader: BasisReader,
         currency: CopyCurrency,
         was_late_since: Callable[[float], bool],
     ) -> None:
@@ -81,7 +82,7 @@
         self._crashes = crashes
         self._reach = reach
         self._relay = relay
-        self._copy_age_s = copy_age_s
+        self._basis_reader = basis_reader
         self._currency = currency
         self._outcomes = OutcomeRecorder(
             site_state.fleet, crashes, limits, leaving, reach, was_late_since
@@ -100,6 +101,7 @@
         """
         last: AttemptResult | None = None
         for _ in range(MAX_TARGETS_TRIED):
+            progress.update_basis(self._basis_reader.read(asyncio.get_running_loop().time()))
             needs_peer = self._reach.is_cut_off or self._relay.is_behind()
             if needs_peer and self._relay.can_relay(progress):
                 return self._quarantine_refusal(progress) or await self._relay.run(progress)
@@ -184,6 +186,7 @@
             return False
         home_regions = progress.route.home_regions
         is_allowed = self._site_state.fleet.is_allowed(known, progress.service, home_regions, view)
+        progress.update_basis(self._basis_reader.read(now_s))
         return is_allowed and self._currency.is_current(now_s)
 
     def _is_usable(self, name: str, progress: Progress, now_s: float) -> bool:
@@ -227,7 +230,6 @@
         self._outcomes.record_sent(progress, candidate, sent_s)
         progress.tried.append(record.target.name)
         progress.last_candidate, progress.sent_s = candidate, sent_s
-        progress.copy_age_s = self._copy_age_s()
         round_trip_s = self._site_state.fleet.round_trips_s.get(record.target.failure_domain, 0.0)
         attempt = Attempt(
             progress.caller,
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -16,6 +16,7 @@
 from chervilmill.entry._control_handlers import LookupHandler, ReadinessHandler, ReplicaHandler
 from chervilmill.entry._copy_currency import SEND_MARGIN_S, CopyCurrency
 from chervilmill.entry._crashes import CrashTracker
+from chervilmill.entry._decision_basis import BasisReader
 from chervilmill.entry._dispatch import Dispatcher
 from chervilmill.entry._forward import Forwarder
 from chervilmill.entry._leaving import LeavingTracker
@@ -48,6 +49,7 @@
 )
 from chervilmill.platform import (
     EVACUATION_KIND,
+    TARGET_KIND,
     EntrySettings,
     EntryVmRegistration,
     PlatformStore,
@@ -146,6 +148,14 @@
             self._loop_watch.was_late_since,
         )
         self._sync.confirmer.late_max_age_s = currency.max_age_s - SEND_MARGIN_S
+        basis_reader = BasisReader(
+            self._site_state,
+            self._replicas[TARGET_KIND],
+            currency.max_age_s,
+            self._sync.confirmer.confirmed_s,
+            lambda _: self._sync.is_store_away,
+            self._started_s,
+        )
         dispatcher = Dispatcher(
             self._site_state,
             self._pool,
@@ -159,12 +169,18 @@
             self._leaving,
             self._reach,
             self._relay,
-            self._sync.confirmed_age_s,
+            basis_reader,
             currency,
             self._loop_watch.was_late_since,
         )
         self._forwarder = Forwarder(
-            self._site_state, dispatcher, self._metrics, self._is_view_fresh, currency, rng
+            self._site_state,
+            dispatcher,
+            self._metrics,
+            self._is_view_fresh,
+            currency,
+            basis_reader,
+            rng,
         )
         self._lookups = LookupHandler(
             own, settings.caller_address, settings.regions, self._membership, self._clock, rng
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -9,6 +9,7 @@
 from chervilmill.entry._body import ReplayableBody
 from chervilmill.entry._copy_currency import CopyCurrency
 from chervilmill.entry._crashes import fingerprint_request
+from chervilmill.entry._decision_basis import BasisReader, DecisionBasis
 from chervilmill.entry._dispatch import Dispatcher, late_retry_after_s
 from chervilmill.entry._progress import Origin, Progress, Refusal
 from chervilmill.entry._site_state import SiteState
@@ -40,6 +41,7 @@
         metrics: Metrics,
         is_view_fresh: Callable[[], bool],
         currency: CopyCurrency,
+        basis_reader: BasisReader,
         rng: random.Random,
     ) -> None:
         self._site_state = site_state
@@ -47,6 +49,7 @@
         self._metrics = metrics
         self._is_view_fresh = is_view_fresh
         self._currency = currency
+        self._basis_reader = basis_reader
         self._rng = rng
         self._splitter = TrafficSplitter()
         self._ages = CallerAgeEstimator()
@@ -60,14 +63,16 @@
     async def forward(self, caller: ServerConnection, head: RequestHead, origin: Origin) -> None:
         """Answer a request that came from a caller or from a peer that relays it."""
         began_s = asyncio.get_running_loop().time()
+        basis = self._basis_reader.read(began_s)
         request_headers = read_request(head.headers)
         found = self._find_route(head)
         if isinstance(found, Route):
             found = self._check_time_to_stop(found, request_headers, began_s)
         if isinstance(found, Refusal):
-            await self._refuse(caller, request_headers, "", found, began_s)
+            await self._refuse(caller, request_headers, "", found, basis, began_s)
             return
         progress = self._start_progress(caller, head, request_headers, found, began_s, origin)
+        progress.basis = basis
         limit_s = min(
             progress.deadline_s + TIMEOUT_SLACK_S,
             progress.caller_deadline_s - FINAL_ANSWER_MARGIN_S,
@@ -90,7 +95,13 @@
             caller.abort()
             return
         await self._refuse(
-            caller, request_headers, progress.service, refusal, began_s, progress.tried
+            caller,
+            request_headers,
+            progress.service,
+            refusal,
+            progress.basis,
+            began_s,
+            progress.tried,
         )
 
     def _find_route(self, head: RequestHead) -> Route | Refusal:
@@ -169,10 +180,12 @@
         request_headers: RequestHeaders,
         service: str,
         refusal: Refusal,
+        basis: DecisionBasis,
         began_s: float,
         tried: list[str] | None = None,
     ) -> None:
         status = refusal.reason.status
+        now_s = asyncio.get_running_loop().time()
         self._metrics.count_refusal(service, refusal.reason)
         log_failure(
             "request refused",
@@ -180,20 +193,20 @@
             request=request_headers.request_id,
             service=service,
             reason=refusal.reason.value,
+            detail=refusal.detail,
+            uptime_s=round(self._basis_reader.uptime_s(now_s), 3),
+            **basis.log_fields(),
             status=status,
             retry_after_s=refusal.retry_after_s,
             tried=tried or [],
-            detail=refusal.detail,
-            took_s=round(asyncio.get_running_loop().time() - began_s, 4),
+            took_s=round(now_s - began_s, 4),
         )
         await caller.answer(status, refusal_headers(refusal.retry_after_s), b"")
 
     def _log_end(self, progress: Progress, event: str, status: int) -> None:
         took_s = asyncio.get_running_loop().time() - progress.began_s
         self._metrics.latency.labels(progress.service).observe(took_s)
-        fields = (
-            _decision_fields(progress, progress.last_candidate) if progress.last_candidate else {}
-        )
+        fields = _placement_fields(progress.last_candidate) if progress.last_candidate else {}
         log_event(
             event,
             step="answer",
@@ -201,6 +214,7 @@
             service=progress.service,
             route=progress.route.name,
             status=status,
+            **progress.basis.log_fields(),
             tried=progress.tried,
             age_s=round(progress.age_s, 4),
             **fields,
@@ -214,11 +228,9 @@
     return route.timeout_s if time_left_s is None else time_left_s
 
 
-def _decision_fields(progress: Progress, candidate: Candidate) -> dict[str, object]:
-    """Return the log fields with what a placement was based on."""
-    copy_age_s = progress.copy_age_s
+def _placement_fields(candidate: Candidate) -> dict[str, object]:
+    """Return the log fields with the estimates by which a target was chosen."""
     return {
-        "copy_age_s": None if copy_age_s is None else round(copy_age_s, 3),
         "wait_s": round(candidate.wait_s, 4),
         "work_s": round(candidate.work_s, 4),
         "expected_s": round(candidate.expected_answer_s, 4),
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -111,15 +111,15 @@
             "attempt failed",
             step="send",
             request=progress.request_headers.request_id,
-            fingerprint=progress.fingerprint.hex(),
-            caller=progress.caller.host,
-            path=progress.path[:MAX_LOGGED_PATH_CHARS],
             target=record.target.name,
             end=result.end.value,
-            status=result.status,
             detail=result.detail,
+            status=result.status,
+            **progress.basis.log_fields(),
+            fingerprint=progress.fingerprint.hex(),
+            caller=progress.caller.host,
+            path=progress.path[:MAX_LOGGED_PATH_CHARS],
             took_s=round(took_s, 4),
-            copy_age_s=progress.copy_age_s and round(progress.copy_age_s, 3),
         )
 
     def record_timeout(self, progress: Progress, now_s: float) -> None:
--- a/src/chervilmill/entry/_progress.py
+++ b/src/chervilmill/entry/_progress.py
@@ -1,9 +1,10 @@
 """Define the state of a request between its caller and the targets."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from chervilmill.aio import ServerConnection
 from chervilmill.entry._attempt import Attempt, OutgoingRequest
+from chervilmill.entry._decision_basis import DecisionBasis
 from chervilmill.overload import Admitted, AffinityWorkload, Candidate, Workload
 from chervilmill.platform import RequestHeaders
 from chervilmill.reasons import RefusalReason
@@ -27,8 +28,8 @@
     started, or None between attempts, and `attempt` is the current attempt. `sent_count` counts
     the attempts that reached a target. `next_placement` is where an overdue request moves to, if
     another target has admitted it. `is_relayed` says that a peer sent the request. `status` is the
-    status of the answer given to the caller. `copy_age_s` is the age of the oldest copy of the
-    store's objects when the current or last attempt was sent.
+    status of the answer given to the caller. `basis` is what the VM knew when it decided: the
+    configuration is the one that chose the route, all else is as of the current or last attempt.
     """
 
     caller: ServerConnection
@@ -50,7 +51,11 @@
     may_have_run: bool = False
     attempt: Attempt | None = None
     next_placement: Admitted | None = None
-    copy_age_s: float | None = None
+    basis: DecisionBasis = DecisionBasis()
+
+    def update_basis(self, known: DecisionBasis) -> None:
+        """Take over what is known now, except the configuration, which chose the route before."""
+        self.basis = replace(known, config_version=self.basis.config_version)
 
     @property
     def may_still_run(self) -> bool:
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -171,8 +171,9 @@
             request=progress.request_headers.request_id,
             peer=peer.name,
             end=result.end.value,
-            status=result.status,
             detail=result.detail,
+            status=result.status,
+            **progress.basis.log_fields(),
             took_s=round(loop.time() - began_s, 4),
         )
         return result
--- /dev/null
+++ b/tests/entry/test_decision_basis.py
@@ -0,0 +1,199 @@
+"""Test that the log lines of a request tell which knowledge decided it."""
+
+import asyncio
+import random
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from chervilmill.aio import ClientConnection
+from chervilmill.entry._decision_basis import BasisReader, CopyTrust, DecisionBasis
+from chervilmill.entry._site_state import SiteState
+from chervilmill.overload import TargetFleet
+from chervilmill.peers import KindReplica, Membership, Peer
+from chervilmill.platform import TARGET_KIND, StoreVersion
+from chervilmill.routing import Target
+from soak.site import DEFAULT_ROUTES, configuration
+from tests.entry.harness import SiteUnderTest, running_site
+from tests.entry.logged import Line, logged_lines, of_event
+from tests.entry.pair import Pair
+from tests.support import run_async
+
+NOW_S = 100.0
+STARTED_S = 97.5
+MAX_AGE_S = 2.2
+BASIS_FIELDS = ["config_version", "targets_version", "copy_age_s", "basis"]
+
+
+def _reader(age_s: float | None, *, is_away: bool) -> BasisReader:
+    fleet = TargetFleet("vm", "north", {"north-a": "north"}, random.Random(1))
+    own = Peer("vm", "127.0.0.1", "north-a")
+    membership = Membership("vm", 1, random.Random(1))
+    targets = KindReplica(TARGET_KIND)
+    targets.last_proven_change = StoreVersion(2, 40)
+    return BasisReader(
+        SiteState(fleet, membership, own, lambda: NOW_S, 1.5),
+        targets,
+        MAX_AGE_S,
+        lambda: None if age_s is None else NOW_S - age_s,
+        lambda _: is_away,
+        STARTED_S,
+    )
+
+
+@pytest.mark.parametrize(
+    ("age_s", "is_away", "trust"),
+    [
+        (0.5, False, CopyTrust.CONFIRMED),
+        (0.5, True, CopyTrust.CONFIRMED),
+        (3.0, False, CopyTrust.UNCONFIRMED),
+        (3.0, True, CopyTrust.STORE_AWAY),
+        (None, False, CopyTrust.UNCONFIRMED),
+        (None, True, CopyTrust.STORE_AWAY),
+    ],
+)
+def test_basis_tells_why_copies_were_good_enough(
+    age_s: float | None, is_away: bool, trust: CopyTrust
+) -> None:
+    reader = _reader(age_s, is_away=is_away)
+    assert reader.read(NOW_S) == DecisionBasis(None, StoreVersion(2, 40), age_s, trust)
+    assert reader.uptime_s(NOW_S) == 2.5
+
+
+def test_fields_are_short_and_readable() -> None:
+    basis = DecisionBasis(7, StoreVersion(2, 40), 0.123456, CopyTrust.STORE_AWAY)
+    assert basis.log_fields() == {
+        "config_version": 7,
+        "targets_version": (2, 40),
+        "copy_age_s": 0.123,
+        "basis": "store away",
+    }
+
+
+def _assert_basis(line: Line, site: SiteUnderTest, version: int) -> None:
+    assert line["config_version"] == version
+    entry = site.targets["t1"].entry("app", site.addresses["t1"], "north-a", 1)
+    unchanged = site.store.put("servers", "t1", entry)
+    assert line["targets_version"] == [site.store.era, unchanged]
+    assert 0.0 <= line["copy_age_s"] < MAX_AGE_S
+    assert line["basis"] == "confirmed"
+
+
+def _order(line: Line, *names: str) -> list[int]:
+    return [list(line).index(name) for name in names]
+
+
+def test_answered_and_refused_requests_state_what_decided_them(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=("t1",)) as site:
+            site.store.put("config", "main", configuration(5, DEFAULT_ROUTES, ("app",)))
+            await asyncio.sleep(1.0)
+            with logged_lines() as lines:
+                assert (await site.ask("/read/1")).status == 200
+                assert (await site.ask("/nowhere/1")).status == 404
+            (answered,) = of_event(lines, "answered")
+            (refused,) = of_event(lines, "request refused")
+            _assert_basis(answered, site, 5)
+            _assert_basis(refused, site, 5)
+            assert refused["uptime_s"] > 0.0
+            places = _order(refused, "reason", "detail", "uptime_s", *BASIS_FIELDS, "status")
+            assert places == list(range(places[0], places[0] + len(places)))
+
+    run_async(scenario)
+
+
+def test_failed_attempts_state_what_decided_them(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=("t1",)) as site:
+            await asyncio.sleep(1.0)
+            site.targets["t1"].crash()
+            with logged_lines() as lines:
+                assert (await site.ask("/read/1")).status == 503
+            failed = of_event(lines, "attempt failed")[0]
+            _assert_basis(failed, site, 1)
+            places = _order(failed, "target", "end", "detail", "status", *BASIS_FIELDS)
+            assert places == list(range(places[0], places[0] + len(places)))
+
+    run_async(scenario)
+
+
+def test_relayed_requests_state_what_decided_them(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        pair = Pair(tmp_path)
+        try:
+            await pair.start()
+            await asyncio.sleep(1.0)
+            site = pair.sites[1]
+            dispatcher = site.vm._forwarder._dispatcher
+            dispatcher._reach = SimpleNamespace(is_cut_off=True)
+            with logged_lines() as lines:
+                assert (await site.ask("/read/1")).status == 200
+            (relayed,) = of_event(lines, "request relayed")
+            assert relayed["config_version"] == 1
+            assert relayed["targets_version"] == [
+                pair.store.era,
+                site.vm._replicas["servers"].last_change.revision,
+            ]
+            assert relayed["basis"] == "confirmed"
+            places = _order(relayed, "end", "detail", "status", *BASIS_FIELDS)
+            assert places == list(range(places[0], places[0] + len(places)))
+        finally:
+            await pair.stop()
+
+    run_async(scenario)
+
+
+def test_configuration_that_came_after_the_route_was_chosen_does_not_count(tmp_path: Path) -> None:
+    """A request waits for its connection while routes and targets change."""
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=("t1",)) as site:
+            await asyncio.sleep(1.0)
+            pool = site.vm._pool
+            acquire, before = pool.acquire, site.vm._replicas["servers"].last_change.revision
+
+            async def acquire_late(target: Target) -> ClientConnection:
+                site.store.put("config", "main", configuration(5, DEFAULT_ROUTES, ("app",)))
+                await site.add_target("t2")
+                await asyncio.sleep(1.0)
+                return await acquire(target)
+
+            pool.acquire = acquire_late  # type: ignore[method-assign]
+            with logged_lines() as lines:
+                assert (await site.ask("/read/1")).status == 200
+            assert site.vm._site_state.view.configuration.version == 5
+            (answered,) = of_event(lines, "answered")
+            assert answered["config_version"] == 1
+            assert answered["targets_version"][1] > before
+
+    run_async(scenario)
+
+
+def test_vm_without_a_configuration_says_so_and_for_how_long(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_site(tmp_path) as site:
+            site.vm._site_state.view.configuration = None  # as before the first list
+            with logged_lines() as lines:
+                assert (await site.ask("/read/1")).status == 503
+            (refused,) = of_event(lines, "request refused")
+            assert refused["detail"] == "no configuration"
+            assert refused["config_version"] is None
+            assert 0.0 < refused["uptime_s"] < 60.0
+
+    run_async(scenario)
+
+
+def test_vm_with_a_stale_configuration_says_so_and_how_old_it_is(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_site(tmp_path) as site:
+            await asyncio.sleep(1.0)
+            site.vm._forwarder._is_view_fresh = lambda: False
+            with logged_lines() as lines:
+                assert (await site.ask("/nowhere/1")).status == 503
+            (refused,) = of_event(lines, "request refused")
+            assert refused["detail"] == "stale configuration"
+            assert refused["config_version"] == 1
+            assert refused["copy_age_s"] >= 0.0
+
+    run_async(scenario)
