Keep changes of what a VM believes in the log beside a flood of requests

Cause: all lines but failures and warnings shared one budget, so that 150 answered requests a second displaced `configuration in force`, `target gone`, `evacuation`, `started` and `store is back`; refused requests displaced `store is lost`.

Change: lines about answered requests, failures, the state and problems have budgets of their own, of 150 lines a second as before.

--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -13,7 +13,7 @@
 from chervilmill.entry._dispatch import Dispatcher, late_retry_after_s
 from chervilmill.entry._progress import Origin, Progress, Refusal
 from chervilmill.entry._site_state import SiteState
-from chervilmill.logs import log_event, log_failure
+from chervilmill.logs import log_failure, log_request
 from chervilmill.metrics import Metrics
 from chervilmill.overload import CallerAgeEstimator, Candidate
 from chervilmill.platform import RequestHeaders, read_request, refusal_headers
@@ -207,7 +207,7 @@
         took_s = asyncio.get_running_loop().time() - progress.began_s
         self._metrics.latency.labels(progress.service).observe(took_s)
         fields = _placement_fields(progress.last_candidate) if progress.last_candidate else {}
-        log_event(
+        log_request(
             event,
             step="answer",
             request=progress.request_headers.request_id,
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -13,7 +13,7 @@
 from chervilmill.entry._limits import LimitTracker
 from chervilmill.entry._progress import Progress
 from chervilmill.entry._reach import ReachTracker
-from chervilmill.logs import log_event, log_failure, log_problem
+from chervilmill.logs import log_failure, log_problem, log_request
 from chervilmill.overload import Candidate, StatedPause, TargetFleet
 from chervilmill.platform import AnswerHeaders
 from chervilmill.requests import Lifetime
@@ -67,7 +67,7 @@
             log_problem("pause refused", step="pause", peer=lifetime.target, text=text)
             return
         self._fleet.rates.pauses.record(lifetime, stated.pause_s, now_s)
-        log_event("target pause", step="pause", target=lifetime.target, pause_s=stated.pause_s)
+        log_request("target pause", step="pause", target=lifetime.target, pause_s=stated.pause_s)
 
     def record_sent(self, progress: Progress, candidate: Candidate, now_s: float) -> None:
         """Record that a request is about to be sent to a candidate."""
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -31,7 +31,7 @@
     read_basis,
     without_basis,
 )
-from chervilmill.logs import log_event
+from chervilmill.logs import log_request
 from chervilmill.metrics import Metrics
 from chervilmill.peers import Peer
 from chervilmill.platform import proves_not_run_by_status
@@ -165,7 +165,7 @@
         progress.attempt = None
         self._record_basis(attempt, result)
         self._metrics.relays.labels(progress.service, result.end.value).inc()
-        log_event(
+        log_request(
             "request relayed",
             step="relay",
             request=progress.request_headers.request_id,
--- a/src/chervilmill/logs.py
+++ b/src/chervilmill/logs.py
@@ -9,9 +9,7 @@
 
 from absl import logging as absl_logging
 
-from chervilmill._log_budget import PRIORITY_KEY, BoundedHandler
-
-_FIELDS_KEY = "chervilmill_fields"
+from chervilmill._log_budget import BUDGET_KEY, FIELDS_KEY, BoundedHandler, Budget
 
 RevisionSource = Callable[[], int]
 
@@ -32,7 +30,7 @@
         }
         if self._revision is not None:
             line["revision"] = self._revision()
-        line.update(getattr(record, _FIELDS_KEY, {}))
+        line.update(getattr(record, FIELDS_KEY, {}))
         if record.exc_info:
             line["error"] = self.formatException(record.exc_info)
         return json.dumps(line, default=str)
@@ -62,16 +60,22 @@
 
 
 def log_event(event: str, **fields: object) -> None:
-    """Log an event, such as a decision, with its fields."""
-    absl_logging.get_absl_logger().info(event, extra={_FIELDS_KEY: fields})
+    """Log an event, such as a change of what the process believes, with its fields."""
+    absl_logging.get_absl_logger().info(event, extra={FIELDS_KEY: fields})
+
+
+def log_request(event: str, **fields: object) -> None:
+    """Log what became of a request, of which lines are left out first under load."""
+    extra = {FIELDS_KEY: fields, BUDGET_KEY: Budget.REQUESTS}
+    absl_logging.get_absl_logger().info(event, extra=extra)
 
 
 def log_failure(event: str, **fields: object) -> None:
-    """Log a decision that failed a request, within the budget of problems."""
-    extra = {_FIELDS_KEY: fields, PRIORITY_KEY: True}
+    """Log a decision that failed a request, within a budget of its own."""
+    extra = {FIELDS_KEY: fields, BUDGET_KEY: Budget.FAILURES}
     absl_logging.get_absl_logger().info(event, extra=extra)
 
 
 def log_problem(event: str, **fields: object) -> None:
     """Log a problem that an operator should look at, as a warning."""
-    absl_logging.get_absl_logger().warning(event, extra={_FIELDS_KEY: fields})
+    absl_logging.get_absl_logger().warning(event, extra={FIELDS_KEY: fields})
--- a/tests/entry/logged.py
+++ b/tests/entry/logged.py
@@ -8,6 +8,7 @@
 
 from absl import logging as absl_logging
 
+from chervilmill._log_budget import BUDGET_KEY, Budget
 from chervilmill.logs import _JsonFormatter
 
 Line = dict[str, Any]
@@ -20,12 +21,13 @@
         self.lines: list[Line] = []
 
     def emit(self, record: logging.LogRecord) -> None:
-        self.lines.append(json.loads(self.format(record)))
+        budget = getattr(record, BUDGET_KEY, Budget.STATE)
+        self.lines.append(json.loads(self.format(record)) | {"budget": budget})
 
 
 @contextmanager
 def logged_lines() -> Iterator[list[Line]]:
-    """Yield a list to which each line logged meanwhile is appended."""
+    """Yield a list to which each line logged meanwhile is appended, with its budget."""
     logger = absl_logging.get_absl_logger()
     collector, level = _Collector(), logger.level
     logger.addHandler(collector)
--- a/tests/entry/test_decision_basis.py
+++ b/tests/entry/test_decision_basis.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from chervilmill._log_budget import Budget
 from chervilmill.aio import ClientConnection
 from chervilmill.entry._decision_basis import BasisReader, CopyTrust, DecisionBasis
 from chervilmill.entry._site_state import SiteState
@@ -97,6 +98,7 @@
             _assert_basis(answered, site, 5)
             _assert_basis(refused, site, 5)
             assert refused["uptime_s"] > 0.0
+            assert (answered["budget"], refused["budget"]) == (Budget.REQUESTS, Budget.FAILURES)
             places = _order(refused, "reason", "detail", "uptime_s", *BASIS_FIELDS, "status")
             assert places == list(range(places[0], places[0] + len(places)))
 
@@ -136,6 +138,7 @@
                 site.vm._replicas["servers"].last_change.revision,
             ]
             assert relayed["basis"] == "confirmed"
+            assert relayed["budget"] is Budget.REQUESTS
             places = _order(relayed, "end", "detail", "status", *BASIS_FIELDS)
             assert places == list(range(places[0], places[0] + len(places)))
         finally:
