Count how old copies were when requests were written to targets

Cause: chervilmill_copy_age_seconds shows the ages at the moments at which it is read; an age between two readings, and how many requests were sent at it, did not show.

Change: the histogram chervilmill_copy_age_at_send_seconds takes the age of the oldest copy right before a request is written to a target, with buckets up to 10 s.

--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -179,7 +179,10 @@
         return Refusal(RefusalReason.ENTRY_LATE, late_retry_after_s(self._rng), "copies are old")
 
     def _may_send(self, progress: Progress, target: Target) -> bool:
-        """Return whether a target that was chosen a moment ago may still get the request."""
+        """Return whether a target that was chosen a moment ago may still get the request.
+
+        Record what that was decided on, as the request is written at once.
+        """
         view, now_s = self._site_state.view, asyncio.get_running_loop().time()
         known = view.targets.get(target.name)
         if known is None or known.incarnation != target.incarnation:
@@ -187,7 +190,11 @@
         home_regions = progress.route.home_regions
         is_allowed = self._site_state.fleet.is_allowed(known, progress.service, home_regions, view)
         progress.update_basis(self._basis_reader.read(now_s))
-        return is_allowed and self._currency.is_current(now_s)
+        if not is_allowed or not self._currency.is_current(now_s):
+            return False
+        if progress.basis.copy_age_s is not None:
+            self._metrics.copy_age_at_send.observe(progress.basis.copy_age_s)
+        return True
 
     def _is_usable(self, name: str, progress: Progress, now_s: float) -> bool:
         fleet = self._site_state.fleet
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -5,6 +5,8 @@
 from chervilmill.reasons import DropReason, RefusalReason, RetryReason
 
 LATENCY_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
+# The bounds of operators, 2.5 s on the sites known, lie amid these.
+COPY_AGE_BUCKETS_S = (0.1, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 5, 10)
 DRAIN_BUCKETS_S = (0.1, 0.5, 1, 2, 3, 5, 10, 30, 60, 300, 1800)
 
 
@@ -98,6 +100,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.copy_age_at_send = Histogram(
+            "chervilmill_copy_age_at_send_seconds",
+            "Age of the oldest copy of the store's objects when a request was written to a target",
+            buckets=COPY_AGE_BUCKETS_S,
+            registry=self.registry,
+        )
         self.loop_lateness = Histogram(
             "chervilmill_loop_late_seconds",
             "How late the event loop ran a tick that is due every 0.1 s",
--- a/tests/entry/test_decision_basis.py
+++ b/tests/entry/test_decision_basis.py
@@ -120,6 +120,29 @@
     run_async(scenario)
 
 
+def test_age_of_the_copies_is_observed_when_a_request_is_written(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=("t1",)) as site:
+            await asyncio.sleep(1.0)
+            registry = site.vm._metrics.registry
+            name = "chervilmill_copy_age_at_send_seconds"
+            assert registry.get_sample_value(f"{name}_count") == 0.0
+            with logged_lines() as lines:
+                assert (await site.ask("/read/1")).status == 200
+                assert (await site.ask("/nowhere/1")).status == 404
+                site.targets["t1"].crash()
+                assert (await site.ask("/read/1")).status == 503
+            (answered,) = of_event(lines, "answered")
+            written = 1 + len(
+                [line for line in of_event(lines, "attempt failed") if line["end"] != "not_sent"]
+            )
+            assert registry.get_sample_value(f"{name}_count") == written
+            assert registry.get_sample_value(f"{name}_bucket", {"le": "10.0"}) == written
+            assert registry.get_sample_value(f"{name}_sum") >= answered["copy_age_s"] - 0.001
+
+    run_async(scenario)
+
+
 def test_relayed_requests_state_what_decided_them(tmp_path: Path) -> None:
     async def scenario() -> None:
         pair = Pair(tmp_path)
