Reproduce that VMs act on copies that a sound but slow store let grow old

Cause: the age of copies was only held against a bound on VMs whose event loop was late. A VM on time acts on copies of any age, as if the store were away, although it only answers late or refuses most reads.

Change: the model of a fleet has slow linearizable and slow stale answers, answers that are slow at times, refusals with 429 or 503, outages that end, a second kind of objects that is listed to confirm the copies, and each VM's CopyCurrency.

--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -19,16 +19,19 @@
 from chervilmill.addresses import Address
 from chervilmill.aio import ExchangeError, ExchangeTimeoutError, HttpAnswer
 from chervilmill.entry import _replica_copies, _replica_sync
+from chervilmill.entry._copy_currency import CopyCurrency
 from chervilmill.entry._replica_copies import FetchedReplica, decode_replica, encode_replica
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.peers import GossipEndpoint, KindReplica, Membership, Peer, ReplicaChange
-from chervilmill.platform import PlatformStore
+from chervilmill.platform import Bounds, PlatformStore
 
 KIND = "servers"
 DELAYS_S = (0.004, 0.055)  # one way, within a region and between two
 LEAVING = "t-0"
 UNHEARD_FROM_S = 5.0
 PEER_PORT = 7720
+SAMPLE_S = 0.05
+BOUNDS = Bounds(2.5, 6.0, 2.5, 4.0, 5.0, 0.2, 10.0, 64.0, 1.5, 5.0, 0.15)  # of the user sites
 _ASKING_VM: ContextVar[int] = ContextVar("asking VM")
 
 
@@ -46,23 +49,37 @@
     """A fault that begins at `at_s`, of VMs chosen by their numbers.
 
     `silenced` VMs get no answer on the connections that were open at `at_s`. `refused` VMs get 503
-    from `at_s` on. `swallowed_for_s` is how long all calls that begin after `at_s` stay unanswered.
+    from `at_s` on, for `refused_for_s`. `swallowed_for_s` is how long all calls that begin after
+    `at_s` stay unanswered.
     Reads that may be stale are answered from data that is `replica_age_s` old, and state the
     revision `stale_as_of`. Watches that may be stale wait for `stale_wait_s` at most, and their
     answers leave out each event but the last with `leaves_out`. The store refuses the share
-    `busy_share` of all other reads from `at_s` on, as there are too many.
+    `busy_share` of all other reads from `at_s` on, with the status `refusal`.
+
+    From `at_s` on linearizable answers take 0.7 to 1.0 of `answer_s` longer than the way, and say
+    what the store had before; the others take `stale_answer_s` longer. Both are slow for
+    `slow_for_s`, then as fast as usual for as long, and so on.
     """
 
     at_s: float = 5.0
     silenced: Callable[[int], bool] = lambda _: False
     refused: Callable[[int], bool] = lambda _: False
+    refused_for_s: float = math.inf
     swallowed_for_s: float = 0.0
     replica_age_s: float = 0.0
     busy_share: float = 0.0
+    refusal: int = 429
+    answer_s: float = 0.0
+    stale_answer_s: float = 0.0
+    slow_for_s: float = math.inf
     stale_as_of: StaleAsOf = StaleAsOf.OF_DATA
     stale_wait_s: float = math.inf
     leaves_out: bool = False
 
+    def is_slow(self, now_s: float) -> bool:
+        """Return whether answers that are ready at a time are held back."""
+        return now_s >= self.at_s and (now_s - self.at_s) // self.slow_for_s % 2 == 0
+
 
 @dataclass(frozen=True, slots=True)
 class FleetCase:
@@ -71,7 +88,8 @@
     Targets change one after the other at `changes_s`; the last of these changes is the leaving
     target's. `datagram_loss` is the lost share of datagrams, and the first `lost_fetches` copies
     that each VM fetches from peers are lost. `unheard` VMs send and get no datagrams from 5 s on.
-    VMs learn of each other `registered_s` after their start, and begin to gossip before that.
+    VMs learn of each other `registered_s` after their start, and begin to gossip before that. The
+    targets are entries of the kind `servers`; `listed_kind` is listed to confirm the copies.
     """
 
     vms: int
@@ -81,6 +99,18 @@
     lost_fetches: int = 0
     unheard: Callable[[int], bool] = lambda _: False
     registered_s: float = 0.0
+    listed_kind: str = KIND
+
+    @property
+    def kinds(self) -> tuple[str, ...]:
+        """Return the kinds of objects that each VM follows."""
+        return tuple(dict.fromkeys((KIND, self.listed_kind)))
+
+    def changes(self) -> dict[str, float]:
+        """Return for each target that changes when it does."""
+        *others_s, leaving_s = self.changes_s
+        others = {f"other-{number}": at_s for number, at_s in enumerate(others_s)}
+        return {**others, LEAVING: leaving_s}
 
 
 class _Store:
@@ -97,10 +127,9 @@
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
-        for number, at_s in enumerate(self.case.changes_s):
+        for number, (name, at_s) in enumerate(self.case.changes().items()):
             await asyncio.sleep(at_s - loop.time())
-            is_last = number == len(self.case.changes_s) - 1
-            event = (11 + number, LEAVING if is_last else f"other-{number}")
+            event = (11 + number, name)
             self.events.append(event)
             loop.call_later(self.case.fault.replica_age_s, self.replicated.append, event)
             loop.call_later(self.case.fault.replica_age_s, self._notify)
@@ -118,19 +147,26 @@
         loop, fault = asyncio.get_running_loop(), self.case.fault
         began_s, delay_s = loop.time(), DELAYS_S[vm % 2]
         await asyncio.sleep(delay_s)
-        if fault.refused(vm) and loop.time() >= fault.at_s:
+        if fault.refused(vm) and 0.0 <= loop.time() - fault.at_s < fault.refused_for_s:
             return HttpAnswer(503, b"")
         is_busy = not is_stale and self._rng.random() < fault.busy_share
         if is_busy and loop.time() >= fault.at_s:
-            return HttpAnswer(429, b"")
+            return HttpAnswer(fault.refusal, b"")
         if fault.at_s <= began_s < fault.at_s + fault.swallowed_for_s:
             await asyncio.Event().wait()
         body = await self._stale_result(path) if is_stale else await self._result(path, self.events)
         if fault.silenced(vm) and began_s < fault.at_s <= loop.time():
             await asyncio.Event().wait()
-        await asyncio.sleep(delay_s)
+        await asyncio.sleep(delay_s + self._held_back_s(is_stale))
         return HttpAnswer(200, json.dumps(body).encode())
 
+    def _held_back_s(self, is_stale: bool) -> float:
+        """Return for how long a slow store holds back an answer that is ready."""
+        fault = self.case.fault
+        if not fault.is_slow(asyncio.get_running_loop().time()):
+            return 0.0
+        return fault.stale_answer_s if is_stale else fault.answer_s * self._rng.uniform(0.7, 1.0)
+
     async def _stale_result(self, path: str) -> dict[str, Any]:
         """Return the result of a read that may be stale."""
         fault = self.case.fault
@@ -152,19 +188,22 @@
         self, path: str, events: list[tuple[int, str]], max_wait_s: float = math.inf
     ) -> dict[str, Any]:
         """Return the result of a read of the store, or of a replica that has fewer events."""
+        has_targets = path.split("?")[0].endswith(f"/{KIND}")
         if "watch=" not in path:
-            items = [_entry(name, revision) for revision, name in events]
+            items = [_entry(name, revision) for revision, name in events if has_targets]
             return {"items": items, "as-of": 10 + len(events)}
         since = int(path.split("watch=")[1].split("&")[0])
         wait_s = min(max_wait_s, int(path.split("wait-ms=")[1].split("&")[0]) / 1000)
         try:
             async with asyncio.timeout(wait_s):
-                while 10 + len(events) <= since:
+                while not has_targets or 10 + len(events) <= since:
                     await self.changed.wait()
         except TimeoutError:
             pass
         changes = [
-            {"object": _entry(name, revision)} for revision, name in events if revision > since
+            {"object": _entry(name, revision)}
+            for revision, name in events
+            if has_targets and revision > since
         ]
         return {"events": changes, "as-of": max(since, 10 + len(events))}
 
@@ -173,25 +212,34 @@
     return {"metadata": {"name": name, "revision": revision}, "specification": {}}
 
 
-class _Vm:
-    """One entry VM; `learnt_s` is when it learnt that the target is leaving."""
+def _new_currency(sync: ReplicaSync) -> CopyCurrency:
+    """Return what decides whether a VM whose event loop is on time acts on its copies."""
+    return CopyCurrency(
+        BOUNDS, sync.confirmer.confirmed_s, lambda: sync.is_store_away, lambda _: False
+    )
+
+
+class FleetVm:
+    """One entry VM; `learnt_s` is when it learnt of each target's change."""
 
     def __init__(self, fleet: "StoreFleet", number: int) -> None:
         self.number = number
-        self.learnt_s: float | None = None
+        self.learnt_s: dict[str, float] = {}
         self.fetches = 0
         self._fleet = fleet
         self.peer = Peer(f"vm-{number}", f"10.0.{number // 250}.{number % 250}", f"d{number % 6}")
         rng = random.Random(f"{fleet.case.vms}-{number}")
         self.membership = Membership(self.peer.name, 1, rng, self.peer.failure_domain)
         self.membership.set_serving(True)
-        self.replica = KindReplica(KIND)
+        self.replicas = {kind: KindReplica(kind) for kind in fleet.case.kinds}
         self.sync = self._new_sync()
+        self.currency = _new_currency(self.sync)
         self.endpoint = self._new_endpoint()
 
     def _new_sync(self) -> ReplicaSync:
         store = PlatformStore(self._call, "store")
-        return ReplicaSync(store, {KIND: self.replica}, self._record_change, (KIND,))
+        listed_kind = self._fleet.case.listed_kind
+        return ReplicaSync(store, self.replicas, self._record_change, (KIND,), listed_kind)
 
     def _new_endpoint(self) -> GossipEndpoint:
         endpoint = GossipEndpoint(
@@ -219,8 +267,9 @@
             raise ExchangeTimeoutError("no answer", step=method, peer="store") from exc
 
     def _record_change(self, kind: str, change: ReplicaChange, until_s: float | None) -> None:
-        if any(stored.name == LEAVING for stored in change.written):
-            self.learnt_s = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        for stored in change.written:
+            self.learnt_s.setdefault(stored.name, now_s)
 
     def _handle_digest(self, digest: Any) -> None:
         _ASKING_VM.set(self.number)
@@ -261,25 +310,28 @@
 
 @dataclass(slots=True)
 class StoreFleet:
-    """The fleet of one case."""
+    """The fleet of one case; `on_sample` is called for each VM every SAMPLE_S."""
 
     case: FleetCase
     seed: int
+    on_sample: Callable[[FleetVm, float], None] | None = None
     rng: random.Random = field(init=False)
     store: _Store = field(init=False)
-    vms: list[_Vm] = field(init=False)
-    by_host: dict[str, _Vm] = field(init=False)
+    vms: list[FleetVm] = field(init=False)
+    by_host: dict[str, FleetVm] = field(init=False)
 
     async def run(self, monkeypatch: pytest.MonkeyPatch, until_s: float) -> None:
         """Run the fleet until a time."""
         monkeypatch.setattr(_replica_sync, "fetch_replica", self._fetch)
         self.rng = random.Random(self.seed)
         self.store = _Store(self.case)
-        self.vms = [_Vm(self, number) for number in range(self.case.vms)]
+        self.vms = [FleetVm(self, number) for number in range(self.case.vms)]
         self.by_host = {vm.peer.host: vm for vm in self.vms}
         tasks = [asyncio.ensure_future(self.store.run())]
         for vm in self.vms:
             tasks.append(asyncio.ensure_future(self._start(vm)))
+        if self.on_sample is not None:
+            tasks.append(asyncio.ensure_future(self._sample(self.on_sample)))
         await asyncio.sleep(until_s)
         for task in tasks:
             task.cancel()
@@ -289,22 +341,31 @@
         """Return the VMs that learnt too late that the target leaves, with the delays."""
         left_s = self.case.changes_s[-1]
         delays = {
-            vm.peer.name: None if vm.learnt_s is None else round(vm.learnt_s - left_s, 3)
+            vm.peer.name: (
+                round(vm.learnt_s[LEAVING] - left_s, 3) if LEAVING in vm.learnt_s else None
+            )
             for vm in self.vms
         }
         return {name: late for name, late in delays.items() if late is None or late > bound_s}
 
-    async def _start(self, vm: _Vm) -> None:
+    async def _sample(self, on_sample: Callable[[FleetVm, float], None]) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            for vm in self.vms:
+                on_sample(vm, loop.time())
+            await asyncio.sleep(SAMPLE_S)
+
+    async def _start(self, vm: FleetVm) -> None:
         await asyncio.sleep(self.rng.random() * 0.5)
         await asyncio.gather(
             vm.endpoint.run(),
-            vm.sync.run(KIND),
+            *(vm.sync.run(kind) for kind in self.case.kinds),
             vm.sync.confirmer.run(),
             vm.update_reader(),
             self._register(vm),
         )
 
-    async def _register(self, vm: _Vm) -> None:
+    async def _register(self, vm: FleetVm) -> None:
         if self.case.registered_s:
             await asyncio.sleep(self.case.registered_s)
         vm.membership.set_peers([other.peer for other in self.vms])
@@ -320,4 +381,4 @@
         if asker.fetches <= self.case.lost_fetches:
             await asyncio.sleep(_replica_copies.PEER_TIMEOUT_S - 4 * DELAYS_S[1])
             raise ExchangeError("no answer", step="GET", peer=str(host))
-        return decode_replica(encode_replica(giver.replica, is_settled=True), str(host))
+        return decode_replica(encode_replica(giver.replicas[kind], is_settled=True), str(host))
