Have the soak's store answer late, and refuse reads

Cause: the store of the soak answers at once, so the soak cannot see a sound store whose linearizable answers take tenths of a second, while its stale ones come at once (docs/incidents/slow-proofs.md).

Change: each answer may take 0.7 to 1.0 of a time drawn from the seed, those of linearizable reads one of their own, watches after the wait. A share of the linearizable reads may get 429 or 503. Late answers of a sound store excuse nothing. Refusals are an impairment, as the soak's VMs read far less than the rates of the sites allow: VMs are out of touch, DRAIN and DENIED do not hold, and the bounds of configurations and evacuations are stretched by max-stretch-s (6 s), not lifted. Runs at a target whose leaving the VM has itself acknowledged are not told apart, and are excused too.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks of the promises against the records of callers, targets and entry VMs."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 
@@ -10,7 +11,7 @@
     proper_requests_are_not_denied,
     runs_at_home,
 )
-from soak.touch import STABLE_WINDOW_S, own_delay_s, was_in_touch
+from soak.touch import STABLE_WINDOW_S, own_delay_s, stretch_s
 
 DRAIN_BOUND_S = 2.5  # for a draining target, as drain-s of the site
 EVACUATION_BOUND_S = 5.0
@@ -71,7 +72,8 @@
     """Yield a breach for each run at a draining target or in an evacuated failure domain.
 
     The bound counts from an acknowledgement of a stable store, and holds for VMs in touch. A run is
-    not late if the link to its target was disturbed within the stable window before it.
+    not late if the link to its target was disturbed within the stable window before it. While the
+    store refuses reads, the bound for an evacuation is stretched, and that for a target is lifted.
     """
     for exclusion in history.exclusions:
         bound_s = EVACUATION_BOUND_S if exclusion.is_domain else DRAIN_BOUND_S
@@ -84,8 +86,11 @@
             if attempt is None or _is_held_up(history, run):
                 continue
             at_s = run.at_s - own_delay_s(history, run.at_s)
-            if at_s > from_s + bound_s and was_in_touch(history, attempt, run.at_s):
-                late_s = at_s - from_s - bound_s
+            late_s = at_s - from_s - bound_s
+            stretched_s = stretch_s(history, attempt, run.at_s)
+            if stretched_s and not exclusion.is_domain:
+                stretched_s = math.inf
+            if late_s > stretched_s:
                 yield Breach(
                     "leaving_gets_nothing",
                     f"{run.request_id} at {exclusion.name}, {late_s:.2f} s late",
@@ -95,7 +100,8 @@
 def _stable_from_s(history: History, exclusion: ExclusionSpan) -> float:
     """Return from when the bound of an exclusion counts."""
     from_s = exclusion.from_s
-    for began_s, until_s in sorted(history.store_disruptions):
+    refusals = [] if exclusion.is_domain else history.store_refusals
+    for began_s, until_s in sorted([*history.store_disruptions, *refusals]):
         if began_s <= from_s <= until_s + STABLE_WINDOW_S:
             from_s = until_s + STABLE_WINDOW_S
     return from_s
@@ -199,7 +205,7 @@
     own = [(from_s, until_s) for name, from_s, until_s in history.vm_disruptions if name == vm]
     return not any(
         from_s <= run.at_s <= until_s + STABLE_WINDOW_S
-        for from_s, until_s in (*own, *history.store_disruptions)
+        for from_s, until_s in (*own, *history.store_disruptions, *history.store_refusals)
     )
 
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -100,7 +100,8 @@
 
     `disruptions` holds the time spans of unplanned disruptions. `vm_disruptions` holds the spans in
     which single entry VMs were disturbed, by address, `store_disruptions` those of the store, and
-    `link_disruptions` those of the links to single targets, by name. `vm_lifetimes` are the starts
+    `link_disruptions` those of the links to single targets, by name. In `store_refusals`, the store
+    refuses reads and is otherwise sound. `vm_lifetimes` are the starts
     of processes, by the VM's address. In `overloads`, callers ask for more than the processor of
     the VMs carries. `own_delays` are the spans in which the soak's own event loop stood still, so
     that its records are late by as much. From `recovered_from_s` on, requests must be served again.
@@ -113,6 +114,7 @@
     disruptions: list[tuple[float, float]] = field(default_factory=list)
     vm_disruptions: list[tuple[str, float, float]] = field(default_factory=list)
     store_disruptions: list[tuple[float, float]] = field(default_factory=list)
+    store_refusals: list[tuple[float, float]] = field(default_factory=list)
     link_disruptions: list[tuple[str, float, float]] = field(default_factory=list)
     configurations: list[ConfigurationWrite] = field(default_factory=list)
     vm_starts: list[VmStart] = field(default_factory=list)
--- a/soak/route_checks.py
+++ b/soak/route_checks.py
@@ -1,11 +1,12 @@
 """Checks of what the operator's configuration promises about routes and homes."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from soak.records import NOT_RUN_STATUSES, Attempt, Breach, History, TargetRun
 from soak.site import REGION_BY_DOMAIN
-from soak.touch import was_in_touch, was_undisturbed
+from soak.touch import stretch_s, was_in_touch, was_undisturbed
 
 PROPAGATION_BOUND_S = 2.5  # config-propagation-s of the site
 ROLLBACK_SLACK_S = 0.25  # rollback-slack-s of the site
@@ -61,15 +62,15 @@
 
 
 def _outdated(history: History) -> Iterator[_Handled]:
-    """Yield what no version allows that may be in force, by VMs in touch.
+    """Yield what no version allows that may be in force.
 
-    VMs out of touch may have any version.
+    VMs out of touch may have any version, unless the store does no more than refuse reads.
     """
     for handled in _handled(history):
         versions = _possible_versions(history, handled)
         if not versions or any(handled.is_allowed(history, version) for version in versions):
             continue
-        if was_in_touch(history, handled.attempt, handled.at_s):
+        if stretch_s(history, handled.attempt, handled.at_s) < math.inf:
             yield handled
 
 
@@ -82,14 +83,15 @@
 
 
 def _possible_versions(history: History, handled: _Handled) -> list[int]:
-    """Return the versions that may be in force for a request, on VMs in touch."""
+    """Return the versions that may be in force for a request."""
     writes = history.configurations
     sent_s = handled.attempt.sent_s
+    bound_s = PROPAGATION_BOUND_S + stretch_s(history, handled.attempt, handled.at_s)
     return [
         version
         for version, write in enumerate(writes)
         if write.at_s <= handled.at_s
-        and (version + 1 == len(writes) or sent_s <= writes[version + 1].at_s + PROPAGATION_BOUND_S)
+        and (version + 1 == len(writes) or sent_s <= writes[version + 1].at_s + bound_s)
     ]
 
 
--- a/soak/store.py
+++ b/soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -15,6 +16,8 @@
 LIMITS = ServerLimits(header_bytes=16_384, header_timeout_s=5.0, idle_s=60.0)
 PREFIX = "/v1/objects/"
 REPLICA_POLL_S = 0.05
+BUSY_STATUSES = (429, 503)
+MIN_ANSWER_SHARE = 0.7  # of the longest time that an answer takes
 
 
 @dataclass(slots=True)
@@ -24,6 +27,10 @@
     Watches that may be stale are answered from data that is `replica_age_s` old, after
     `replica_wait_s` at most. With `replicas_state_present`, their answers state the store's
     present revision.
+
+    Each answer takes `answer_s` at most, and that of a linearizable read `linearizable_answer_s`
+    more; a watch takes it after the wait. They give the state of when the answer was begun.
+    `busy_reads_share` of the linearizable reads is refused.
     """
 
     is_down: bool = False
@@ -33,6 +40,9 @@
     replica_age_s: float = 0.0
     replica_wait_s: float = 30.0
     replicas_state_present: bool = False
+    answer_s: float = 0.0
+    linearizable_answer_s: float = 0.0
+    busy_reads_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,12 +65,13 @@
 class StandInStore:
     """Keeps objects in memory and serves them over HTTP."""
 
-    def __init__(self, page: int = 500) -> None:
+    def __init__(self, page: int = 500, seed: str = "") -> None:
         self.faults = StoreFaults()
         self.calls: list[str] = []
         self.revision = 1
         self.era = 1
         self._page_size = page
+        self._rng = random.Random(seed)
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._history: list[_Change] = []
         self._oldest_watchable = 0
@@ -138,13 +149,26 @@
             return
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
-        status, value = await self._perform(head.method.decode(), head.target.decode(), body)
+        method, target = head.method.decode(), head.target.decode()
+        is_linearizable_read = method == "GET" and "serializable=1" not in target
+        if is_linearizable_read and self._rng.random() < self.faults.busy_reads_share:
+            await asyncio.sleep(self._draw_answer_time_s(is_linearizable_read))
+            await conn.answer(self._rng.choice(BUSY_STATUSES), [], b"")
+            return
+        status, value = await self._perform(method, target, body)
+        headers = [*JSON_HEADERS, (b"store-era", str(self.era).encode())]
+        await asyncio.sleep(self._draw_answer_time_s(is_linearizable_read))
         if self.faults.loses_answers and head.method != b"GET":
             conn.abort()
             return
-        headers = [*JSON_HEADERS, (b"store-era", str(self.era).encode())]
         await conn.answer(status, headers, json.dumps(value).encode())
 
+    def _draw_answer_time_s(self, is_linearizable_read: bool) -> float:
+        longest_s = self.faults.answer_s
+        if is_linearizable_read:
+            longest_s += self.faults.linearizable_answer_s
+        return longest_s * self._rng.uniform(MIN_ANSWER_SHARE, 1.0)
+
     async def _perform(self, method: str, target: str, body: bytes) -> tuple[int, object]:
         parts = urlsplit(target)
         kind, _, name = unquote(parts.path.removeprefix(PREFIX)).partition("/")
