Kill all VMs and lapse entries in the soak, and start only planned changes

Cause: the record of slow-proofs shows VMs that start at the same moment and targets that join in one list. The soak killed VMs at random and its outages of the store kept all entries.

Outages have a schedule and a seed of their own, so the actions of other seeds stay. `--calm` starts planned changes only, one each 0.5 s, without crashing requests, and needs no time to recover. `--linearizable-answer`, `--answer` and `--busy-reads` set the store's answers. The report counts the breaches of each promise.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from soak.builds import BuildError, export_build
@@ -58,6 +59,35 @@
     parser.add_argument(
         "--replica-age", type=float, default=0.0, help="age of reads that may be stale, in seconds"
     )
+    parser.add_argument(
+        "--answer",
+        type=float,
+        default=0.0,
+        metavar="S",
+        help="have each answer of the store take 0.7 to 1.0 of S seconds, watches after the wait",
+    )
+    parser.add_argument(
+        "--linearizable-answer",
+        type=float,
+        default=0.0,
+        metavar="S",
+        help="have linearizable answers of the store take 0.7 to 1.0 of S seconds longer",
+    )
+    parser.add_argument(
+        "--busy-reads",
+        type=float,
+        default=0.0,
+        metavar="SHARE",
+        help="have the store refuse this share of the linearizable reads with 429 or 503",
+    )
+    parser.add_argument(
+        "--calm", action="store_true", help="start only planned changes, and disrupt nothing"
+    )
+    parser.add_argument(
+        "--outages",
+        action="store_true",
+        help="kill all entry VMs at once, and take the store away until entries lapse",
+    )
     parser.add_argument(
         "--press",
         type=float,
@@ -100,6 +130,11 @@
         replicas_state_present=args.replicas_state_present,
         press_per_s=args.press,
         busy_processes=args.busy,
+        answer_s=args.answer,
+        linearizable_answer_s=args.linearizable_answer,
+        busy_reads_share=args.busy_reads,
+        is_calm=args.calm,
+        outages=args.outages,
     )
     with tempfile.TemporaryDirectory() as temporary:
         folder = (args.keep or Path(temporary)) / f"seed-{seed}"
@@ -108,6 +143,8 @@
         breaches = asyncio.run(_run_until_terminated(soak))
     served = sum(attempt.status == 200 for attempt in soak.history.attempts.values())
     print(f"seed {seed}: {served} of {len(soak.history.attempts)} served, {len(breaches)} breaches")
+    for promise, count in Counter(breach.promise for breach in breaches).items():
+        print(f"  {promise}: {count}")
     for breach in breaches[:10]:
         print(f"  {breach.promise}: {breach.detail}")
     if breaches:
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,7 +5,7 @@
 import functools
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -20,6 +20,7 @@
     RouteCaller,
 )
 from soak.checks import breaches
+from soak.outages import READY_TIMEOUT_S, Outages
 from soak.proxy import Proxy
 from soak.records import (
     Breach,
@@ -38,6 +39,8 @@
 from soak.vms import VmProcess
 
 STARTUP_S = 4.0
+MIN_PAUSE_S, MAX_PAUSE_S = 0.2, 2.0  # between two actions
+CALM_PAUSE_S = 0.8  # the longest one if all are planned changes
 RECOVERY_S = 6.0  # from the last disruption until requests must be served again
 OBSERVATION_S = 4.0
 CRASHING_CALLERS = 2
@@ -47,7 +50,6 @@
 ENTRY_EXPIRY_S = 4.5  # three missed heartbeats
 DISRUPTION_TAIL_S = 4.0  # for this time after its end a disruption still excuses failures
 STOP_GRACE_S = 6.0
-READY_TIMEOUT_S = 20.0  # longer than READY_BOUND_S of the check, so that a breach is recorded
 VM_PORTS = (8161, 8164, 8167, 8166, 7720, 7735)
 TARGET_PORT = 8300
 STORE_PORT = 8169
@@ -64,7 +66,13 @@
     With `previous`, the root of an earlier build, all VMs run that build at first. One after the
     other, they are replaced by this version, and then by the earlier one again. Reads of the store
     that may be stale are `replica_age_s` old. With `replicas_state_present`, they are answered
-    within half a second, and state the present revision all the same.
+    within half a second, and state the present revision all the same. Each answer of the store
+    takes `answer_s`, those of linearizable reads `linearizable_answer_s` more, at most; the store
+    is sound all the same. `busy_reads_share` of the linearizable reads is refused until the end of
+    the disruptions, although entry VMs stay within the store's rates: that is a disruption.
+
+    With `is_calm`, only planned changes are started. With `outages`, all entry VMs are killed at
+    once, and the store goes away until entries lapse, beside all other actions.
 
     With `press_per_s`, all VMs share one core with `busy_processes` others, callers ask for that
     many requests a second beside those of all other callers, and only planned actions are started.
@@ -85,6 +93,16 @@
     replicas_state_present: bool = False
     press_per_s: float = 0.0
     busy_processes: int = 0
+    answer_s: float = 0.0
+    linearizable_answer_s: float = 0.0
+    busy_reads_share: float = 0.0
+    is_calm: bool = False
+    outages: bool = False
+
+    @property
+    def is_disrupted(self) -> bool:
+        """Return whether requests have anything to recover from."""
+        return not self.is_calm or self.outages or self.busy_reads_share > 0.0
 
 
 class Soak:
@@ -103,7 +121,9 @@
         # Where every crash is silent, nothing confirms one before its entry expires.
         self._crash_modes = self._crash_rng.choice([list(CrashMode), [CrashMode.SILENT]])
         self._folder = folder
-        self._store = StandInStore()
+        self._store = StandInStore(seed=f"{options.seed}/store")
+        self._store.faults.answer_s = options.answer_s
+        self._store.faults.linearizable_answer_s = options.linearizable_answer_s
         self._store.faults.replica_age_s = options.replica_age_s
         if options.replicas_state_present:
             self._store.faults.replicas_state_present = True
@@ -128,7 +148,7 @@
             watching = asyncio.create_task(self._watch_own_loop())
             self._shared_core.start_busy(self.options.busy_processes, self.options.seconds)
             end_s = loop.time() + self.options.seconds
-            last_s = end_s + RECOVERY_S + OBSERVATION_S
+            last_s = end_s + (RECOVERY_S if self.options.is_disrupted else 0.0) + OBSERVATION_S
             seed = str(self.options.seed)
             callers = self._make_callers(Caller, self.options.callers, "c", seed)
             crashing = self._make_crashing_callers(seed)
@@ -142,14 +162,20 @@
             if self.options.previous is not None:
                 replacing = self._replace_builds(self.options.previous)
                 self._tasks.append(asyncio.create_task(replacing))
-            while loop.time() < end_s:
-                if not self.options.only_crashes:
-                    await self._start_random_action()
-                await asyncio.sleep(self._rng.uniform(0.2, 2.0))
-            while not all(task.done() for task in self._tasks):
-                await asyncio.gather(*self._tasks)
+            if self.options.outages:
+                self._tasks.append(asyncio.create_task(self._run_outages(end_s)))
+            with self._reads_refused():
+                while loop.time() < end_s:
+                    if not self.options.only_crashes:
+                        await self._start_random_action()
+                    longest_s = CALM_PAUSE_S if self.options.is_calm else MAX_PAUSE_S
+                    await asyncio.sleep(self._rng.uniform(MIN_PAUSE_S, longest_s))
+                while not all(task.done() for task in self._tasks):
+                    await asyncio.gather(*self._tasks)
             self._shared_core.end_busy()
-            self.history.recovered_from_s = loop.time() + RECOVERY_S
+            self.history.recovered_from_s = (
+                loop.time() + RECOVERY_S if self.options.is_disrupted else end_s
+            )
             await asyncio.gather(*caller_tasks)
             watching.cancel()
             self._collect()
@@ -171,6 +197,29 @@
             self.history.overloads.append((began_s, end_s + DISRUPTION_TAIL_S))
         return tasks
 
+    @contextlib.contextmanager
+    def _reads_refused(self) -> Iterator[None]:
+        """Refuse a share of the linearizable reads during the block."""
+        share = self._store.faults.busy_reads_share = self.options.busy_reads_share
+        from_s = asyncio.get_running_loop().time()
+        yield
+        self._store.faults.busy_reads_share = 0.0
+        if share:
+            self.history.store_refusals.append((from_s, asyncio.get_running_loop().time()))
+
+    async def _run_outages(self, until_s: float) -> None:
+        outages = Outages(
+            self._vms,
+            self._start_vm,
+            self._store,
+            self._store_links,
+            lambda: self._targets.keys() | self._desk_targets.keys(),
+            self.history,
+            self.log,
+            random.Random(f"{self.options.seed}/outages"),
+        )
+        await outages.run(until_s, self._run_action, disturbs_store=self.options.disturbs_store)
+
     async def _watch_own_loop(self) -> None:
         """Record the spans in which this event loop stood still, and records are late."""
         loop = asyncio.get_running_loop()
@@ -207,7 +256,7 @@
         ]
 
     def _make_crashing_callers(self, seed: str) -> list[Caller]:
-        if self.options.press_per_s:
+        if self.options.press_per_s or self.options.is_calm:
             return []
         callers = (
             self._make_callers(RatedCrashingCaller, 1, "crash", seed)
@@ -305,7 +354,7 @@
         ]
         if not self.options.disturbs_store:
             actions = [action for action in actions if not action[0].startswith("store")]
-        if self.options.press_per_s:
+        if self.options.press_per_s or self.options.is_calm:
             actions = [action for action in actions if action[0] in PLANNED_CHANGES]
         name, action, is_planned = self._rng.choice(actions)
         self.log.append(f"{asyncio.get_running_loop().time():.2f} {name}")
