Use answers of the platform that come after its time-out

Beside a sound platform whose answers take longer than `timeout_ms` (1 s by default), an entry VM of our own interface never knew the list of VMs: it never started to serve, a target that the list showed as leaving went on getting requests, and the allotter's lease lapsed, so that links fell back to their floors.

Cause: the time-out threw away every answer that was on its way, and the next call began only after a pause. One call was open at a time, so that below the time-out the interval between readings grew by the time of an answer. The first watch had 2 s, and lost each answer of 2 s.

Readers and the allotter's lease now have a client of their own that waits for at least 5 s, as no request waits for them. Up to four readings are open at once. Each is dated by its own call, and one that a later call has overtaken is dropped; an age that a peer's later reading has lowered is not raised again. The lease still counts from before its write was sent, so a longer wait does not make it last longer.

--- a/src/chervilmill/coordination/_client.py
+++ b/src/chervilmill/coordination/_client.py
@@ -18,7 +18,8 @@
 from chervilmill.documents import MALFORMED_ERRORS, decode_document
 from chervilmill.logs import log_problem
 
-WATCH_REPLY_MARGIN_S = 2.0  # time for the reply after a watch has waited its full timeout
+MIN_WATCH_REPLY_MARGIN_S = 2.0  # for the reply after a watch has waited its full timeout
+MIN_BACKGROUND_TIMEOUT_S = 5.0
 
 T = TypeVar("T")
 
@@ -27,10 +28,18 @@
     """Client of the platform that implements ObjectStore and VmList over HTTP."""
 
     def __init__(self, address: Address, timeout_s: float) -> None:
+        self._address = address
         self._peer = str(address)
         self._timeout_s = timeout_s
         self._pool = BoundedPool(address)
 
+    def in_background(self) -> "HttpPlatform":
+        """Return a client, with connections of its own, for calls that no request waits for.
+
+        It waits longer, since a platform that is only slow would otherwise never be heard.
+        """
+        return HttpPlatform(self._address, max(self._timeout_s, MIN_BACKGROUND_TIMEOUT_S))
+
     def get(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None if there is none."""
         resp = self._read("get object", _object_path(kind, name))
@@ -59,7 +68,8 @@
     def watch(self, kind: str, after_version: int, timeout_s: float) -> WatchResult:
         """Wait up to the timeout for changes of a kind after a version and return them."""
         path = f"/watch/{quote(kind, safe='')}?after={after_version}&timeout_s={timeout_s}"
-        resp = self._read("watch objects", path, timeout_s=timeout_s + WATCH_REPLY_MARGIN_S)
+        margin_s = max(MIN_WATCH_REPLY_MARGIN_S, self._timeout_s)
+        resp = self._read("watch objects", path, timeout_s=timeout_s + margin_s)
         return self._decode("watch objects", resp, watch_from_json)
 
     def vms(self) -> tuple[Vm, ...]:
--- a/src/chervilmill/daemon/_daemon.py
+++ b/src/chervilmill/daemon/_daemon.py
@@ -96,7 +96,7 @@
         self.configuration = ConfigurationCache()
         self.nodes = NodeService(
             settings,
-            platform,
+            platform.in_background(),
             self.configuration,
             self.directory,
             self.metrics,
--- a/src/chervilmill/nodes/_readers.py
+++ b/src/chervilmill/nodes/_readers.py
@@ -16,12 +16,19 @@
 
 INITIAL_WATCH_TIMEOUT_S = 0.0
 WATCH_TIMEOUT_S = 5.0
+MAX_OPEN_READINGS = (
+    4  # at a time, so that the answers of a slow platform do not delay the next call
+)
 RETRY_INTERVAL_S = 0.5
 RELAY_CHECK_INTERVAL_S = 0.5
 
 
 class VmListReader:
-    """A thread that reads the list of VMs; the interval grows with the number of nodes."""
+    """Reads the list of VMs; the interval between calls grows with the number of nodes.
+
+    A call begins when it is due, whether or not earlier ones have been answered. An answer that a
+    later call has overtaken is dropped.
+    """
 
     def __init__(
         self,
@@ -35,20 +42,35 @@
         self._interval_s = interval_s
         self._rng = rng
         self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="VM list", daemon=True)
+        self._turn = threading.Lock()
+        self._due_s = time.monotonic()
+        self._answer_lock = threading.Lock()
+        self._answered_s = float("-inf")
+        self._threads = [
+            threading.Thread(target=self._run, name=f"VM list-{index}", daemon=True)
+            for index in range(MAX_OPEN_READINGS)
+        ]
 
     def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
 
     def stop(self) -> None:
-        """Stop after the present call."""
+        """Stop after the present calls."""
         self._stopped.set()
 
     def _run(self) -> None:
-        while not self._stopped.is_set():
+        while self._await_turn():
             self._read()
-            self._stopped.wait(self._interval_s() * (0.75 + 0.5 * self._rng.random()))
+
+    def _await_turn(self) -> bool:
+        """Wait until the next call is due, and return whether to make it."""
+        with self._turn:
+            self._stopped.wait(max(0.0, self._due_s - time.monotonic()))
+            interval_s = self._interval_s() * (0.75 + 0.5 * self._rng.random())
+            self._due_s = time.monotonic() + interval_s
+            return not self._stopped.is_set()
 
     def _read(self) -> None:
         started_s = time.monotonic()
@@ -56,7 +78,11 @@
             vms = self._vm_list.vms()
         except PlatformError:
             return
-        self._transport.call(lambda machine, _: machine.receive_vm_list(vms, started_s))
+        with self._answer_lock:
+            if started_s < self._answered_s:
+                return
+            self._answered_s = started_s
+            self._transport.call(lambda machine, _: machine.receive_vm_list(vms, started_s))
 
 
 class ConfigurationReader:
--- a/src/chervilmill/nodes/_vm_list.py
+++ b/src/chervilmill/nodes/_vm_list.py
@@ -58,9 +58,9 @@
             self.last_reading_s = now - age_s
 
     def merge_reading(self, vms: Iterable[Vm], now: float) -> None:
-        """Merge a reading of the platform's list and announce its changes to the peers."""
+        """Merge a reading that began at a time, and announce its changes to the peers."""
         self.reading += 1
-        self.last_reading_s = now
+        self.last_reading_s = max(self.last_reading_s, now)
         is_first = not self.is_known
         self.is_known = True
         listed = {vm.name: _entry(vm, self._region) for vm in vms}
--- a/tests/nodes/test_readers.py
+++ b/tests/nodes/test_readers.py
@@ -1,10 +1,15 @@
-"""Test when the configuration is read and as of which time an answer confirms it."""
+"""Test when the platform is read, and as of which time an answer is used."""
 
+import random
+import threading
 import time
 from types import SimpleNamespace
 
-from chervilmill.coordination import StoreUnavailableError, WatchResult
-from chervilmill.nodes._readers import ConfigurationReader
+from chervilmill.coordination import StoreUnavailableError, Vm, WatchResult
+from chervilmill.nodes._readers import MAX_OPEN_READINGS, ConfigurationReader, VmListReader
+from tests.support import free_address, target_vm
+
+WAIT_S = 10.0
 
 
 class RecordingStore:
@@ -67,3 +72,63 @@
     machine = SimpleNamespace(receive_configuration=lambda _, sent_s: confirmed_s.append(sent_s))
     passed_on[0](machine, time.monotonic())
     assert confirmed_s[0] <= store.called_s
+
+
+class WaitingList:
+    """A fake list of VMs whose calls wait until the test answers them, each on its own."""
+
+    def __init__(self) -> None:
+        self.answers = [threading.Event() for _ in range(MAX_OPEN_READINGS)]
+        self.is_open = [threading.Event() for _ in range(MAX_OPEN_READINGS + 1)]
+        self._calls = self._turns = 0
+        self._lock = threading.Lock()
+
+    def interval_s(self) -> float:
+        """Return a short interval, once the call of the turn before is open."""
+        if 0 < self._turns <= MAX_OPEN_READINGS:
+            assert self.is_open[self._turns - 1].wait(WAIT_S)
+        self._turns += 1
+        return 0.01
+
+    def vms(self) -> tuple[Vm, ...]:
+        with self._lock:
+            index = self._calls
+            self._calls += 1
+        if index >= MAX_OPEN_READINGS:
+            self.is_open[-1].set()
+            raise StoreUnavailableError("done", step="list VMs", peer="platform")
+        self.is_open[index].set()
+        assert self.answers[index].wait(WAIT_S)
+        return (target_vm(f"as-of-call-{index}", free_address()),)
+
+
+def test_reading_waits_for_the_answer_to_the_one_before() -> None:
+    vm_list, passed_on = WaitingList(), threading.Semaphore(0)
+    read: list[tuple[str, float]] = []
+
+    def receive_vm_list(vms: tuple[Vm, ...], started_s: float) -> None:
+        read.append((vms[0].name, started_s))
+        passed_on.release()
+
+    machine = SimpleNamespace(receive_vm_list=receive_vm_list)
+    transport = SimpleNamespace(call=lambda change: change(machine, time.monotonic()))
+    reader = VmListReader(vm_list, transport, vm_list.interval_s, random.Random(1))
+    reader.start()
+    try:
+        assert all(event.wait(WAIT_S) for event in vm_list.is_open[:MAX_OPEN_READINGS])
+        assert not vm_list.is_open[-1].is_set()
+        all_open_s = time.monotonic()
+        vm_list.answers[1].set()
+        assert passed_on.acquire(timeout=WAIT_S)
+        vm_list.answers[0].set()
+        assert vm_list.is_open[-1].wait(WAIT_S)
+        vm_list.answers[3].set()
+        assert passed_on.acquire(timeout=WAIT_S)
+    finally:
+        reader.stop()
+        for answer in vm_list.answers:
+            answer.set()
+    for thread in reader._threads:
+        thread.join(WAIT_S)
+    assert [name for name, _ in read] == ["as-of-call-1", "as-of-call-3"]
+    assert all(started_s < all_open_s for _, started_s in read)
--- a/tests/nodes/test_vms.py
+++ b/tests/nodes/test_vms.py
@@ -42,6 +42,13 @@
     return len(changes)
 
 
+def test_late_answer_takes_back_the_age_of_a_reading_that_a_peer_began_later() -> None:
+    first, _, _ = pair()
+    first.receive_reading(first.reading + 1, 0.5, 20.0)
+    first.merge_reading((LIVE,), 18.0)
+    assert first.last_reading_s == 19.5
+
+
 @pytest.mark.parametrize(
     ("reading", "expected"),
     [((LEAVING,), (LEAVING,)), ((), ()), ((MOVED,), (MOVED,))],
