Poll the configuration beside the watch while answers are late

Beside a sound platform whose answers take 1.5 s or more, a change that was accepted shortly after another one was in force after more than 3 s on our own interface: 3.9 s where answers take 2 s. Newsrooms were steered, and requests sent to targets marked as leaving, by the configuration before.

Cause: a relay has one watch open. The first change ends it, the next watch begins when the answer on that change arrives, and its own answer takes as long again. Relays do not help each other, as the same change ends the watches of all of them.

While answers are at least 0.5 s late, a relay now also makes a watch that does not wait every 0.5 s, up to five at once, each dated by its own call. How late answers are is known from a watch that ends at its time-out, from the watch after a change, which no longer waits, and from one that is overdue. Two waiting watches would not help, since one change ends both.

The first change after the platform has turned slow may still take 2a. The threads that make calls at intervals are now shared with the readings of the list of VMs.

--- a/tests/nodes/test_readers.py
+++ b/tests/nodes/test_readers.py
@@ -5,7 +5,13 @@
 import time
 from types import SimpleNamespace
 
-from chervilmill.coordination import StoreUnavailableError, Vm, WatchResult
+from chervilmill.coordination import (
+    CONFIGURATION_KIND,
+    StoredObject,
+    StoreUnavailableError,
+    Vm,
+    WatchResult,
+)
 from chervilmill.nodes._readers import MAX_OPEN_READINGS, ConfigurationReader, VmListReader
 from tests.support import free_address, target_vm
 
@@ -128,7 +134,61 @@
         reader.stop()
         for answer in vm_list.answers:
             answer.set()
-    for thread in reader._threads:
-        thread.join(WAIT_S)
+    reader._calls.join(WAIT_S)
     assert [name for name, _ in read] == ["as-of-call-1", "as-of-call-3"]
     assert all(started_s < all_open_s for _, started_s in read)
+
+
+class LateStore:
+    """A fake store whose answer on a first change is late, while a second change is made."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[int, float]] = []
+        self.is_late_call_open = threading.Event()
+        self.late_answer = threading.Event()
+        self._lock = threading.Lock()
+
+    def watch(self, kind: str, after_version: int, timeout_s: float) -> WatchResult:
+        with self._lock:
+            index = len(self.calls)
+            self.calls.append((after_version, timeout_s))
+        if index == 1:
+            self.is_late_call_open.set()
+            assert self.late_answer.wait(WAIT_S)
+        version = (1, 2, 3)[min(index, 2)]
+        changed = StoredObject(CONFIGURATION_KIND, "intent/a", version, b"")
+        return WatchResult(version, (changed,) if after_version < version else (), ())
+
+
+def test_change_is_not_seen_before_the_late_answer_on_the_one_before() -> None:
+    store, seen = LateStore(), []
+    is_third_seen = threading.Event()
+
+    def receive_configuration(result: WatchResult, _sent_s: float) -> None:
+        seen.append(result.version)
+        if result.version == 3:
+            is_third_seen.set()
+
+    machine = SimpleNamespace(receive_configuration=receive_configuration)
+    transport = SimpleNamespace(call=lambda change: change(machine, time.monotonic()))
+    reader = ConfigurationReader(store, transport, lambda: True)
+    reader.start()
+    try:
+        assert store.is_late_call_open.wait(WAIT_S)
+        assert is_third_seen.wait(WAIT_S / 2)
+        assert not store.late_answer.is_set()
+        assert store.calls[2] == (1, 0.0)
+        assert 2 not in seen
+    finally:
+        reader.stop()
+        store.late_answer.set()
+
+
+def test_platform_that_answers_at_once_is_polled_beside_the_watch() -> None:
+    store, passed_on = RecordingStore(outages=0), []
+    reader = ConfigurationReader(store, SimpleNamespace(call=passed_on.append), lambda: True)
+    store.reader = reader
+    reader._run()
+    reader._after_version = 1
+    reader._poll()
+    assert len(store.timeouts_s) == 2
