Date a step of a shift from when its nodes were seen to apply it

Beside a slow platform a step renews the lease, reads the list of VMs and asks the nodes, one after another. In the product each node also limits its own moves to the cap (`_pacing.py`), so a breach needs a node that starts meanwhile; otherwise the shift waits for nodes that hold back.

Cause: the executor dated what it saw by a clock reading from before all these calls. A node may apply a step at any time until it is asked, so its blocks left the window of a minute up to the time of these calls too early. The drift margin of 2%, 1.2 s, hid this while answers took 0.1 s.

The clock is now read after the evidence, for the window and for the age of measurements alike, and the write follows that reading. Two steps within the cap are then at least a whole window apart, however long calls take.

--- a/src/chervilmill/steering/_runner.py
+++ b/src/chervilmill/steering/_runner.py
@@ -69,13 +69,13 @@
         self._shift_loads: ShiftLoads | None = None
         self._shift_loads_plan_id = ""
 
-    def step(self, now_s: float, plan: ConfirmedPlan, evidence_source: EvidenceSource) -> Action:
+    def step(self, clock: Clock, plan: ConfirmedPlan, evidence_source: EvidenceSource) -> Action:
         """Decide the next action, write its state if there is one, and return the action.
 
         Raise PlatformError if the store cannot be read or written.
         """
         self._state = _decode_body(self._fenced_object.read())
-        action = self._decide(now_s, plan, evidence_source)
+        action = self._decide(clock, plan, evidence_source)
         if isinstance(action, Wait):
             return action
         self._executor.record_attempt(action)
@@ -90,7 +90,7 @@
         _log_write(self._service, action)
         return action
 
-    def _decide(self, now_s: float, plan: ConfirmedPlan, evidence_source: EvidenceSource) -> Action:
+    def _decide(self, clock: Clock, plan: ConfirmedPlan, evidence_source: EvidenceSource) -> Action:
         state = self._state
         if state is None or state.plan_id != plan.plan_id:
             first = initial_state(plan, state, self._model.planning_blocks)
@@ -98,7 +98,8 @@
         if self._shift_loads is None or self._shift_loads_plan_id != state.plan_id:
             self._shift_loads, self._shift_loads_plan_id = self._loads_of(state), state.plan_id
         evidence = evidence_source.evidence(self._service, self._fenced_object.version)
-        return self._executor.decide(now_s, state, self._shift_loads, evidence)
+        # Only now, as nodes may have applied the newest state while they were asked.
+        return self._executor.decide(clock(), state, self._shift_loads, evidence)
 
     def _loads_of(self, state: ShiftState) -> ShiftLoads:
         topology = self._model.topology(self._service)
@@ -165,9 +166,9 @@
             self._epoch = self._lease.epoch
             self._tasks.clear()
         for plan in plans:
-            self._step_plan(now_s, plan)
+            self._step_plan(plan)
 
-    def _step_plan(self, now_s: float, plan: ConfirmedPlan) -> None:
+    def _step_plan(self, plan: ConfirmedPlan) -> None:
         service = self._settings.service(plan.service)
         if service is None or plan.places != self._model.place_names:
             return
@@ -179,7 +180,7 @@
                 name = STEERING_PREFIX + service.name
                 fenced_object = FencedObject(self._store, CONFIGURATION_KIND, name, self._lease)
                 self._tasks[service.name] = ShiftTask(service, self._model, fenced_object)
-            action = self._tasks[service.name].step(now_s, plan, self._evidence_source)
+            action = self._tasks[service.name].step(self._clock, plan, self._evidence_source)
             if isinstance(action, Wait):
                 self._count_wait(service.name, action.reason.value)
         except StaleEpochError:
--- a/tests/steering/test_shift_race.py
+++ b/tests/steering/test_shift_race.py
@@ -38,6 +38,7 @@
 CAP_WINDOW_S = 60.0
 LEASE_S = 9.0
 TIME_STEPS_S = (1.0, 2.5, 2.5, 2.5, 2.5, 2.5, 2.5, 2.5, 2.5, 2.5, 12.0)
+EVIDENCE_TIMES_S = (0.0, 0.0, 4.0)
 MAX_NESTING = 2
 SERVICE = Service("souhrny", 6, 400, True, 1, 6, BLOCKS, 10, 100)
 
@@ -209,7 +210,8 @@
                 node.task = ShiftTask(SERVICE, MODEL, fenced_object)
                 node.task._executor = self.executor(node.task._state)
                 node.task_epoch = node.lease.epoch
-            node.task.step(self.now_s * node.clock_rate, self.plan, StubEvidenceSource(self, node))
+            clock = lambda: self.now_s * node.clock_rate  # noqa: E731 - as in `_node`
+            node.task.step(clock, self.plan, StubEvidenceSource(self, node))
         except StaleEpochError:
             node.task = None
         except PlatformError:
@@ -274,7 +276,10 @@
 
 
 class StubEvidenceSource:
-    """Source of evidence that is correct when read, but sometimes has old measurements."""
+    """Source of evidence that is correct when read, but sometimes has old measurements.
+
+    Reading it takes time in some cases, in which nodes apply the newest state.
+    """
 
     def __init__(self, race: Race, node: Node) -> None:
         self._race = race
@@ -282,6 +287,8 @@
 
     def evidence(self, _service: Service, version: int) -> Evidence:
         race = self._race
+        race.now_s += race.rng.choice(EVIDENCE_TIMES_S)
+        race.update_nodes(0.4)
         age_s = race.rng.choice((0.5,) * 30 + (30.0,))
         return Evidence(
             measured_at_s=race.now_s * self._node.clock_rate - age_s,
