Ask peers for a copy at once after the store has answered a VM that is behind late

Callers saw requests run by old configurations while a sound store took 0.7 s to answer. A VM that heard that it is behind sent its call to the store again and waited for it for 0.5 s before it asked a peer, at each change anew, though the store had not answered in that time before.

It now waits for 0.3 s, enough for a new connection and an answer from the farthest region (0.22 s), and asks peers at once for 5 s after an answer was late. Traced in the model of 12 VMs (answers of 0.7 s, changes each second): the reader had a change at 6.37 s, the others asked the store at 6.72 s and a peer at 7.2 s. That tests/entry/test_slow_proofs.py fails without it alone was not tried.

--- a/src/chervilmill/entry/_catch_up.py
+++ b/src/chervilmill/entry/_catch_up.py
@@ -19,7 +19,8 @@
 from chervilmill.platform import StoreVersion
 
 CATCH_UP_DELAY_S = 0.25  # changes reach different VMs at different times, up to two round trips
-RESTARTED_CALL_S = 0.5  # for a new connection and an answer of the store, also from afar
+RESTARTED_CALL_S = 0.3  # for a new connection and an answer of the store, also from afar
+SLOW_STORE_S = 5.0  # for which peers are asked at once, after an answer of the store was late
 NEXT_PEER_DELAY_S = 0.4  # a copy lost on the way costs no more than this
 MAX_PEERS_ASKED = 3
 
@@ -47,6 +48,7 @@
         self._versions: dict[Address, StoreVersion] = {}
         self._task: asyncio.Task[None] | None = None
         self._call_failed = asyncio.Event()
+        self._slow_until_s = float("-inf")
 
     def handle_version(self, host: Address, version: StoreVersion) -> None:
         """Note a peer's version, and begin to catch up if it is ahead of the copy."""
@@ -76,7 +78,7 @@
             if is_behind() and self._has_new_call():
                 await asyncio.sleep(CATCH_UP_DELAY_S)
             if is_behind() and self._restart_call():
-                await self._wait_for_answer()
+                await self._wait_for_answer(is_behind)
             if is_behind():
                 await self._fetch_from_peers(is_behind)
         finally:
@@ -93,13 +95,18 @@
 
     def _restart_call(self) -> bool:
         """Send the open call again, whose answer may never come or be stale."""
-        return not self._store_state.is_unreachable and self._send_again(self._replica.kind)
+        is_slow = asyncio.get_running_loop().time() < self._slow_until_s
+        if self._store_state.is_unreachable or is_slow:
+            return False
+        return self._send_again(self._replica.kind)
 
-    async def _wait_for_answer(self) -> None:
+    async def _wait_for_answer(self, is_behind: Callable[[], bool]) -> None:
         self._call_failed.clear()
         with suppress(TimeoutError):
             async with asyncio.timeout(RESTARTED_CALL_S):
                 await self._call_failed.wait()
+        if is_behind() and not self._call_failed.is_set():
+            self._slow_until_s = asyncio.get_running_loop().time() + SLOW_STORE_S
 
     async def _fetch_from_peers(self, is_behind: Callable[[], bool]) -> None:
         """Ask one peer after the other, without giving up on those asked before."""
