--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 
 from soak.builds import BuildError, export_build
+from soak.options import SoakOptions
 from soak.records import Breach
-from soak.run import Soak, SoakOptions
+from soak.run import Soak
 
 TERMINATED_STATUS = 128 + signal.SIGTERM  # as shells report a process ended by SIGTERM
 
--- a/tests/soak/test_full_core.py
+++ b/tests/soak/test_full_core.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from soak.run import Soak, SoakOptions
+from soak.options import SoakOptions
+from soak.run import Soak
 
 SEEDS_THAT_FAILED = [
     SoakOptions(
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from soak.run import Soak, SoakOptions
+from soak.options import SoakOptions
+from soak.run import Soak
 
 FIXED_SEED = [
     SoakOptions(1, seconds=5.0, vms=3, targets=4, callers=4, network=91),
--- a/tests/soak/test_slow_store.py
+++ b/tests/soak/test_slow_store.py
@@ -3,7 +3,8 @@
 import asyncio
 from pathlib import Path
 
-from soak.run import Soak, SoakOptions
+from soak.options import SoakOptions
+from soak.run import Soak
 
 
 def _soak(options: SoakOptions, folder: Path) -> None:
--- a/tests/soak/test_upgrade.py
+++ b/tests/soak/test_upgrade.py
@@ -6,7 +6,8 @@
 import pytest
 
 from soak.builds import BuildError, export_build
-from soak.run import Soak, SoakOptions
+from soak.options import SoakOptions
+from soak.run import Soak
 
 PREVIOUS = "1559793"
 
