--- a/tests/soak/test_slow_store.py
+++ b/tests/soak/test_slow_store.py
@@ -16,7 +16,7 @@
 def test_late_linearizable_answers_make_entry_vms_act_on_old_copies(tmp_path: Path) -> None:
     """Answers that may be stale come at once, with data that is seconds old."""
     options = SoakOptions(
-        3,
+        5,
         seconds=8.0,
         vms=12,
         network=119,
