Take a removal that two reads bring for one change

Reads of the store overlap now, and two of them may bring the same removal. A removal of an object that the copy does not have changes nothing now. The new test failed before.

--- a/src/chervilmill/peers/_replica.py
+++ b/src/chervilmill/peers/_replica.py
@@ -139,6 +139,8 @@
         last_change = self.last_proven_change
         for event in result.events:
             version = StoreVersion(result.as_of.era, event.stored.revision)
+            if _is_removal(event) and event.stored.name not in objects:
+                continue  # known from another read
             if _is_removal(event) and version <= self.as_of:
                 version = result.as_of  # the event has the revision of the last write
             last_change = max(last_change, version)
--- a/tests/peers/test_replica.py
+++ b/tests/peers/test_replica.py
@@ -178,3 +178,14 @@
         replica.apply_hints([_written(f"o-{number % 50}", 11 + number)], ERA, float(number))
     assert len(replica.hints) <= 2_000
     assert _known(replica)["o-49"] == 10_010
+
+
+# Reads that overlap bring a removal twice; peers then took themselves for behind.
+def test_removal_that_two_reads_bring_is_one_change() -> None:
+    replica = _replica()
+    removal = _removed("a", 3)  # with the revision of its last write
+    replica.apply_events(WatchResult((removal,), StoreVersion(ERA, 12)))
+    assert replica.last_change == StoreVersion(ERA, 12)
+    replica.apply_events(WatchResult((removal,), StoreVersion(ERA, 20)))
+    assert replica.last_change == StoreVersion(ERA, 12)
+    assert _known(replica) == {"b": 5}
