Do not keep removed targets because one call to a store that serves failed

One watch that was reset, or was late, made the VM count the store as lost, and the next answer as the end of an outage, after which entries that are missing are kept for two seconds, as their targets may register again.

Entries lapse only where the store serves nobody, so an outage counts for this only if nobody, as far as is known, had an answer from the store for AWAY_AFTER_S, and ends with the first one that anybody had.

--- a/src/chervilmill/entry/_store_state.py
+++ b/src/chervilmill/entry/_store_state.py
@@ -87,7 +87,7 @@
         """Record that a peer has read the store at a time."""
         if at_s > self._peers_confirmed_s + NEWS_S and now_s - at_s <= MAX_NEWS_AGE_S:
             self._peers_confirmed_s = at_s
-            self.served_s = now_s
+            self._record_service(now_s)
 
     def confirm(self, kind: str, at_s: float) -> None:
         """Record that the copy of a kind reflects the store as it was at a time."""
@@ -118,12 +118,17 @@
         """
         if took_s is not None:
             self._answers_s.append(took_s)
-        self.served_s = now_s
+        self._record_service(now_s)
         if self.is_unreachable:
             self.is_unreachable = False
-            self.recovered_s = now_s
             log_event("store is back", step="follow", peer="store")
 
+    def _record_service(self, now_s: float) -> None:
+        """Record that the store serves; if it had served nobody, an outage has ended."""
+        if self.is_unreachable and not self.serves(now_s):
+            self.recovered_s = now_s
+        self.served_s = now_s
+
     def record_stale_answer(self) -> None:
         """Record an answer that a replica may have given."""
         self.has_stale_answer = True
@@ -149,8 +154,11 @@
             log_problem("store is lost", step=exc.step, peer=exc.peer, kind=kind, error=exc.message)
 
     def register_again_until_s(self, now_s: float) -> float | None:
-        """Return until when targets may register again, or None if they would have done so."""
-        if self.is_unreachable:
+        """Return until when targets may register again, or None if they would have done so.
+
+        Entries lapse where the store serves nobody, which one failed call does not show.
+        """
+        if self.is_unreachable and not self.serves(now_s):
             return now_s + REGISTER_AGAIN_S
         until_s = self.recovered_s + REGISTER_AGAIN_S
         return until_s if now_s < until_s else None
--- a/tests/entry/test_store_state.py
+++ b/tests/entry/test_store_state.py
@@ -12,6 +12,7 @@
 from chervilmill.entry._store_state import (
     AWAY_AFTER_S,
     REFUSAL_COUNTS_S,
+    REGISTER_AGAIN_S,
     SILENT_AFTER_S,
     TIMED_OUT_S,
     StoreState,
@@ -136,3 +137,30 @@
     for step in range(1, 4):
         state.record_peer_confirmation(NOW_S + 0.05 * step, NOW_S + step)
     assert state.is_away(NOW_S + 3.0)
+
+
+# One call that broke made a VM keep a target that was removed for two seconds, past drain-s.
+@pytest.mark.parametrize("result", [BROKEN, UNAVAILABLE, TIMED_OUT])
+def test_failed_call_to_a_store_that_serves_lets_no_target_register_again(
+    result: ChervilmillError | HttpAnswer,
+) -> None:
+    state = StoreState()
+    state.record_answer(NOW_S, 0.1)
+    state.record_failure("servers", _failure(result), NOW_S + 0.1)
+    assert state.register_again_until_s(NOW_S + 0.2) is None
+    state.record_answer(NOW_S + 0.3, 0.1)
+    assert state.register_again_until_s(NOW_S + 0.4) is None
+
+
+@pytest.mark.parametrize("is_heard_from_peer", [False, True])
+def test_targets_may_register_again_after_an_outage(is_heard_from_peer: bool) -> None:
+    state = StoreState()
+    state.record_answer(NOW_S, 0.1)
+    state.record_failure("servers", _failure(UNAVAILABLE), NOW_S + 0.1)
+    assert state.register_again_until_s(NOW_S + 5.0) == NOW_S + 5.0 + REGISTER_AGAIN_S
+    if is_heard_from_peer:
+        state.record_peer_confirmation(NOW_S + 5.9, NOW_S + 6.0)
+    state.record_answer(NOW_S + 6.1, 0.1)
+    back_s = NOW_S + (6.0 if is_heard_from_peer else 6.1)
+    assert state.register_again_until_s(NOW_S + 6.2) == back_s + REGISTER_AGAIN_S
+    assert state.register_again_until_s(back_s + REGISTER_AGAIN_S) is None
