--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -146,7 +146,7 @@
             settings.bounds, self._sync.confirmer.confirmed_s, self._sync.is_store_away
         )
         self._currency = currency
-        self._sync.confirmer.schedule.max_age_s = currency.max_age_s
+        self._sync.confirmer.schedule.act_age_s = currency.max_age_s
         basis_reader = BasisReader(
             self._site_state,
             self._replicas[TARGET_KIND],
--- a/src/chervilmill/entry/_read_schedule.py
+++ b/src/chervilmill/entry/_read_schedule.py
@@ -30,7 +30,7 @@
 PEER_ROUNDS = 3  # of gossip, besides those that grow with the fleet
 
 
-def max_age_s(reader_rank: int | None, fleet_size: int, *, hears_peers: bool) -> float:
+def read_age_s(reader_rank: int | None, fleet_size: int, *, hears_peers: bool) -> float:
     """Return the age of its confirmation at which a VM reads for itself.
 
     `reader_rank` is the place of the VM among the readers, or None if it is no reader. Gossip takes
@@ -46,13 +46,13 @@
 class ReadSchedule:
     """When one VM reads the store; all times are readings of one clock in seconds.
 
-    `max_age_s` is the age beyond which this VM may not act on its copies.
+    `act_age_s` is the age up to which this VM may act on its copies.
     """
 
     def __init__(self, store_state: StoreState) -> None:
         self.reader_rank: int | None = None
         self.fleet_size = 1
-        self.max_age_s = math.inf
+        self.act_age_s = math.inf
         self._store_state = store_state
         self._open_s: list[float] = []
         self._began_s = float("-inf")
@@ -134,7 +134,7 @@
         # Peers may not have had time to be heard. A store that fails is tried again all the same.
         started_s = float("-inf") if self._store_state.is_unreachable else self._loaded_s
         hears_peers = now_s - max(self._heard_s, started_s) < SUSPECT_AFTER_S
-        age_s = max_age_s(self.reader_rank, self.fleet_size, hears_peers=hears_peers)
+        age_s = read_age_s(self.reader_rank, self.fleet_size, hears_peers=hears_peers)
         age_s += max(0.0, self._adopted_age_s - STANDBY_STEP_S)  # of a store that answers slowly
         return confirmed_s + min(age_s, self._last_moment_s(now_s))
 
@@ -146,7 +146,7 @@
         """
         answer_s = max(self._store_state.answer_s, SILENT_AFTER_S)
         next_of_peers_s = self._adopted_age_s + self._interval_s(now_s) + READ_SLACK_S
-        latest_s = self.max_age_s - SILENT_AFTER_S
+        latest_s = self.act_age_s - SILENT_AFTER_S
         return max(latest_s - answer_s, min(next_of_peers_s, latest_s - CHECK_S))
 
     def _may_be_back(self) -> bool:
--- a/src/chervilmill/entry/_store_state.py
+++ b/src/chervilmill/entry/_store_state.py
@@ -4,6 +4,10 @@
 linearizable answer from it for AWAY_AFTER_S. A VM then goes on with what it knows. While the store
 serves anybody, however slowly, its changes bind.
 
+Three answers are told apart. The store `serves` if this VM or a peer has lately read it. It is
+unreachable (`is_unreachable`) if the last call of this VM that ended has failed, which may be the
+VM's own link. It is away (`is_away`) if it does not serve and a call of this VM shows so too.
+
 A call that times out while this VM's event loop is late says nothing of the store, whose answer may
 have waited in the socket. A VM that took it for an outage would go on with what it knows, although
 the changes of the store are at its door.
@@ -22,7 +26,7 @@
 TIMED_OUT_S = 3.0  # the longest time that calls wait for an answer that is due
 AWAY_AFTER_S = 1.3  # two reads of the reader that confirms the others, with their gossip
 SILENT_AFTER_S = 0.3  # a call unanswered for this time adds to the silence of all others
-REFUSAL_COUNTS_S = 3.0  # on a VM that is late since, and may not have read a better answer
+REFUSAL_VALID_S = 3.0  # on a VM that is late since, and may not have read a better answer
 NEWS_S = 0.3  # by which a peer's confirmation has to be later; digests round their ages
 MAX_NEWS_AGE_S = 2.2  # of a peer's confirmation that gossip delivers late
 RECENT_ANSWERS = 8  # that tell how long the store takes to answer
@@ -73,7 +77,7 @@
         """
         if self.serves(now_s):
             return False
-        if self.refused_s > self.served_s and now_s - self.refused_s <= REFUSAL_COUNTS_S:
+        if self.refused_s > self.served_s and now_s - self.refused_s <= REFUSAL_VALID_S:
             return True
         is_silent = self.asked_s > self.served_s and now_s - self.asked_s > SILENT_AFTER_S
         return is_silent and not self.was_late_since(now_s - AWAY_AFTER_S)
--- a/src/chervilmill/platform/_store.py
+++ b/src/chervilmill/platform/_store.py
@@ -61,7 +61,7 @@
 
 
 class StoreBusyError(StoreError):
-    """Raised if the store refused a call as there were too many; it says nothing of an outage."""
+    """Raised if the store refused a call as there were too many; it may serve others."""
 
 
 class EarlierEraError(StoreError):
--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -215,7 +215,7 @@
 def _new_currency(sync: ReplicaSync) -> CopyCurrency:
     """Return what decides whether a VM acts on its copies."""
     currency = CopyCurrency(BOUNDS, sync.confirmer.confirmed_s, sync.is_store_away)
-    sync.confirmer.schedule.max_age_s = currency.max_age_s
+    sync.confirmer.schedule.act_age_s = currency.max_age_s
     return currency
 
 
--- a/tests/entry/test_confirmation.py
+++ b/tests/entry/test_confirmation.py
@@ -19,7 +19,7 @@
     CONFIRM_INTERVAL_S,
     PRESSED_INTERVAL_S,
     STANDBY_STEP_S,
-    max_age_s,
+    read_age_s,
 )
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.peers import SUSPECT_AFTER_S, CopyProof, KindReplica, ReplicaChange
@@ -149,11 +149,11 @@
 def test_age_at_which_a_vm_reads(
     rank: int | None, vms: int, hears_peers: bool, expected_s: float
 ) -> None:
-    assert max_age_s(rank, vms, hears_peers=hears_peers) == expected_s
+    assert read_age_s(rank, vms, hears_peers=hears_peers) == expected_s
 
 
 def test_vm_that_hears_peers_reads_later_in_a_larger_fleet_but_within_its_bound() -> None:
-    ages_s = [max_age_s(None, vms, hears_peers=True) for vms in (1, 12, 83, 195, 800)]
+    ages_s = [read_age_s(None, vms, hears_peers=True) for vms in (1, 12, 83, 195, 800)]
     assert ages_s == sorted(ages_s)
     assert ages_s[0] > CONFIRM_INTERVAL_S + 3 * STANDBY_STEP_S
     assert ages_s[-1] < UNCONFIRMED_AFTER_S / 2
@@ -184,7 +184,7 @@
 def test_vm_reads_before_its_copies_are_too_old_although_it_hears_peers(was_late: bool) -> None:
     vm = _Follower(None, was_late=was_late)
     vm.sync.confirmer.schedule.fleet_size = 800
-    vm.sync.confirmer.schedule.max_age_s = 2.2
+    vm.sync.confirmer.schedule.act_age_s = 2.2
 
     async def scenario() -> None:
         vm.hear(0.0)
--- a/tests/entry/test_store_state.py
+++ b/tests/entry/test_store_state.py
@@ -11,7 +11,7 @@
 )
 from chervilmill.entry._store_state import (
     AWAY_AFTER_S,
-    REFUSAL_COUNTS_S,
+    REFUSAL_VALID_S,
     REGISTER_AGAIN_S,
     SILENT_AFTER_S,
     TIMED_OUT_S,
@@ -109,8 +109,8 @@
     state = StoreState(was_late_since=lambda _: was_late)
     state.record_call(NOW_S)
     state.record_failure("config", _failure(REFUSED), NOW_S)
-    assert state.is_away(NOW_S + REFUSAL_COUNTS_S)
-    assert state.is_away(NOW_S + REFUSAL_COUNTS_S + 0.1) is is_away
+    assert state.is_away(NOW_S + REFUSAL_VALID_S)
+    assert state.is_away(NOW_S + REFUSAL_VALID_S + 0.1) is is_away
 
 
 def test_store_that_was_not_asked_is_not_away() -> None:
