Draw what the modelled store does from the seed of the fleet

Change: the store draws from the number of VMs and the seed. The checks and bounds stay as they are.

--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -116,14 +116,14 @@
 class _Store:
     """The store: an object changes at each of the set times, and watches end on a change."""
 
-    def __init__(self, case: FleetCase) -> None:
+    def __init__(self, case: FleetCase, seed: int) -> None:
         self.case = case
         self.events: list[tuple[int, str]] = []
         self.replicated: list[tuple[int, str]] = []
         self.changed = asyncio.Event()
         self.stale_reads = 0
         self.linearizable_reads = 0
-        self._rng = random.Random(case.vms)
+        self._rng = random.Random(f"{case.vms}-{seed}")
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -325,7 +325,7 @@
         """Run the fleet until a time."""
         monkeypatch.setattr(_replica_sync, "fetch_replica", self._fetch)
         self.rng = random.Random(self.seed)
-        self.store = _Store(self.case)
+        self.store = _Store(self.case, self.seed)
         self.vms = [FleetVm(self, number) for number in range(self.case.vms)]
         self.by_host = {vm.peer.host: vm for vm in self.vms}
         tasks = [asyncio.ensure_future(self.store.run())]
