--- a/src/chervilmill/entry/_confirmation.py
+++ b/src/chervilmill/entry/_confirmation.py
@@ -13,8 +13,10 @@
 refused, a read asks for all kinds at once, so that a change needs one round trip in place of two,
 and each kind is confirmed by whatever answer comes.
 
-The cost does not grow with the fleet. A VM's digests state what it has proven, and the age of that;
-a peer that has the same objects is confirmed by them too, and passes them on at once.
+While the store answers in time, the cost does not grow with the fleet. A VM's digests state what it
+has proven, and the age of that; a peer that has the same objects is confirmed by them too, and
+passes that on at once. Where answers take so long that the confirmations of peers come too late to
+act on, each VM reads for itself.
 
 After the ReadIndex optimization in Ongaro, "Consensus: Bridging Theory and Practice" (2014),
 section 6.4.
--- a/src/chervilmill/entry/_store_state.py
+++ b/src/chervilmill/entry/_store_state.py
@@ -1,8 +1,8 @@
 """Record whether the store answers this entry VM, and up to when its copies are confirmed.
 
 The store counts as away, for this VM and for its peers alike, while nobody is known to have had a
-linearizable answer from it for AWAY_AFTER_S. A VM then goes on with what it knows. While the store
-serves anybody, however slowly, its changes bind.
+linearizable answer from it for AWAY_AFTER_S. A VM then goes on with what it knows. While answers
+keep coming, however late, the changes of the store bind.
 
 Three answers are told apart. The store `serves` if this VM or a peer has lately read it. It is
 unreachable (`is_unreachable`) if the last call of this VM that ended has failed, which may be the
