Log for each request which answer of the store proved the configuration that decided it

Operators' record of 761 requests decided by old configurations has no line of these requests: lines of answered requests are the first to be left out, and none says why a VM held its configuration for current.

Each line about a request now states up to which version of the store the configuration was proven, and by which answer.

--- a/src/chervilmill/_log_budget.py
+++ b/src/chervilmill/_log_budget.py
@@ -26,6 +26,7 @@
     """What lines are about; lines of one budget never displace those of another."""
 
     REQUESTS = "requests"  # what became of single requests, most of which were answered
+    DECISIONS = "decisions"  # what many requests were decided by
     STATE = "state"  # changes of what the process believes and does
     FAILURES = "failures"  # decisions that failed a request or an attempt
     PROBLEMS = "problems"  # what an operator should look at
--- a/src/chervilmill/entry/_confirmation.py
+++ b/src/chervilmill/entry/_confirmation.py
@@ -27,6 +27,7 @@
 from dataclasses import replace
 from typing import Any
 
+from chervilmill.addresses import Address
 from chervilmill.entry._copy_updates import CopyUpdates
 from chervilmill.entry._read_schedule import CHECK_S, CONFIRM_RETRY_S, SLOW_ANSWER_S, ReadSchedule
 from chervilmill.entry._store_state import StoreState
@@ -96,7 +97,9 @@
             return None
         return min(confirmed_s.values())
 
-    def handle_peer(self, proofs: Mapping[str, CopyProof], age_s: float | None) -> None:
+    def handle_peer(
+        self, host: Address, proofs: Mapping[str, CopyProof], age_s: float | None
+    ) -> None:
         """Take over what a peer has proven, for the copies that have the same objects.
 
         `age_s` is the age of the peer's confirmation, or None if it states none. An age without
@@ -110,7 +113,9 @@
         self.schedule.record_peer_confirmation(at_s)
         self._store_state.record_peer_confirmation(at_s, now_s)
         for kind, replica in self._replicas.items():
-            if kind in proofs and self._updates.adopt(replica, proofs[kind], at_s - AGE_ERROR_S):
+            if kind not in proofs:
+                continue
+            if self._updates.adopt(replica, proofs[kind], at_s - AGE_ERROR_S, host):
                 self.confirm(replica, at_s, at_s - AGE_ERROR_S)
         if self._announces_since(ANNOUNCED_STEP_S):
             self.schedule.record_adopted(now_s - at_s)
--- a/src/chervilmill/entry/_copy_updates.py
+++ b/src/chervilmill/entry/_copy_updates.py
@@ -5,7 +5,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import astuple
+from dataclasses import astuple, dataclass
 from enum import Enum
 
 from chervilmill.addresses import Address
@@ -29,6 +29,17 @@
     PEER = "peer"
 
 
+@dataclass(frozen=True, slots=True)
+class Provenance:
+    """Which answer proved a copy up to its version; `peer` is the VM that read the store for it."""
+
+    source: str = "nothing"
+    peer: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.source} of {self.peer}" if self.peer else self.source
+
+
 class CopyUpdates:
     """The copies of all kinds, and from where to watch each.
 
@@ -50,8 +61,9 @@
         self.on_urgent_change: Callable[[], None] = lambda: None
         self.loaded = {kind: asyncio.Event() for kind in replicas}
         self.positions = {kind: WatchPosition() for kind in replicas}
+        self.proven_by = {kind: Provenance() for kind in replicas}
         # Proofs of peers that a copy did not match, with the times of their reads.
-        self._unmatched: dict[str, tuple[CopyProof, float]] = {}
+        self._unmatched: dict[str, tuple[CopyProof, float, Address | None]] = {}
 
     def apply_listing(self, replica: KindReplica, listing: Listing, began_s: float) -> None:
         """Apply a linearizable list that began at a time."""
@@ -91,7 +103,7 @@
             if change is not None:
                 if change.is_restored:
                     self._record_restored(replica, before_as_of, change)
-                self.positions[replica.kind].note_proven(replica.as_of)
+                self._note_proven(replica, _Source.PEER, str(host))
                 self._record_change(replica, change, kept_until_s, _Source.PEER)
         else:
             hints = replica.hints_in(listing)
@@ -107,7 +119,9 @@
             hints=len(hints),
         )
 
-    def adopt(self, replica: KindReplica, proof: CopyProof, began_s: float) -> bool:
+    def adopt(
+        self, replica: KindReplica, proof: CopyProof, began_s: float, host: Address | None = None
+    ) -> bool:
         """Return whether a copy is proven up to where a peer's is, by the peer's proof or before.
 
         The peer's read of the store began at `began_s`. A proof that the copy does not match is
@@ -119,9 +133,9 @@
         if change is None:
             known = self._unmatched.get(replica.kind)
             if known is None or known[0].version < proof.version:
-                self._unmatched[replica.kind] = (proof, began_s)
+                self._unmatched[replica.kind] = (proof, began_s, host)
             return False
-        self.positions[replica.kind].note_proven(replica.as_of)
+        self._note_proven(replica, _Source.PEER, str(host or ""))
         self._record_change(replica, change, self._register_again_until_s(), _Source.PEER)
         return True
 
@@ -153,21 +167,25 @@
         change = replica.apply_hints(events, era, asyncio.get_running_loop().time())
         self._record_change(replica, change, kept_until_s, source)
         if replica.kind in self._unmatched:
-            proof, began_s = self._unmatched.pop(replica.kind)
-            if self.adopt(replica, proof, began_s):
+            proof, began_s, host = self._unmatched.pop(replica.kind)
+            if self.adopt(replica, proof, began_s, host):
                 self._store_state.confirm(replica.kind, began_s)
 
     def _record_read(
         self, replica: KindReplica, before: CopyProof | None, change: ReplicaChange, source: _Source
     ) -> None:
         """Record a linearizable read, and announce it if it proves what peers know as hints."""
-        self.positions[replica.kind].note_proven(replica.as_of)
+        self._note_proven(replica, source)
         self._record_change(replica, change, self._register_again_until_s(), source)
         proof = replica.proof()
         has_new_proof = before and proof and before.fingerprint != proof.fingerprint
         if has_new_proof and not change.is_change and replica.kind in self._urgent_kinds:
             self.on_urgent_change()
 
+    def _note_proven(self, replica: KindReplica, source: _Source, peer: str = "") -> None:
+        self.positions[replica.kind].note_proven(replica.as_of)
+        self.proven_by[replica.kind] = Provenance(source.value, peer)
+
     def _record_restored(
         self, replica: KindReplica, before: StoreVersion, change: ReplicaChange
     ) -> None:
--- a/src/chervilmill/entry/_decision_basis.py
+++ b/src/chervilmill/entry/_decision_basis.py
@@ -5,13 +5,15 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 from enum import Enum
 
 from chervilmill.entry._site_state import SiteState
 from chervilmill.peers import KindReplica
 from chervilmill.platform import StoreVersion
 
+UNPROVEN = "no answer yet"  # the configuration in force is known from hints alone
+
 
 class CopyTrust(Enum):
     """Why a VM held its copies for good enough; the values appear in logs."""
@@ -27,19 +29,30 @@
 
     `config_version` is None before a configuration is known, and `copy_age_s`, the age of the
     oldest copy, before all copies are confirmed. `targets_version` is the version of the store at
-    the last change known of the targets.
+    the last change known of the targets. `config_as_of` is the version of the store up to which the
+    configuration is proven, and `config_proven_by` the answer that proved it.
     """
 
     config_version: int | None = None
     targets_version: StoreVersion = StoreVersion()
     copy_age_s: float | None = None
     trust: CopyTrust = CopyTrust.UNCONFIRMED
+    config_as_of: StoreVersion = StoreVersion()
+    config_proven_by: str = UNPROVEN
+
+    @property
+    def config_key(self) -> tuple[int | None, tuple[int, int], str, str]:
+        """Return what decided about the route: the configuration, its proof, and why it counted."""
+        as_of = (self.config_as_of.era, self.config_as_of.revision)
+        return self.config_version, as_of, self.config_proven_by, self.trust.value
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields of log lines about the decision."""
         return {
             "config_version": self.config_version,
-            "targets_version": (self.targets_version.era, self.targets_version.revision),
+            "config_as_of": astuple(self.config_as_of),
+            "config_proven_by": self.config_proven_by,
+            "targets_version": astuple(self.targets_version),
             "copy_age_s": None if self.copy_age_s is None else round(self.copy_age_s, 3),
             "basis": self.trust.value,
         }
@@ -50,6 +63,7 @@
 
     Copies up to `max_age_s` old count as confirmed. `confirmed_s` returns the time up to which all
     copies are confirmed, if known, and `is_store_away` whether the store is known not to serve.
+    `config_proven_by` returns which answer proved the copy `config`.
     """
 
     def __init__(
@@ -60,6 +74,8 @@
         confirmed_s: Callable[[], float | None],
         is_store_away: Callable[[float], bool],
         started_s: float,
+        config: KindReplica,
+        config_proven_by: Callable[[], object],
     ) -> None:
         self._site_state = site_state
         self._targets = targets
@@ -67,6 +83,8 @@
         self._confirmed_s = confirmed_s
         self._is_store_away = is_store_away
         self._started_s = started_s
+        self._config = config
+        self._config_proven_by = config_proven_by
 
     def read(self, now_s: float) -> DecisionBasis:
         """Return what a decision at a time is based on."""
@@ -78,8 +96,15 @@
             self._targets.last_change,
             age_s,
             self._trust(age_s, now_s),
+            self._config.as_of,
+            str(self._config_proven_by()) if self._is_config_proven() else UNPROVEN,
         )
 
+    def _is_config_proven(self) -> bool:
+        """Return whether the configuration in force is part of what is proven."""
+        revision = self._site_state.configuration_revision
+        return any(stored.revision >= revision for stored in self._config.proven.values())
+
     def uptime_s(self, now_s: float) -> float:
         """Return how long ago this process started."""
         return now_s - self._started_s
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -47,6 +47,7 @@
     encode_reports,
 )
 from chervilmill.platform import (
+    CONFIGURATION_KIND,
     EVACUATION_KIND,
     TARGET_KIND,
     EntrySettings,
@@ -154,6 +155,8 @@
             self._sync.confirmer.confirmed_s,
             self._sync.is_store_away,
             self._started_s,
+            self._replicas[CONFIGURATION_KIND],
+            lambda: self._sync.proven_by(CONFIGURATION_KIND),
         )
         dispatcher = Dispatcher(
             self._site_state,
@@ -363,6 +366,7 @@
             await asyncio.sleep(0.02)
         for server in (self._caller_server, self._relay_server):
             server.close_idle()
+        self._forwarder.decisions.flush()
         log_event(
             "stopped",
             step="stop",
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -10,6 +10,7 @@
 from chervilmill.entry._copy_currency import CopyCurrency
 from chervilmill.entry._crashes import fingerprint_request
 from chervilmill.entry._decision_basis import BasisReader, DecisionBasis
+from chervilmill.entry._decision_log import DecisionLog
 from chervilmill.entry._dispatch import Dispatcher, late_retry_after_s
 from chervilmill.entry._progress import Origin, Progress, Refusal
 from chervilmill.entry._site_state import SiteState
@@ -51,6 +52,7 @@
         self._currency = currency
         self._basis_reader = basis_reader
         self._rng = rng
+        self.decisions = DecisionLog()
         self._splitter = TrafficSplitter()
         self._ages = CallerAgeEstimator()
         self.is_stopping = False
@@ -185,6 +187,7 @@
         tried: list[str] | None = None,
     ) -> None:
         status = refusal.reason.status
+        self.decisions.record(request_headers.request_id, basis)
         now_s = asyncio.get_running_loop().time()
         self._metrics.count_refusal(service, refusal.reason)
         log_failure(
@@ -204,6 +207,7 @@
         await caller.answer(status, refusal_headers(refusal.retry_after_s), b"")
 
     def _log_end(self, progress: Progress, event: str, status: int) -> None:
+        self.decisions.record(progress.request_headers.request_id, progress.basis)
         took_s = asyncio.get_running_loop().time() - progress.began_s
         self._metrics.latency.labels(progress.service).observe(took_s)
         fields = _placement_fields(progress.last_candidate) if progress.last_candidate else {}
--- a/src/chervilmill/entry/_progress.py
+++ b/src/chervilmill/entry/_progress.py
@@ -55,7 +55,12 @@
 
     def update_basis(self, known: DecisionBasis) -> None:
         """Take over what is known now, except the configuration, which chose the route before."""
-        self.basis = replace(known, config_version=self.basis.config_version)
+        self.basis = replace(
+            known,
+            config_version=self.basis.config_version,
+            config_as_of=self.basis.config_as_of,
+            config_proven_by=self.basis.config_proven_by,
+        )
 
     @property
     def may_still_run(self) -> bool:
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -34,7 +34,7 @@
 from chervilmill.addresses import Address
 from chervilmill.entry._catch_up import CatchUp
 from chervilmill.entry._confirmation import CopyConfirmer
-from chervilmill.entry._copy_updates import CopyUpdates, OnChange
+from chervilmill.entry._copy_updates import CopyUpdates, OnChange, Provenance
 from chervilmill.entry._replica_copies import fetch_replica
 from chervilmill.entry._store_state import StoreState
 from chervilmill.logs import log_event, log_problem
@@ -164,6 +164,10 @@
         """Return the version of the last known change of each kind."""
         return {kind: replica.last_change for kind, replica in self._replicas.items()}
 
+    def proven_by(self, kind: str) -> Provenance:
+        """Return which answer proved the copy of a kind."""
+        return self._updates.proven_by[kind]
+
     def proofs(self) -> dict[str, CopyProof]:
         """Return what is proven of each kind."""
         proofs = {kind: replica.proof() for kind, replica in self._replicas.items()}
@@ -193,6 +197,7 @@
                     step="watch",
                     kind=kind,
                     as_of=astuple(replica.as_of),
+                    proven_by=str(self.proven_by(kind)),
                     error=exc.message,
                 )
                 await asyncio.sleep(self._relist_delay_s(exc, lists_without_watch))
@@ -254,7 +259,7 @@
         `confirmed_age_s` is the age of the peer's oldest copy, or None if the peer does not say.
         """
         proofs = proofs or {}
-        self.confirmer.handle_peer(proofs, confirmed_age_s)
+        self.confirmer.handle_peer(host, proofs, confirmed_age_s)
         for kind, catch_up in self._catch_ups.items():
             catch_up.handle_version(host, versions.get(kind, StoreVersion()))
             if kind in proofs:
--- a/src/chervilmill/entry/_site_state.py
+++ b/src/chervilmill/entry/_site_state.py
@@ -58,6 +58,7 @@
         heartbeat_s: float,
     ) -> None:
         self.view = SiteView()
+        self.configuration_revision = 0  # of the object in force
         self.fleet = fleet
         self._membership = membership
         self._own = own
@@ -108,7 +109,10 @@
     def _apply_configuration(self, change: ReplicaChange) -> None:
         for stored in change.written:
             try:
-                self._apply_view_changes(self.view.apply_configuration(read_configuration(stored)))
+                changes = self.view.apply_configuration(read_configuration(stored))
+                if changes:
+                    self.configuration_revision = stored.revision
+                self._apply_view_changes(changes)
             except InvalidObjectError as exc:
                 log_problem("configuration refused", step=exc.step, peer=exc.peer, error=str(exc))
 
--- a/src/chervilmill/logs.py
+++ b/src/chervilmill/logs.py
@@ -70,6 +70,12 @@
     absl_logging.get_absl_logger().info(event, extra=extra)
 
 
+def log_decisions(event: str, **fields: object) -> None:
+    """Log what many requests were decided by, within a budget of its own."""
+    extra = {FIELDS_KEY: fields, BUDGET_KEY: Budget.DECISIONS}
+    absl_logging.get_absl_logger().info(event, extra=extra)
+
+
 def log_failure(event: str, **fields: object) -> None:
     """Log a decision that failed a request, within a budget of its own."""
     extra = {FIELDS_KEY: fields, BUDGET_KEY: Budget.FAILURES}
--- a/tests/entry/test_decision_basis.py
+++ b/tests/entry/test_decision_basis.py
@@ -9,11 +9,12 @@
 
 from chervilmill._log_budget import Budget
 from chervilmill.aio import ClientConnection
-from chervilmill.entry._decision_basis import BasisReader, CopyTrust, DecisionBasis
+from chervilmill.entry._copy_updates import Provenance
+from chervilmill.entry._decision_basis import UNPROVEN, BasisReader, CopyTrust, DecisionBasis
 from chervilmill.entry._site_state import SiteState
 from chervilmill.overload import TargetFleet
 from chervilmill.peers import KindReplica, Membership, Peer
-from chervilmill.platform import TARGET_KIND, StoreVersion
+from chervilmill.platform import CONFIGURATION_KIND, TARGET_KIND, StoredObject, StoreVersion
 from chervilmill.routing import Target
 from soak.site import DEFAULT_ROUTES, configuration
 from tests.entry.harness import SiteUnderTest, running_site
@@ -23,23 +24,40 @@
 
 NOW_S = 100.0
 STARTED_S = 97.5
+PROVEN_REVISION = 37
 MAX_AGE_S = 2.2
-BASIS_FIELDS = ["config_version", "targets_version", "copy_age_s", "basis"]
-
-
-def _reader(age_s: float | None, *, is_away: bool) -> BasisReader:
+BASIS_FIELDS = [
+    "config_version",
+    "config_as_of",
+    "config_proven_by",
+    "targets_version",
+    "copy_age_s",
+    "basis",
+]
+
+
+def _reader(
+    age_s: float | None, *, is_away: bool = False, in_force_revision: int = PROVEN_REVISION
+) -> BasisReader:
     fleet = TargetFleet("vm", "north", {"north-a": "north"}, random.Random(1))
     own = Peer("vm", "127.0.0.1", "north-a")
     membership = Membership("vm", 1, random.Random(1))
     targets = KindReplica(TARGET_KIND)
     targets.last_proven_change = StoreVersion(2, 40)
+    config = KindReplica(CONFIGURATION_KIND)
+    config.as_of = StoreVersion(2, 38)
+    config.proven = {"main": StoredObject("main", PROVEN_REVISION)}
+    site_state = SiteState(fleet, membership, own, lambda: NOW_S, 1.5)
+    site_state.configuration_revision = in_force_revision
     return BasisReader(
-        SiteState(fleet, membership, own, lambda: NOW_S, 1.5),
+        site_state,
         targets,
         MAX_AGE_S,
         lambda: None if age_s is None else NOW_S - age_s,
         lambda _: is_away,
         STARTED_S,
+        config,
+        lambda: Provenance("list"),
     )
 
 
@@ -58,14 +76,31 @@
     age_s: float | None, is_away: bool, trust: CopyTrust
 ) -> None:
     reader = _reader(age_s, is_away=is_away)
-    assert reader.read(NOW_S) == DecisionBasis(None, StoreVersion(2, 40), age_s, trust)
+    assert reader.read(NOW_S) == DecisionBasis(
+        None, StoreVersion(2, 40), age_s, trust, StoreVersion(2, 38), "list"
+    )
     assert reader.uptime_s(NOW_S) == 2.5
 
 
+@pytest.mark.parametrize(
+    ("in_force_revision", "proven_by"),
+    [(PROVEN_REVISION, "list"), (PROVEN_REVISION + 1, UNPROVEN)],
+)
+def test_configuration_in_force_may_be_known_from_hints_alone(
+    in_force_revision: int, proven_by: str
+) -> None:
+    reader = _reader(0.5, in_force_revision=in_force_revision)
+    assert reader.read(NOW_S).config_proven_by == proven_by
+
+
 def test_fields_are_short_and_readable() -> None:
-    basis = DecisionBasis(7, StoreVersion(2, 40), 0.123456, CopyTrust.STORE_AWAY)
+    basis = DecisionBasis(
+        7, StoreVersion(2, 40), 0.123456, CopyTrust.STORE_AWAY, StoreVersion(2, 38), "peer of vm-2"
+    )
     assert basis.log_fields() == {
         "config_version": 7,
+        "config_as_of": (2, 38),
+        "config_proven_by": "peer of vm-2",
         "targets_version": (2, 40),
         "copy_age_s": 0.123,
         "basis": "store away",
@@ -79,6 +114,8 @@
     assert line["targets_version"] == [site.store.era, unchanged]
     assert 0.0 <= line["copy_age_s"] < MAX_AGE_S
     assert line["basis"] == "confirmed"
+    assert line["config_as_of"] <= [site.store.era, site.store.revision]
+    assert line["config_proven_by"] in ("list", "watch")
 
 
 def _order(line: Line, *names: str) -> list[int]:
