--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -89,6 +89,11 @@
         action="store_true",
         help="kill all entry VMs at once, and take the store away until entries lapse",
     )
+    parser.add_argument(
+        "--compactions",
+        action="store_true",
+        help="have the store drop its history again and again, after watches heard of nothing",
+    )
     parser.add_argument(
         "--press",
         type=float,
@@ -136,6 +141,7 @@
         busy_reads_share=args.busy_reads,
         is_calm=args.calm,
         outages=args.outages,
+        compactions=args.compactions,
     )
     with tempfile.TemporaryDirectory() as temporary:
         folder = (args.keep or Path(temporary)) / f"seed-{seed}"
--- a/soak/options.py
+++ b/soak/options.py
@@ -23,6 +23,8 @@
     With `is_calm`, only planned changes are started. With `outages`, all entry VMs are killed at
     once, and the store goes away until entries lapse, beside all other actions.
 
+    With `compactions`, the store drops its history again and again, beside all other actions.
+
     With `press_per_s`, all VMs share one core with `busy_processes` others, callers ask for that
     many requests a second beside those of all other callers, and only planned actions are started.
     """
@@ -47,6 +49,7 @@
     busy_reads_share: float = 0.0
     is_calm: bool = False
     outages: bool = False
+    compactions: bool = False
 
     @property
     def is_disrupted(self) -> bool:
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
     RouteCaller,
 )
 from soak.checks import breaches
+from soak.compactions import Compactions
 from soak.options import SoakOptions
 from soak.outages import READY_TIMEOUT_S, Outages
 from soak.proxy import Proxy
@@ -88,6 +89,12 @@
         self._target_serial = 0
         self._tasks: list[asyncio.Task[None]] = []
         self.log: list[str] = []
+        self._compactions = Compactions(
+            self._store,
+            self._change_configuration,
+            self.log,
+            random.Random(f"{options.seed}/compactions"),
+        )
 
     async def run(self) -> list[Breach]:
         """Run the soak and return the breaches."""
@@ -114,6 +121,8 @@
                 self._tasks.append(asyncio.create_task(replacing))
             if self.options.outages:
                 self._tasks.append(asyncio.create_task(self._run_outages(end_s)))
+            if self.options.compactions:
+                self._tasks.append(asyncio.create_task(self._compactions.run(end_s)))
             with self._reads_refused():
                 while loop.time() < end_s:
                     if not self.options.only_crashes:
@@ -297,7 +306,7 @@
             ("store down", self._stop_store, False),
             ("store slow", self._slow_store_down, False),
             ("store refuses", self._refuse_store_connections, False),
-            ("store forgets", self._compact_store, True),
+            ("store forgets", self._compactions.compact, True),
             ("store loses answers", self._lose_store_answers, False),
             ("link", self._disturb_target_link, False),
             ("target faults", self._inject_target_faults, False),
@@ -443,10 +452,6 @@
             await asyncio.sleep(5.0)
             link.faults.refuses = False
 
-    async def _compact_store(self) -> None:
-        with self.history.store_disturbed():
-            self._store.compact()
-
     async def _lose_store_answers(self) -> None:
         with self.history.store_disturbed():
             self._store.faults.loses_answers = True
--- a/soak/store.py
+++ b/soak/store.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import math
 import random
 import time
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -20,6 +22,14 @@
 MIN_ANSWER_SHARE = 0.7  # of the longest time that an answer takes
 
 
+class SilentWatch(Enum):
+    """What watches get while they hear of no changes."""
+
+    HELD = "held"  # no answer, whatever wait they state
+    AS_ASKED = "as asked"  # no events after their wait, and the revision that they asked from
+    PRESENT = "present"  # no events after their wait, and the present revision
+
+
 @dataclass(slots=True)
 class StoreFaults:
     """Faults of the store; requests from `refused_hosts` are answered with 503.
@@ -31,6 +41,9 @@
     Each answer takes `answer_s` at most, and that of a linearizable read `linearizable_answer_s`
     more; a watch takes it after the wait. They give the state of when the answer was begun.
     `busy_reads_share` of the linearizable reads is refused.
+
+    Until `silent_until_s`, a time of the event loop, watches hear of no changes and get
+    `silent_watch`.
     """
 
     is_down: bool = False
@@ -43,6 +56,8 @@
     answer_s: float = 0.0
     linearizable_answer_s: float = 0.0
     busy_reads_share: float = 0.0
+    silent_until_s: float = -math.inf
+    silent_watch: SilentWatch = SilentWatch.HELD
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +77,10 @@
     at_s: float
 
 
+class _CutError(Exception):
+    """Raised for a watch whose connection the store cuts."""
+
+
 class StandInStore:
     """Keeps objects in memory and serves them over HTTP."""
 
@@ -75,6 +94,7 @@
         self._objects: dict[tuple[str, str], dict[str, Any]] = {}
         self._history: list[_Change] = []
         self._oldest_watchable = 0
+        self._cuts = 0
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle, lambda: LIMITS)
 
@@ -133,6 +153,11 @@
         self._history.clear()
         self._notify_watchers()
 
+    def cut_watches(self) -> None:
+        """Cut the connections of all watches that wait."""
+        self._cuts += 1
+        self._notify_watchers()
+
     def _record_change(self, kind: str, value: dict[str, Any], *, is_deleted: bool) -> None:
         self._history.append(_Change(self.revision, kind, value, is_deleted, time.monotonic()))
         self._notify_watchers()
@@ -155,7 +180,11 @@
             await asyncio.sleep(self._draw_answer_time_s(is_linearizable_read))
             await conn.answer(self._rng.choice(BUSY_STATUSES), [], b"")
             return
-        status, value = await self._perform(method, target, body)
+        try:
+            status, value = await self._perform(method, target, body)
+        except _CutError:
+            conn.abort()
+            return
         headers = [*JSON_HEADERS, (b"store-era", str(self.era).encode())]
         await asyncio.sleep(self._draw_answer_time_s(is_linearizable_read))
         if self.faults.loses_answers and head.method != b"GET":
@@ -200,8 +229,12 @@
         if may_be_stale:
             wait_s = min(wait_s, self.faults.replica_wait_s)
         until_s = loop.time() + wait_s
-        era = self.era
+        era, cuts = self.era, self._cuts
         while self._oldest_watchable <= since <= self.revision and era == self.era:
+            if cuts < self._cuts:
+                raise _CutError
+            if loop.time() < self.faults.silent_until_s:
+                return await self._watch_in_silence(since, until_s)
             age_s = self.faults.replica_age_s if may_be_stale else 0.0
             old_s = time.monotonic() - age_s
             known = [change for change in self._history if change.at_s <= old_s]
@@ -224,3 +257,13 @@
             except TimeoutError:
                 continue
         return 410, {"error": "history is gone"}
+
+    async def _watch_in_silence(self, since: int, until_s: float) -> tuple[int, object]:
+        """Return that there are no changes, or wait to be cut off."""
+        loop, faults = asyncio.get_running_loop(), self.faults
+        if faults.silent_watch is SilentWatch.HELD or until_s >= faults.silent_until_s:
+            await asyncio.sleep(faults.silent_until_s - loop.time())
+            raise _CutError
+        await asyncio.sleep(until_s - loop.time())
+        is_present = faults.silent_watch is SilentWatch.PRESENT
+        return 200, {"events": [], "as-of": self.revision if is_present else since}
--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from enum import Enum
@@ -31,6 +32,7 @@
 UNHEARD_FROM_S = 5.0
 PEER_PORT = 7720
 SAMPLE_S = 0.05
+SILENCE_S = 1.2
 BOUNDS = Bounds(2.5, 6.0, 2.5, 4.0, 5.0, 0.2, 10.0, 64.0, 1.5, 5.0, 0.15)  # of the user sites
 _ASKING_VM: ContextVar[int] = ContextVar("asking VM")
 
@@ -44,6 +46,18 @@
     FAR_AHEAD = "far ahead"
 
 
+class SilentWatch(Enum):
+    """What watches get while they hear of no changes."""
+
+    HELD = "held"  # no answer, whatever wait they state
+    AS_ASKED = "as asked"  # no events after their wait, and the revision that they asked from
+    PRESENT = "present"  # no events after their wait, and the present revision
+
+
+class _HistoryGoneError(Exception):
+    """Raised for a watch from a revision that the store has dropped."""
+
+
 @dataclass(frozen=True, slots=True)
 class StoreFault:
     """A fault that begins at `at_s`, of VMs chosen by their numbers.
@@ -59,6 +73,9 @@
     From `at_s` on linearizable answers take 0.7 to 1.0 of `answer_s` longer than the way, and say
     what the store had before; the others take `stale_answer_s` longer. Both are slow for
     `slow_for_s`, then as fast as usual for as long, and so on.
+
+    At each of `compactions_s` the watches of the `deaf` VMs hear of no changes for SILENCE_S, and
+    get `silent_watch`. The store then drops its history, and cuts all watches that wait.
     """
 
     at_s: float = 5.0
@@ -75,6 +92,14 @@
     stale_as_of: StaleAsOf = StaleAsOf.OF_DATA
     stale_wait_s: float = math.inf
     leaves_out: bool = False
+    compactions_s: tuple[float, ...] = ()
+    silent_watch: SilentWatch = SilentWatch.HELD
+    deaf: Callable[[int], bool] = lambda _: True
+
+    def silent_until_s(self, now_s: float) -> float | None:
+        """Return until when watches hear of no changes, or None if they do hear of them."""
+        ends = [at_s + SILENCE_S for at_s in self.compactions_s if at_s <= now_s < at_s + SILENCE_S]
+        return ends[0] if ends else None
 
     def is_slow(self, now_s: float) -> bool:
         """Return whether answers that are ready at a time are held back."""
@@ -121,12 +146,16 @@
         self.events: list[tuple[int, str]] = []
         self.replicated: list[tuple[int, str]] = []
         self.changed = asyncio.Event()
+        self.dropped_until = 0  # the revision from which changes can be watched
+        self.compactions = 0
         self.stale_reads = 0
         self.linearizable_reads = 0
         self._rng = random.Random(f"{case.vms}-{seed}")
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
+        for at_s in self.case.fault.compactions_s:
+            loop.call_at(at_s + SILENCE_S, self._compact)
         for number, (name, at_s) in enumerate(self.case.changes().items()):
             await asyncio.sleep(at_s - loop.time())
             event = (11 + number, name)
@@ -135,6 +164,11 @@
             loop.call_later(self.case.fault.replica_age_s, self._notify)
             self._notify()
 
+    def _compact(self) -> None:
+        self.dropped_until = 10 + len(self.events)
+        self.compactions += 1
+        self._notify()
+
     def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
@@ -154,7 +188,14 @@
             return HttpAnswer(fault.refusal, b"")
         if fault.at_s <= began_s < fault.at_s + fault.swallowed_for_s:
             await asyncio.Event().wait()
-        body = await self._stale_result(path) if is_stale else await self._result(path, self.events)
+        try:
+            body = (
+                await self._stale_result(vm, path)
+                if is_stale
+                else await self._result(vm, path, self.events)
+            )
+        except _HistoryGoneError:
+            return HttpAnswer(410, b"{}")
         if fault.silenced(vm) and began_s < fault.at_s <= loop.time():
             await asyncio.Event().wait()
         await asyncio.sleep(delay_s + self._held_back_s(is_stale))
@@ -167,10 +208,10 @@
             return 0.0
         return fault.stale_answer_s if is_stale else fault.answer_s * self._rng.uniform(0.7, 1.0)
 
-    async def _stale_result(self, path: str) -> dict[str, Any]:
+    async def _stale_result(self, vm: int, path: str) -> dict[str, Any]:
         """Return the result of a read that may be stale."""
         fault = self.case.fault
-        result = await self._result(path, self.replicated, fault.stale_wait_s)
+        result = await self._result(vm, path, self.replicated, fault.stale_wait_s)
         changes = result.get("events", [])
         if fault.leaves_out:
             del changes[:-1]
@@ -185,7 +226,7 @@
         return result
 
     async def _result(
-        self, path: str, events: list[tuple[int, str]], max_wait_s: float = math.inf
+        self, vm: int, path: str, events: list[tuple[int, str]], max_wait_s: float = math.inf
     ) -> dict[str, Any]:
         """Return the result of a read of the store, or of a replica that has fewer events."""
         has_targets = path.split("?")[0].endswith(f"/{KIND}")
@@ -194,18 +235,39 @@
             return {"items": items, "as-of": 10 + len(events)}
         since = int(path.split("watch=")[1].split("&")[0])
         wait_s = min(max_wait_s, int(path.split("wait-ms=")[1].split("&")[0]) / 1000)
-        try:
-            async with asyncio.timeout(wait_s):
-                while not has_targets or 10 + len(events) <= since:
+        loop, compactions = asyncio.get_running_loop(), self.compactions
+        until_s = loop.time() + wait_s
+        while True:
+            if self.case.fault.deaf(vm) and self.case.fault.silent_until_s(loop.time()):
+                await self._wait_in_silence(until_s)
+                return {"events": [], "as-of": self._revision_in_silence(since)}
+            if self.compactions > compactions:
+                raise ExchangeError("cut off", step="GET", peer="store")
+            if since < self.dropped_until:
+                raise _HistoryGoneError
+            changes = [
+                {"object": _entry(name, revision)}
+                for revision, name in events
+                if has_targets and revision > since
+            ]
+            if changes or loop.time() >= until_s:
+                return {"events": changes, "as-of": max(since, 10 + len(events))}
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(until_s):
                     await self.changed.wait()
-        except TimeoutError:
-            pass
-        changes = [
-            {"object": _entry(name, revision)}
-            for revision, name in events
-            if has_targets and revision > since
-        ]
-        return {"events": changes, "as-of": max(since, 10 + len(events))}
+
+    async def _wait_in_silence(self, until_s: float) -> None:
+        """Wait for the end of a watch that hears of no changes, which may be that it is cut off."""
+        loop, fault = asyncio.get_running_loop(), self.case.fault
+        silent_until_s = fault.silent_until_s(loop.time()) or loop.time()
+        if fault.silent_watch is SilentWatch.HELD or until_s >= silent_until_s:
+            await asyncio.sleep(silent_until_s - loop.time())
+            raise ExchangeError("cut off", step="GET", peer="store")
+        await asyncio.sleep(until_s - loop.time())
+
+    def _revision_in_silence(self, since: int) -> int:
+        is_present = self.case.fault.silent_watch is SilentWatch.PRESENT
+        return max(since, 10 + len(self.events)) if is_present else since
 
 
 def _entry(name: str, revision: int) -> dict[str, object]:
--- a/tests/entry/test_slow_proofs.py
+++ b/tests/entry/test_slow_proofs.py
@@ -5,18 +5,17 @@
 answers tolerably, nor while there is no store to ask.
 """
 
-import math
-from dataclasses import dataclass
-
 import pytest
 
-from tests.entry.store_fleet import BOUNDS, FleetCase, FleetVm, StoreFault, StoreFleet
-from tests.virtual_time import run_virtually
+from tests.entry.fleet_decisions import (
+    FAULT_S,
+    WATCHED_S,
+    WAY_TO_TARGET_S,
+    Decisions,
+    run_fleet,
+)
+from tests.entry.store_fleet import BOUNDS, FleetCase, StoreFault
 
-WAY_TO_TARGET_S = 0.1  # a request that was sent before the news arrives this much later at most
-NEWS_S = min(BOUNDS.drain_s, BOUNDS.configuration_propagation_s) - WAY_TO_TARGET_S
-WATCHED_S = 6.0
-FAULT_S = 5.0
 CHANGES_S = tuple(FAULT_S + number for number in range(21))  # each second
 LAST_S = (12.0, 12.2)
 OUTAGE_S = 8.0
@@ -39,46 +38,6 @@
     return FleetCase(vms, fault, changes_s, loss, listed_kind=CONFIGURATION)
 
 
-@dataclass(slots=True)
-class _Decisions:
-    """What the VMs of a fleet decide, sampled.
-
-    `old` counts the samples at which a VM acts though it has not learnt of a change in time, and
-    `worst_s` is the longest time by which one was late. `refused` counts the samples, of those from
-    FAULT_S to `until_s`, at which a VM does not act.
-    """
-
-    case: FleetCase
-    until_s: float = math.inf
-    old: int = 0
-    worst_s: float = 0.0
-    refused: int = 0
-    samples: int = 0
-
-    def sample(self, vm: FleetVm, now_s: float) -> None:
-        is_current = vm.currency.is_current(now_s)
-        if FAULT_S <= now_s <= self.until_s:
-            self.samples += 1
-            self.refused += not is_current
-        if is_current:
-            self._sample_acting(vm, now_s)
-
-    def _sample_acting(self, vm: FleetVm, now_s: float) -> None:
-        for name, at_s in self.case.changes().items():
-            late_s = now_s - at_s - NEWS_S
-            if 0.0 < late_s <= WATCHED_S - NEWS_S and name not in vm.learnt_s:
-                self.old += 1
-                self.worst_s = max(self.worst_s, late_s)
-
-
-def _run(
-    monkeypatch: pytest.MonkeyPatch, decisions: _Decisions, seed: int, until_s: float
-) -> StoreFleet:
-    fleet = StoreFleet(decisions.case, seed, decisions.sample)
-    run_virtually(fleet.run(monkeypatch, until_s))
-    return fleet
-
-
 STALE_S = {"": 0.0, "-stale-2": 2.0, "-stale-8": 8.0}
 
 OLD_COPIES = {
@@ -117,8 +76,8 @@
     monkeypatch: pytest.MonkeyPatch, case: FleetCase
 ) -> None:
     for seed in range(2):
-        decisions = _Decisions(case)
-        _run(monkeypatch, decisions, seed, case.changes_s[-1] + WATCHED_S)
+        decisions = Decisions(case)
+        run_fleet(monkeypatch, decisions, seed, case.changes_s[-1] + WATCHED_S)
         assert not decisions.old, (seed, decisions.worst_s)
 
 
@@ -142,8 +101,8 @@
 def test_vms_act_too_late_or_refuse_requests_though_the_store_answers_tolerably(
     monkeypatch: pytest.MonkeyPatch, case: FleetCase, share: float
 ) -> None:
-    decisions = _Decisions(case)
-    _run(monkeypatch, decisions, 0, case.changes_s[-1])
+    decisions = Decisions(case)
+    run_fleet(monkeypatch, decisions, 0, case.changes_s[-1])
     assert not decisions.old, decisions.worst_s
     assert decisions.refused <= share * decisions.samples, decisions.samples
 
@@ -162,8 +121,8 @@
 def test_outage_makes_vms_refuse_requests_or_lasts_beyond_its_end(
     monkeypatch: pytest.MonkeyPatch, case: FleetCase
 ) -> None:
-    decisions = _Decisions(case, BACK_S)
-    fleet = _run(monkeypatch, decisions, 0, case.changes_s[-1] + WATCHED_S)
+    decisions = Decisions(case, BACK_S)
+    fleet = run_fleet(monkeypatch, decisions, 0, case.changes_s[-1] + WATCHED_S)
     assert not decisions.refused
     in_touch_s = BACK_S + BOUNDS.stable_window_s
     assert not fleet.late(in_touch_s - case.changes_s[-1] - WAY_TO_TARGET_S)
