Do not take over proofs of peers that took watches for proof

While VMs of two versions run side by side, one of the version before may hold an old copy for proven, after its store heard of nothing for a moment. Its digest says so with a version and a fingerprint, a VM of this version with the same old copy took that over, and acted on it until the next change.

Digests state protocol version 5, and copies say that lists proved them. Of a peer of version 4 a VM uses neither proofs nor the copy as proven: the copy is taken as hints, and the age shows only that the store served. VMs of version 4 read what this version sends as before, and what they take over is true. While both versions run, VMs of this one read the store for themselves unless a peer of theirs has.

Found by reading; without the condition the new test of test_stale_answers.py fails (the proof of revision 15 is adopted). In test_odd_entries.py the copies of two peers now say that they are listed, as those of this version do.

--- a/src/chervilmill/entry/_confirmation.py
+++ b/src/chervilmill/entry/_confirmation.py
@@ -93,12 +93,19 @@
         return min(confirmed_s.values())
 
     def handle_peer(
-        self, host: Address, proofs: Mapping[str, CopyProof], age_s: float | None
+        self,
+        host: Address,
+        proofs: Mapping[str, CopyProof],
+        age_s: float | None,
+        *,
+        are_listed: bool = True,
     ) -> None:
         """Take over what a peer has proven, for the copies that have the same objects.
 
         `age_s` is the age of the peer's confirmation, or None if it states none. An age without
-        proofs, as peers of earlier versions state it, may rest on answers that were stale.
+        proofs, as peers of earlier versions state it, may rest on answers that were stale. Unless
+        the proofs `are_listed`, they may rest on watches, and show no more than that the store
+        served the peer.
         """
         now_s = asyncio.get_running_loop().time()
         self.schedule.record_digest(now_s)
@@ -107,6 +114,8 @@
         at_s = now_s - age_s - HOP_S
         self.schedule.record_peer_confirmation(at_s)
         self._store_state.record_peer_confirmation(at_s, now_s)
+        if not are_listed:
+            return
         for kind, replica in self._replicas.items():
             if kind not in proofs:
                 continue
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -343,7 +343,11 @@
             self._earlier_peers.note_digest(peer.name, digest)
             host = Address(peer.host, self._settings.peer_address.port)
             self._sync.handle_peer_versions(
-                host, digest.revisions, digest.confirmed_age_s, digest.proofs
+                host,
+                digest.revisions,
+                digest.confirmed_age_s,
+                digest.proofs,
+                are_listed=digest.proves_by_lists,
             )
 
     async def _stop(self) -> None:
--- a/src/chervilmill/entry/_replica_copies.py
+++ b/src/chervilmill/entry/_replica_copies.py
@@ -26,7 +26,8 @@
 class FetchedReplica:
     """A peer's copy; `is_settled` says that no outage explains what is missing from it.
 
-    Unless `is_proven`, it is a copy of an earlier version, which may hold what stale answers said.
+    Unless `is_proven`, it is a copy of an earlier version, which may hold what stale answers said
+    or lack what watches did not tell.
     `hints` are the changes beyond a proven copy that the peer has not proven.
     """
 
@@ -54,7 +55,7 @@
         objects = decode_objects(raw["objects"])
         last_change = _read_last_change(raw.get("last_change"))
         is_settled = raw.get("is_settled") is True
-        if "hints" not in raw:
+        if raw.get("is_listed") is not True:
             return FetchedReplica(Listing(objects, as_of, last_change), is_settled, is_proven=False)
         hints = decode_events(raw["hints"])
         for event in hints:
@@ -89,6 +90,7 @@
             "last_change": astuple(replica.last_change),
             "last_proven_change": astuple(replica.last_proven_change),
             "is_settled": is_settled,
+            "is_listed": True,
             "objects": encode_objects(replica.objects.values()),
             "proven": encode_objects(proven),
             "hints": encode_events(hint.event for hint in replica.hints),
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -254,16 +254,19 @@
         versions: Mapping[str, StoreVersion],
         confirmed_age_s: float | None = None,
         proofs: Mapping[str, CopyProof] | None = None,
+        *,
+        are_listed: bool = True,
     ) -> None:
         """Compare what a peer knows and has proven with the copies here, and catch up if behind.
 
         `confirmed_age_s` is the age of the peer's oldest copy, or None if the peer does not say.
+        The proofs `are_listed` unless the peer is of a version that took watches for proof.
         """
         proofs = proofs or {}
-        self.confirmer.handle_peer(host, proofs, confirmed_age_s)
+        self.confirmer.handle_peer(host, proofs, confirmed_age_s, are_listed=are_listed)
         for kind, catch_up in self._catch_ups.items():
             catch_up.handle_version(host, versions.get(kind, StoreVersion()))
-            if kind in proofs:
+            if kind in proofs and are_listed:
                 catch_up.handle_proof(host, proofs[kind].version)
 
     async def _list(self, replica: KindReplica) -> None:
--- a/src/chervilmill/peers/_digest.py
+++ b/src/chervilmill/peers/_digest.py
@@ -13,7 +13,8 @@
 _SERVING_FLAG = 1
 _SUSPECTED_FLAG = 2
 _CUT_OFF_FLAG = 4
-PROTOCOL_VERSION = 4  # raised with each change of what VMs send each other
+PROTOCOL_VERSION = 5  # raised with each change of what VMs send each other
+FIRST_VERSION_THAT_PROVES_BY_LISTS = 5  # those before took watches for proof
 UNSTATED_PROTOCOL_VERSION = 0  # of the versions that do not state theirs
 _AGE_UNIT_S = 0.1  # a fifth of a gossip round
 
@@ -56,6 +57,11 @@
     confirmed_age_s: float | None = None
     proofs: Mapping[str, CopyProof] = field(default_factory=dict)
 
+    @property
+    def proves_by_lists(self) -> bool:
+        """Return whether the sender proves its copies by linearizable lists alone."""
+        return self.protocol_version >= FIRST_VERSION_THAT_PROVES_BY_LISTS
+
     def encode(self) -> bytes:
         """Return the digest as a datagram."""
         rows = [_encode_heartbeat(entry) for entry in self.heartbeats]
--- a/tests/entry/store_fleet.py
+++ b/tests/entry/store_fleet.py
@@ -343,6 +343,7 @@
                 digest.revisions,
                 digest.confirmed_age_s,
                 digest.proofs,
+                are_listed=digest.proves_by_lists,
             )
 
 
--- a/tests/entry/test_odd_entries.py
+++ b/tests/entry/test_odd_entries.py
@@ -158,14 +158,16 @@
 
 def _by_peer(vm: _Vm, monkeypatch: pytest.MonkeyPatch, entries: list[bytes]) -> None:
     objects = b"[" + b", ".join(entries) + b"]"
-    _fetch(vm, monkeypatch, b'"objects": %b, "proven": [], "hints": []' % objects)
+    _fetch(
+        vm, monkeypatch, b'"is_listed": true, "objects": %b, "proven": [], "hints": []' % objects
+    )
 
 
 def _by_hints_of_peer(vm: _Vm, monkeypatch: pytest.MonkeyPatch, entries: list[bytes]) -> None:
     vm.store.is_busy = True
     hints = b", ".join(b'{"object": %b, "deleted": false}' % raw for raw in entries[1:])
-    fields = b'"objects": [%b], "proven": [], "hints": [%b]' % (entries[0], hints)
-    _fetch(vm, monkeypatch, fields, as_of=5)
+    fields = b'"is_listed": true, "objects": [%b], "proven": [], "hints": [%b]'
+    _fetch(vm, monkeypatch, fields % (entries[0], hints), as_of=5)
 
 
 def _by_earlier_peer(vm: _Vm, monkeypatch: pytest.MonkeyPatch, entries: list[bytes]) -> None:
--- a/tests/entry/test_stale_answers.py
+++ b/tests/entry/test_stale_answers.py
@@ -212,7 +212,12 @@
 
 
 async def _hear(
-    vm: _Vm, peer: KindReplica, monkeypatch: pytest.MonkeyPatch, proofs: dict[str, CopyProof]
+    vm: _Vm,
+    peer: KindReplica,
+    monkeypatch: pytest.MonkeyPatch,
+    proofs: dict[str, CopyProof],
+    *,
+    are_listed: bool = True,
 ) -> None:
     """Receive a peer's digest twice, and let the VM catch up with its copy."""
 
@@ -220,14 +225,17 @@
         def __init__(self, host: Address) -> None: ...
 
         async def __call__(self, *_: object) -> HttpAnswer:
-            return HttpAnswer(200, encode_replica(peer, is_settled=True))
+            body = json.loads(encode_replica(peer, is_settled=True))
+            if not are_listed:
+                del body["is_listed"]
+            return HttpAnswer(200, json.dumps(body).encode())
 
         def close(self) -> None: ...
 
     monkeypatch.setattr(_replica_copies, "HttpClient", Client)
     for _ in range(2):
         versions = {KIND: peer.last_change, LISTED: StoreVersion()}
-        vm.sync.handle_peer_versions(PEER, versions, 0.1, proofs)
+        vm.sync.handle_peer_versions(PEER, versions, 0.1, proofs, are_listed=are_listed)
         await asyncio.sleep(1.2)
 
 
@@ -254,6 +262,27 @@
     run_virtually(scenario())
 
 
+# A VM of an earlier version takes a watch that hears of nothing for proof, and tells its peers.
+@pytest.mark.parametrize("as_of", [10, 15])
+def test_proof_and_copy_of_a_peer_that_believes_watches_prove_nothing(
+    monkeypatch: pytest.MonkeyPatch, as_of: int
+) -> None:
+    async def scenario() -> None:
+        vm = _Vm(_Store(SILENT), None)
+        tasks = vm.start()
+        await asyncio.sleep(1.0)
+        vm.store.is_refusing = True
+        before, confirmed_s = vm.replicas[KIND].proof(), vm.sync.confirmer.confirmed_s()
+        peer = _peer(as_of, a=3, b=5)
+        proof = peer.proof()
+        assert proof is not None
+        await _hear(vm, peer, monkeypatch, {KIND: proof}, are_listed=False)
+        assert (vm.replicas[KIND].proof(), vm.sync.confirmer.confirmed_s()) == (before, confirmed_s)
+        _stop(tasks)
+
+    run_virtually(scenario())
+
+
 # A VM that believed a replica confirmed its peers, whose copies lacked the same change.
 def test_age_of_a_peer_without_proofs_confirms_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
--- a/tests/peers/test_datagrams_of_versions.py
+++ b/tests/peers/test_datagrams_of_versions.py
@@ -182,6 +182,16 @@
     assert decode_digest(digest.encode(), "x") == digest
 
 
+@pytest.mark.parametrize(("version", "proves"), [(3, False), (4, False), (5, True), (6, True)])
+def test_proofs_by_watches_are_told_from_proofs_by_lists(version: int, proves: bool) -> None:
+    proofs = {"servers": CopyProof(StoreVersion(3, 14), 1)}
+    revisions = {"servers": StoreVersion(3, 12)}
+    digest = Digest(7, (), revisions, False, version, confirmed_age_s=0.5, proofs=proofs)
+    decoded = decode_digest(digest.encode(), "x")
+    assert decoded.proofs == proofs  # also understood by version 4
+    assert decoded.proves_by_lists is proves
+
+
 def test_proofs_are_stated_without_the_age_at_which_they_held() -> None:
     proofs = {"servers": CopyProof(StoreVersion(3, 14), 1)}
     digest = Digest(7, (), {"servers": StoreVersion(3, 12)}, proofs=proofs)
