List a copy again that contradicts that of a peer at the same version

A copy that was wrongly held for proven counted as confirmed by each peer whose proof had the same version, whatever its objects: only a proof of a later version was compared. So a wrong copy was not corrected until the next change of its kind, and right copies confirmed it meanwhile.

A proof of the same version is compared as well. Where the objects differ, one of the two is wrong, neither confirms the other, and each lists the kind again, at most every 5 s. By reading; without the comparison two of the new cases in test_confirmation.py fail (the wrong copy is confirmed, and stays).

--- a/src/chervilmill/entry/_copy_updates.py
+++ b/src/chervilmill/entry/_copy_updates.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import astuple, dataclass
 from enum import Enum
@@ -16,6 +17,8 @@
 from chervilmill.peers import CopyProof, KindReplica, ReplicaChange
 from chervilmill.platform import Listing, StoreVersion, WatchEvent, WatchResult
 
+LIST_AGAIN_S = 5.0  # between the lists of a copy that peers go on contradicting
+
 # Takes the kind, the change, and until when targets that it removes may register again.
 OnChange = Callable[[str, ReplicaChange, float | None], None]
 
@@ -45,7 +48,8 @@
 
     Changes of `urgent_kinds` have to take effect within a bound. `on_urgent_change` is called after
     each, to announce it to the other VMs. `loaded` tells, for each kind, that it has been read from
-    the store or from a peer. Times are readings of the event loop's clock in seconds.
+    the store or from a peer. `list_again` is called for a copy that may be wrong. Times are
+    readings of the event loop's clock in seconds.
     """
 
     def __init__(
@@ -59,6 +63,8 @@
         self._urgent_kinds = urgent_kinds
         self._on_change = on_change
         self.on_urgent_change: Callable[[], None] = lambda: None
+        self.list_again: Callable[[str], None] = lambda _: None
+        self._contradicted_s: dict[str, float] = {}
         self.loaded = {kind: asyncio.Event() for kind in replicas}
         self.positions = {kind: WatchPosition() for kind in replicas}
         self.proven_by = {kind: Provenance() for kind in replicas}
@@ -118,10 +124,14 @@
         """Return whether a copy is proven up to where a peer's is, by the peer's proof or before.
 
         The peer's read of the store began at `began_s`. A proof that the copy does not match is
-        kept for the changes that are on their way.
+        kept for the changes that are on their way. If it is of the same version, one of the two is
+        wrong, and the store is to say what it has.
         """
-        if replica.as_of >= proof.version:
+        if replica.as_of > proof.version or replica.proof() == proof:
             return True
+        if replica.as_of == proof.version:
+            self._record_contradiction(replica, host)
+            return False
         change = replica.adopt(proof, began_s)
         if change is None:
             known = self._unmatched.get(replica.kind)
@@ -179,6 +189,22 @@
         self.positions[replica.kind].note_proven(replica.as_of)
         self.proven_by[replica.kind] = Provenance(source.value, peer)
 
+    def _record_contradiction(self, replica: KindReplica, host: Address | None) -> None:
+        """Have a copy listed again that differs from a peer's of the same version."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._contradicted_s.get(replica.kind, -math.inf) < LIST_AGAIN_S:
+            return
+        self._contradicted_s[replica.kind] = now_s
+        log_problem(
+            "copies contradict each other",
+            step="follow",
+            peer=str(host or ""),
+            kind=replica.kind,
+            as_of=astuple(replica.as_of),
+            proven_by=str(self.proven_by[replica.kind]),
+        )
+        self.list_again(replica.kind)
+
     def _record_restored(
         self, replica: KindReplica, before: StoreVersion, change: ReplicaChange
     ) -> None:
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -107,6 +107,7 @@
             self._store_state,
             self._updates,
         )
+        self._updates.list_again = self._list_again
         self._watches: dict[str, asyncio.Task[WatchResult]] = {}
         self._silent_calls: dict[str, int] = {}
         self._to_list = set(replicas)
--- a/tests/entry/test_confirmation.py
+++ b/tests/entry/test_confirmation.py
@@ -14,6 +14,7 @@
     HOP_S,
     UNCONFIRMED_AFTER_S,
 )
+from chervilmill.entry._copy_updates import LIST_AGAIN_S
 from chervilmill.entry._read_schedule import (
     CHECK_S,
     CONFIRM_INTERVAL_S,
@@ -23,7 +24,7 @@
 )
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.peers import SUSPECT_AFTER_S, CopyProof, KindReplica, ReplicaChange
-from chervilmill.platform import PlatformStore, StoreVersion
+from chervilmill.platform import Listing, PlatformStore, StoreVersion
 from tests.virtual_time import run_virtually
 
 CALL_S = 0.02
@@ -415,3 +416,48 @@
         assert len(vm.store.linearizable) - before <= 2 * 10.0 / CONFIRM_INTERVAL_S + 12
 
     vm.run(scenario())
+
+
+def _make_wrong(vm: _Follower) -> CopyProof:
+    """Have the copy of the other kind lack its object; return the proof of a right one."""
+    right = vm.sync.proofs()[OTHER]
+    wrong = KindReplica(OTHER)
+    wrong.apply_listing(Listing({}, right.version))
+    vm.replicas[OTHER].proven = {}
+    vm.replicas[OTHER]._fingerprint = 0
+    assert vm.sync.proofs()[OTHER] == wrong.proof()
+    return right
+
+
+# A copy that was wrong at its version confirmed peers with a right one, and was never read again.
+@pytest.mark.parametrize("rank", [0, None])
+def test_copies_that_contradict_each_other_at_one_version_confirm_each_other(
+    rank: int | None,
+) -> None:
+    vm = _Follower(rank)
+
+    async def scenario() -> None:
+        right = _make_wrong(vm)
+        confirmed_s = vm.sync.confirmer.confirmed_s()
+        vm.sync.handle_peer_versions(PEER, vm.sync.versions(), 0.0, {OTHER: right})
+        assert vm.sync.confirmer.confirmed_s() == confirmed_s
+        await asyncio.sleep(3 * CALL_S)
+        assert vm.sync.proofs()[OTHER] == right
+
+    vm.run(scenario())
+
+
+def test_wrong_peer_costs_few_lists() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        wrong = CopyProof(vm.sync.proofs()[OTHER].version, 1)
+        before = len(vm.store.linearizable)
+        for _ in range(10):
+            vm.sync.handle_peer_versions(PEER, vm.sync.versions(), 0.0, {OTHER: wrong})
+            await asyncio.sleep(1.0)
+        lists = [path for path in vm.store.linearizable[before:] if path.endswith(OTHER)]
+        assert len(lists) <= 1 + 10.0 / LIST_AGAIN_S
+        assert (vm.sync.confirmed_age_s() or 9.0) <= CONFIRM_INTERVAL_S + 4 * CALL_S
+
+    vm.run(scenario())
