Do not take a watch that the store cuts for an outage of the store

After a compaction every VM logged 'store is lost', since the store had cut its watch, as it may at any time, and waited a second before the next one.

One broken connection of a watch is followed by another watch within 0.4 s, spread over the VMs; a second one in a row, a refusal or a time-out counts as before. Two of the three new cases of test_replica_sync.py failed before.

--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -110,6 +110,7 @@
         self._updates.list_again = self._list_again
         self._watches: dict[str, asyncio.Task[WatchResult]] = {}
         self._silent_calls: dict[str, int] = {}
+        self._cut_watches: set[str] = set()  # kinds whose last call was cut while it waited
         self._to_list = set(replicas)
         self._to_ask_anew: set[str] = set()
         self._ahead_of_replica: set[str] = set()
@@ -213,7 +214,11 @@
                 self._to_ask_anew.discard(kind)  # stale reads do not count toward the rate
             except StoreError as exc:
                 self._catch_ups[kind].handle_failed_call()
-                await self._pause_after(kind, exc)
+                if self._is_cut_watch(kind, exc):
+                    self._cut_watches.add(kind)
+                    await asyncio.sleep(self._rng.uniform(0.0, WATCH_PAUSE_S))
+                else:
+                    await self._pause_after(kind, exc)
             except Exception as exc:  # what other writers store never ends this task
                 self._to_list.add(kind)
                 log_problem("copy not followed", step="follow", peer=kind, error=repr(exc)[:256])
@@ -223,6 +228,14 @@
         self._store_state.record_failure(kind, exc, asyncio.get_running_loop().time())
         await asyncio.sleep(RETRY_DELAY_S)
 
+    def _is_cut_watch(self, kind: str, exc: StoreError) -> bool:
+        """Return whether an error is the end of a watch that the store may cut at any time.
+
+        A second one in a row, without any answer, is a failure.
+        """
+        is_broken_off = not (exc.has_timed_out or exc.is_refusal)
+        return is_broken_off and kind not in self._to_list and kind not in self._cut_watches
+
     def _is_of_replica(self, kind: str, exc: StoreError) -> bool:
         """Return whether an error may be that of a replica, which lacks what this VM has seen.
 
@@ -292,6 +305,7 @@
             return
         self._ahead_of_replica.discard(kind)
         self._silent_calls.pop(kind, None)
+        self._cut_watches.discard(kind)
         if allow_stale:
             self._store_state.record_stale_answer()
         else:
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -8,12 +8,13 @@
 import pytest
 
 from chervilmill.addresses import Address
-from chervilmill.aio import ConnectError, HttpAnswer
+from chervilmill.aio import ConnectError, ExchangeError, HttpAnswer
 from chervilmill.entry import _catch_up, _read_schedule, _replica_sync, _store_state
 from chervilmill.entry._replica_copies import FetchedReplica
 from chervilmill.entry._replica_sync import ReplicaSync
 from chervilmill.peers import KindReplica, ReplicaChange
 from chervilmill.platform import Listing, PlatformStore, StoreVersion
+from tests.virtual_time import run_virtually
 
 KIND = "servers"
 PLAYED_S = 2.0
@@ -163,3 +164,50 @@
 
     asyncio.run(scenario())
     assert len(kept) == 2 and (kept[1] is None) is is_settled
+
+
+class _CuttingStore:
+    """A store that cuts each watch after a time, and refuses connections if it is down."""
+
+    def __init__(self, cut_after_s: float) -> None:
+        self.cut_after_s = cut_after_s
+        self.is_down = False
+        self.watched_s: list[float] = []
+
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        if "watch=" not in path:
+            return _answer({"items": [], "as-of": 5})
+        self.watched_s.append(asyncio.get_running_loop().time())
+        if self.is_down:
+            raise ConnectError("refused", step="connect", peer="store")
+        await asyncio.sleep(self.cut_after_s)
+        if len(self.watched_s) > 1 and self.cut_after_s:
+            await asyncio.sleep(timeout_s - self.cut_after_s)
+            return _answer({"events": [], "as-of": 5})
+        raise ExchangeError("cut", step="read answer", peer="store")
+
+
+# A watch that the store cut as it may made each VM refuse paths that it did not know, for a second.
+@pytest.mark.parametrize(
+    ("cut_after_s", "is_down", "is_lost"),
+    [(2.0, False, False), (0.0, False, True), (2.0, True, True)],
+)
+def test_watch_that_was_cut_counts_as_an_outage_of_the_store(
+    cut_after_s: float, is_down: bool, is_lost: bool
+) -> None:
+    store = _CuttingStore(cut_after_s)
+
+    async def scenario() -> None:
+        sync = ReplicaSync(PlatformStore(store, "store"), {KIND: KindReplica(KIND)}, _ignore_change)
+        task = asyncio.ensure_future(sync.run(KIND))
+        await asyncio.sleep(cut_after_s - 0.1)
+        store.is_down = is_down
+        await asyncio.sleep(0.1 + 2 * _replica_sync.WATCH_PAUSE_S + 0.1)
+        assert sync.is_store_unreachable is is_lost
+        assert len(store.watched_s) >= 2
+        task.cancel()
+
+    run_virtually(scenario())
+
+
+def _ignore_change(kind: str, change: ReplicaChange, kept_until_s: float | None) -> None: ...
