Test that a list which does not state all objects, or is behind, proves nothing

The other new cases hold what a list is now relied upon for: one that is behind what was proven before its call confirms nothing, and each revision of the store costs each kind one list.

--- a/tests/entry/test_confirmation.py
+++ b/tests/entry/test_confirmation.py
@@ -418,6 +418,35 @@
     vm.run(scenario())
 
 
+# A list that was behind what the VM had proven before its call confirmed the copies.
+def test_list_that_is_behind_confirms_no_copy() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        vm.store.revision -= 1
+        confirmed_s = vm.sync.confirmer.confirmed_s()
+        await asyncio.sleep(3 * CONFIRM_INTERVAL_S)
+        assert vm.sync.confirmer.confirmed_s() == confirmed_s
+        assert vm.sync.versions() == {LISTED: StoreVersion(0, 5), OTHER: StoreVersion(0, 5)}
+
+    vm.run(scenario())
+
+
+# The revision that a list states also counts where the objects of other kinds have not changed.
+def test_unchanged_kinds_are_listed_once_for_each_revision_of_the_store() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        vm.store.change(LISTED)
+        before = len(vm.store.linearizable)
+        await asyncio.sleep(6 * CONFIRM_INTERVAL_S)
+        kinds = [path.rpartition("/")[2] for path in vm.store.linearizable[before:]]
+        assert kinds.count(OTHER) == 1
+        assert kinds.count(LISTED) >= 5
+
+    vm.run(scenario())
+
+
 def _make_wrong(vm: _Follower) -> CopyProof:
     """Have the copy of the other kind lack its object; return the proof of a right one."""
     right = vm.sync.proofs()[OTHER]
--- a/tests/peers/test_replica.py
+++ b/tests/peers/test_replica.py
@@ -189,3 +189,15 @@
     replica.apply_events(WatchResult((removal,), StoreVersion(ERA, 20)))
     assert replica.last_change == StoreVersion(ERA, 12)
     assert _known(replica) == {"b": 5}
+
+
+# Pages of a list are read one after the other, so that one object may be newer than the list.
+def test_change_between_the_pages_of_a_list_is_taken_for_known() -> None:
+    replica = KindReplica("servers")
+    replica.apply_listing(_listing(7, a=3, b=9))
+    replica.apply_hints([_written("a", 8)], ERA, 1.0)
+    assert _known(replica) == {"a": 8, "b": 9}
+    assert replica.as_of == StoreVersion(ERA, 7)
+    replica.apply_listing(_listing(9, a=8, b=9), began_s=2.0)
+    assert _known(replica) == {"a": 8, "b": 9}
+    assert not replica.hints
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -56,6 +56,37 @@
     assert script.calls[1][1].endswith("after=b")
 
 
+# A list that says less than a list does was taken for one of a store without objects.
+@pytest.mark.parametrize(
+    "pages",
+    [
+        [{"items": [_item("a")]}],
+        [{"items": [_item("a")], "as-of": 0}],
+        [{"items": [_item("a")], "as-of": "7"}],
+        [{"as-of": 7}],
+        [{"items": {"a": _item("a")}, "as-of": 7}],
+        [{"items": [], "more": True, "as-of": 7}],
+        [{"items": [{"metadata": {}}], "more": True, "as-of": 7}],
+        [
+            {"items": [_item("a")], "more": True, "as-of": 7},
+            {"items": [_item("a")], "more": True, "as-of": 7},
+        ],
+        [{"items": [_item("a")], "more": True, "as-of": 7}, {"more": False, "as-of": 7}],
+    ],
+)
+def test_list_that_does_not_state_all_objects_is_used(pages: list[object]) -> None:
+    script = _ScriptedExchange(*(_answer(page) for page in pages))
+    with pytest.raises(StoreError):
+        asyncio.run(PlatformStore(script, "store").list_all("servers", 1.0))
+
+
+def test_empty_list_states_that_there_are_no_objects() -> None:
+    for items in ([], None):
+        script = _ScriptedExchange(_answer({"items": items, "more": False, "as-of": 7}))
+        listing = asyncio.run(PlatformStore(script, "store").list_all("servers", 1.0))
+        assert (listing.objects, listing.as_of) == ({}, StoreVersion(0, 7))
+
+
 def test_watch_returns_events_and_skips_malformed_ones() -> None:
     events = [{"object": _item("a", 8), "deleted": True}, "?", {"object": 3}, {"deleted": False}]
     script = _ScriptedExchange(_answer({"events": events, "as-of": 8}))
