Ask a store that refuses reads more often before it counts as away

A VM acted on old copies while the store refused nine in ten linearizable reads: nobody had an answer for 1.3 s by chance, as the fleet made few calls in that time, and a refusal then counted as an outage for everybody. A refusal says only that this VM was not served.

Readers that are refused read every 0.1 s, in place of 0.35 s, until the store counts as away, which takes 1.5 s in place of 1.3 s. Readers are at most four, and the interval ends with that time, so that an outage costs some tens of calls more.

--- a/src/chervilmill/entry/_read_schedule.py
+++ b/src/chervilmill/entry/_read_schedule.py
@@ -20,6 +20,7 @@
 CONFIRM_INTERVAL_S = 0.7  # of the reader that reads for the others
 STANDBY_STEP_S = 0.25  # for the read of the reader before, and its digest
 PRESSED_INTERVAL_S = 0.35  # while answers are late or refused
+REFUSED_INTERVAL_S = 0.1  # of readers that are refused, until the store counts as away
 SLOW_ANSWER_S = 0.4  # more than the store and the farthest link usually take together
 FAILED_LATELY_S = 1.0
 CONFIRM_RETRY_S = 1.0  # while the store serves nobody; a few readers try more often if refused
@@ -107,6 +108,8 @@
     def _interval_s(self, now_s: float) -> float:
         """Return the time from the start of one read to that of the next."""
         is_refused_reader = self.reader_rank is not None and self._is_refused(now_s)
+        if is_refused_reader and not self._store_state.is_away(now_s):
+            return REFUSED_INTERVAL_S
         if self._is_failing(now_s) and not is_refused_reader:
             return CONFIRM_RETRY_S
         return PRESSED_INTERVAL_S if self._is_pressed(now_s) else CONFIRM_INTERVAL_S
--- a/src/chervilmill/entry/_store_state.py
+++ b/src/chervilmill/entry/_store_state.py
@@ -24,7 +24,10 @@
 # Live targets whose entries expired during an outage register again within this time of its end.
 REGISTER_AGAIN_S = 2.0
 TIMED_OUT_S = 3.0  # the longest time that calls wait for an answer that is due
-AWAY_AFTER_S = 1.3  # two reads of the reader that confirms the others, with their gossip
+SERVED_LATELY_S = 1.3  # two reads of the reader that confirms the others, with their gossip
+# A VM has to know that the store is away before its copies are too old to act on. Until then it has
+# time for as many reads as show that a store which refuses most of them still serves.
+AWAY_AFTER_S = 1.5
 SILENT_AFTER_S = 0.3  # a call unanswered for this time adds to the silence of all others
 REFUSAL_VALID_S = 3.0  # on a VM that is late since, and may not have read a better answer
 NEWS_S = 0.3  # by which a peer's confirmation has to be later; digests round their ages
@@ -68,14 +71,14 @@
 
     def serves(self, now_s: float) -> bool:
         """Return whether the store has lately answered this VM or a peer linearizably."""
-        return now_s - self.served_s <= AWAY_AFTER_S
+        return now_s - self.served_s <= SERVED_LATELY_S
 
     def is_away(self, now_s: float) -> bool:
         """Return whether nothing shows that the store serves anybody, and a call of this VM failed.
 
         A refusal shows that also to a VM that is late, silence only to one that is on time.
         """
-        if self.serves(now_s):
+        if now_s - self.served_s <= AWAY_AFTER_S:
             return False
         if self.refused_s > self.served_s and now_s - self.refused_s <= REFUSAL_VALID_S:
             return True
--- a/tests/entry/test_confirmation.py
+++ b/tests/entry/test_confirmation.py
@@ -23,6 +23,7 @@
     read_age_s,
 )
 from chervilmill.entry._replica_sync import ReplicaSync
+from chervilmill.entry._store_state import AWAY_AFTER_S
 from chervilmill.peers import SUSPECT_AFTER_S, CopyProof, KindReplica, ReplicaChange
 from chervilmill.platform import Listing, PlatformStore, StoreVersion
 from tests.virtual_time import run_virtually
@@ -321,6 +322,28 @@
     vm.run(scenario())
 
 
+# A store that refused most reads counted as away after few of them, as chance would have it.
+def test_refused_reader_reads_often_until_the_store_counts_as_away() -> None:
+    vm = _Follower(0)
+
+    async def scenario() -> None:
+        served_s = asyncio.get_running_loop().time()
+        vm.store.failure = HttpAnswer(503, b"{}")
+        await asyncio.sleep(CONFIRM_INTERVAL_S)
+        before = len(vm.store.linearizable)
+        while not vm.sync.is_store_away(asyncio.get_running_loop().time()):
+            await asyncio.sleep(0.01)
+        away_s = asyncio.get_running_loop().time()
+        assert away_s - served_s >= AWAY_AFTER_S
+        assert len(vm.store.linearizable) - before >= 4
+        before = len(vm.store.linearizable)
+        await asyncio.sleep(20.0)
+        # The watches are tried again as well, each once a second.
+        assert len(vm.store.linearizable) - before <= 20.0 / PRESSED_INTERVAL_S + 2 * 20.0
+
+    vm.run(scenario())
+
+
 @pytest.mark.parametrize("knows_as_much", [True, False])
 def test_peer_confirms_copies_that_lack_nothing_it_knows(knows_as_much: bool) -> None:
     vm = _Follower(None)
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -109,7 +109,7 @@
 ) -> None:
     """The time counts from the return of the store, not from the removal of the entry."""
     monkeypatch.setattr(_store_state, "REGISTER_AGAIN_S", 0.6)
-    monkeypatch.setattr(_store_state, "AWAY_AFTER_S", 0.05)
+    monkeypatch.setattr(_store_state, "SERVED_LATELY_S", 0.05)
     monkeypatch.setattr(_replica_sync, "RETRY_DELAY_S", 0.02)
     monkeypatch.setattr(_read_schedule, "CONFIRM_INTERVAL_S", 0.1)
     monkeypatch.setattr(_read_schedule, "CONFIRM_RETRY_S", 0.02)
@@ -143,7 +143,7 @@
 ) -> None:
     """A peer that could reach the store all along knows that the target has left."""
     monkeypatch.setattr(_catch_up, "CATCH_UP_DELAY_S", 0.01)
-    monkeypatch.setattr(_store_state, "AWAY_AFTER_S", 0.02)
+    monkeypatch.setattr(_store_state, "SERVED_LATELY_S", 0.02)
     kept: list[float | None] = []
     replica = KindReplica(KIND)
 
