--- a/tests/soak/test_compactions.py
+++ b/tests/soak/test_compactions.py
@@ -3,6 +3,8 @@
 import asyncio
 from pathlib import Path
 
+import pytest
+
 from soak.options import SoakOptions
 from soak.run import Soak
 
@@ -13,12 +15,13 @@
     assert any(attempt.status == 200 for attempt in soak.history.attempts.values())
 
 
-def test_change_that_watches_did_not_hear_of_has_no_effect(tmp_path: Path) -> None:
+@pytest.mark.parametrize("seed", [3, 12, 13])
+def test_change_that_watches_did_not_hear_of_has_no_effect(tmp_path: Path, seed: int) -> None:
     options = SoakOptions(
-        3,
+        seed,
         seconds=10.0,
         vms=6,
-        network=122,
+        network=130 + seed,
         disturbs_store=False,
         is_calm=True,
         compactions=True,
