Have the stub of a VM without news take what the digest says of proofs

test_peer_with_an_older_configuration_decides_on_a_relayed_request failed since digests say whether proofs are listed: its stub of handle_peer_versions takes no keywords, so that the first digest ended the VM, and callers got 503. The test's assertions are unchanged.

--- a/tests/entry/test_relay_basis.py
+++ b/tests/entry/test_relay_basis.py
@@ -51,7 +51,7 @@
 
 def _cut_off_from_news(site: SiteUnderTest, monkeypatch: pytest.MonkeyPatch) -> None:
     """Keep a VM from all changes, of the store and of its peers."""
-    monkeypatch.setattr(site.vm._sync, "handle_peer_versions", lambda *_: None)
+    monkeypatch.setattr(site.vm._sync, "handle_peer_versions", lambda *_, **__: None)
 
 
 def _refuse(pair: Pair, number: int) -> None:
