Confirm no copy by a list that is behind, also after history is gone

The list that follows a 410, or a contradiction of a peer, confirmed its copy whatever version it stated; only the lists that confirm copies at short intervals were checked. Such a list is not the store's present state, and the same conclusion is now drawn in one place, CopyUpdates.apply_listing. A list that cannot be used counts for the pause before the next one, as an accepted one does: without that, three cases of test_restored_store.py found 52,000 to 56,000 calls without a pause. Found on the last read of the change; the new case of test_confirmation.py failed before.

--- a/src/chervilmill/entry/_confirmation.py
+++ b/src/chervilmill/entry/_confirmation.py
@@ -33,7 +33,6 @@
 from chervilmill.logs import log_event, log_problem
 from chervilmill.peers import CopyProof, KindReplica
 from chervilmill.platform import (
-    EarlierEraError,
     PlatformStore,
     StoreBusyError,
     StoreError,
@@ -201,17 +200,11 @@
         return [replica for kind, replica in self._replicas.items() if kind != self._listed_kind]
 
     async def _list(self, replica: KindReplica, began_s: float) -> StoreVersion:
-        """List a kind for a read that began at a time; return the version that the store states.
-
-        A list that is behind what was proven when it was called is not the store's present state.
-        """
+        """List a kind for a read that began at a time; return the version that the store states."""
         called_s, known = asyncio.get_running_loop().time(), replica.as_of
         listing = await self._store.list_all(replica.kind, CONFIRM_TIMEOUT_S)
         self._record_answer(called_s, listing.pages)
-        if listing.as_of < known:
-            message = f"the list is as of {listing.as_of}, before {known}"
-            raise EarlierEraError(message, step="confirm", peer="store")
-        self._updates.apply_listing(replica, listing, began_s)
+        self._updates.apply_listing(replica, listing, began_s, known)
         self.confirm(replica, began_s, began_s)
         return listing.as_of
 
--- a/src/chervilmill/entry/_copy_updates.py
+++ b/src/chervilmill/entry/_copy_updates.py
@@ -15,7 +15,13 @@
 from chervilmill.entry._watch_position import WatchPosition
 from chervilmill.logs import log_event, log_problem
 from chervilmill.peers import CopyProof, KindReplica, ReplicaChange
-from chervilmill.platform import Listing, StoreVersion, WatchEvent, WatchResult
+from chervilmill.platform import (
+    EarlierEraError,
+    Listing,
+    StoreVersion,
+    WatchEvent,
+    WatchResult,
+)
 
 LIST_AGAIN_S = 5.0  # between the lists of a copy that peers go on contradicting
 
@@ -71,8 +77,16 @@
         # Proofs of peers that a copy did not match, with the times of their reads.
         self._unmatched: dict[str, tuple[CopyProof, float, Address | None]] = {}
 
-    def apply_listing(self, replica: KindReplica, listing: Listing, began_s: float) -> None:
-        """Apply a linearizable list that began at a time."""
+    def apply_listing(
+        self, replica: KindReplica, listing: Listing, began_s: float, known: StoreVersion
+    ) -> None:
+        """Apply a linearizable list that began at a time, when a version was proven here.
+
+        Raise EarlierEraError for a list that is behind it, which is not the store's present state.
+        """
+        if listing.as_of < known:
+            message = f"the list is as of {listing.as_of}, before {known}"
+            raise EarlierEraError(message, step="list", peer="store")
         before, before_as_of = replica.proof(), replica.as_of
         change = replica.apply_listing(listing, began_s)
         if change is not None:
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -194,6 +194,7 @@
                 if self._is_of_replica(kind, exc):
                     self._ahead_of_replica.add(kind)
                     continue
+                lists_without_watch += kind in self._to_list  # the list itself could not be used
                 self._to_list.add(kind)
                 log_event(
                     "history is gone",
@@ -284,15 +285,15 @@
                 catch_up.handle_proof(host, proofs[kind].version)
 
     async def _list(self, replica: KindReplica) -> None:
-        began_s = asyncio.get_running_loop().time()
+        began_s, known = asyncio.get_running_loop().time(), replica.as_of
         timeout_s = LIST_TIMEOUT_S * 2 ** self._silent_calls.get(replica.kind, 0)
         timeout_s = min(timeout_s, MAX_LIST_TIMEOUT_S)
         self._store_state.record_call(began_s)
         with self._store_state.open_call(replica.kind, began_s):
             listing = await self._store.list_all(replica.kind, timeout_s)
+        self._updates.apply_listing(replica, listing, began_s, known)
         self._to_list.discard(replica.kind)
         self._record_listed(replica.kind, began_s, listing.pages)
-        self._updates.apply_listing(replica, listing, began_s)
         self._updates.positions[replica.kind].read(replica.as_of)
 
     async def _watch(self, replica: KindReplica) -> None:
--- a/tests/entry/test_confirmation.py
+++ b/tests/entry/test_confirmation.py
@@ -455,6 +455,23 @@
     vm.run(scenario())
 
 
+# The list after history was gone confirmed a copy although it was behind what was proven.
+def test_list_that_is_behind_confirms_no_copy_after_history_is_gone() -> None:
+    vm = _Follower(None)
+
+    async def scenario() -> None:
+        vm.store.revision -= 1
+        before_s = vm.sync.copy_ages_s()[OTHER]
+        vm.sync._list_again(OTHER)
+        await asyncio.sleep(3 * CALL_S)
+        assert vm.sync.copy_ages_s()[OTHER] >= before_s + 3 * CALL_S
+        vm.store.revision += 1
+        await asyncio.sleep(3.0)
+        assert vm.sync.copy_ages_s()[OTHER] < 3.0
+
+    vm.run(scenario())
+
+
 # The revision that a list states also counts where the objects of other kinds have not changed.
 def test_unchanged_kinds_are_listed_once_for_each_revision_of_the_store() -> None:
     vm = _Follower(0)
