--- a/review/8/case.py
+++ b/review/8/case.py
@@ -28,7 +28,7 @@
 DEADLINE_MS = 4000  # of orders, on that sheet
 TIMEOUT_S = 2.5  # of their route, on that sheet
 WORK_S = 0.05
-PAUSE_S = 2.0  # in which the caller reads nothing, once for each answer
+PAUSE_S = 2.2  # in which the caller reads nothing, once for each answer
 ALLOWED = 3  # by the rule
 
 
