--- a/review/10/case.py
+++ b/review/10/case.py
@@ -101,7 +101,7 @@
     tasks = []
     for number in range(REQUESTS):
         tasks.append(asyncio.create_task(call(number)))
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(0.01)
     await asyncio.gather(*tasks)
     false_lengths = sum(len(written.false_lengths) for written in answers)
     record.say("counted", false_lengths=false_lengths, **counts)
