Frame each answer in one way, and break it off if its chunks contradict its length

A faulty target stated a length beside the chunks of its answer. Cause: no part decided how an answer is framed. The HTTP library read the chunks, and the length was passed on with the other headers; the library's error at the second piece came when the caller had the first, which was whole by that length. Our own interface did the same, as the warning of its library and a raw target show, and took `+12`, `1_2`, `identity` and two codings.

framing.py decides for both front doors. A length beside chunks is not passed on (RFC 9112, section 6.3). If the chunks hold another number of bytes, the answer is lost, or broken off once its caller has a part: a wrong length and cut or added chunks look alike. Requests relayed between VMs and orders kept in the ledger use the same client.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -11,11 +11,11 @@
 from chervilmill.aio._headers import Headers, header_value
 from chervilmill.aio._sockets import discard_unsent_on_close
 from chervilmill.errors import ChervilmillError
+from chervilmill.framing import BodyCount, Framing, FramingError, read_framing
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for a peer that sends no Keep-Alive time-out
 MAX_INTERIM_ANSWERS = 16  # before the final answer; a peer may send them without end
 MAX_STATUS = 599
-NO_BODY_STATUSES = frozenset({204, 304})
 IDLE_TIMEOUT_SHARE = 0.85  # of the peer's time-out, so that no request crosses the peer's close
 
 
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """The status and the headers of an answer."""
+    """The status and the headers of an answer, of which at most one length frames the body."""
 
     status: int
     headers: Headers
@@ -67,7 +67,8 @@
         self.exchanges = 0
         self.has_answer_head = False
         self.has_stated_ids = False
-        self._is_ended_by_close = False
+        self._framing = Framing(has_body=False, is_chunked=False, length=None)
+        self._body_count = BodyCount(self._framing)
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._method = b"GET"
         self._sending_h11 = self._h11
@@ -107,35 +108,49 @@
         for _ in range(1 + MAX_INTERIM_ANSWERS):
             event = await self._read_event()
             if isinstance(event, h11.Response):
-                self._check_head(event)
+                headers = self._check_head(event)
                 self.has_answer_head = True
                 self._update_idle_timeout(event)
-                return AnswerHead(event.status_code, list(event.headers))
+                return AnswerHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise self._exchange_error("read head", "the connection ended before an answer")
         raise self._exchange_error("read head", "too many interim answers")
 
-    def _check_head(self, event: h11.Response) -> None:
-        """Raise ExchangeError for an invalid status, and note whether the answer has a length."""
+    def _check_head(self, event: h11.Response) -> Headers:
+        """Note how the answer ends and return the headers to use, or raise ExchangeError."""
         if event.status_code > MAX_STATUS:  # h11 refuses those below 200
             raise self._exchange_error("read head", f"invalid status {event.status_code}")
-        has_body = self._method != b"HEAD" and event.status_code not in NO_BODY_STATUSES
-        names = {name for name, _ in event.headers}
-        is_framed = b"content-length" in names or b"transfer-encoding" in names
-        self._is_ended_by_close = has_body and not is_framed
+        headers = list(event.headers)
+        try:
+            self._framing = read_framing(self._method, event.status_code, headers)
+        except FramingError as exc:
+            raise self._exchange_error("read head", str(exc)) from exc
+        self._body_count = BodyCount(self._framing)
+        return self._framing.forwarded_headers(headers)
 
     async def read_part(self) -> bytes | None:
         """Return the next part of the answer's body, or None at its end."""
         event = await self._read_event()
         if isinstance(event, h11.Data):
+            self._count_body(event)
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            if self._is_ended_by_close and not self._is_request_written:
+            self._count_body(event)
+            if self._framing.is_ended_by_close and not self._is_request_written:
                 message = "the answer without a length ended before the request was written"
                 raise self._exchange_error("read body", message)
             return None
         raise self._exchange_error("read body", "the connection ended within the answer")
 
+    def _count_body(self, event: h11.Data | h11.EndOfMessage) -> None:
+        try:
+            if isinstance(event, h11.Data):
+                self._body_count.add(len(event.data))
+            else:
+                self._body_count.end()
+        except FramingError as exc:
+            raise self._exchange_error("read body", str(exc)) from exc
+
     @property
     def _is_request_written(self) -> bool:
         """Return whether the whole request has been passed to the system."""
@@ -162,6 +177,7 @@
         """End the exchange and return whether the connection can carry another."""
         is_sent = self._sending_h11.our_state is h11.DONE
         is_whole = is_sent and self._h11.their_state is h11.DONE
+        is_whole = is_whole and not self._framing.is_stated_twice
         if not is_whole or self._parser_bytes or self.is_lost or self.has_ended:
             return False
         self._begin_next_cycle()
--- a/src/chervilmill/targets/_answer.py
+++ b/src/chervilmill/targets/_answer.py
@@ -6,6 +6,7 @@
 
 import urllib3
 
+from chervilmill.framing import BodyCount, Framing, FramingError, Header
 from chervilmill.targets._connection_pool import Connection, ConnectionPool
 from chervilmill.targets._errors import AnswerShortError, ExchangeCancelledError, TargetError
 from chervilmill.targets._model import TargetRequest
@@ -13,6 +14,11 @@
 READ_BYTES = 64 * 1024
 
 
+def encode_headers(resp: urllib3.HTTPResponse) -> list[Header]:
+    """Return the headers of an answer as bytes, with repeated ones apart."""
+    return [(name.encode("latin-1"), text.encode("latin-1")) for name, text in resp.headers.items()]
+
+
 class TargetAnswer:
     """Implements Answer on one HTTP connection.
 
@@ -21,9 +27,11 @@
     """
 
     __slots__ = (
+        "_body_count",
         "_conn",
         "_pool",
         "_deadline_s",
+        "_framing",
         "_is_closed",
         "_is_complete",
         "_on_extra_bytes",
@@ -36,6 +44,7 @@
     def __init__(
         self,
         resp: urllib3.HTTPResponse,
+        framing: Framing,
         conn: Connection,
         sock: socket.socket,
         pool: ConnectionPool,
@@ -45,6 +54,8 @@
         on_extra_bytes: Callable[[], None],
     ) -> None:
         self._resp = resp
+        self._framing = framing
+        self._body_count = BodyCount(framing)
         self._conn = conn
         self._sock = sock
         self._pool = pool
@@ -62,14 +73,15 @@
 
     @property
     def headers(self) -> tuple[tuple[str, str], ...]:
-        """Return the headers in their order."""
-        return tuple(self._resp.headers.items())
+        """Return the headers, of which at most one length frames the body."""
+        headers = self._framing.forwarded_headers(encode_headers(self._resp))
+        return tuple((name.decode("latin-1"), text.decode("latin-1")) for name, text in headers)
 
     def chunks(self) -> Iterator[bytes]:
         """Yield parts as they arrive, or raise TargetError if the answer breaks off."""
         try:
             yield from self._parts()
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
+        except (urllib3.exceptions.HTTPError, FramingError, OSError) as exc:
             raise self._error_for(str(exc)) from exc
         if self._req.cancellation.reason is not None:
             raise self._error_for("cancelled")
@@ -98,7 +110,9 @@
             self._apply_deadline()
             part = next(parts, None)
             if part is None:
+                self._body_count.end()
                 return
+            self._body_count.add(len(part))
             yield part
 
     def _apply_deadline(self) -> None:
@@ -113,6 +127,8 @@
         if getattr(original, "extra_bytes", False):
             self._on_extra_bytes()
             return False
+        if self._framing.is_stated_twice:
+            return False
         return self._conn.sock is not None
 
     def _error_for(self, message: str) -> TargetError:
--- a/src/chervilmill/targets/_client.py
+++ b/src/chervilmill/targets/_client.py
@@ -9,8 +9,9 @@
 
 from chervilmill.coordination import Vm
 from chervilmill.documents import decode_document
+from chervilmill.framing import Framing, FramingError, read_framing
 from chervilmill.requests import TargetCondition
-from chervilmill.targets._answer import TargetAnswer
+from chervilmill.targets._answer import TargetAnswer, encode_headers
 from chervilmill.targets._connection_pool import Connection, ConnectionPool
 from chervilmill.targets._errors import (
     AnswerCrossedError,
@@ -29,7 +30,6 @@
 FIRST_STATUS = 200  # of a final answer
 LAST_STATUS = 599
 FIRST_FAILURE_STATUS = 400
-_NO_BODY_STATUSES = frozenset({204, 304})
 
 
 class BodyReadError(Exception):
@@ -71,11 +71,17 @@
         sock = conn.socket
         try:
             resp = _send_and_read_headers(conn, req, deadline_s)
+            framing = _checked_framing(req, resp)
         except BodyReadError as exc:
             _discard_connection(conn, req)
             assert isinstance(exc.__cause__, OSError)
             raise exc.__cause__ from None
-        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError) as exc:
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            FramingError,
+            OSError,
+        ) as exc:
             req.cancellation.detach(sock)
             conn.close()
             _raise_exchange_error(exc, req, target)
@@ -83,9 +89,17 @@
             _discard_connection(conn, req)
             raise
         answer = TargetAnswer(
-            resp, conn, sock, self._pool, req, target.name, deadline_s, self._on_extra_bytes
+            resp,
+            framing,
+            conn,
+            sock,
+            self._pool,
+            req,
+            target.name,
+            deadline_s,
+            self._on_extra_bytes,
         )
-        _check_headers(answer, req, resp, target)
+        _check_id(answer, req, resp, target)
         return answer
 
     def is_reachable(self, target: Vm) -> bool:
@@ -199,7 +213,20 @@
     raise AnswerLostError(str(exc), step="read headers", peer=target.name) from exc
 
 
-def _check_headers(
+def _checked_framing(req: TargetRequest, resp: urllib3.HTTPResponse) -> Framing:
+    """Return how the body of an answer ends, or raise FramingError.
+
+    The library, which reads the body, takes some values that state no length or coding.
+    """
+    framing = read_framing(req.method.encode(), resp.status, encode_headers(resp))
+    if framing.is_ended_by_close:
+        raise FramingError("answer states neither its length nor its parts")
+    if framing.has_body and framing.is_chunked != resp.chunked:
+        raise FramingError("invalid Transfer-Encoding")
+    return framing
+
+
+def _check_id(
     answer: TargetAnswer, req: TargetRequest, resp: urllib3.HTTPResponse, target: Vm
 ) -> None:
     echoed = resp.headers.get(REQUEST_ID_HEADER)
@@ -207,8 +234,3 @@
         answer.close()
         message = f"answer carries request id {echoed!r} instead of {req.request_id!r}"
         raise AnswerCrossedError(message, step="read headers", peer=target.name)
-    has_body = req.method != "HEAD" and resp.status not in _NO_BODY_STATUSES
-    if has_body and not resp.chunked and "Content-Length" not in resp.headers:
-        answer.close()
-        message = "answer states neither its length nor its parts"
-        raise AnswerLostError(message, step="read headers", peer=target.name)
