Pass on the length that an answer without a body states

On the platform's front door, callers of a HEAD, and of a GET answered with 304, got `Content-Length: 0` in place of the length of the body that a GET would get. Cause: an answer that is complete within 30 ms was written anew with the length of the bytes received. The framing now says whether an answer has a body; the head of one that has none goes out as the target stated it. The three cases of test_length_of_an_answer_without_a_body_is_replaced failed before and pass now.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -37,10 +37,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """The status and the headers of an answer, of which at most one length frames the body."""
+    """The status and the headers of an answer, of which at most one length frames the body.
+
+    The length of an answer without a body is that of the body a GET would get (RFC 9110, 8.6).
+    """
 
     status: int
     headers: Headers
+    has_body: bool = True
 
 
 class ClientConnection(H11Connection):
@@ -111,7 +115,7 @@
                 headers = self._check_head(event)
                 self.has_answer_head = True
                 self._update_idle_timeout(event)
-                return AnswerHead(event.status_code, headers)
+                return AnswerHead(event.status_code, headers, self._framing.has_body)
             if not isinstance(event, h11.InformationalResponse):
                 raise self._exchange_error("read head", "the connection ended before an answer")
         raise self._exchange_error("read head", "too many interim answers")
--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -293,7 +293,7 @@
     async def _relay_answer(self, conn: ClientConnection, answer: AnswerHead) -> None:
         headers = end_to_end(answer.headers)
         buffered, is_whole = await _buffer_start(conn)
-        if is_whole:
+        if is_whole and answer.has_body:
             unframed = [item for item in headers if item[0] != b"content-length"]
             await self._caller.answer(answer.status, unframed, b"".join(buffered))
             return
--- a/tests/entry/test_answer_framing.py
+++ b/tests/entry/test_answer_framing.py
@@ -161,3 +161,35 @@
             await pair.stop()
 
     run_async(scenario)
+
+
+# A caller was told that the answer to its HEAD, or a 304, stands for an empty body.
+@pytest.mark.parametrize(
+    ("method", "status", "stated"),
+    [("HEAD", b"200 OK", b"36"), ("HEAD", b"404 No", b"7"), ("GET", b"304 Same", b"36")],
+)
+def test_length_of_an_answer_without_a_body_is_replaced(
+    tmp_path: Path, method: str, status: bytes, stated: bytes
+) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        request_id = head.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
+        writer.write(HEAD.replace(b"200 OK", status) + b"X-Chervilmill-Request-Id: " + request_id)
+        writer.write(b"\r\nContent-Length: " + stated + END)
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=()) as site:
+            address = free_address()
+            server = await asyncio.start_server(serve, address.host, address.port)
+            entry = StandInTarget("t1").entry("app", address, "north-a", 2)
+            site.store.put("servers", "t1", entry)
+            await site.settle()
+            try:
+                answer = await site.ask("/read/a", method)
+            finally:
+                server.close()
+            assert answer.status == int(status[:3])
+            assert (answer.is_whole, answer.body) == (True, b"")
+            assert answer.headers[b"content-length"] == stated
+
+    run_async(scenario)
