Take a chunk with an invalid size for a broken answer on our own interface

A target that states a size below zero for a chunk made the library raise a ValueError, which no part of a node expects: the caller got an internal error, the request was not sent again, and the failure was not recorded against the target. TargetAnswer.chunks now raises TargetError for it. FramingError is a ValueError as well. The case "-5" of test_invalid_size_of_a_chunk_is_no_failure_of_the_target failed before (ValueError) and passes now, four others passed.

--- a/src/chervilmill/targets/_answer.py
+++ b/src/chervilmill/targets/_answer.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from chervilmill.framing import BodyCount, Framing, FramingError, Header
+from chervilmill.framing import BodyCount, Framing, Header
 from chervilmill.targets._connection_pool import Connection, ConnectionPool
 from chervilmill.targets._errors import AnswerShortError, ExchangeCancelledError, TargetError
 from chervilmill.targets._model import TargetRequest
@@ -81,7 +81,8 @@
         """Yield parts as they arrive, or raise TargetError if the answer breaks off."""
         try:
             yield from self._parts()
-        except (urllib3.exceptions.HTTPError, FramingError, OSError) as exc:
+        except (urllib3.exceptions.HTTPError, ValueError, OSError) as exc:
+            # The library lets a ValueError through for the size of a chunk below zero.
             raise self._error_for(str(exc)) from exc
         if self._req.cancellation.reason is not None:
             raise self._error_for("cancelled")
--- a/tests/targets/test_truncated_answers.py
+++ b/tests/targets/test_truncated_answers.py
@@ -138,3 +138,11 @@
             b"".join(got.chunks())
         finally:
             got.close()
+
+
+# The size of a chunk that is below zero raised an error that nobody expected, and left no mark.
+@pytest.mark.parametrize("size", [b"-5", b"-1", b"", b"x", b"5" * 5000])
+def test_invalid_size_of_a_chunk_is_no_failure_of_the_target(size: bytes) -> None:
+    answer = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + size + b"\r\nwhole\r\n0\r\n\r\n"
+    with _answering(answer) as target, pytest.raises(TargetError):
+        _read_whole(target)
