Refuse addresses that no other VM can be reached at

First of three causes: parse_address took what ipaddress takes, which includes zones. A zone names an interface of the machine that wrote it; resolvers take such an address for a host name, and the IDNA codec raises UnicodeError for it. Ports in digits of other scripts and half a pair of brackets were taken too.

Addresses have no zone anywhere. Those of other writers must be a destination by RFC 6890, not lead back to the VM through loopback unless it has a loopback address itself, and on the platform not be one at which the VM serves. This holds for targets, registrations of entry VMs, the platform's list and its copies from peers on our own interface.

What an unforeseen error does to a task and to an attempt is not changed here.

--- a/src/chervilmill/coordination/_codec.py
+++ b/src/chervilmill/coordination/_codec.py
@@ -3,7 +3,7 @@
 from base64 import b64decode, b64encode
 from typing import Any
 
-from chervilmill.addresses import parse_address
+from chervilmill.addresses import parse_remote_address
 from chervilmill.coordination._model import StoredObject, Vm, VmRole, VmState, WatchResult
 from chervilmill.documents import MALFORMED_ERRORS, is_readable
 from chervilmill.logs import log_problem
@@ -75,8 +75,8 @@
         service=_text(raw["service"]),
         region=_text(raw["region"]),
         failure_domain=_text(raw["failure_domain"]),
-        address=parse_address(raw["address"]),
-        nodes=None if nodes is None else parse_address(nodes),
+        address=parse_remote_address(raw["address"]),
+        nodes=None if nodes is None else parse_remote_address(nodes),
     )
 
 
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -95,7 +95,12 @@
         self._membership = Membership(settings.name, int(time.time()), rng, settings.failure_domain)
         fleet = TargetFleet(settings.name, settings.region, settings.regions, rng)
         self._site_state = SiteState(
-            fleet, self._membership, own, self._clock, settings.target_heartbeat_interval_s
+            fleet,
+            self._membership,
+            own,
+            self._clock,
+            settings.target_heartbeat_interval_s,
+            settings.listen_addresses,
         )
         guards = derive_guards(
             settings.memory_mb,
@@ -230,7 +235,7 @@
                 lambda: CONTROL_LIMITS,
                 guards["peers"],
             ),
-            Address(settings.host, settings.metrics_port): HttpServer(
+            settings.metrics_address: HttpServer(
                 self._answer_metrics, lambda: CONTROL_LIMITS, guards["metrics"]
             ),
         }
--- a/src/chervilmill/entry/_site_state.py
+++ b/src/chervilmill/entry/_site_state.py
@@ -1,7 +1,8 @@
 """Apply changes of the store's objects to the state of the site and log each change."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
+from chervilmill.addresses import Address, is_reachable_from
 from chervilmill.logs import log_event, log_problem
 from chervilmill.overload import TargetFleet
 from chervilmill.peers import Membership, Peer, ReplicaChange
@@ -46,7 +47,8 @@
 
     `on_lifetime_change` is called for each target that is removed or registers a new lifetime, and
     `on_configuration_change` with each configuration that comes into force.
-    `heartbeat_s` is the interval at which targets renew their entries.
+    `heartbeat_s` is the interval at which targets renew their entries. This VM itself serves at
+    `own_addresses`.
 
     When the store comes back from an older copy, evacuations and entry VMs that it lacks are kept
     for WRITTEN_AGAIN_S. This VM itself is not kept, so that it registers again.
@@ -59,6 +61,7 @@
         own: Peer,
         clock: Callable[[], float],
         heartbeat_s: float,
+        own_addresses: Collection[Address] = (),
     ) -> None:
         self.view = SiteView()
         self.configuration_revision = 0  # of the object in force
@@ -67,6 +70,7 @@
         self._own = own
         self._clock = clock
         self._heartbeat_s = heartbeat_s
+        self._own_addresses = frozenset(own_addresses)
         self._missing_until_s: dict[tuple[str, str], float] = {}
         self._evacuated: set[str] = set()
         self._registered_vms: dict[str, Peer] = {}
@@ -132,6 +136,7 @@
     def _put_target(self, stored: StoredObject, *, is_restored: bool) -> list[ViewChange]:
         try:
             target = read_target(stored)
+            self._check_leads_elsewhere(target)
         except InvalidObjectError as exc:
             _log_refused_entry(exc)
             return self.view.remove_target(stored.name)
@@ -142,6 +147,16 @@
             return self.view.put_restored_target(target, until_s)
         return self.view.put_target(target)
 
+    def _check_leads_elsewhere(self, target: Target) -> None:
+        """Raise InvalidObjectError for a target at an address of this VM."""
+        self._check_reachable(target.name, target.address.host)
+        if target.address in self._own_addresses:
+            raise _unreachable_error(target.name, str(target.address))
+
+    def _check_reachable(self, name: str, host: str) -> None:
+        if not is_reachable_from(host, self._own.host):
+            raise _unreachable_error(name, host)
+
     def _apply_evacuations(self, change: ReplicaChange) -> None:
         self._evacuated.difference_update(self._removed_for_good(EVACUATION_KIND, change))
         for stored in change.written:
@@ -160,6 +175,7 @@
         for stored in change.written:
             try:
                 read = read_registration(stored)
+                self._check_reachable(stored.name, read.host)
             except InvalidObjectError as exc:
                 self._registered_vms.pop(stored.name, None)
                 _log_refused_entry(exc)
@@ -190,6 +206,11 @@
                     self.on_configuration_change(new)
 
 
+def _unreachable_error(name: str, address: str) -> InvalidObjectError:
+    message = f"{address} leads to this VM itself"
+    return InvalidObjectError(message, step="check address", peer=name)
+
+
 def _log_refused_entry(exc: InvalidObjectError) -> None:
     log_problem("entry refused", step=exc.step, peer=exc.peer, error=exc.message)
 
--- a/src/chervilmill/nodes/_service.py
+++ b/src/chervilmill/nodes/_service.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from chervilmill.addresses import parse_address
+from chervilmill.addresses import is_reachable_from, parse_remote_address
 from chervilmill.coordination import (
     ConfigurationCache,
     Directory,
@@ -16,6 +16,7 @@
     VmRole,
     VmState,
 )
+from chervilmill.logs import log_problem
 from chervilmill.metrics import Metrics
 from chervilmill.nodes._allotments import Caps
 from chervilmill.nodes._allotter_lease import AllotterLease
@@ -63,6 +64,7 @@
         rng = random.Random()
         self._directory = directory
         self._own = _own_member(settings.node)
+        self._own_host = settings.node.nodes.host
         self._lease = AllotterLease(platform, settings.node.name, self._is_root)
         caps = Caps(_link_caps(settings.links), settings.limits.most_nodes)
         self._machine = NodeMachine(self._own, configuration, rng, caps, self._lease.epoch)
@@ -181,10 +183,20 @@
             self._present_count = len(present)
             self._is_relay = is_relay(machine.membership.own, present)
             dead = frozenset(member.name for member in members.dead())
-            alive = tuple(_vm(member) for member in present.values())
+            alive = tuple(vm for vm in map(_usable_vm, present.values()) if vm is not None)
             self._directory.update_members(EntryMembers(alive, dead))
         if generations[1] != before[1]:
-            self._directory.update_list(machine.vms.current())
+            self._directory.update_list(self._reachable(machine.vms.current()))
+
+    def _reachable(self, vms: Iterable[Vm]) -> tuple[Vm, ...]:
+        """Return the VMs without those whose address would lead back to this one."""
+        reachable: list[Vm] = []
+        for vm in vms:
+            if is_reachable_from(vm.address.host, self._own_host):
+                reachable.append(vm)
+            else:
+                log_problem("entry refused", step="list VMs", peer=vm.name, error=str(vm.address))
+        return tuple(reachable)
 
 
 def _own_member(node: Node) -> Member:
@@ -204,6 +216,15 @@
     return caps
 
 
+def _usable_vm(member: Member) -> Vm | None:
+    """Return the VM of a member, or None if its addresses cannot be read."""
+    try:
+        return _vm(member)
+    except ValueError as exc:
+        log_problem("entry refused", step="list members", peer=member.name, error=str(exc))
+        return None
+
+
 def _vm(member: Member) -> Vm:
     return Vm(
         name=member.name,
@@ -212,6 +233,6 @@
         service="",
         region=member.region,
         failure_domain=member.failure_domain,
-        address=parse_address(member.callers),
-        nodes=parse_address(member.nodes),
+        address=parse_remote_address(member.callers),
+        nodes=parse_remote_address(member.nodes),
     )
--- a/src/chervilmill/nodes/_vm_list.py
+++ b/src/chervilmill/nodes/_vm_list.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from chervilmill.addresses import parse_address
+from chervilmill.addresses import parse_remote_address
 from chervilmill.coordination import Vm, VmRole, VmState
 from chervilmill.nodes._actions import Outbox
 from chervilmill.nodes._messages import VmChanges, VmEntry, VmsPull
@@ -219,8 +219,8 @@
         service=entry.service,
         region=entry.region,
         failure_domain=entry.failure_domain,
-        address=parse_address(entry.address),
-        nodes=parse_address(entry.nodes) if entry.nodes else None,
+        address=parse_remote_address(entry.address),
+        nodes=parse_remote_address(entry.nodes) if entry.nodes else None,
     )
 
 
--- a/src/chervilmill/platform/_objects.py
+++ b/src/chervilmill/platform/_objects.py
@@ -4,13 +4,12 @@
 is used.
 """
 
-import ipaddress
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
 
-from chervilmill.addresses import parse_address
+from chervilmill.addresses import parse_remote_address, parse_remote_host
 from chervilmill.documents import MALFORMED_ERRORS
 from chervilmill.errors import ChervilmillError
 from chervilmill.platform._fields import (
@@ -92,8 +91,7 @@
     """Return the registration of an entry VM, or raise InvalidObjectError."""
     with _reading("read registration", stored):
         read_text(stored.name)
-        host = read_token(stored.content["host"])
-        ipaddress.ip_address(host)
+        host = parse_remote_host(read_token(stored.content["host"]))
         return EntryVmRegistration(host, read_text(stored.content["failure_domain"]))
 
 
@@ -177,7 +175,7 @@
         name=read_token(stored.name),
         incarnation=read_integer(raw.get("born", 0), 0, MAX_INTEGER),
         service=read_text(raw["service"]),
-        address=parse_address(read_token(raw["address"])),
+        address=parse_remote_address(read_token(raw["address"])),
         failure_domain=read_text(raw["zone"]),
         slots=max(1, read_integer(raw["slots"], 0, MAX_SLOTS)),
         is_draining=_IS_DRAINING_BY_STATE[raw["state"]],
--- a/src/chervilmill/platform/_settings.py
+++ b/src/chervilmill/platform/_settings.py
@@ -80,6 +80,23 @@
         """Return where this VM takes requests that peers relay; gossip uses the port over UDP."""
         return Address(self.host, self.gossip_port)
 
+    @property
+    def metrics_address(self) -> Address:
+        """Return where this VM serves its metrics."""
+        return Address(self.host, self.metrics_port)
+
+    @property
+    def listen_addresses(self) -> tuple[Address, ...]:
+        """Return all addresses at which this VM serves over TCP."""
+        return (
+            self.caller_address,
+            self.lookup_address,
+            self.readiness_address,
+            self.peer_address,
+            self.relay_address,
+            self.metrics_address,
+        )
+
 
 def read_settings(path: Path) -> EntrySettings:
     """Return the settings in a file, or raise SettingsError that names the wrong field."""
--- a/tests/coordination/test_foreign_entries.py
+++ b/tests/coordination/test_foreign_entries.py
@@ -53,6 +53,15 @@
 PARTS = [b"null", b"[]", b"9" * 401, b"9" * 5000, b"NaN", b"[" * 5000 + b"]" * 5000, b'"\\ud800"']
 ODD_ADDRESSES = [b"10.0.0.1:" + port for port in (b"65536", b"0", b"-1", b"8e1", b"", b"9" * 5000)]
 
+UNREACHABLE = [
+    b"[fe80::1%a..b]:80",
+    b"[fe80::1%" + b"x" * 64 + b"]:80",
+    b"[fe80::1]:80",
+    b"0.0.0.0:80",
+    b"224.0.0.1:80",
+    b"255.255.255.255:80",
+]
+
 
 # One malformed entry ended the thread that reads the list of VMs.
 @pytest.mark.parametrize("part", PARTS, ids=lambda part: part[:12].decode())
@@ -66,6 +75,16 @@
     assert [vm.name for vm in platform.vms()] == ["t-1"]
 
 
+# A VM was listed at an address with a zone, or at one of nobody.
+@pytest.mark.parametrize("name", ["address", "nodes"])
+@pytest.mark.parametrize("address", UNREACHABLE, ids=lambda address: address[:16].decode())
+def test_vm_that_no_other_can_reach_is_listed(
+    monkeypatch: pytest.MonkeyPatch, address: bytes, name: str
+) -> None:
+    platform = _platform(monkeypatch, _with_part(VM, name, b'"' + address + b'"'))
+    assert [vm.name for vm in platform.vms()] == ["t-1"]
+
+
 @pytest.mark.parametrize("address", ODD_ADDRESSES, ids=lambda address: address[9:15].decode())
 def test_vm_with_a_port_out_of_range_costs_only_that_vm(
     monkeypatch: pytest.MonkeyPatch, address: bytes
--- a/tests/nodes/test_vms.py
+++ b/tests/nodes/test_vms.py
@@ -149,3 +149,16 @@
 @pytest.mark.parametrize(("nodes", "most_calls_per_s"), [(1, 2), (12, 2), (100, 2), (800, 2)])
 def test_readings_of_all_nodes_together_are_bounded(nodes: int, most_calls_per_s: int) -> None:
     assert nodes / read_interval_s(nodes) <= most_calls_per_s
+
+
+# A peer of an earlier version passed on a VM at an address with a zone.
+@pytest.mark.parametrize("address", ["[fe80::1%a..b]:80", "[fe80::1]:80", "0.0.0.0:80"])
+def test_vm_that_no_other_can_reach_is_taken_over_from_a_peer(address: str) -> None:
+    first, second, outbox = pair()
+    first.merge_reading((LIVE, JOINED), 20.0)
+    sent = [a.message for a in outbox.take_actions() if isinstance(a, Send)]
+    for message in sent:
+        if isinstance(message, VmChanges):
+            odd = tuple(replace(entry, address=address) for entry in message.entries)
+            second.receive("first", VmChanges(odd), 20.1)
+    assert [vm.name for vm in second.current()] == [LIVE.name]
