Treat an unforeseen error of an attempt as any other failure of its target

Any other error left Attempt.run unrecorded: the target was not ejected, the request not sent elsewhere, and the server closed the connection.

connect turns any error into ConnectError, as nothing was sent. An attempt that meets another error ends as NOT_SENT, LOST or BROKEN_OFF, which eject the target, retry what may be retried and let orders end with 502. Errors outside of an attempt are answered with 502, as 500 would state a run. Errors that belong to the caller pass as before.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -241,7 +241,7 @@
             _, conn = await loop.create_connection(
                 lambda: ClientConnection(held), address.host, address.port
             )
-    except (OSError, TimeoutError) as exc:
+    except Exception as exc:  # nothing was sent, whatever the reason
         message = str(exc) or type(exc).__name__
         error = ConnectTimeoutError if isinstance(exc, TimeoutError) else ConnectError
         raise error(message, step="connect", peer=str(address)) from exc
--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -25,6 +25,7 @@
 from chervilmill.entry._body import ReplayableBody
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._reader_pace import ReaderPace
+from chervilmill.errors import ChervilmillError
 from chervilmill.platform import (
     ORGANISATION_HEADERS,
     TARGET_HEADERS,
@@ -51,6 +52,7 @@
 # Of an answer that is of no use, more is not read: the connection is closed instead.
 MAX_DISCARDED_BYTES = 64 * 1024
 DISCARD_S = 0.25
+MAX_DETAIL_CHARACTERS = 200
 # Sent by a target that is not the one named in the request.
 MISDIRECTED_STATUS = 421
 
@@ -182,6 +184,8 @@
         except ConnectError as exc:
             has_timed_out = isinstance(exc, ConnectTimeoutError)
             return AttemptResult(AttemptEnd.NOT_SENT, detail=str(exc), has_timed_out=has_timed_out)
+        except Exception as exc:
+            return AttemptResult(AttemptEnd.NOT_SENT, detail=_describe_unforeseen(exc))
         connect_s = loop.time() - began_s if conn.exchanges == 0 else None
         time_left_s = deadline_s - loop.time()
         if time_left_s <= 0.0 or not self._may_send():
@@ -199,15 +203,23 @@
             if idle_s is not None and not conn.has_answer_head and broke_early:
                 self._pool.close_idle(self._target)
                 self._pool.record_drop(self._target, idle_s)
-            end = AttemptEnd.BROKEN_OFF if self._caller.has_begun_answer else AttemptEnd.LOST
-            wait_s = self._reader_pace.longest_wait_s
-            return AttemptResult(end, detail=str(exc), connect_s=connect_s, reader_wait_s=wait_s)
+            return self._unanswered_result(str(exc), connect_s)
+        except ChervilmillError:  # of the caller, who breaks off or sends a malformed body
+            raise
+        except Exception as exc:
+            return self._unanswered_result(_describe_unforeseen(exc), connect_s)
         finally:
             if is_done and (self._is_answer_identified or not self.requires_ids):
                 self._pool.release(self._target, conn)
             else:
                 conn.abort()
 
+    def _unanswered_result(self, detail: str, connect_s: float | None) -> AttemptResult:
+        """Return the result of an attempt that was sent and whose answer is not complete."""
+        end = AttemptEnd.BROKEN_OFF if self._caller.has_begun_answer else AttemptEnd.LOST
+        wait_s = self._reader_pace.longest_wait_s
+        return AttemptResult(end, detail=detail, connect_s=connect_s, reader_wait_s=wait_s)
+
     async def _exchange(
         self, conn: ClientConnection, time_left_s: float, connect_s: float | None
     ) -> AttemptResult:
@@ -305,6 +317,11 @@
         self._caller.end_answer()
 
 
+def _describe_unforeseen(exc: Exception) -> str:
+    """Return the detail for an error that no step expects; the attempt fails as after any other."""
+    return f"unforeseen error: {exc!r:.{MAX_DETAIL_CHARACTERS}}"
+
+
 def _spoiled_reason(answer: AnswerHead, answer_headers: AnswerHeaders) -> str:
     """Return why an answer cannot be the target's own, or an empty string if it can."""
     if 200 <= answer.status < 300 and not answer_headers.is_sealed:
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -22,6 +22,7 @@
 from chervilmill.entry._request_log import log_end, log_refusal
 from chervilmill.entry._site_state import SiteState
 from chervilmill.errors import ChervilmillError
+from chervilmill.logs import log_problem
 from chervilmill.metrics import Metrics
 from chervilmill.overload import CallerAgeEstimator
 from chervilmill.platform import (
@@ -36,6 +37,8 @@
 TIMEOUT_SLACK_S = 0.05  # lets an answer that a target sends at the deadline arrive
 # The final answer is sent this long before the caller stops waiting, so that it still arrives.
 FINAL_ANSWER_MARGIN_S = 0.03
+NO_PROMISE_STATUS = 502  # on the platform, 500 states that the request has run
+MAX_ERROR_CHARACTERS = 256
 STOPPING_RETRY_AFTER_S = 0.05  # another entry VM can serve the retry immediately
 
 
@@ -76,7 +79,28 @@
         await self.forward(caller, head, Origin(caller.host.rpartition(":")[0]))
 
     async def forward(self, caller: ServerConnection, head: RequestHead, origin: Origin) -> None:
-        """Answer a request that came from a caller or from a peer that relays it."""
+        """Answer a request that came from a caller or from a peer that relays it.
+
+        After an error that no step expects, the answer promises nothing about the request.
+        """
+        try:
+            await self._forward(caller, head, origin)
+        except ChervilmillError:  # of the caller
+            raise
+        except Exception as exc:
+            log_problem(
+                "request failed",
+                step="forward",
+                peer=caller.host,
+                error=repr(exc)[:MAX_ERROR_CHARACTERS],
+            )
+            self._metrics.count_refusal("", RefusalReason.INTERNAL_ERROR)
+            if caller.has_begun_answer:
+                caller.abort()
+                return
+            await caller.answer(NO_PROMISE_STATUS, refusal_headers(None), b"")
+
+    async def _forward(self, caller: ServerConnection, head: RequestHead, origin: Origin) -> None:
         began_s = asyncio.get_running_loop().time()
         basis = self._basis_reader.read(began_s)
         request_headers = read_request(head.headers)
@@ -134,7 +158,7 @@
             self._dispatcher.count_request(progress.service)
         try:
             return await self._dispatcher.run(progress)
-        except ChervilmillError:  # of the caller, who breaks off or sends a malformed body
+        except Exception:  # mostly of the caller, who breaks off or sends a malformed body
             self._allowances.give_back_unused(progress)
             raise
 
--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chervilmill.addresses import Address
 from chervilmill.aio import (
     ClientConnection,
     ConnectError,
@@ -79,6 +80,29 @@
     run_async(scenario)
 
 
+# An error that was not foreseen left the request unrecorded, and ended the task that probes targets.
+@pytest.mark.parametrize(
+    "address",
+    [
+        Address("fe80::1%" + "x" * 64, 80),
+        Address("fe80::1%a..b", 80),
+        Address("a\0b", 80),
+        Address("\udc80", 80),
+        Address("", 80),
+        Address("127.0.0.1", 70_000),
+        Address("127.0.0.1", -1),
+        Address("127.0.0.1", 10**30),
+    ],
+    ids=lambda address: ascii(str(address))[:20],
+)
+def test_address_that_cannot_be_used_raises_no_connect_error(address: Address) -> None:
+    async def scenario() -> None:
+        with pytest.raises(ConnectError):
+            await connect(address, 0.5)
+
+    run_async(scenario)
+
+
 @pytest.mark.parametrize(
     ("header", "idle_s"),
     [
