Drop a datagram that raises an unforeseen error, and nothing else

A datagram whose handling raises anything but an error of ours left the handler. Where datagrams are received by the tick that polls the socket, this ended the task of the tick and, as any task's end does, the entry VM; the datagrams behind it waited.

Both cases of test_error_for_a_datagram_costs_more_than_that_datagram failed before and pass now.

--- a/src/chervilmill/peers/_endpoint.py
+++ b/src/chervilmill/peers/_endpoint.py
@@ -129,8 +129,14 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | int, ...]) -> None:
         """Merge received reports or a digest, and reply if needed; log and drop all else."""
-        now_s = asyncio.get_running_loop().time()
         host = str(addr[0])
+        try:
+            self._handle_datagram(data, host)
+        except Exception as exc:  # what others send never costs more than their datagram
+            log_problem("datagram dropped", step="receive", peer=host, reason=repr(exc)[:256])
+
+    def _handle_datagram(self, data: bytes, host: str) -> None:
+        now_s = asyncio.get_running_loop().time()
         try:
             if any(channel.receive(data, host, now_s) for channel in self._channels):
                 return
--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -80,7 +80,7 @@
     run_async(scenario)
 
 
-# An error that was not foreseen left the request unrecorded, and ended the task that probes targets.
+# An unforeseen error left the request unrecorded, and ended the task that probes targets.
 @pytest.mark.parametrize(
     "address",
     [
--- a/tests/entry/test_unforeseen_errors.py
+++ b/tests/entry/test_unforeseen_errors.py
@@ -1,13 +1,16 @@
 """Serve callers although a part of an entry VM meets an error that nobody foresaw."""
 
+import asyncio
 from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
+from chervilmill.addresses import Address
 from chervilmill.aio import ClientConnection
 from chervilmill.entry import _attempt, _dispatch, _forward
 from chervilmill.entry._pool import TargetPool
+from chervilmill.peers import _endpoint
 from chervilmill.routing import Target
 from tests.entry.harness import SiteUnderTest, running_site
 from tests.support import run_async
@@ -95,3 +98,35 @@
             assert await _served(site, 2) == 2
 
     run_async(scenario)
+
+
+# A datagram that raised an error within a tick ended the task that ticks, and with it the VM.
+@pytest.mark.parametrize("step", ["decode_digest", "receive"])
+def test_error_for_a_datagram_costs_more_than_that_datagram(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, step: str
+) -> None:
+    failed = 0
+
+    def fail(*_: object) -> None:
+        nonlocal failed
+        failed += 1
+        raise RuntimeError("unforeseen")
+
+    async def scenario() -> None:
+        async with running_site(tmp_path) as site:
+            gossip = site.vm._gossip
+            own = Address(site.vm._settings.host, site.vm._settings.gossip_port)
+            with monkeypatch.context() as patch:
+                if step == "receive":
+                    patch.setattr(gossip._membership, "receive", fail)
+                else:
+                    patch.setattr(_endpoint, step, fail)
+                for _ in range(3):
+                    gossip.send_digest(own)
+                gossip.poll()
+                await asyncio.sleep(0.3)
+            assert failed >= 3
+            assert not site.vm._stop_requested.is_set()
+            assert await _served(site, 2) == 2
+
+    run_async(scenario)
