Start background tasks anew after an unforeseen error

On our own interface an unforeseen error ended a thread instead, with nothing in the log of the product: without the caller watch, for example, no deadline passes any more.

In the caller watch and for links between nodes, each call is guarded on its own.

--- a/src/chervilmill/callers/_prober.py
+++ b/src/chervilmill/callers/_prober.py
@@ -8,6 +8,7 @@
 from chervilmill.callers._slots import TargetSlots
 from chervilmill.coordination import Vm
 from chervilmill.requests import TargetCondition
+from chervilmill.supervision import supervised_thread
 
 PROBE_INTERVAL_S = 0.1
 PROBE_THREADS = 4
@@ -31,7 +32,7 @@
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._pool = ThreadPoolExecutor(PROBE_THREADS, thread_name_prefix="probe")
-        self._thread = threading.Thread(target=self._run, name="prober", daemon=True)
+        self._thread = supervised_thread("prober", self._run)
 
     def start(self) -> None:
         """Start probing."""
--- a/src/chervilmill/callers/_watch.py
+++ b/src/chervilmill/callers/_watch.py
@@ -7,7 +7,10 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 
+from chervilmill.logs import log_problem
+from chervilmill.supervision import supervised_thread
 from chervilmill.targets import CancelReason
 
 MAX_WAIT_S = 1.0
@@ -80,7 +83,7 @@
         self._is_stopped = False
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._epoll.register(self._wake_reader.fileno(), select.EPOLLIN)
-        self._thread = threading.Thread(target=self._run, name="caller watch", daemon=True)
+        self._thread = supervised_thread("caller watch", self._run)
 
     def start(self) -> None:
         """Start watching."""
@@ -134,9 +137,9 @@
     def _run(self) -> None:
         while not self._is_stopped:
             for fileno, _ in self._epoll.poll(self._wait_s()):
-                self._on_event(fileno)
+                _call(partial(self._on_event, fileno))
             for timer in self._due_timers():
-                timer.fire()
+                _call(timer.fire)
 
     def _on_event(self, fileno: int) -> None:
         if fileno == self._wake_reader.fileno():
@@ -159,3 +162,11 @@
             while self._timers and self._timers[0][0] <= time.monotonic():
                 due.append(heapq.heappop(self._timers)[2])
         return due
+
+
+def _call(action: Callable[[], None]) -> None:
+    """Make a call whose error must not cost the other requests their cancellation."""
+    try:
+        action()
+    except Exception as exc:
+        log_problem("call failed", step="caller watch", peer="self", error=repr(exc)[:256])
--- a/src/chervilmill/coordination/_order_ledger.py
+++ b/src/chervilmill/coordination/_order_ledger.py
@@ -34,6 +34,7 @@
     commit_changes,
     decode_cached_shard,
 )
+from chervilmill.supervision import supervised_thread
 
 ORDERS_KIND = "orders"
 ORDER_SHARDS = 128
@@ -68,11 +69,11 @@
         self._is_store_failing = False
         self._stopped = threading.Event()
         self._threads = [
-            threading.Thread(target=self._write_due_shards, name=f"orders-{index}", daemon=True)
+            supervised_thread("write orders", self._write_due_shards, f"orders-{index}")
             for index in range(WRITER_THREADS)
         ]
         self._threads.append(
-            threading.Thread(target=self._schedule_outcomes, name="orders-records", daemon=True)
+            supervised_thread("record orders", self._schedule_outcomes, "orders-records")
         )
 
     @property
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -3,10 +3,10 @@
 import asyncio
 import random
 import time
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
-from typing import Any
 
 from prometheus_client import generate_latest
 
@@ -62,6 +62,7 @@
     read_settings,
 )
 from chervilmill.routing import CallerLimits, Target
+from chervilmill.supervision import keep_running
 
 REGISTER_TIMEOUT_S = 2.0
 REGISTER_RETRY_S = 2.0
@@ -248,13 +249,13 @@
             await server.listen(address)
         await self._gossip.open(self._settings.host)
         for kind in KINDS:
-            self._spawn(self._sync.run(kind))
-        self._spawn(self._sync.confirmer.run())
-        self._spawn(self._gossip.run())
-        self._spawn(self._become_ready())
-        self._spawn(self._tick())
-        self._spawn(self._reach.run())
-        self._spawn(self._loop_watch.run())
+            self._spawn(f"follow {kind}", partial(self._sync.run, kind))
+        self._spawn("confirm copies", self._sync.confirmer.run)
+        self._spawn("gossip", self._gossip.run)
+        self._spawn("become ready", self._become_ready)
+        self._spawn("tick", self._tick)
+        self._spawn("reach targets", self._reach.run)
+        self._spawn("watch loop", self._loop_watch.run)
         await self._stop_requested.wait()
         await self._stop()
 
@@ -420,7 +421,7 @@
         self._set_serving(False)
         for server in (self._caller_server, self._relay_server):
             server.announce_close()
-        self._spawn(self._gossip.announce_leaving())
+        self._spawn("announce leaving", self._gossip.announce_leaving)
         grace_s = self._settings.bounds.stop_grace_s
         self._forwarder.serves_until_s = requested_s + grace_s - EXIT_BEFORE_GRACE_END_S
         await asyncio.sleep(max(0.0, grace_s - REFUSE_BEFORE_GRACE_END_S))
@@ -482,13 +483,12 @@
             200, [(b"content-type", b"text/plain")], generate_latest(self._metrics.registry)
         )
 
-    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coro)
+    def _spawn(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a background task, which starts anew after an unforeseen error."""
+        work = keep_running(name, run, self._count_failure)
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
+        task.add_done_callback(self._tasks.discard)
 
-    def _handle_task_end(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log_problem("task failed", step="run", peer="self", error=repr(task.exception()))
-            self._stop_requested.set()
+    def _count_failure(self, task: str) -> None:
+        self._metrics.task_failures.labels(task).inc()
--- a/src/chervilmill/metrics.py
+++ b/src/chervilmill/metrics.py
@@ -139,6 +139,12 @@
             ["limit"],
             registry=self.registry,
         )
+        self.task_failures = Counter(
+            "chervilmill_task_failures",
+            "Background tasks of an entry VM that met an unforeseen error and were started anew",
+            ["task"],
+            registry=self.registry,
+        )
         self.held_bytes = Gauge(
             "chervilmill_held_bytes",
             "Bytes held for all callers: input, unsent output, bodies kept to be sent again",
--- a/src/chervilmill/nodes/_allotter_lease.py
+++ b/src/chervilmill/nodes/_allotter_lease.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from chervilmill.coordination import Lease, ObjectStore
+from chervilmill.supervision import supervised_thread
 
 LEASE_NAME = "allotter"
 LEASE_DURATION_S = 60.0
@@ -23,7 +24,7 @@
         self._lease = Lease(store, LEASE_NAME, holder, LEASE_DURATION_S, time.monotonic)
         self._is_root = is_root
         self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="allotter lease", daemon=True)
+        self._thread = supervised_thread("allotter lease", self._run)
 
     def epoch(self) -> int:
         """Return the epoch of the lease while it is held, else 0."""
--- a/src/chervilmill/nodes/_paced_calls.py
+++ b/src/chervilmill/nodes/_paced_calls.py
@@ -4,6 +4,8 @@
 import time
 from collections.abc import Callable
 
+from chervilmill.supervision import supervised_thread
+
 
 class PacedCalls:
     """Threads that begin a call when it is due, whether or not earlier ones have been answered.
@@ -24,8 +26,7 @@
         self._turn = threading.Lock()
         self._stopped = threading.Event()
         self._threads = [
-            threading.Thread(target=self._run, name=f"{name}-{index}", daemon=True)
-            for index in range(max_open)
+            supervised_thread(name, self._run, f"{name}-{index}") for index in range(max_open)
         ]
 
     def start(self) -> None:
--- a/src/chervilmill/nodes/_readers.py
+++ b/src/chervilmill/nodes/_readers.py
@@ -14,6 +14,7 @@
 )
 from chervilmill.nodes._paced_calls import PacedCalls
 from chervilmill.nodes._transport import Transport
+from chervilmill.supervision import supervised_thread
 
 NO_WAIT_S = 0.0  # time-out of a watch that is answered at once
 WATCH_TIMEOUT_S = 5.0
@@ -92,7 +93,7 @@
         self._lateness_s = 0.0
         self._lock = threading.Lock()
         self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="configuration", daemon=True)
+        self._thread = supervised_thread("configuration", self._run)
         self._polls = PacedCalls(
             "configuration", MAX_OPEN_POLLS, lambda: POLL_INTERVAL_S, self._poll
         )
--- a/src/chervilmill/nodes/_transport.py
+++ b/src/chervilmill/nodes/_transport.py
@@ -25,6 +25,7 @@
 )
 from chervilmill.nodes._machine import TICK_S, NodeMachine
 from chervilmill.nodes._messages import Member, Message
+from chervilmill.supervision import keep_running
 
 HANDSHAKE_TIMEOUT_S = 2.0
 DIAL_TIMEOUT_S = 1.5
@@ -105,7 +106,7 @@
             server_header=None,
             logger=_LOGGER,
         )
-        self._spawn(self._tick())
+        self._spawn(keep_running("node ticks", self._tick, lambda _: None))
 
     async def _stop(self) -> None:
         await self._flush_queues()
@@ -182,6 +183,9 @@
                 )
         except (OSError, TimeoutError, InvalidHandshake, EOFError):
             return
+        except Exception as exc:  # of an address that another writer listed
+            log_problem("link not opened", step="dial", peer=action.address, error=repr(exc)[:256])
+            return
         finally:
             self._dialling.discard(action.address)
         await self._run_link(connection, self._dialling_handshake(connection))
--- a/src/chervilmill/steering/_runner.py
+++ b/src/chervilmill/steering/_runner.py
@@ -37,6 +37,7 @@
     decode_state,
 )
 from chervilmill.steering._topology import Array
+from chervilmill.supervision import supervised_thread
 
 LEASE_NAME = "steering"
 LEASE_DURATION_S = 9.0
@@ -137,7 +138,7 @@
         self._epoch = 0
         self._tasks: dict[str, ShiftTask] = {}
         self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="steering", daemon=True)
+        self._thread = supervised_thread("steering", self._run)
 
     def start(self) -> None:
         """Start the thread that carries out confirmed plans."""
--- a/tests/entry/test_unforeseen_errors.py
+++ b/tests/entry/test_unforeseen_errors.py
@@ -9,10 +9,15 @@
 from chervilmill.addresses import Address
 from chervilmill.aio import ClientConnection
 from chervilmill.entry import _attempt, _dispatch, _forward
+from chervilmill.entry._confirmation import CopyConfirmer
+from chervilmill.entry._entry_vm import EntryVm
+from chervilmill.entry._loop_watch import LoopWatch
 from chervilmill.entry._pool import TargetPool
-from chervilmill.peers import _endpoint
+from chervilmill.entry._reach import ReachTracker
+from chervilmill.entry._replica_sync import ReplicaSync
+from chervilmill.peers import GossipEndpoint, _endpoint
 from chervilmill.routing import Target
-from tests.entry.harness import SiteUnderTest, running_site
+from tests.entry.harness import SiteUnderTest, running_site, until
 from tests.support import run_async
 
 
@@ -100,6 +105,47 @@
     run_async(scenario)
 
 
+TASKS = [
+    (ReplicaSync, "run"),
+    (CopyConfirmer, "run"),
+    (GossipEndpoint, "run"),
+    (ReachTracker, "run"),
+    (LoopWatch, "run"),
+    (EntryVm, "_tick"),
+    (EntryVm, "_become_ready"),
+]
+
+
+# The first error of any background task ended the whole entry VM.
+@pytest.mark.parametrize(("owner", "name"), TASKS, ids=lambda part: getattr(part, "__name__", part))
+def test_error_of_a_background_task_ends_the_vm(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, owner: type, name: str
+) -> None:
+    run = getattr(owner, name)
+    starts = 0
+
+    async def fail_first(*args: object) -> None:
+        nonlocal starts
+        starts += 1
+        if starts <= 2:
+            raise RuntimeError("unforeseen")
+        await run(*args)
+
+    async def has_started() -> bool:
+        return starts >= 3
+
+    async def scenario() -> None:
+        monkeypatch.setattr(owner, name, fail_first)
+        async with running_site(tmp_path) as site:
+            await until(has_started)
+            assert await _served(site, 4) == 4
+            assert not site.vm._stop_requested.is_set()
+            samples = site.vm._metrics.task_failures.collect()[0].samples
+            assert sum(s.value for s in samples if s.name.endswith("_total")) == 2.0
+
+    run_async(scenario)
+
+
 # A datagram that raised an error within a tick ended the task that ticks, and with it the VM.
 @pytest.mark.parametrize("step", ["decode_digest", "receive"])
 def test_error_for_a_datagram_costs_more_than_that_datagram(
