Count an unforeseen error of an exchange against its target on our own interface too

A caller whose request met an unforeseen error in the exchange with a target got 500, no other target was tried, and the target was chosen again for the next request: the attempt ended as if its caller had cancelled it. It now fails as after a lost answer, so that idempotent requests go elsewhere and orders end with 502 and an unknown outcome. Errors of reading the caller's body stay the caller's. A ValueError of the library counts as a failed connection, probe or exchange.

--- a/src/chervilmill/callers/_attempt_run.py
+++ b/src/chervilmill/callers/_attempt_run.py
@@ -85,8 +85,13 @@
                 answer.close()
             if isinstance(exc, TargetError):
                 raise self._failure_for_error(exc) from exc
-            self._end_attempt(AttemptEnd.CANCELLED)
-            raise
+            if _is_of_caller(exc) or not isinstance(exc, Exception):
+                self._end_attempt(AttemptEnd.CANCELLED)
+                raise
+            error = AnswerLostError(
+                f"unforeseen error: {exc!r:.200}", step="send", peer=self._target.name
+            )
+            raise self._failure_for_error(error) from exc
         self._first_part_s = time.monotonic() - self._started_s
         return forwarded
 
@@ -252,6 +257,11 @@
         self._slots.release(self._target.name, end, held_s, self._first_part_s)
 
 
+def _is_of_caller(exc: BaseException) -> bool:
+    """Return whether reading the caller's body raised an error."""
+    return isinstance(exc, Refusal | OSError)
+
+
 _DROP_REASONS: dict[type[TargetError], DropReason] = {
     AnswerCrossedError: DropReason.CROSSED,
     AnswerShortError: DropReason.SHORT,
--- a/src/chervilmill/peers/_datagram_socket.py
+++ b/src/chervilmill/peers/_datagram_socket.py
@@ -62,7 +62,7 @@
             self._socket.sendto(data, addr)
         except BlockingIOError:
             log_problem("datagram not delivered", step="gossip", peer=str(addr), error="no room")
-        except (OSError, ValueError) as exc:  # a host that is no address raises UnicodeError
+        except (OSError, ValueError) as exc:  # the latter for a host that is no address
             self._protocol.error_received(exc)
 
     def is_closing(self) -> bool:
--- a/src/chervilmill/targets/_client.py
+++ b/src/chervilmill/targets/_client.py
@@ -79,7 +79,7 @@
         except (
             urllib3.exceptions.HTTPError,
             http.client.HTTPException,
-            FramingError,
+            ValueError,
             OSError,
         ) as exc:
             req.cancellation.detach(sock)
@@ -107,7 +107,7 @@
         conn = Connection(target.address, MAX_CONNECT_S)
         try:
             conn.connect()
-        except (urllib3.exceptions.HTTPError, OSError):
+        except (urllib3.exceptions.HTTPError, ValueError, OSError):
             return False
         finally:
             conn.close()
@@ -123,7 +123,7 @@
             conn.request("GET", HEALTH_PATH, preload_content=False, decode_content=False)
             resp = conn.getresponse()
             return _condition_in(resp.status, _read_start(resp, deadline_s))
-        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException, ValueError, OSError):
             return None
         finally:
             conn.close()
@@ -136,7 +136,7 @@
         conn = Connection(target.address, min(timeout_s, MAX_CONNECT_S))
         try:
             conn.connect()
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
+        except (urllib3.exceptions.HTTPError, ValueError, OSError) as exc:
             conn.close()
             raise TargetUnreachableError(str(exc), step="connect", peer=target.name) from exc
         return conn
--- a/tests/entry/test_foreign_addresses.py
+++ b/tests/entry/test_foreign_addresses.py
@@ -70,7 +70,7 @@
     run_async(scenario)
 
 
-# A registration whose host is resolved as a name ended the task that sends digests, and the VM.
+# A registration whose host is no destination was taken for a peer.
 @pytest.mark.parametrize("address", ADDRESSES, ids=lambda address: address[:24])
 def test_peer_that_no_vm_can_reach_is_sent_digests(tmp_path: Path, address: str) -> None:
     async def scenario() -> None:
