Tell a peer that reads slowly from one that is gone

Uploads that a target left unread for 2.2 or 4 s ended in 502. Cause: TCP_USER_TIMEOUT of 1.5 s on every connection, which Linux also applies while the peer acknowledges the probes of its closed window.

No open connection has the option any more. While a peer has not taken all bytes, it is looked at every 0.25 s: one that acknowledges nothing at seven checks in a row counts as gone, after 1.5 to 1.75 s; one that has acknowledged all that was sent only keeps its window closed. Callers are cut after 10 s in which they take nothing, also of what the system holds, with a reset; targets, peers and the store have the deadline of the request. Keep-alive gives up after one probe, at 3 s as before. A connection to be closed is ended for writing, and kept until its caller has taken the answer.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -201,7 +201,7 @@
             if event is not h11.NEED_DATA:
                 return event
             if self.is_lost:
-                raise self._exchange_error("read answer", "the connection was reset")
+                raise self._exchange_error("read answer", self._describe_loss())
             await self._wait_for_change()
 
     @property
@@ -218,12 +218,15 @@
 
     def _send_event(self, event: h11.Request | h11.Data | h11.EndOfMessage) -> None:
         if self.is_lost:
-            raise self._exchange_error("send", "the connection was reset")
+            raise self._exchange_error("send", self._describe_loss())
         try:
             self._write(event, self._sending_h11)
         except h11.LocalProtocolError as exc:
             raise self._exchange_error("send", str(exc)) from exc
 
+    def _describe_loss(self) -> str:
+        return "the peer is silent" if self.is_peer_silent else "the connection was reset"
+
     def _exchange_error(self, step: str, message: str) -> ExchangeError:
         return ExchangeError(message, step=step, peer=self.host)
 
--- a/src/chervilmill/aio/_flow.py
+++ b/src/chervilmill/aio/_flow.py
@@ -7,12 +7,20 @@
 import h11
 
 from chervilmill.aio._guard import HeldBytes
-from chervilmill.aio._sockets import enable_dead_peer_detection
+from chervilmill.aio._sockets import (
+    count_unacknowledged,
+    enable_dead_peer_detection,
+    has_closed_window,
+)
 
 # One read of asyncio has up to 256 KiB by default, by which a connection may pass its read-ahead.
 MAX_READ_BYTES = 64 * 1024
 # Unsent bytes above which a connection waits for its peer to read.
 MAX_UNSENT_BYTES = 32 * 1024
+# A peer that acknowledges nothing at so many checks in a row, in 1.5 s or more, counts as gone. It
+# is below the grace period of a retry; a round trip between regions takes about 0.1 s.
+PEER_CHECK_S = 0.25
+MAX_SILENT_CHECKS = 7
 
 
 class H11Connection(asyncio.Protocol):
@@ -20,6 +28,9 @@
 
     `held_bytes` is the part of this connection in `held`: the bytes that the parser holds, those
     that could not be sent yet, and those that its user keeps.
+
+    A peer that leaves bytes unacknowledged for some time counts as gone. One that has acknowledged
+    them and closed its window only reads slowly, for as long as the user of the connection allows.
     """
 
     def __init__(self, h11_connection: h11.Connection, held: HeldBytes) -> None:
@@ -32,7 +43,12 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._is_reading_paused = False
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self._silent_checks = 0
+        self._peer_check: asyncio.TimerHandle | None = None
         self.is_lost = False
+        self.is_peer_silent = False
         self.has_ended = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -77,6 +93,8 @@
         self._release()
         self._changed.set()
         self._can_write.set()
+        if self._peer_check is not None:
+            self._peer_check.cancel()
 
     def pause_writing(self) -> None:
         """Block writers while the transport's buffer is full."""
@@ -175,6 +193,9 @@
         data = (h11_connection or self._h11).send(event)
         if data and self._transport is not None and not self.is_lost:
             self._transport.write(data)
+            self._written_bytes += len(data)
+            if self._peer_check is None:
+                self._schedule_peer_check()
             if not self._can_write.is_set():
                 self._update_held()
                 if self._held.total > self._held.max_bytes:
@@ -183,3 +204,40 @@
     async def _flush(self) -> None:
         if not self._can_write.is_set():
             await self._can_write.wait()
+
+    def _schedule_peer_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._peer_check = loop.call_later(PEER_CHECK_S, self._check_peer)
+
+    def _check_peer(self) -> None:
+        """Tell a peer that is gone from one that reads slowly, until it has taken all bytes."""
+        self._peer_check = None
+        if self.is_lost or self._transport is None:
+            return
+        unread = self._count_unread(self._transport)
+        taken = self._written_bytes - unread
+        has_taken, self._taken_bytes = taken > self._taken_bytes, taken
+        is_silent = unread > 0 and not has_taken and not self._is_peer_slow(self._transport)
+        self._silent_checks = self._silent_checks + 1 if is_silent else 0
+        if self._silent_checks >= MAX_SILENT_CHECKS:
+            self.is_peer_silent = True
+            self.abort()
+            return
+        self._handle_unread(unread, has_taken=has_taken)
+        if unread and not self.is_lost:
+            self._schedule_peer_check()
+
+    def _is_peer_slow(self, transport: asyncio.Transport) -> bool:
+        sock = transport.get_extra_info("socket")
+        return sock is not None and has_closed_window(sock)
+
+    def _count_unread(self, transport: asyncio.Transport) -> int:
+        """Return how many bytes the peer has not taken, here and in the system's buffer."""
+        sock = transport.get_extra_info("socket")
+        return transport.get_write_buffer_size() + (count_unacknowledged(sock) if sock else 0)
+
+    def _handle_unread(self, unread: int, *, has_taken: bool) -> None:
+        """Decide about a peer that has left a number of bytes unread.
+
+        Called at each check; `has_taken` says whether the peer has taken any since the last one.
+        """
--- a/src/chervilmill/aio/_limited.py
+++ b/src/chervilmill/aio/_limited.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from contextlib import suppress
 
 import h11
 
@@ -11,13 +10,13 @@
 from chervilmill.aio._headers import Headers
 from chervilmill.aio._request import CallerGoneError
 from chervilmill.aio._sockets import (
-    count_unacknowledged,
     discard_unsent_on_close,
     has_peer_closed,
+    limit_delivery_after_close,
 )
 
 LINGER_S = 1.0  # time for a refused caller to read its answer while it still sends its body
-# A caller that reads nothing of an answer for this long is cut. Route time-outs are mostly shorter.
+# A caller that takes nothing of an answer for this long is cut, whatever its deadline.
 UNREAD_LIMIT_S = 10.0
 # While a connection is not read, its end is not seen, so it is looked for at this interval.
 GONE_CHECK_S = 0.25
@@ -35,10 +34,17 @@
         self._guard = guard
         self._requests_since_read = 0
         self._is_refused = False
+        self._is_closing = False
+        self._unread_since_s: float | None = None
         self._task: asyncio.Task[None] | None = None
 
     def data_received(self, data: bytes) -> None:
-        """Pass bytes to the parser; the first of a refused connection are answered with 503."""
+        """Pass bytes to the parser; the first of a refused connection are answered with 503.
+
+        What arrives while the connection closes is dropped.
+        """
+        if self._is_closing:
+            return
         if self._is_refused:
             self._answer_refused()
             return
@@ -58,16 +64,30 @@
         A caller with HTTP/1.0 takes an orderly close for the end of an answer.
         """
         is_begun = self._h11.our_state is h11.SEND_BODY
-        if is_begun and not self.is_lost and self._transport is not None:
-            discard_unsent_on_close(self._transport)
+        if not self.is_lost and self._transport is not None:
+            if is_begun:
+                discard_unsent_on_close(self._transport)
+            elif self._count_unread(self._transport):
+                limit_delivery_after_close(self._transport, UNREAD_LIMIT_S)
         super().abort()
 
     def close(self) -> None:
-        """Close the connection once buffered bytes are sent, or after a time if they are not."""
-        super().close()
-        with suppress(NotImplementedError):  # a transport may have no flow control
-            if self._transport is not None and self._transport.get_write_buffer_size():
-                asyncio.get_running_loop().call_later(UNREAD_LIMIT_S, self.abort)
+        """End the connection, and close it once the caller has taken what was written.
+
+        A caller that takes nothing for UNREAD_LIMIT_S is cut, which the system would not do for a
+        connection that is closed.
+        """
+        transport = self._transport
+        if transport is None or self._is_closing:
+            return
+        self._is_closing = True
+        if self.is_lost or not self._count_unread(transport):
+            super().close()
+            return
+        if transport.can_write_eof():
+            transport.write_eof()
+        if self._peer_check is None:
+            self._schedule_peer_check()
 
     @property
     def is_low_on_memory(self) -> bool:
@@ -107,22 +127,20 @@
             return
         asyncio.get_running_loop().call_later(GONE_CHECK_S, self._check_gone, sock)
 
-    async def _flush(self) -> None:
-        """Wait until the caller reads, and cut it off if it reads nothing for some time."""
-        while not self._can_write.is_set() and self._transport is not None:
-            unsent = self._count_unread(self._transport)
-            try:
-                async with asyncio.timeout(UNREAD_LIMIT_S):
-                    await self._can_write.wait()
-            except TimeoutError:
-                if self._count_unread(self._transport) >= unsent:
-                    self._guard.count(CallerLimit.NOT_READ, self.host)
-                    raise self._caller_gone("send answer") from None
-
-    def _count_unread(self, transport: asyncio.Transport) -> int:
-        """Return how many bytes the caller has not taken, here and in the system's buffer."""
-        sock = transport.get_extra_info("socket")
-        return transport.get_write_buffer_size() + (count_unacknowledged(sock) if sock else 0)
+    def _handle_unread(self, unread: int, *, has_taken: bool) -> None:
+        """Cut a caller that has taken nothing for UNREAD_LIMIT_S, and end a close."""
+        if not unread:
+            self._unread_since_s = None
+            if self._is_closing:
+                super().close()
+            return
+        now_s = asyncio.get_running_loop().time()
+        if has_taken or self._unread_since_s is None:
+            self._unread_since_s = now_s
+        elif now_s - self._unread_since_s >= UNREAD_LIMIT_S and self._transport is not None:
+            self._guard.count(CallerLimit.NOT_READ, self.host)
+            discard_unsent_on_close(self._transport)
+            self.abort()
 
     def _exceeded_limit(self) -> CallerLimit | None:
         """Return the limit for which the request just read is refused, or None."""
--- a/src/chervilmill/aio/_sockets.py
+++ b/src/chervilmill/aio/_sockets.py
@@ -1,4 +1,9 @@
-"""Set the socket options that detect dead peers and discard what a closed connection holds."""
+"""Set the socket options that detect dead peers and discard what a closed connection holds.
+
+TCP_USER_TIMEOUT is not among those of an open connection: it also ends one whose peer is alive and
+reads slowly, as it runs while the peer acknowledges the probes of its closed window. Linux does not
+even start it anew for each such pause.
+"""
 
 import array
 import asyncio
@@ -7,17 +12,18 @@
 import struct
 import termios
 
-# Below the grace period of a retry. A round trip between regions takes about 100 ms.
-USER_TIMEOUT_MS = 1500
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
-MAX_KEEPALIVE_PROBES = 2
+MAX_KEEPALIVE_PROBES = 1
+# Where TCP_INFO has, behind eight bytes and two numbers, the size of segments sent and, behind one
+# more number, how many of them are not acknowledged.
+_SENT_SEGMENTS = struct.Struct("=16xI4xI")
 # States of a connection whose peer has closed its side, as Linux reports them first in TCP_INFO.
 _CLOSED_STATES = frozenset({7, 8})  # TCP_CLOSE and TCP_CLOSE_WAIT
 
 
 def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
-    """Make the kernel end a connection whose peer stops acknowledging packets."""
+    """Make the kernel end an idle connection whose peer acknowledges no probes."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
@@ -25,7 +31,29 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def has_closed_window(sock: socket.socket) -> bool:
+    """Return whether the peer has acknowledged all that was sent.
+
+    If bytes wait to be sent all the same, only its window holds them back.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _SENT_SEGMENTS.size)
+    except OSError:
+        return False
+    if len(info) < _SENT_SEGMENTS.size:
+        return False
+    segment_bytes, unacknowledged = _SENT_SEGMENTS.unpack(info)
+    return segment_bytes > 0 and not unacknowledged
+
+
+def limit_delivery_after_close(transport: asyncio.BaseTransport, limit_s: float) -> None:
+    """Bound for how long the system goes on sending to a peer whose window stays closed."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        limit_ms = int(1000 * limit_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
 
 def discard_unsent_on_close(transport: asyncio.BaseTransport) -> None:
--- a/tests/aio/test_limits.py
+++ b/tests/aio/test_limits.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
@@ -214,6 +215,55 @@
     run_async(scenario)
 
 
+# Such a caller was cut without a reset, so that one with HTTP/1.0 took a part for the whole.
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+@pytest.mark.parametrize("size", [30_000, 3_000_000])
+def test_caller_that_reads_nothing_of_a_written_answer_keeps_its_connection(
+    monkeypatch: pytest.MonkeyPatch, size: int, version: bytes
+) -> None:
+    monkeypatch.setattr(_limited, "UNREAD_LIMIT_S", 1.0)
+    # The connection of HTTP/1.0 is closed after the answer, the rest of which the system sends.
+    is_held_by_system = version == b"1.0" and size == 30_000
+
+    async def answer(conn: ServerConnection, head: RequestHead) -> None:
+        await conn.start_answer(200, [])
+        await conn.send_part(b"x" * size)
+        conn.end_answer()
+
+    def open_and_ask(address: Address) -> socket.socket:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect((address.host, address.port))
+        sock.settimeout(5.0)
+        sock.sendall(b"GET /a HTTP/" + version + b"\r\nHost: x\r\n\r\n")
+        return sock
+
+    def read_all(sock: socket.socket) -> bool:
+        """Return whether the connection is reset before its end."""
+        try:
+            while sock.recv(65_536):
+                pass
+        except ConnectionResetError:
+            return True
+        return False
+
+    async def scenario() -> None:
+        async with guarded(max_bytes=100_000_000) as (made, address):
+            made.server.handler = answer
+            made.server.limits = lambda: replace(LIMITS, idle_s=10.0)
+            sock = await asyncio.to_thread(open_and_ask, address)
+            if is_held_by_system:
+                await asyncio.sleep(3.0)
+            else:
+                await _wait_until(lambda: made.seen[CallerLimit.NOT_READ] == 1)
+            await _wait_until(lambda: not made.server.connections)
+            assert await asyncio.to_thread(read_all, sock)
+            assert made.held.total == 0
+            sock.close()
+
+    run_async(scenario)
+
+
 def test_lines_about_a_limit_are_written_for_each_connection(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/tests/entry/pair.py
+++ b/tests/entry/pair.py
@@ -7,7 +7,14 @@
 from chervilmill.entry._entry_vm import EntryVm
 from chervilmill.platform import EntrySettings, read_settings
 from soak.proxy import Proxy
-from soak.site import VmPorts, configuration, settings, write_settings
+from soak.site import (
+    DEFAULT_ROUTES,
+    RouteRow,
+    VmPorts,
+    configuration,
+    settings,
+    write_settings,
+)
 from soak.store import StandInStore
 from soak.target import StandInTarget
 from tests.entry.harness import SiteUnderTest, is_ready, until
@@ -17,8 +24,9 @@
 class Pair:
     """Two VMs on separate loopback addresses, each with its own link to the store."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, routes: tuple[RouteRow, ...] = DEFAULT_ROUTES) -> None:
         self._folder = folder
+        self._routes = routes
         self.store = StandInStore()
         self.links: list[Proxy] = []
         self.sites: list[SiteUnderTest] = []
@@ -28,7 +36,7 @@
         """Start the store, one target and both VMs."""
         store_address = free_address()
         await self.store.listen(store_address)
-        self.store.put("config", "main", configuration(1))
+        self.store.put("config", "main", configuration(1, self._routes))
         target, address = StandInTarget("t1"), free_address()
         await target.listen(address)
         self.store.put("servers", "t1", target.entry("app", address, "north-a", 1))
--- /dev/null
+++ b/tests/entry/test_slow_readers.py
@@ -0,0 +1,184 @@
+"""Serve callers and use targets that are alive and read slowly, also through a peer."""
+
+import asyncio
+import hashlib
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from chervilmill.addresses import Address
+from soak.site import HOST, RouteRow, configuration
+from soak.store import StandInStore
+from soak.target import StandInTarget
+from tests.entry.harness import running_site
+from tests.entry.pair import Pair
+from tests.entry.test_cut_off_from_targets import _ask_until_found, _Cut
+from tests.support import free_address, run_async
+
+PAUSES_S = (2.2, 4.0)
+SIZES = {"buffered": 30_000, "long": 2_000_000}
+DEADLINE_MS = 12_000
+ROUTES = (
+    RouteRow("reads", "/read/", "safe"),
+    RouteRow("orders", "/order/", "unsafe", timeout_s=10.0),
+    RouteRow("bundles", "/bundle/", "upload", timeout_s=10.0),
+)
+SEALED = b"HTTP/1.1 200 OK\r\nX-Chervilmill-Response-Seal: s\r\n"
+
+
+class _PausingTarget:
+    """A target that pauses before it reads a body, and answers with its digest or a long body."""
+
+    def __init__(self, pause_s: float = 0.0, answer_bytes: int = 0) -> None:
+        self._pause_s = pause_s
+        self._answer_bytes = answer_bytes
+        self._server: asyncio.Server | None = None
+        self.runs = 0
+
+    async def listen(self, store: StandInStore, name: str = "t1") -> None:
+        """Start serving and register."""
+        address = free_address()
+        self._server = await asyncio.start_server(self._serve, address.host, address.port)
+        store.put("servers", name, StandInTarget(name).entry("app", address, "north-a", 2))
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while head := (await reader.readuntil(b"\r\n\r\n")).lower():
+                self.runs += 1
+                request_id = head.split(b"request-id: ")[1].split(b"\r\n")[0]
+                length = 0
+                if b"content-length: " in head:
+                    length = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+                await asyncio.sleep(self._pause_s)
+                writer.transport.resume_reading()  # type: ignore[attr-defined]
+                body = await reader.readexactly(length)
+                answer = hashlib.sha256(body).hexdigest().encode() or b""
+                answer = b"x" * self._answer_bytes if self._answer_bytes else answer
+                id_line = b"X-Chervilmill-Request-Id: " + request_id + b"\r\n"
+                size = b"Content-Length: %d\r\n\r\n" % len(answer)
+                writer.write(SEALED + id_line + size + answer)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+def _ask_slowly(address: Address, request_id: str, pause_s: float) -> tuple[int, int]:
+    """Send an order, read nothing for a time, and return the status and the length of the body."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.settimeout(10.0)
+        sock.connect((address.host, address.port))
+        head = (
+            f"POST /order/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+            f"X-Chervilmill-Request-Id: {request_id}\r\n"
+            f"X-Chervilmill-Deadline-Milliseconds: {DEADLINE_MS}\r\nConnection: close\r\n\r\n"
+        )
+        sock.sendall(head.encode())
+        time.sleep(pause_s)
+        data = b""
+        while part := sock.recv(262_144):
+            data += part
+    return int(data[9:12]), len(data.partition(b"\r\n\r\n")[2])
+
+
+@asynccontextmanager
+async def _relaying(
+    folder: Path, monkeypatch: pytest.MonkeyPatch, target: _PausingTarget
+) -> AsyncIterator[Pair]:
+    """Yield two VMs, the second of which reaches targets only through the first."""
+    pair = Pair(folder, ROUTES)
+    try:
+        await pair.start()
+        cut = _Cut(pair.sites[1], monkeypatch, hangs=False)
+        await _ask_until_found(pair.sites[1])
+        await target.listen(pair.store)
+        await pair.sites[1].settle()
+        yield pair
+        assert not cut.is_healed
+    finally:
+        target.stop()
+        await pair.stop()
+
+
+# An order whose answer its caller left unread for 2 s was cut, and could not be sent again.
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+@pytest.mark.parametrize("size", SIZES.values(), ids=SIZES)
+def test_caller_that_pauses_loses_the_answer_to_its_order(
+    tmp_path: Path, size: int, pause_s: float
+) -> None:
+    async def scenario() -> None:
+        target = _PausingTarget(answer_bytes=size)
+        async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
+            await target.listen(site.store)
+            await site.settle()
+            try:
+                asked = [
+                    asyncio.to_thread(_ask_slowly, site.caller_address, f"o-{n}", pause_s)
+                    for n in range(3)
+                ]
+                assert await asyncio.gather(*asked) == [(200, size)] * 3
+                assert target.runs == 3
+            finally:
+                target.stop()
+
+    run_async(scenario)
+
+
+# An upload that its target left unread for 2 s ended in 502, and could not be sent again.
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+@pytest.mark.parametrize("size", [2_000_000, 8_000_000])
+def test_upload_to_a_target_that_pauses_is_lost(tmp_path: Path, size: int, pause_s: float) -> None:
+    async def scenario() -> None:
+        target, body = _PausingTarget(pause_s), bytes(range(256)) * (size // 256)
+        async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
+            longer = configuration(2, ROUTES)
+            longer["limits"]["max-body-bytes"] = size  # type: ignore[index]
+            site.store.put("config", "main", longer)
+            await target.listen(site.store)
+            await site.settle()
+            try:
+                answer = await site.ask("/bundle/a", "POST", body, deadline_ms=DEADLINE_MS)
+            finally:
+                target.stop()
+            assert (answer.status, answer.is_whole) == (200, True)
+            assert answer.body.decode() == hashlib.sha256(body).hexdigest()
+            assert target.runs == 1
+
+    run_async(scenario)
+
+
+# The same through a peer, on whose connection both sides may wait.
+@pytest.mark.parametrize("size", SIZES.values(), ids=SIZES)
+def test_caller_that_pauses_loses_a_relayed_answer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, size: int
+) -> None:
+    async def scenario() -> None:
+        target = _PausingTarget(answer_bytes=size)
+        async with _relaying(tmp_path, monkeypatch, target) as pair:
+            asked = asyncio.to_thread(_ask_slowly, pair.sites[1].caller_address, "o-1", 2.2)
+            assert await asked == (200, size)
+            assert target.runs == 1
+
+    run_async(scenario)
+
+
+def test_relayed_upload_to_a_target_that_pauses_is_lost(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        target, body = _PausingTarget(2.2), bytes(range(256)) * 3_500
+        async with _relaying(tmp_path, monkeypatch, target) as pair:
+            answer = await pair.sites[1].ask("/bundle/a", "POST", body, deadline_ms=DEADLINE_MS)
+            assert answer.status == 200
+            assert answer.body.decode() == hashlib.sha256(body).hexdigest()
+
+    run_async(scenario)
