Deliver an answer that its target sent in time to a slow caller after the deadline

A caller that paused for 3 s in an answer of 20 MB to an order was reset at its deadline of 1.5 s, though the target had answered at once: the time-out of the request also ran while the answer waited for its caller, and the target was then marked as overdue. Now the time for which a caller holds up its answer does not count, up to 10 s in all, as targets are held up too; a target that is late itself is still broken off at the limit, and one whose answer has begun is not marked for its caller. A stall of the target within its answer counts as silence and not as a loss.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from chervilmill.aio import (
@@ -16,12 +16,14 @@
     ConnectError,
     ConnectTimeoutError,
     ExchangeError,
+    ExchangeTimeoutError,
     Headers,
     RequestHead,
     ServerConnection,
     end_to_end,
     header_value,
 )
+from chervilmill.entry._answer_time import AnswerTime
 from chervilmill.entry._body import ReplayableBody
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._reader_pace import ReaderPace
@@ -107,6 +109,7 @@
     body: ReplayableBody
     is_identified: bool = False
     organisation: Organisation | None = None
+    time: AnswerTime = field(default_factory=AnswerTime)
 
     @property
     def relayed_key(self) -> bytes | None:
@@ -203,7 +206,8 @@
             if idle_s is not None and not conn.has_answer_head and broke_early:
                 self._pool.close_idle(self._target)
                 self._pool.record_drop(self._target, idle_s)
-            return self._unanswered_result(str(exc), connect_s)
+            has_timed_out = isinstance(exc, ExchangeTimeoutError)
+            return self._unanswered_result(str(exc), connect_s, has_timed_out=has_timed_out)
         except ChervilmillError:  # of the caller, who breaks off or sends a malformed body
             raise
         except Exception as exc:
@@ -214,11 +218,19 @@
             else:
                 conn.abort()
 
-    def _unanswered_result(self, detail: str, connect_s: float | None) -> AttemptResult:
+    def _unanswered_result(
+        self, detail: str, connect_s: float | None, *, has_timed_out: bool = False
+    ) -> AttemptResult:
         """Return the result of an attempt that was sent and whose answer is not complete."""
         end = AttemptEnd.BROKEN_OFF if self._caller.has_begun_answer else AttemptEnd.LOST
         wait_s = self._reader_pace.longest_wait_s
-        return AttemptResult(end, detail=detail, connect_s=connect_s, reader_wait_s=wait_s)
+        return AttemptResult(
+            end,
+            detail=detail,
+            connect_s=connect_s,
+            has_timed_out=has_timed_out,
+            reader_wait_s=wait_s,
+        )
 
     async def _exchange(
         self, conn: ClientConnection, time_left_s: float, connect_s: float | None
@@ -309,13 +321,17 @@
             unframed = [item for item in headers if item[0] != b"content-length"]
             await self._caller.answer(answer.status, unframed, b"".join(buffered))
             return
+        self._outgoing.time.begin_delivery()
         await self._caller.start_answer(answer.status, headers)
         for part in buffered:
             await self._reader_pace.send_part(self._caller, part)
-        while (more := await conn.read_part()) is not None:
+        while (more := await self._read_part(conn)) is not None:
             await self._reader_pace.send_part(self._caller, more)
         self._caller.end_answer()
 
+    async def _read_part(self, conn: ClientConnection) -> bytes | None:
+        return await self._outgoing.time.read_part(conn, self._reader_pace.total_wait_s)
+
 
 def _describe_unforeseen(exc: Exception) -> str:
     """Return the detail for an error that no step expects; the attempt fails as after any other."""
--- a/src/chervilmill/entry/_forward.py
+++ b/src/chervilmill/entry/_forward.py
@@ -118,7 +118,8 @@
         )
         limit_s = max(0.0, limit_s - began_s)
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout(limit_s) as scope:
+                progress.outgoing.time.limit(scope)
                 refusal = await self._run(progress)
         except TimeoutError:
             refusal = self._dispatcher.handle_timeout(progress)
--- a/src/chervilmill/entry/_outcome.py
+++ b/src/chervilmill/entry/_outcome.py
@@ -136,6 +136,8 @@
         candidate, attempt = progress.last_candidate, progress.attempt
         if attempt is None or candidate is None or not progress.outgoing.body.is_complete:
             return
+        if progress.caller.has_begun_answer:  # the target has answered, and its caller is slow
+            return
         sent_s = progress.sent_s if progress.sent_s is not None else now_s
         if now_s - sent_s >= overdue_after_s(progress, candidate):
             self.record_result(progress, candidate, attempt.result_if_abandoned, now_s)
@@ -180,7 +182,7 @@
         match result.end:
             case AttemptEnd.NOT_SENT if _has_failed_to_connect(result):
                 self._crashes.record_crash(target, now_s)
-            case AttemptEnd.BROKEN_OFF if result.reader_wait_s >= SLOW_READER_S:
+            case AttemptEnd.BROKEN_OFF if _may_be_held_up(result):
                 self._record_unanswered(progress, candidate, sent_s, now_s)
             case AttemptEnd.LOST | AttemptEnd.BROKEN_OFF:
                 self._record_loss(progress, candidate, sent_s, now_s)
@@ -223,6 +225,11 @@
     return not result.has_timed_out or bool(result.detail)
 
 
+def _may_be_held_up(result: AttemptResult) -> bool:
+    """Return whether an answer broke off that its caller or a slow target may have held up."""
+    return result.has_timed_out or result.reader_wait_s >= SLOW_READER_S
+
+
 def _is_failure_status(result: AttemptResult) -> bool:
     """Return whether the target answered that it failed, perhaps before the run was complete."""
     return result.end is AttemptEnd.ANSWERED and result.status >= 500
--- a/src/chervilmill/entry/_reader_pace.py
+++ b/src/chervilmill/entry/_reader_pace.py
@@ -6,10 +6,11 @@
 
 
 class ReaderPace:
-    """The longest time for which a caller did not take a part of one answer."""
+    """For how long a caller did not take parts of one answer: the longest time, and all times."""
 
     def __init__(self) -> None:
         self.longest_wait_s = 0.0
+        self.total_wait_s = 0.0
 
     async def send_part(self, caller: ServerConnection, part: bytes) -> None:
         """Send a part of an answer and measure how long the caller took to make room for it."""
@@ -18,4 +19,6 @@
         try:
             await caller.send_part(part)
         finally:
-            self.longest_wait_s = max(self.longest_wait_s, loop.time() - began_s)
+            wait_s = loop.time() - began_s
+            self.longest_wait_s = max(self.longest_wait_s, wait_s)
+            self.total_wait_s += wait_s
--- a/tests/entry/test_slow_readers.py
+++ b/tests/entry/test_slow_readers.py
@@ -11,6 +11,7 @@
 import pytest
 
 from chervilmill.addresses import Address
+from chervilmill.entry import _answer_time
 from soak.site import HOST, RouteRow, configuration
 from soak.store import StandInStore
 from soak.target import StandInTarget
@@ -71,7 +72,9 @@
             writer.close()
 
 
-def _ask_slowly(address: Address, request_id: str, pause_s: float) -> tuple[int, int]:
+def _ask_slowly(
+    address: Address, request_id: str, pause_s: float, deadline_ms: int = DEADLINE_MS
+) -> tuple[int, int]:
     """Send an order, read nothing for a time, and return the status and the length of the body."""
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -80,7 +83,7 @@
         head = (
             f"POST /order/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
             f"X-Chervilmill-Request-Id: {request_id}\r\n"
-            f"X-Chervilmill-Deadline-Milliseconds: {DEADLINE_MS}\r\nConnection: close\r\n\r\n"
+            f"X-Chervilmill-Deadline-Milliseconds: {deadline_ms}\r\nConnection: close\r\n\r\n"
         )
         sock.sendall(head.encode())
         time.sleep(pause_s)
@@ -182,3 +185,70 @@
             assert answer.body.decode() == hashlib.sha256(body).hexdigest()
 
     run_async(scenario)
+
+
+# The rest of an answer that was there was dropped at the deadline, as its caller was still reading.
+@pytest.mark.parametrize("size", [30_000, 20_000_000])  # the system's buffers hold some megabytes
+def test_answer_is_broken_off_at_a_deadline_that_its_target_met(tmp_path: Path, size: int) -> None:
+    async def scenario() -> None:
+        target = _PausingTarget(answer_bytes=size)
+        async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
+            await target.listen(site.store)
+            await site.settle()
+            try:
+                asked = asyncio.to_thread(_ask_slowly, site.caller_address, "o-1", 3.0, 1500)
+                assert await asked == (200, size)
+                record = site.vm._site_state.fleet.record("t1")
+                assert record is not None and not record.is_ejected(0.0)
+            finally:
+                target.stop()
+
+    run_async(scenario)
+
+
+def test_caller_may_read_a_late_answer_for_any_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_answer_time, "LATE_DELIVERY_S", 1.0)
+
+    async def scenario() -> None:
+        target = _PausingTarget(answer_bytes=20_000_000)
+        async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
+            await target.listen(site.store)
+            await site.settle()
+            try:
+                asked = asyncio.to_thread(_ask_slowly, site.caller_address, "o-1", 4.0, 1000)
+                with pytest.raises(ConnectionResetError):
+                    await asked
+            finally:
+                target.stop()
+
+    run_async(scenario)
+
+
+def test_target_that_stalls_within_its_answer_is_waited_for_beyond_the_deadline(
+    tmp_path: Path,
+) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        request_id = head.split(b"request-id: ")[1].split(b"\r\n")[0]
+        id_line = b"X-Chervilmill-Request-Id: " + request_id + b"\r\n"
+        writer.write(SEALED + id_line + b"Content-Length: 20\r\n\r\nfirst half")
+        await reader.read()
+
+    async def scenario() -> None:
+        async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
+            address = free_address()
+            server = await asyncio.start_server(serve, address.host, address.port)
+            entry = StandInTarget("t1").entry("app", address, "north-a", 2)
+            site.store.put("servers", "t1", entry)
+            await site.settle()
+            began_s = asyncio.get_running_loop().time()
+            try:
+                answer = await site.ask("/order/a", "POST", deadline_ms=1000)
+            finally:
+                server.close()
+            assert (answer.status, answer.is_whole) == (200, False)
+            assert 0.9 < asyncio.get_running_loop().time() - began_s < 1.5
+
+    run_async(scenario)
