Wait in a planned stop until the ends of answers are sent

Cause: the stop waits for requests in progress, and a request is done once the last part of its answer is handed to the transport, of which up to 32 KB stay in the process; the process then ended with them.

--- a/src/chervilmill/aio/_flow.py
+++ b/src/chervilmill/aio/_flow.py
@@ -117,6 +117,12 @@
         peer = self._transport.get_extra_info("peername") if self._transport else None
         return f"{peer[0]}:{peer[1]}" if peer else "unknown"
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether this process, and not the system, holds bytes for the peer."""
+        transport = self._transport
+        return not self.is_lost and transport is not None and transport.get_write_buffer_size() > 0
+
     def abort(self) -> None:
         """Close the connection at once, without sending buffered bytes."""
         if self._transport is not None:
--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -292,6 +292,11 @@
         """Return the number of requests being answered."""
         return sum(1 for conn in self.connections if conn.is_busy)
 
+    @property
+    def unfinished_count(self) -> int:
+        """Return the number of connections with a request in progress or an answer to be sent."""
+        return sum(1 for conn in self.connections if conn.is_busy or conn.has_unsent)
+
     def close_idle(self) -> None:
         """Close the connections that serve no request at present."""
         for refused in list(self.guard.refused):
--- a/src/chervilmill/entry/_entry_vm.py
+++ b/src/chervilmill/entry/_entry_vm.py
@@ -427,7 +427,7 @@
         await asyncio.sleep(max(0.0, grace_s - REFUSE_BEFORE_GRACE_END_S))
         self._forwarder.is_stopping = True
         while (
-            self._caller_server.busy_count + self._relay_server.busy_count
+            self._caller_server.unfinished_count + self._relay_server.unfinished_count
             and loop.time() - requested_s < grace_s - EXIT_BEFORE_GRACE_END_S
         ):
             await asyncio.sleep(0.02)
--- a/tests/entry/test_slow_readers.py
+++ b/tests/entry/test_slow_readers.py
@@ -22,6 +22,7 @@
 
 PAUSES_S = (2.2, 4.0)
 SIZES = {"buffered": 30_000, "long": 2_000_000}
+CHUNK_BYTES = 65_536
 DEADLINE_MS = 12_000
 ROUTES = (
     RouteRow("reads", "/read/", "safe"),
@@ -31,10 +32,13 @@
 SEALED = b"HTTP/1.1 200 OK\r\nX-Chervilmill-Response-Seal: s\r\n"
 
 
-class _PausingTarget:
+class PausingTarget:
     """A target that pauses before it reads a body, and answers with its digest or a long body."""
 
-    def __init__(self, pause_s: float = 0.0, answer_bytes: int = 0) -> None:
+    def __init__(
+        self, pause_s: float = 0.0, answer_bytes: int = 0, chunk_pause_s: float = 0.0
+    ) -> None:
+        self._chunk_pause_s = chunk_pause_s
         self._pause_s = pause_s
         self._answer_bytes = answer_bytes
         self._server: asyncio.Server | None = None
@@ -66,8 +70,11 @@
                 answer = b"x" * self._answer_bytes if self._answer_bytes else answer
                 id_line = b"X-Chervilmill-Request-Id: " + request_id + b"\r\n"
                 size = b"Content-Length: %d\r\n\r\n" % len(answer)
-                writer.write(SEALED + id_line + size + answer)
-                await writer.drain()
+                writer.write(SEALED + id_line + size)
+                for start in range(0, len(answer), CHUNK_BYTES):
+                    writer.write(answer[start : start + CHUNK_BYTES])
+                    await writer.drain()
+                    await asyncio.sleep(self._chunk_pause_s)
         except (OSError, asyncio.IncompleteReadError):
             writer.close()
 
@@ -95,7 +102,7 @@
 
 @asynccontextmanager
 async def _relaying(
-    folder: Path, monkeypatch: pytest.MonkeyPatch, target: _PausingTarget
+    folder: Path, monkeypatch: pytest.MonkeyPatch, target: PausingTarget
 ) -> AsyncIterator[Pair]:
     """Yield two VMs, the second of which reaches targets only through the first."""
     pair = Pair(folder, ROUTES)
@@ -119,7 +126,7 @@
     tmp_path: Path, size: int, pause_s: float
 ) -> None:
     async def scenario() -> None:
-        target = _PausingTarget(answer_bytes=size)
+        target = PausingTarget(answer_bytes=size)
         async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
             await target.listen(site.store)
             await site.settle()
@@ -141,7 +148,7 @@
 @pytest.mark.parametrize("size", [2_000_000, 8_000_000])
 def test_upload_to_a_target_that_pauses_is_lost(tmp_path: Path, size: int, pause_s: float) -> None:
     async def scenario() -> None:
-        target, body = _PausingTarget(pause_s), bytes(range(256)) * (size // 256)
+        target, body = PausingTarget(pause_s), bytes(range(256)) * (size // 256)
         async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
             longer = configuration(2, ROUTES)
             longer["limits"]["max-body-bytes"] = size  # type: ignore[index]
@@ -165,7 +172,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, size: int
 ) -> None:
     async def scenario() -> None:
-        target = _PausingTarget(answer_bytes=size)
+        target = PausingTarget(answer_bytes=size)
         async with _relaying(tmp_path, monkeypatch, target) as pair:
             asked = asyncio.to_thread(_ask_slowly, pair.sites[1].caller_address, "o-1", 2.2)
             assert await asked == (200, size)
@@ -178,7 +185,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        target, body = _PausingTarget(2.2), bytes(range(256)) * 3_500
+        target, body = PausingTarget(2.2), bytes(range(256)) * 3_500
         async with _relaying(tmp_path, monkeypatch, target) as pair:
             answer = await pair.sites[1].ask("/bundle/a", "POST", body, deadline_ms=DEADLINE_MS)
             assert answer.status == 200
@@ -191,7 +198,7 @@
 @pytest.mark.parametrize("size", [30_000, 20_000_000])  # the system's buffers hold some megabytes
 def test_answer_is_broken_off_at_a_deadline_that_its_target_met(tmp_path: Path, size: int) -> None:
     async def scenario() -> None:
-        target = _PausingTarget(answer_bytes=size)
+        target = PausingTarget(answer_bytes=size)
         async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
             await target.listen(site.store)
             await site.settle()
@@ -212,7 +219,7 @@
     monkeypatch.setattr(_answer_time, "LATE_DELIVERY_S", 1.0)
 
     async def scenario() -> None:
-        target = _PausingTarget(answer_bytes=20_000_000)
+        target = PausingTarget(answer_bytes=20_000_000)
         async with running_site(tmp_path, targets=(), routes=ROUTES) as site:
             await target.listen(site.store)
             await site.settle()
