End an answer without a body at its head

Since a HEAD, or a GET answered with 304, was over for its caller but not for the entry VM, which waited for a further part until the deadline and then reset the caller's connection; its target got the blame. The head went through the loop that passes parts on, although the answer was complete.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -325,7 +325,7 @@
         await self._caller.start_answer(answer.status, headers)
         for part in buffered:
             await self._reader_pace.send_part(self._caller, part)
-        while (more := await self._read_part(conn)) is not None:
+        while not is_whole and (more := await self._read_part(conn)) is not None:
             await self._reader_pace.send_part(self._caller, more)
         self._caller.end_answer()
 
--- a/tests/entry/test_answer_framing.py
+++ b/tests/entry/test_answer_framing.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from chervilmill.aio import connect
 from soak.store import StandInStore
 from soak.target import StandInTarget
 from tests.entry.harness import SiteUnderTest, running_site
@@ -172,10 +173,11 @@
     tmp_path: Path, method: str, status: bytes, stated: bytes
 ) -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = await reader.readuntil(b"\r\n\r\n")
-        request_id = head.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
-        writer.write(HEAD.replace(b"200 OK", status) + b"X-Chervilmill-Request-Id: " + request_id)
-        writer.write(b"\r\nContent-Length: " + stated + END)
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            request_id = head.lower().split(b"request-id: ")[1].split(b"\r\n")[0]
+            writer.write(HEAD.replace(b"200 OK", status))
+            writer.write(b"X-Chervilmill-Request-Id: " + request_id)
+            writer.write(b"\r\nContent-Length: " + stated + END)
 
     async def scenario() -> None:
         async with running_site(tmp_path, targets=()) as site:
@@ -184,12 +186,17 @@
             entry = StandInTarget("t1").entry("app", address, "north-a", 2)
             site.store.put("servers", "t1", entry)
             await site.settle()
+            conn = await connect(site.caller_address, 1.0)
             try:
-                answer = await site.ask("/read/a", method)
+                # The second shows whether the first was over, for the VM and its target too.
+                async with asyncio.timeout(1.0):
+                    answers = [await site.ask("/read/a", method, conn=conn) for _ in range(2)]
             finally:
+                conn.abort()
                 server.close()
-            assert answer.status == int(status[:3])
-            assert (answer.is_whole, answer.body) == (True, b"")
-            assert answer.headers[b"content-length"] == stated
+            for answer in answers:
+                assert answer.status == int(status[:3])
+                assert (answer.is_whole, answer.body) == (True, b"")
+                assert answer.headers[b"content-length"] == stated
 
     run_async(scenario)
