--- a/review/common3/light_target.py
+++ b/review/common3/light_target.py
@@ -99,7 +99,7 @@
             return False
         body = hashlib.sha256()
         size = 0
-        async for part in _body(reader, head):
+        async for part in body_parts(reader, head):
             size += len(part)
             body.update(part)
         assert self.free is not None
@@ -148,12 +148,17 @@
                 await writer.wait_closed()
 
 
+def first_id(head: bytes) -> bytes:
+    """Return the id of a request."""
+    return _first(_ID, head)
+
+
 def _first(pattern: re.Pattern[bytes], head: bytes) -> bytes:
     match = pattern.search(head)
     return match.group(1).strip() if match else b""
 
 
-async def _body(reader: asyncio.StreamReader, head: bytes):  # type: ignore[no-untyped-def]
+async def body_parts(reader: asyncio.StreamReader, head: bytes):  # type: ignore[no-untyped-def]
     """Yield the parts of a body that has a length or comes in chunks."""
     if _CHUNKED.search(head):
         while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
