Let the cases run where the usual limit of descriptors is low

Two cases have more callers than a soft limit of 1,024 allows; the stand-ins raise it within the hard one. The stand-in of a backend says that it finishes what it has begun, as it does.

--- a/review/common3/lab.py
+++ b/review/common3/lab.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -27,6 +28,11 @@
 from soak.store import StandInStore  # noqa: E402
 from soak.target import StandInTarget  # noqa: E402
 
+# The callers of some cases are more than a usual soft limit allows; processes started here inherit it.
+_SOFT, _HARD = resource.getrlimit(resource.RLIMIT_NOFILE)
+if _SOFT != resource.RLIM_INFINITY and _SOFT < 8192 and (_HARD < 0 or _HARD > _SOFT):
+    resource.setrlimit(resource.RLIMIT_NOFILE, (8192 if _HARD < 0 else min(8192, _HARD), _HARD))
+
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
 _reserved: list[socket.socket] = []
 _next_host = 0
--- a/review/common3/light_target.py
+++ b/review/common3/light_target.py
@@ -2,7 +2,7 @@
 
 It reads a head without parsing each header, so that requests with many headers cost it little. It
 runs `slots` requests at once, lets `queue` more wait, and turns the rest away with 503 and
-X-Chervilmill-Request-Not-Run. A run ends when the connection of its request closes.
+X-Chervilmill-Request-Not-Run. It finishes what it has begun, whether its caller still waits or not.
 """
 
 import asyncio
