Bound the bytes of hints, and tell hints apart by their revision

What callers saw: an entry of another writer that was written forty times in 12 s took entry VMs to 212 MB (195 MB on the second one), as each write was held until a list proved it.

Cause: hints were bounded by their number only, 2,000. Beside it, each event was compared with all hints, so that the time grew with the square of their number.

Fix: beyond 4 MB of contents, as beyond 2,000 hints, only the latest of each object is kept; a proof in between is then answered by a list. A hint is known by its version, name and kind of change, in constant time.

Test: test_hints_of_one_object_grow_without_end[long] fails before.

--- a/src/chervilmill/peers/_replica.py
+++ b/src/chervilmill/peers/_replica.py
@@ -17,7 +17,9 @@
 
 from chervilmill.platform import Listing, StoredObject, StoreVersion, WatchEvent, WatchResult
 
-MAX_HINTS = 2000  # beyond these, only the latest of each object is kept
+# Beyond these, only the latest of each object is kept.
+MAX_HINTS = 2000
+MAX_HINTS_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,11 @@
         """Return the name of the changed object."""
         return self.event.stored.name
 
+    @property
+    def identity(self) -> tuple[StoreVersion, str, bool]:
+        """Return what tells this change from others; a removal may repeat a revision."""
+        return self.version, self.name, _is_removal(self.event)
+
 
 class KindReplica:
     """A copy of all objects of one kind; an older state never replaces a newer state.
@@ -153,12 +160,15 @@
     ) -> ReplicaChange:
         """Apply changes from a source that proves nothing, and return the change."""
         before = self.objects
+        known = {hint.identity for hint in self._hints}
         for event in events:
             hint = Hint(event, StoreVersion(era, event.stored.revision), received_s)
-            if self._is_news(hint):
+            if hint.identity not in known and self._is_news(hint):
+                known.add(hint.identity)
                 self._hints.append(hint)
         self._hints.sort(key=lambda hint: hint.version)
-        if len(self._hints) > MAX_HINTS:
+        size = sum(len(hint.event.stored.content) for hint in self._hints)
+        if len(self._hints) > MAX_HINTS or size > MAX_HINTS_BYTES:
             self._hints = list({hint.name: hint for hint in self._hints}.values())
         return self._change_from(before)
 
@@ -208,10 +218,6 @@
 
     def _is_news(self, hint: Hint) -> bool:
         known = self.proven.get(hint.name)
-        if any(
-            hint.version == other.version and hint.event == other.event for other in self._hints
-        ):
-            return False
         if hint.version > self.as_of:
             return known is None or known.revision <= hint.event.stored.revision
         return self._is_removal_of_known(hint)
--- a/tests/peers/test_replica.py
+++ b/tests/peers/test_replica.py
@@ -3,6 +3,7 @@
 import pytest
 
 from chervilmill.peers import CopyProof, KindReplica
+from chervilmill.peers._replica import MAX_HINTS, MAX_HINTS_BYTES
 from chervilmill.platform import Listing, StoredObject, StoreVersion, WatchEvent, WatchResult
 
 ERA = 1
@@ -66,6 +67,28 @@
     assert set(replica.proven) == {"a", "b"}
 
 
+# All writes of an object were held until a list proved them.
+@pytest.mark.parametrize(
+    ("size", "count"), [(10, 2 * MAX_HINTS), (MAX_HINTS_BYTES // 8, 40)], ids=["many", "long"]
+)
+def test_hints_of_one_object_grow_without_end(size: int, count: int) -> None:
+    replica = _replica()
+    for revision in range(11, 11 + count):
+        stored = StoredObject("a", revision, bytes(size))
+        replica.apply_hints([WatchEvent(stored, is_removed=False)], ERA, 1.0)
+    assert len(replica.hints) <= MAX_HINTS
+    assert sum(len(hint.event.stored.content) for hint in replica.hints) <= MAX_HINTS_BYTES
+    assert _known(replica) == {"a": 10 + count, "b": 5}
+
+
+def test_repeated_hint_is_held_twice() -> None:
+    replica = _replica()
+    events = [_written("a", 12), _removed("a", 12), _written("c", 13)]
+    for _ in range(2):
+        replica.apply_hints(events, ERA, 1.0)
+    assert [hint.event for hint in replica.hints] == events
+
+
 @pytest.mark.parametrize(
     ("events", "known"),
     [
