List a kind whose changes are too long for one answer, and read few large answers at once

Ten answers of up to 16 MB each could be read at once, which is more than the memory beside callers.

Fix: an answer that is too long is an error of its own. For a watch it means that the history is of no use, and a list with pages follows, after a pause that grows as for history that is gone. Of answers beyond 256 KB, six are read at once, and one beyond 4 MB; further ones wait within their time-outs. Six copies of peers are fetched at once.

The new test of tests/entry/test_replica_sync.py calls the store at most twelve times in 10 s of such changes.

--- a/src/chervilmill/aio/__init__.py
+++ b/src/chervilmill/aio/__init__.py
@@ -15,12 +15,13 @@
 )
 from chervilmill.aio._guard import CallerLimit, HeldBytes, LimitCounter, ServerGuard
 from chervilmill.aio._headers import Headers, end_to_end, header_value
-from chervilmill.aio._http_client import HttpAnswer, HttpClient
+from chervilmill.aio._http_client import AnswerTooLongError, HttpAnswer, HttpClient
 from chervilmill.aio._request import BadRequestError, CallerGoneError, RequestHead, ServerLimits
 from chervilmill.aio._server import Handler, HttpServer, ServerConnection
 
 __all__ = [
     "AnswerHead",
+    "AnswerTooLongError",
     "BadRequestError",
     "CallerLimit",
     "CallerGoneError",
--- a/src/chervilmill/aio/_http_client.py
+++ b/src/chervilmill/aio/_http_client.py
@@ -1,6 +1,7 @@
 """Exchange whole requests and answers with one peer over reused connections."""
 
 import asyncio
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
 from chervilmill.addresses import Address
@@ -12,12 +13,18 @@
 )
 
 CONNECT_TIMEOUT_S = 1.0
-# Answers of the store and of peers are read whole, about ten at once. One with the entries of 4,000
-# targets has 1 MB.
+# Answers of the store and of peers are read whole. A page of the store has 1 MB, and up to three
+# times as much if its texts are escaped; a copy of 4,000 targets has 1 MB.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# How many answers beyond a length are read at once.
+LARGE_ANSWERS = ((256 * 1024, 6), (4 * 1024 * 1024, 1))
 MAX_IDLE_CONNECTIONS = 6
 
 
+class AnswerTooLongError(ExchangeError):
+    """Raised for an answer that is longer than any that is read."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """The status, the whole body and the headers of an answer."""
@@ -28,13 +35,20 @@
 
 
 class HttpClient:
-    """A client that sends whole requests to one address and returns whole answers."""
+    """A client that sends whole requests to one address and returns whole answers.
+
+    While as many of the LARGE_ANSWERS are being read as may be, further ones wait, within their
+    time-outs.
+    """
 
-    __slots__ = ("_address", "_idle")
+    __slots__ = ("_address", "_idle", "_large_answers")
 
     def __init__(self, address: Address) -> None:
         self._address = address
         self._idle: list[ClientConnection] = []
+        self._large_answers = [
+            (max_bytes, asyncio.Semaphore(count)) for max_bytes, count in LARGE_ANSWERS
+        ]
 
     async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
         """Send a request and return its answer, or raise ConnectError or ExchangeError."""
@@ -81,15 +95,19 @@
             await conn.send_part(body)
         conn.end_body()
         head = await conn.read_head()
-        parts: list[bytes] = []
-        size = 0
-        while (part := await conn.read_part()) is not None:
-            parts.append(part)
-            size += len(part)
-            if size > MAX_ANSWER_BYTES:
-                message = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
-                raise ExchangeError(message, step=method, peer=str(self._address))
-        return HttpAnswer(head.status, b"".join(parts), tuple(head.headers))
+        async with AsyncExitStack() as stack:
+            parts: list[bytes] = []
+            size = 0
+            waiting = list(self._large_answers)
+            while (part := await conn.read_part()) is not None:
+                parts.append(part)
+                size += len(part)
+                if size > MAX_ANSWER_BYTES:
+                    message = f"the answer is longer than {MAX_ANSWER_BYTES} bytes"
+                    raise AnswerTooLongError(message, step=method, peer=str(self._address))
+                while waiting and size > waiting[0][0]:
+                    await stack.enter_async_context(waiting.pop(0)[1])
+            return HttpAnswer(head.status, b"".join(parts), tuple(head.headers))
 
     def _release(self, conn: ClientConnection | None) -> None:
         if conn is None:
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -44,6 +44,7 @@
 from chervilmill.platform import (
     EarlierEraError,
     HistoryGoneError,
+    HistoryTooLongError,
     PlatformStore,
     StoreBusyError,
     StoreError,
@@ -67,6 +68,7 @@
 MAX_ASKING_VMS = 400.0
 # With 800 VMs, a kind that keeps changing causes at most 2,000 reads a second.
 WATCH_PAUSE_S = 0.4
+MAX_FETCHES = 6  # copies of peers that are read at once, each up to the longest answer
 RETRY_DELAY_S = 1.0  # refused calls are paid for too
 MAX_RELIST_DELAY_S = 5.0
 # VMs that begin to list a restored store within a second. Their lists of four kinds are 1,600
@@ -109,6 +111,7 @@
         )
         self._updates.list_again = self._list_again
         self._watches: dict[str, asyncio.Task[WatchResult]] = {}
+        self._fetches = asyncio.Semaphore(MAX_FETCHES)
         self._silent_calls: dict[str, int] = {}
         self._cut_watches: set[str] = set()  # kinds whose last call was cut while it waited
         self._to_list = set(replicas)
@@ -243,7 +246,7 @@
         Only a version that did not come from a replica, and not long ago, may be one that replicas
         lack. Otherwise the store itself has dropped its history, and a list is needed.
         """
-        if kind in self._to_list or isinstance(exc, StoreRestoredError):
+        if kind in self._to_list or isinstance(exc, (StoreRestoredError, HistoryTooLongError)):
             return False
         if not self._allows_stale(kind):
             return False
@@ -370,7 +373,9 @@
             call.cancel()
 
     async def _fetch_copy(self, replica: KindReplica, host: Address) -> None:
-        self._updates.apply_copy(replica, await fetch_replica(host, replica.kind), host)
+        async with self._fetches:
+            fetched = await fetch_replica(host, replica.kind)
+        self._updates.apply_copy(replica, fetched, host)
 
     def _record_listed(self, kind: str, began_s: float, pages: int) -> None:
         """Record a linearizable list of a kind that began at a time."""
--- a/src/chervilmill/platform/_store.py
+++ b/src/chervilmill/platform/_store.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from chervilmill.aio import (
+    AnswerTooLongError,
     ConnectError,
     ConnectTimeoutError,
     ExchangeTimeoutError,
@@ -70,6 +71,10 @@
     """Raised if the store no longer has the changes since a revision; a full list is needed."""
 
 
+class HistoryTooLongError(HistoryGoneError):
+    """Raised if the changes since a revision are too long to be read; a list has pages."""
+
+
 class StoreRestoredError(HistoryGoneError):
     """Raised if the store came back from an older copy; a full list is needed."""
 
@@ -173,7 +178,13 @@
         if allow_stale:
             query["serializable"] = "1"
         timeout_s = wait_s + timeout_margin_s
-        era, changes = await self._get(kind, query, timeout_s, _changes_decoder, since.era)
+        try:
+            era, changes = await self._get(kind, query, timeout_s, _changes_decoder, since.era)
+        except StoreError as exc:
+            if isinstance(exc.__cause__, AnswerTooLongError):
+                message = exc.message
+                raise HistoryTooLongError(message, step=exc.step, peer=self._peer) from exc
+            raise
         revision = read_revision(changes.as_of) or since.revision
         try:
             events = decode_parts(changes.events, _events_decoder)
--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -7,18 +7,21 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio import (
+    AnswerTooLongError,
     ClientConnection,
     ConnectError,
     ExchangeError,
     HttpClient,
     RequestHead,
     ServerConnection,
+    _http_client,
     connect,
 )
 from chervilmill.aio._client import DEFAULT_IDLE_TIMEOUT_S, IDLE_TIMEOUT_SHARE
 from tests.aio.support import answering, exchange, serving
 from tests.support import free_address, run_async
 
+LARGE, LARGE_COUNT = _http_client.LARGE_ANSWERS[0]
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -60,6 +63,52 @@
     run_async(scenario)
 
 
+def test_large_answers_are_all_read_at_once() -> None:
+    """Each is held whole, so that some wait while others are read."""
+    begun = 0
+    release = asyncio.Event()
+
+    async def answer(conn: ServerConnection, head: RequestHead) -> None:
+        nonlocal begun
+        await conn.start_answer(200, [(b"content-length", str(2 * LARGE).encode())])
+        await conn.send_part(b"x" * (LARGE + 1))
+        begun += 1
+        await release.wait()
+        await conn.send_part(b"x" * (LARGE - 1))
+        conn.end_answer()
+
+    async def scenario() -> None:
+        async with serving(answer) as (_, address):
+            client = HttpClient(address)
+            calls = [
+                asyncio.ensure_future(client("GET", "/", b"", 5.0)) for _ in range(LARGE_COUNT + 2)
+            ]
+            while begun < len(calls):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            semaphore = client._large_answers[0][1]
+            assert semaphore.locked()
+            release.set()
+            answers = await asyncio.gather(*calls)
+            assert {len(answer.body) for answer in answers} == {2 * LARGE}
+            assert not semaphore.locked()
+
+    run_async(scenario)
+
+
+def test_answer_beyond_the_longest_is_an_error_of_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_http_client, "MAX_ANSWER_BYTES", 1000)
+
+    async def scenario() -> None:
+        async with answering(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + b"x" * 1001
+        ) as at:
+            with pytest.raises(AnswerTooLongError):
+                await HttpClient(at)("GET", "/", b"", 2.0)
+
+    run_async(scenario)
+
+
 def test_time_out_error_names_the_silent_peer() -> None:
     async def never_answer(conn: ServerConnection, head: RequestHead) -> None:
         await asyncio.sleep(5.0)
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -8,7 +8,7 @@
 import pytest
 
 from chervilmill.addresses import Address
-from chervilmill.aio import ConnectError, ExchangeError, HttpAnswer
+from chervilmill.aio import AnswerTooLongError, ConnectError, ExchangeError, HttpAnswer
 from chervilmill.entry import _catch_up, _read_schedule, _replica_sync, _store_state
 from chervilmill.entry._replica_copies import FetchedReplica
 from chervilmill.entry._replica_sync import ReplicaSync
@@ -210,4 +210,40 @@
     run_virtually(scenario())
 
 
+class _FloodedStore:
+    """A store whose watches have more changes than are read, until it is `calm`."""
+
+    def __init__(self) -> None:
+        self.is_calm = False
+        self.calls: list[str] = []
+
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        self.calls.append("watch" if "watch=" in path else "list")
+        if "watch=" not in path:
+            return _answer({"items": [], "as-of": 5})
+        if not self.is_calm:
+            raise AnswerTooLongError("too long", step="GET", peer="store")
+        await asyncio.sleep(timeout_s - 0.1)
+        return _answer({"events": [], "as-of": 5})
+
+
+# Sixty removals of long entries came in one answer, and the store counted as lost.
+def test_changes_that_are_too_long_count_as_an_outage_or_are_asked_for_without_a_pause() -> None:
+    store = _FloodedStore()
+
+    async def scenario() -> None:
+        sync = ReplicaSync(PlatformStore(store, "store"), {KIND: KindReplica(KIND)}, _ignore_change)
+        task = asyncio.ensure_future(sync.run(KIND))
+        await asyncio.sleep(10.0)
+        assert not sync.is_store_unreachable
+        assert store.calls[:4] == ["list", "watch", "list", "watch"]
+        assert len(store.calls) <= 12
+        store.is_calm = True
+        await asyncio.sleep(10.0)
+        assert store.calls[-2:] == ["list", "watch"]
+        task.cancel()
+
+    run_virtually(scenario())
+
+
 def _ignore_change(kind: str, change: ReplicaChange, kept_until_s: float | None) -> None: ...
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,9 +7,10 @@
 import msgspec
 import pytest
 
-from chervilmill.aio import ExchangeError, HttpAnswer
+from chervilmill.aio import AnswerTooLongError, ExchangeError, HttpAnswer
 from chervilmill.platform import (
     HistoryGoneError,
+    HistoryTooLongError,
     PlatformStore,
     StoredObject,
     StoreError,
@@ -83,6 +84,14 @@
     assert len(script.calls) == 3
 
 
+def test_changes_that_are_too_long_are_an_outage() -> None:
+    """They are for a list, which has pages."""
+    too_long = AnswerTooLongError("too long", step="GET", peer="store")
+    store = PlatformStore(_ScriptedExchange(too_long), "store")
+    with pytest.raises(HistoryTooLongError):
+        asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
+
+
 # A list that says less than a list does was taken for one of a store without objects.
 @pytest.mark.parametrize(
     "pages",
