List a kind with many pages once at a time, for a copy that is behind

What callers saw: beside a store that takes 50 ms for a page, and twelve pages of another writer, VMs refuse most requests with 503 for as long as the entries are there, also once nothing is written any more.

Cause: a read that lists twelve pages takes longer than an answer of a sound store. The store counts as slow, so that reads begin every 0.35 s, list all kinds whether or not they changed, and up to eight of them list the same pages beside each other. None ends in time for its answer to be acted on.

Fix: a list of more than four pages is only begun for a copy that is behind the store's revision, and one at a time. A read that needs it waits for the one in progress: a copy that has reached the version which another list stated after the read began is current as of that read. The revision comes from a kind with a short list.

Evidence: test_long_lists_are_begun_anew_until_none_ends_in_time fails before, with eight lists at once.

--- a/src/chervilmill/entry/_confirmation.py
+++ b/src/chervilmill/entry/_confirmation.py
@@ -13,6 +13,10 @@
 refused, a read lists all kinds at once, so that a change needs one round trip in place of two,
 and each kind is confirmed by whatever answer comes.
 
+Another writer may fill many pages of a kind. A long list takes as many round trips, so it is only
+begun for a copy that is behind, and one at a time: reads that need it wait for the same one. Else
+each read would list all pages beside those of the reads before, and none would end in time.
+
 While the store answers in time, the cost does not grow with the fleet. A VM's digests state what it
 has proven, and the age of that; a peer that has the same objects is confirmed by them too, and
 passes that on at once. Where answers take so long that the confirmations of peers come too late to
@@ -24,7 +28,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable, Mapping
-from typing import Any
+from typing import Any, TypeVar, cast
 
 from chervilmill.addresses import Address
 from chervilmill.entry._copy_updates import CopyUpdates
@@ -39,6 +43,8 @@
     StoreVersion,
 )
 
+T = TypeVar("T")
+
 CONFIRM_TIMEOUT_S = 2.5  # an answer that comes later is too old to be acted on
 HOP_S = 0.1  # for the way of a digest, so that an age passed on does not shrink
 # An age that was passed on may be too low by the time that digests took beyond HOP_S for each hop.
@@ -46,14 +52,17 @@
 ANNOUNCED_STEP_S = 0.3  # by which a confirmation has to be later to be passed on at once
 # Copies that have not been confirmed for this time may lack what was added to the store.
 UNCONFIRMED_AFTER_S = 10.0
+MAX_SHORT_PAGES = 4  # of a list that may be begun anew before it has ended
+MAX_LONG_LISTS = 3  # for one read, if the store goes on changing
 
 
-async def _gather_all(calls: Iterable[Coroutine[Any, Any, object]]) -> None:
-    """Run calls at once, wait for all, and raise the first error if any."""
+async def _gather_all(calls: Iterable[Coroutine[Any, Any, T]]) -> list[T]:
+    """Run calls at once, wait for all, and return their results or raise the first error."""
     results = await asyncio.gather(*calls, return_exceptions=True)
     for result in results:
         if isinstance(result, BaseException):
             raise result
+    return cast(list[T], results)
 
 
 class CopyConfirmer:
@@ -79,6 +88,8 @@
         self.schedule = ReadSchedule(store_state)
         self._announced_s = float("-inf")
         self._reads: set[asyncio.Task[None]] = set()
+        self._pages: dict[str, int] = {}
+        self._long_lists: dict[str, asyncio.Task[StoreVersion]] = {}
         self._is_unconfirmed = False
         self._is_slow = False
         self.on_read: Callable[[], None] = lambda: None
@@ -132,6 +143,10 @@
         self._announced_s = confirmed_s
         return True
 
+    def record_pages(self, kind: str, pages: int) -> None:
+        """Record how many pages the list of a kind had."""
+        self._pages[kind] = pages
+
     def confirm(self, replica: KindReplica, at_s: float, hints_until_s: float) -> None:
         """Record that a copy reflects the store as it was at a time.
 
@@ -157,8 +172,8 @@
                 self._reads.add(read)
                 read.add_done_callback(self._reads.discard)
         finally:
-            for read in self._reads:
-                read.cancel()
+            for task in (*self._reads, *self._long_lists.values()):
+                task.cancel()
 
     async def _read(self, began_s: float, *, reads_all_kinds: bool) -> None:
         """Read the store's revision, and the changes of all copies, and handle what fails."""
@@ -185,25 +200,78 @@
 
     async def _read_what_changed(self, began_s: float) -> None:
         """List the kind that states the store's revision, then those that have not reached it."""
-        version = await self._list(self._replicas[self._listed_kind], began_s)
-        behind = [replica for replica in self._other_replicas() if replica.as_of < version]
-        for replica in self._other_replicas():
-            if replica not in behind:
-                self.confirm(replica, began_s, began_s)
-        await _gather_all(self._list(replica, began_s) for replica in behind)
+        listed = self._revision_replica()
+        version = await self._list(listed, began_s)
+        others = [replica for replica in self._replicas.values() if replica is not listed]
+        await self._prove(others, version, began_s)
 
     async def _read_all_kinds(self, began_s: float) -> None:
-        """List all kinds, each of which is confirmed by its own answer."""
-        await _gather_all(self._list(replica, began_s) for replica in self._replicas.values())
+        """List all kinds, each of which is confirmed by its own answer, but for long lists."""
+        listed = self._revision_replica()
+        long = [
+            replica
+            for replica in self._replicas.values()
+            if replica is not listed and self._has_long_list(replica)
+        ]
+        short = [replica for replica in self._replicas.values() if replica not in long]
+        versions = await _gather_all(self._list(replica, began_s) for replica in short)
+        await self._prove(long, max(versions), began_s)
+
+    def _revision_replica(self) -> KindReplica:
+        """Return the copy whose list states the store's revision, one with a short list."""
+        chosen = self._replicas[self._listed_kind]
+        if not self._has_long_list(chosen):
+            return chosen
+        return min(self._replicas.values(), key=lambda replica: self._pages.get(replica.kind, 1))
+
+    def _has_long_list(self, replica: KindReplica) -> bool:
+        return self._pages.get(replica.kind, 1) > MAX_SHORT_PAGES
+
+    async def _prove(
+        self, replicas: Iterable[KindReplica], version: StoreVersion, began_s: float
+    ) -> None:
+        """Confirm the copies that have reached a version of the store, and list the others.
 
-    def _other_replicas(self) -> list[KindReplica]:
-        return [replica for kind, replica in self._replicas.items() if kind != self._listed_kind]
+        The store stated the version after `began_s`.
+        """
+        behind = []
+        for replica in replicas:
+            if replica.as_of < version:
+                behind.append(replica)
+            else:
+                self.confirm(replica, began_s, began_s)
+        await _gather_all(self._bring_up_to(replica, version, began_s) for replica in behind)
+
+    async def _bring_up_to(
+        self, replica: KindReplica, version: StoreVersion, began_s: float
+    ) -> StoreVersion:
+        if not self._has_long_list(replica):
+            return await self._list(replica, began_s)
+        for _ in range(MAX_LONG_LISTS):
+            task = self._long_lists.get(replica.kind)
+            if task is None:
+                task = asyncio.get_running_loop().create_task(self._list_long(replica))
+                self._long_lists[replica.kind] = task
+            await asyncio.wait({task})  # other reads may wait for it too
+            task.result()
+            if replica.as_of >= version:
+                self.confirm(replica, began_s, began_s)
+                break
+        return replica.as_of
+
+    async def _list_long(self, replica: KindReplica) -> StoreVersion:
+        """List a kind with many pages for all reads that wait for it."""
+        try:
+            return await self._list(replica, asyncio.get_running_loop().time())
+        finally:
+            del self._long_lists[replica.kind]
 
     async def _list(self, replica: KindReplica, began_s: float) -> StoreVersion:
         """List a kind for a read that began at a time; return the version that the store states."""
         called_s, known = asyncio.get_running_loop().time(), replica.as_of
         listing = await self._store.list_all(replica.kind, CONFIRM_TIMEOUT_S)
         self._record_answer(called_s, listing.pages)
+        self.record_pages(replica.kind, listing.pages)
         self._updates.apply_listing(replica, listing, began_s, known)
         self.confirm(replica, began_s, began_s)
         return listing.as_of
--- a/src/chervilmill/entry/_replica_sync.py
+++ b/src/chervilmill/entry/_replica_sync.py
@@ -381,6 +381,7 @@
         """Record a linearizable list of a kind that began at a time."""
         self._silent_calls.pop(kind, None)
         self._to_ask_anew.discard(kind)
+        self.confirmer.record_pages(kind, pages)
         self._store_state.confirm(kind, began_s)
         now_s = asyncio.get_running_loop().time()
         self._store_state.record_answer(now_s, (now_s - began_s) / pages)
--- a/tests/entry/test_confirmation.py
+++ b/tests/entry/test_confirmation.py
@@ -31,6 +31,7 @@
 CALL_S = 0.02
 LISTED, OTHER = "evacuations", "servers"
 PEER = Address("10.0.0.2", 7720)
+MAX_AGE_S = 2.2  # up to which VMs act on their copies
 
 
 class _Store:
@@ -530,3 +531,64 @@
         assert (vm.sync.confirmed_age_s() or 9.0) <= CONFIRM_INTERVAL_S + 4 * CALL_S
 
     vm.run(scenario())
+
+
+class _LongStore:
+    """A store that answers one call after the other, and has many pages of one kind."""
+
+    def __init__(self, long_kind: str, pages: int, page_s: float) -> None:
+        self.revision = 5
+        self._long_kind = long_kind
+        self._pages = pages
+        self._page_s = page_s
+        self._turn = asyncio.Lock()
+        self.open_lists = 0
+        self.most_open_lists = 0
+
+    async def __call__(self, method: str, path: str, body: bytes, timeout_s: float) -> HttpAnswer:
+        if "watch=" in path:
+            await asyncio.sleep(timeout_s - 1.0)
+            return self._answer({"events": [], "as-of": 5})
+        kind = path.split("?")[0].rpartition("/")[2]
+        page = int(path.partition("after=")[2] or 0)
+        is_long = kind == self._long_kind
+        if is_long and not page:
+            self.open_lists += 1
+            self.most_open_lists = max(self.most_open_lists, self.open_lists)
+        async with self._turn:
+            await asyncio.sleep(self._page_s)
+        has_more = is_long and page + 1 < self._pages
+        if is_long and not has_more:
+            self.open_lists -= 1
+        item = {"metadata": {"name": f"{page + 1:03d}", "revision": 3}, "specification": {}}
+        return self._answer({"items": [item], "more": has_more, "as-of": self.revision})
+
+    def _answer(self, value: object) -> HttpAnswer:
+        return HttpAnswer(200, json.dumps(value).encode())
+
+
+# Each read listed all pages beside those of the reads before, and the copies stayed old for good.
+@pytest.mark.parametrize("long_kind", [LISTED, OTHER])
+def test_long_lists_are_begun_anew_until_none_ends_in_time(long_kind: str) -> None:
+    pages, page_s, changes = 16, 0.05, 10
+
+    async def scenario() -> None:
+        vm = _Follower(reader_rank=0)
+        vm.store = store = _LongStore(long_kind, pages, page_s)  # type: ignore[assignment]
+        vm.sync = ReplicaSync(
+            PlatformStore(store, "store"), vm.replicas, lambda *_: None, (), LISTED
+        )
+        vm.sync.confirmer.schedule.reader_rank = 0
+        tasks = [asyncio.ensure_future(vm.sync.run(kind)) for kind in vm.replicas]
+        tasks.append(asyncio.ensure_future(vm.sync.confirmer.run()))
+        await asyncio.sleep(3.0)
+        for _ in range(changes):
+            store.revision += 1
+            await asyncio.sleep(2.0)
+        assert store.most_open_lists <= 1
+        age_s = vm.sync.confirmed_age_s()
+        assert age_s is not None and age_s <= MAX_AGE_S
+        for task in tasks:
+            task.cancel()
+
+    run_virtually(scenario())
