Send a request without an id on a connection of its own

Cause: `Attempt._is_own` took any answer on a kept connection for that of a request without an id, and the connection was kept afterwards. The repetition of such a request's refusal, which states no id either, was then taken for the answer to the next order, which had begun to run.

Fix: such a request gets a new connection, which is not kept. On it, the only answer is its own, and no later request meets a repetition of it. No sign on a kept connection would tell as much. An id of our own towards the target would change what the target is asked.

Evidence: test_request_without_an_id_shares_its_connection_with_others fails before. Requests relayed to peers keep their connections, as peers repeat no answers.

--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -183,7 +183,7 @@
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         try:
-            conn = await self._pool.acquire(self._target)
+            conn = await self._connect()
         except ConnectError as exc:
             has_timed_out = isinstance(exc, ConnectTimeoutError)
             return AttemptResult(AttemptEnd.NOT_SENT, detail=str(exc), has_timed_out=has_timed_out)
@@ -218,6 +218,16 @@
             else:
                 conn.abort()
 
+    async def _connect(self) -> ClientConnection:
+        """Return a connection for the request, or raise ConnectError.
+
+        No answer can be told from those to other requests by the id of a request without one, so it
+        gets a connection that no other request uses.
+        """
+        if self.requires_ids and not self._outgoing.request_headers.request_id:
+            return await self._pool.open_unshared(self._target)
+        return await self._pool.acquire(self._target)
+
     def _unanswered_result(
         self, detail: str, connect_s: float | None, *, has_timed_out: bool = False
     ) -> AttemptResult:
@@ -309,9 +319,10 @@
         own_id = self._outgoing.request_headers.request_id
         if own_id and not stated_id:
             return not (self.requires_ids and conn.has_stated_ids)
-        if own_id:
-            conn.has_stated_ids = True
-        self._is_answer_identified = stated_id == own_id or not own_id
+        if not own_id:
+            return True  # nothing else was asked on the connection
+        conn.has_stated_ids = True
+        self._is_answer_identified = stated_id == own_id
         return self._is_answer_identified
 
     async def _relay_answer(self, conn: ClientConnection, answer: AnswerHead) -> None:
--- a/src/chervilmill/entry/_pool.py
+++ b/src/chervilmill/entry/_pool.py
@@ -26,6 +26,7 @@
     FIRST = "first"  # no connection to this lifetime of the target was released yet
     BUSY = "busy"  # all connections kept for reuse were in use
     CLOSED = "closed"  # the target had closed the idle connections
+    UNIDENTIFIED = "unidentified"  # for a request without an id
     PROBE = "probe"  # to find out whether targets can be reached at all
     RESTED = "rested"  # the connections were idle for longer than the target is known to allow
 
@@ -47,6 +48,11 @@
         self.opened[OpenReason.PROBE] += 1
         return await connect(target.address, CONNECT_TIMEOUT_S, self._held)
 
+    async def open_unshared(self, target: Target) -> ClientConnection:
+        """Open a connection for one request, which is not to be kept, or raise ConnectError."""
+        self.opened[OpenReason.UNIDENTIFIED] += 1
+        return await connect(target.address, CONNECT_TIMEOUT_S, self._held)
+
     async def acquire(self, target: Target) -> ClientConnection:
         """Return an idle connection or open a new one, which may raise ConnectError."""
         now_s = asyncio.get_running_loop().time()
--- a/tests/entry/test_extra_answers.py
+++ b/tests/entry/test_extra_answers.py
@@ -21,8 +21,8 @@
     """A target that repeats its previous answer, `extra` times, before it reads the next body.
 
     It refuses requests to paths that end with `refused` without running them, before it has read
-    their bodies. `repeats_ids` is False if the repeated answer is without an id, and
-    `refuses_with_ids` if its refusals are.
+    their bodies, and those without an id. `repeats_ids` is False if the repeated answer is without
+    an id, and `refuses_with_ids` if its refusals are.
     """
 
     def __init__(
@@ -58,7 +58,11 @@
             echo = f"X-Chervilmill-Request-Id: {request_id}\r\n".encode()
             writer.write(previous * self._extra)
             await writer.drain()
-            if first.split(" ")[1].endswith("refused"):
+            if not request_id:
+                head, echo = b"HTTP/1.1 400 -\r\n" + NOT_RUN, b""
+                writer.write(head + b"Content-Length: 0\r\n\r\n")
+                await reader.readexactly(int(headers.get("content-length", "0")))
+            elif first.split(" ")[1].endswith("refused"):
                 head = b"HTTP/1.1 503 -\r\n" + NOT_RUN
                 echo = echo if self._refuses_with_ids else b""
                 writer.write(head + echo + b"Content-Length: 0\r\n\r\n")
@@ -184,3 +188,28 @@
             assert [run for run, _ in target.runs] == ["yes-0", "yes-1", "yes-2"]
 
     run_async(scenario)
+
+
+async def _ask_without_id(site: SiteUnderTest) -> int:
+    conn = await connect(site.caller_address, 1.0)
+    try:
+        await conn.send_head(b"POST", b"/order/a", [(b"host", HOST.encode())])
+        conn.end_body()
+        return (await conn.read_head()).status
+    finally:
+        conn.abort()
+
+
+# A request without an id took the answer to another request, and the repetition of its own refusal
+# was taken for the answer to an order that ran and then ran again.
+def test_request_without_an_id_shares_its_connection_with_others(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        target = _RepeatingTarget()
+        async with _site_with(tmp_path, target) as site:
+            for number in range(4):
+                assert (await _order(site, f"order-{number}")).status == 200
+                assert await _ask_without_id(site) != 200
+                assert await _ask_without_id(site) != 200
+            assert [run for run, _ in target.runs] == [f"order-{number}" for number in range(4)]
+
+    run_async(scenario)
