Send the whole body of an upload that is answered early

Cause: `Attempt._send_body_and_read` cancelled the sending of the body at the head of any answer, and the connection, whose request was then not whole, was reset. So was one that is not kept for another reason, with what the system still held of the body.

Fix: the body is sent while the answer is relayed. After an answer below 400, the rest is sent until the target has taken it, within the time of the request. Only an answer that states that the request did not run, or an error, makes the rest needless. The parts of the attempt that await the answer raise what a caller with a malformed body did wrong, as before.

An answer without a length is whole only if it began after the request was written. It was enough that the request was written at its end, as nothing was written after an early head; now it may be.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -16,6 +16,7 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for a peer that sends no Keep-Alive time-out
 MAX_INTERIM_ANSWERS = 16  # before the final answer; a peer may send them without end
 MAX_STATUS = 599
+UNTAKEN_CHECK_S = 0.01
 IDLE_TIMEOUT_SHARE = 0.85  # of the peer's time-out, so that no request crosses the peer's close
 
 
@@ -56,9 +57,9 @@
     `idle_until_s` bound the time in which the connection may be reused, as readings of the event
     loop's clock.
 
-    An answer without a length is whole if the peer ends the connection in an orderly way and has
-    taken the whole request. A peer that fails while the request is still being written resets the
-    connection, and an orderly end may come before the reset.
+    An answer without a length is whole if the peer ends the connection in an orderly way and began
+    the answer after the whole request was written. A peer that fails while the request is still
+    being written resets the connection, and an orderly end may come before the reset.
 
     The request is written by the parser with which its exchange began. An answer to another request
     replaces only the parser that reads, since a part of the body may still have to be sent.
@@ -75,6 +76,7 @@
         self._body_count = BodyCount(self._framing)
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._method = b"GET"
+        self._is_answer_early = False
         self._sending_h11 = self._h11
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -114,6 +116,7 @@
             if isinstance(event, h11.Response):
                 headers = self._check_head(event)
                 self.has_answer_head = True
+                self._is_answer_early = not self._is_request_written
                 self._update_idle_timeout(event)
                 return AnswerHead(event.status_code, headers, self._framing.has_body)
             if not isinstance(event, h11.InformationalResponse):
@@ -140,12 +143,24 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._count_body(event)
-            if self._framing.is_ended_by_close and not self._is_request_written:
-                message = "the answer without a length ended before the request was written"
+            if self._framing.is_ended_by_close and self._is_answer_early:
+                message = "the answer without a length began before the request was written"
                 raise self._exchange_error("read body", message)
             return None
         raise self._exchange_error("read body", "the connection ended within the answer")
 
+    @property
+    def has_untaken(self) -> bool:
+        """Return whether the peer has not taken all that was sent; closing drops the rest."""
+        return self._transport is not None and self._count_unread(self._transport) > 0
+
+    async def wait_until_taken(self) -> None:
+        """Wait until the peer has taken all that was sent; raise ExchangeError if it is lost."""
+        while not self.is_lost and self.has_untaken:
+            await asyncio.sleep(UNTAKEN_CHECK_S)
+        if self.is_lost:
+            raise self._exchange_error("send", self._describe_loss())
+
     def _count_body(self, event: h11.Data | h11.EndOfMessage) -> None:
         try:
             if isinstance(event, h11.Data):
--- a/src/chervilmill/entry/_answer_time.py
+++ b/src/chervilmill/entry/_answer_time.py
@@ -32,6 +32,10 @@
         if scope is not None and until_s is not None and not scope.expired():
             scope.reschedule(until_s + LATE_DELIVERY_S)
 
+    def until_deadline(self) -> asyncio.Timeout:
+        """Return a scope that ends when the time of the request for its target does."""
+        return asyncio.timeout_at(self._until_s)
+
     async def read_part(self, conn: ClientConnection, held_up_s: float) -> bytes | None:
         """Return the next part of an answer that is being delivered, or None at its end.
 
--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any, TypeVar
 
 from chervilmill.aio import (
     AnswerHead,
@@ -28,6 +29,7 @@
 from chervilmill.entry._pool import TargetPool
 from chervilmill.entry._reader_pace import ReaderPace
 from chervilmill.errors import ChervilmillError
+from chervilmill.logs import log_problem
 from chervilmill.platform import (
     ORGANISATION_HEADERS,
     TARGET_HEADERS,
@@ -58,7 +60,11 @@
 # Sent by a target that is not the one named in the request.
 MISDIRECTED_STATUS = 421
 
+# A target that answers with a lower status before the end of the body still needs the rest.
+MIN_ERROR_STATUS = 400
+
 OnAnswer = Callable[[AnswerHeaders], None]
+_T = TypeVar("_T")
 
 
 class AttemptEnd(Enum):
@@ -166,6 +172,7 @@
         self.is_sent = False
         self._is_answer_identified = False
         self._reader_pace = ReaderPace()
+        self._sending: asyncio.Task[None] | None = None
 
     @property
     def result_if_abandoned(self) -> AttemptResult:
@@ -213,6 +220,7 @@
         except Exception as exc:
             return self._unanswered_result(_describe_unforeseen(exc), connect_s)
         finally:
+            await self._stop_sending()
             if is_done and (self._is_answer_identified or not self.requires_ids):
                 self._pool.release(self._target, conn)
             else:
@@ -253,6 +261,7 @@
         if answer.status != MISDIRECTED_STATUS:
             self._on_answer(answer_headers)
         if answer_headers.proves_not_run:
+            await self._stop_sending()
             await _discard_body(conn)
             return AttemptResult(
                 AttemptEnd.NOT_RUN, answer.status, load=answer_headers.load, connect_s=connect_s
@@ -261,34 +270,73 @@
         if problem:
             conn.abort()
             return AttemptResult(AttemptEnd.SPOILED, answer.status, problem, connect_s=connect_s)
-        await self._relay_answer(conn, answer)
+        await self._finish_answer(conn, answer)
         return AttemptResult(
             AttemptEnd.ANSWERED, answer.status, load=answer_headers.load, connect_s=connect_s
         )
 
     async def _finish_request(self, conn: ClientConnection) -> AnswerHead:
-        """Send the body, if there is one, and return the head of the answer."""
+        """Send the body, if there is one, and return the head of the answer.
+
+        A target may answer before it has read the whole body, which is still sent after that.
+        """
         if self._outgoing.body.is_empty:
             conn.end_body()
             return await self._read_matching_head(conn)
-        return await self._send_body_and_read(conn)
+        self._sending = asyncio.create_task(self._send_body(conn))
+        return await self._while_sending(self._read_matching_head(conn))
 
-    async def _send_body_and_read(self, conn: ClientConnection) -> AnswerHead:
-        """Send the body and read the head of the answer concurrently.
+    async def _while_sending(self, reading: Coroutine[Any, Any, _T]) -> _T:
+        """Return the result of `reading`, or raise the error of a caller whose body breaks off.
 
-        A target may answer before it has read the whole body.
+        A target that takes no more of the body may still answer.
         """
-        send = asyncio.create_task(self._send_body(conn))
-        read = asyncio.create_task(self._read_matching_head(conn))
+        sending = self._sending
+        if sending is None or (sending.done() and sending.exception() is None):
+            return await reading
+        read = asyncio.create_task(reading)
         try:
-            await asyncio.wait({send, read}, return_when=asyncio.FIRST_COMPLETED)
-            if not read.done() and not isinstance(send.exception(), ExchangeError):
-                send.result()
+            await asyncio.wait({sending, read}, return_when=asyncio.FIRST_COMPLETED)
+            if not read.done() and not isinstance(sending.exception(), ExchangeError):
+                sending.result()
             return await read
         finally:
-            send.cancel()
             read.cancel()
-            await asyncio.gather(send, read, return_exceptions=True)
+            await asyncio.gather(read, return_exceptions=True)
+
+    async def _finish_answer(self, conn: ClientConnection, answer: AnswerHead) -> None:
+        """Relay an answer, and send the rest of the body unless the answer is an error."""
+        await self._while_sending(self._relay_answer(conn, answer))
+        if self._sending is None or answer.status >= MIN_ERROR_STATUS:
+            return
+        if not self._sending.done() or conn.has_untaken:
+            await self._finish_sending(conn, self._sending)
+
+    async def _finish_sending(self, conn: ClientConnection, sending: asyncio.Task[None]) -> None:
+        """Send the rest of the body after the answer, until the target has taken all of it.
+
+        The caller has its answer, so no error of either side is raised. A target that has not taken
+        the body when the time of the request ends loses its connection.
+        """
+        self._outgoing.time.begin_delivery()
+        try:
+            async with self._outgoing.time.until_deadline():
+                await sending
+                await conn.wait_until_taken()
+        except (ChervilmillError, TimeoutError) as exc:
+            log_problem(
+                "rest of a body not sent",
+                step="send body",
+                peer=conn.host,
+                target=self._target.name,
+                error=repr(exc)[:MAX_DETAIL_CHARACTERS],
+            )
+            conn.abort()
+
+    async def _stop_sending(self) -> None:
+        if self._sending is not None:
+            self._sending.cancel()
+            await asyncio.gather(self._sending, return_exceptions=True)
 
     async def _send_body(self, conn: ClientConnection) -> None:
         async for part in self._outgoing.body.parts():
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -72,7 +72,7 @@
         if self.hides_refusals and proves_not_run_by_status(answer.status):
             conn.abort()
             return AttemptResult(AttemptEnd.LOST, answer.status, "refused by a peer")
-        await self._relay_answer(conn, answer)
+        await self._finish_answer(conn, answer)
         return AttemptResult(AttemptEnd.ANSWERED, answer.status)
 
     def _relayed_headers(self, time_left_s: float) -> Headers:
