Hold the heads of requests with many headers as one text

Cause: a parsed head was held as a list of tuples, which takes 20 to 30 times its bytes, while its request was in progress and while the rest of a refused one was read. It was counted nowhere, so that no limit acted.

Fix: a head with more than 64 headers is held as one text and taken apart when it is read or sent; that of a relayed request as well. Heads count among the bytes held for callers, by about what they take. The list for the target is no longer held while the answer is awaited, and no head while the rest of a body is discarded.

Evidence: two cases of test_process_outgrows_its_vm_or_answers_no_more fail before (over 66 MB of 64 MB when they are stopped).

--- a/src/chervilmill/aio/__init__.py
+++ b/src/chervilmill/aio/__init__.py
@@ -14,7 +14,7 @@
     connect,
 )
 from chervilmill.aio._guard import CallerLimit, HeldBytes, LimitCounter, ServerGuard
-from chervilmill.aio._headers import Headers, end_to_end, header_value
+from chervilmill.aio._headers import HeaderItems, Headers, end_to_end, header_value, hold_headers
 from chervilmill.aio._http_client import AnswerTooLongError, HttpAnswer, HttpClient
 from chervilmill.aio._request import BadRequestError, CallerGoneError, RequestHead, ServerLimits
 from chervilmill.aio._server import Handler, HttpServer, ServerConnection
@@ -31,6 +31,7 @@
     "ExchangeError",
     "ExchangeTimeoutError",
     "Handler",
+    "HeaderItems",
     "Headers",
     "HeldBytes",
     "HttpServer",
@@ -44,4 +45,5 @@
     "connect",
     "end_to_end",
     "header_value",
+    "hold_headers",
 ]
--- a/src/chervilmill/aio/_request.py
+++ b/src/chervilmill/aio/_request.py
@@ -3,7 +3,7 @@
 import re
 from dataclasses import dataclass, field
 
-from chervilmill.aio._headers import Headers, header_value
+from chervilmill.aio._headers import HeaderItems, header_value
 from chervilmill.errors import ChervilmillError
 
 _QUOTED_BYTES = re.compile(r":? (?:bytearray\()?b['\"].*", re.DOTALL)
@@ -38,7 +38,7 @@
 
     method: bytes
     target: bytes
-    headers: Headers = field(repr=False)
+    headers: HeaderItems = field(repr=False)
 
     @property
     def has_body(self) -> bool:
--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -12,7 +12,7 @@
 
 from chervilmill.addresses import Address
 from chervilmill.aio._guard import CallerLimit, HeldBytes, ServerGuard
-from chervilmill.aio._headers import Headers
+from chervilmill.aio._headers import Headers, count_held_bytes, hold_headers
 from chervilmill.aio._limited import LINGER_S, RETRY_AFTER, LimitedConnection
 from chervilmill.aio._request import (
     BadRequestError,
@@ -140,6 +140,10 @@
 
     async def _serve_request(self) -> bool:
         """Serve one request and return whether the connection can carry another."""
+        return await self._answer_request() and await self._next_cycle()
+
+    async def _answer_request(self) -> bool:
+        """Read and answer one request, and return whether the connection may carry another."""
         self._has_begun_answer = False
         self.answer_headers = []
         try:
@@ -152,7 +156,9 @@
             if limit is not None:
                 await self._refuse_request(limit)
                 return False
+            self.keep(len(head.target) + count_held_bytes(head.headers))
             await self._server.handler(self, head)
+            return True
         except BadRequestError as exc:
             await self._refuse(exc)
             return False
@@ -160,7 +166,6 @@
             self._is_busy = False
             if self._kept_bytes:
                 self.keep(-self._kept_bytes)
-        return await self._next_cycle()
 
     async def _refuse_request(self, limit: CallerLimit) -> None:
         """Refuse a request of which nothing has run, and close the connection."""
@@ -216,7 +221,7 @@
         if size > self.limits.header_bytes:
             message = f"{size} bytes of headers, at most {self.limits.header_bytes} are allowed"
             raise self._bad_request("read head", message, 431)
-        return RequestHead(event.method, event.target, headers)
+        return RequestHead(event.method, event.target, hold_headers(headers))
 
     async def _next_cycle(self) -> bool:
         """Discard the unread body and return whether the connection can carry another request."""
--- a/src/chervilmill/entry/_attempt.py
+++ b/src/chervilmill/entry/_attempt.py
@@ -254,8 +254,9 @@
         self, conn: ClientConnection, time_left_s: float, connect_s: float | None
     ) -> AttemptResult:
         head = self._outgoing.head
-        headers = self._outgoing.headers(self._target, time_left_s)
-        await conn.send_head(head.method, head.target, headers)
+        await conn.send_head(
+            head.method, head.target, self._outgoing.headers(self._target, time_left_s)
+        )
         answer = await self._finish_request(conn)
         answer_headers = read_answer(answer.status, answer.headers)
         if answer.status != MISDIRECTED_STATUS:
--- a/src/chervilmill/entry/_relay_basis.py
+++ b/src/chervilmill/entry/_relay_basis.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from chervilmill.aio import Headers, header_value
+from chervilmill.aio import HeaderItems, Headers, header_value
 from chervilmill.entry._site_state import SiteState
 from chervilmill.peers import Digest, KindReplica
 from chervilmill.platform import CONFIGURATION_KIND, EVACUATION_KIND, StoreVersion
@@ -49,7 +49,7 @@
         return BASIS_HEADER, f"{self.configuration} {era} {revision}".encode()
 
 
-def read_basis(headers: Headers) -> RelayBasis | None:
+def read_basis(headers: HeaderItems) -> RelayBasis | None:
     """Return the basis that headers state, or None if they state none that can be read."""
     match = _FORM.fullmatch(header_value(headers, BASIS_HEADER) or b"")
     if match is None:
@@ -58,7 +58,7 @@
     return RelayBasis(configuration, StoreVersion(era, revision))
 
 
-def without_basis(headers: Headers) -> Headers:
+def without_basis(headers: HeaderItems) -> Headers:
     """Return headers without those of this module."""
     return [item for item in headers if item[0] not in (BASIS_HEADER, BEHIND_HEADER)]
 
--- a/src/chervilmill/entry/_relayed.py
+++ b/src/chervilmill/entry/_relayed.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from chervilmill.aio import RequestHead, ServerConnection, header_value
+from chervilmill.aio import RequestHead, ServerConnection, header_value, hold_headers
 from chervilmill.entry._forward import Forwarder
 from chervilmill.entry._progress import Origin
 from chervilmill.entry._relay import CALLER_HEADER
@@ -41,10 +41,9 @@
             if not known.covers(wanted):
                 await self._refuse_as_behind(conn, head, known, wanted)
                 return
-        headers = [item for item in without_basis(head.headers) if item[0] != CALLER_HEADER]
         await self._forwarder.forward(
             conn,
-            replace(head, headers=headers),
+            _without_relay_headers(head),
             Origin(caller_host.decode("latin-1"), is_relayed=True),
         )
 
@@ -60,3 +59,8 @@
             wanted=str(wanted),
         )
         await conn.answer(503, [(BEHIND_HEADER, b"1")], b"")
+
+
+def _without_relay_headers(head: RequestHead) -> RequestHead:
+    headers = [item for item in without_basis(head.headers) if item[0] != CALLER_HEADER]
+    return replace(head, headers=hold_headers(headers))
--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -3,12 +3,12 @@
 The HTTP library passes header names in lower case.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from chervilmill.overload import StatedLimit, StatedPause, parse_limit, parse_pause
 
-Headers = Sequence[tuple[bytes, bytes]]
+Headers = Collection[tuple[bytes, bytes]]
 
 _REQUEST_ID_HEADER = b"x-chervilmill-request-id"
 _AFFINITY_HEADER = b"x-chervilmill-request-affinity"
--- a/tests/entry/test_uncontrolled_callers.py
+++ b/tests/entry/test_uncontrolled_callers.py
@@ -43,6 +43,12 @@
 UPLOAD = (
     f"POST /bundle/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n"
 ).encode()
+SHORT_HEADERS = b"".join(b"%c:%d\r\n" % (97 + n % 26, n % 10) for n in range(3000))
+MANY_HEADERS = (
+    f"POST /bundle/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 100\r\n".encode()
+    + SHORT_HEADERS
+    + b"\r\n"
+)
 
 ROUTES = (*DEFAULT_ROUTES, RouteRow("archives", "/archive/", "upload", timeout_s=60.0))
 
@@ -53,6 +59,9 @@
     "uploads_slow": Behaviour(300, UPLOAD, b"x" * CHUNK_BYTES, MAX_BODY_BYTES, 0.2),
     "long_answers": Behaviour(300, LONG * 20),
     "endless_heads": Behaviour(300, GET[:-2], b"a: b\r\n", 16_000, 0.05),
+    # Each head took half a megabyte, and was not counted.
+    "many_headers": Behaviour(300, MANY_HEADERS),
+    "many_headers_refused": Behaviour(300, MANY_HEADERS.replace(b"/bundle/", b"/none/")),
     "idle": Behaviour(600, b""),
 }
 
