Parse heads with many headers one after the other

Cause: a head of 3,000 short headers takes the parser 6.5 ms, and the heads of all connections that had sent one were parsed in one turn of the event loop.

Fix: a head with more than 64 lines waits for its turn. After each, the event loop has as much time for everything else. While 16 wait, further ones are refused at once with 503 and Retry-After, without being parsed. Requests with fewer headers do not wait.

Evidence: test_many_long_heads_hold_up_other_callers fails before: a small request beside 300 such heads gets no answer within 0.3 s.

--- a/src/chervilmill/aio/_guard.py
+++ b/src/chervilmill/aio/_guard.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
+from chervilmill.aio._long_heads import LongHeads
 from chervilmill.logs import log_problem
 
 # Covers a few round trips on a link between regions, at one VM's share of the link's rate.
@@ -29,6 +30,7 @@
     HELD_BYTES_NEW = "held_bytes_new"  # a new request was refused with 503
     HELD_BYTES_LARGEST = "held_bytes_largest"  # the connection that held the most was closed
     PIPELINED = "pipelined"  # refused with 503
+    LONG_HEADS = "long_heads"  # refused with 503, as other heads with many headers wait
     NOT_READ = "not_read"  # the caller read nothing of an answer, so its connection was closed
 
 
@@ -121,6 +123,7 @@
     max_connections: int = UNLIMITED
     max_pipelined: int = MAX_PIPELINED_REQUESTS
     counter: LimitCounter | None = None
+    long_heads: LongHeads = field(default_factory=LongHeads)
     refused: set[Holder] = field(default_factory=set)  # connections that are being refused
 
     def count(self, limit: CallerLimit, peer: str) -> None:
--- a/src/chervilmill/aio/_limited.py
+++ b/src/chervilmill/aio/_limited.py
@@ -7,7 +7,7 @@
 
 from chervilmill.aio._flow import H11Connection
 from chervilmill.aio._guard import CallerLimit, ServerGuard
-from chervilmill.aio._headers import Headers
+from chervilmill.aio._headers import MAX_LISTED_HEADERS, Headers
 from chervilmill.aio._request import CallerGoneError
 from chervilmill.aio._sockets import (
     discard_unsent_on_close,
@@ -33,6 +33,7 @@
         super().__init__(h11_connection, guard.held)
         self._guard = guard
         self._requests_since_read = 0
+        self._unparsed_lines = 0  # also of bodies; at most so many headers are unparsed
         self._is_refused = False
         self._is_closing = False
         self._unread_since_s: float | None = None
@@ -49,6 +50,7 @@
             self._answer_refused()
             return
         self._requests_since_read = 0
+        self._unparsed_lines += data.count(b"\n")
         super().data_received(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -151,6 +153,14 @@
             return CallerLimit.HELD_BYTES_NEW
         return None
 
+    @property
+    def _is_head_long(self) -> bool:
+        """Return whether the next head, or what has arrived of it, has many headers."""
+        if self._unparsed_lines <= MAX_LISTED_HEADERS:
+            return False
+        head, _, _ = bytes(self._h11._receive_buffer).partition(b"\r\n\r\n")
+        return head.count(b"\n") > MAX_LISTED_HEADERS
+
     def _cancel_task(self) -> None:
         task = self._task
         if task is not None and not task.done():
--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -152,10 +152,11 @@
                 self.close()
                 return False
             self._is_busy = True
-            limit = self._exceeded_limit()
+            limit = head if isinstance(head, CallerLimit) else self._exceeded_limit()
             if limit is not None:
                 await self._refuse_request(limit)
                 return False
+            assert isinstance(head, RequestHead)
             self.keep(len(head.target) + count_held_bytes(head.headers))
             await self._server.handler(self, head)
             return True
@@ -174,7 +175,8 @@
         await asyncio.sleep(0)
         self.close()
 
-    async def _read_head(self) -> RequestHead | None:
+    async def _read_head(self) -> RequestHead | CallerLimit | None:
+        """Return the next head, the limit for which it is refused, or None if there is none."""
         try:
             async with asyncio.timeout(self.limits.idle_s):
                 await self._wait_for_first_byte()
@@ -190,23 +192,37 @@
             ) from exc
 
     async def _wait_for_first_byte(self) -> None:
+        if not self._parser_bytes:
+            self._unparsed_lines = 0
         while not self._parser_bytes and not self.is_lost:
             await self._wait_for_change()
 
-    async def _parse_head(self) -> RequestHead | None:
+    async def _parse_head(self) -> RequestHead | CallerLimit | None:
         while True:
-            try:
-                event = self._next_event()
-            except h11.RemoteProtocolError as exc:
-                raise self._bad_request(
-                    "read head", describe_malformed(exc), exc.error_status_hint
-                ) from exc
-            if isinstance(event, h11.Request):
-                return self._checked_head(event)
-            if event is not h11.NEED_DATA or self.is_lost:
-                return None
+            if not self._is_head_long:
+                has_ended, head = self._try_parse_head()
+            elif self._guard.long_heads.is_full:
+                return CallerLimit.LONG_HEADS
+            else:
+                self._is_busy = True
+                has_ended, head = await self._guard.long_heads.parse(self._try_parse_head)
+                self._is_busy = has_ended
+            if has_ended:
+                return head
             await self._wait_for_change()
 
+    def _try_parse_head(self) -> tuple[bool, RequestHead | None]:
+        """Return whether the head has ended, and the head unless the connection ended before."""
+        try:
+            event = self._next_event()
+        except h11.RemoteProtocolError as exc:
+            raise self._bad_request(
+                "read head", describe_malformed(exc), exc.error_status_hint
+            ) from exc
+        if isinstance(event, h11.Request):
+            return True, self._checked_head(event)
+        return event is not h11.NEED_DATA or self.is_lost, None
+
     def _checked_head(self, event: h11.Request) -> RequestHead:
         headers = list(event.headers)
         names = [key for key, _ in headers]
--- a/tests/aio/test_limits.py
+++ b/tests/aio/test_limits.py
@@ -21,11 +21,13 @@
     ServerGuard,
     _limited,
 )
+from chervilmill.entry._loop_watch import LATE_S
 from tests.aio.support import LIMITS, talk
 from tests.support import free_address, run_async
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 LAST = b"GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+LONG_HEAD = GET[:-2] + b"".join(b"h%d: 1\r\n" % number for number in range(1500)) + b"\r\n"
 UPLOAD = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n"
 
 
@@ -166,6 +168,50 @@
     run_async(scenario)
 
 
+# Each of many heads took the event loop for 6 ms, one after the other, before anything else.
+def test_many_long_heads_hold_up_other_callers() -> None:
+    async def scenario() -> None:
+        async with guarded(max_bytes=100_000_000, max_connections=400) as (made, address):
+            made.server.limits = lambda: replace(LIMITS, header_bytes=16_384)
+            opened = [await asyncio.open_connection(address.host, address.port) for _ in range(300)]
+            for _, writer in opened:
+                writer.write(LONG_HEAD)
+            await asyncio.sleep(0)
+            for _ in range(10):
+                async with asyncio.timeout(LATE_S):
+                    assert (await talk(address, LAST)).startswith(b"HTTP/1.1 200")
+            for reader, writer in opened:
+                async with asyncio.timeout(5.0):
+                    answer = await reader.readuntil(b"\r\n\r\n")
+                if answer.startswith(b"HTTP/1.1 503"):
+                    assert b"retry-after: 1.00" in answer
+                writer.close()
+            assert made.runs >= 10 + 16
+            assert made.seen == {CallerLimit.LONG_HEADS: 10 + 300 - made.runs}
+
+    run_async(scenario)
+
+
+def test_head_with_many_headers_is_refused_or_run_again() -> None:
+    """It arrives in pieces, before and behind others, with and without a body of many lines."""
+
+    async def scenario() -> None:
+        async with guarded(max_connections=20) as (made, address):
+            made.server.limits = lambda: replace(LIMITS, header_bytes=16_384)
+            made.release.set()
+            upload = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n" + b"\n" * 500
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            sent = GET + LONG_HEAD + upload + LONG_HEAD + LAST
+            for begin in range(0, len(sent), 5000):
+                writer.write(sent[begin : begin + 5000])
+                await asyncio.sleep(0.05)
+            answers = await reader.read()
+            assert answers.count(b"HTTP/1.1 200") == made.runs == 5
+            assert not made.seen
+
+    run_async(scenario)
+
+
 def test_request_is_run_while_too_much_is_held() -> None:
     async def scenario() -> None:
         async with guarded(max_bytes=100_000) as (made, address):
