Pass on small parts of bodies joined, and let others run between them

Cause: the body of a connection was read for as long as data was there, up to 37,000 chunks of what had been read ahead, each parsed and passed on by itself in one turn of the event loop. So were answers of targets in tiny chunks.

Fix: the parts that have arrived are joined, up to 64 of them or 16 KB. A caller's connection with smaller ones waits for its turn before the next, as long heads do, and as much time is left for everything else; a connection to a target lets others run. `LongHeads` is now `ParseTurns`, as it is used for both.

--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -1,12 +1,14 @@
 """Provide the client side of an HTTP/1.1 connection."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import h11
 
 from chervilmill.addresses import Address
-from chervilmill.aio._flow import H11Connection
+from chervilmill.aio._flow import BodyBatch, H11Connection
 from chervilmill.aio._guard import HeldBytes
 from chervilmill.aio._headers import Headers, header_value
 from chervilmill.aio._sockets import discard_unsent_on_close
@@ -19,6 +21,8 @@
 UNTAKEN_CHECK_S = 0.01
 IDLE_TIMEOUT_SHARE = 0.85  # of the peer's time-out, so that no request crosses the peer's close
 
+_T = TypeVar("_T")
+
 
 class ConnectError(ChervilmillError):
     """Raised when no connection could be made, so that nothing was sent."""
@@ -77,6 +81,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._method = b"GET"
         self._is_answer_early = False
+        self._has_small_parts = False
         self._sending_h11 = self._h11
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -137,17 +142,21 @@
 
     async def read_part(self) -> bytes | None:
         """Return the next part of the answer's body, or None at its end."""
-        event = await self._read_event()
-        if isinstance(event, h11.Data):
-            self._count_body(event)
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            self._count_body(event)
+        if self._has_read_body:
+            return None
+        if self._has_small_parts:
+            await asyncio.sleep(0)  # lets other connections run
+        batch = await self._read_batch()
+        self._has_small_parts = batch.is_small
+        self._count_body(batch)
+        if isinstance(batch.event, h11.EndOfMessage):
             if self._framing.is_ended_by_close and self._is_answer_early:
                 message = "the answer without a length began before the request was written"
                 raise self._exchange_error("read body", message)
-            return None
-        raise self._exchange_error("read body", "the connection ended within the answer")
+            return batch.data or None
+        if not batch.data:
+            raise self._exchange_error("read body", "the connection ended within the answer")
+        return batch.data
 
     @property
     def has_untaken(self) -> bool:
@@ -161,11 +170,10 @@
         if self.is_lost:
             raise self._exchange_error("send", self._describe_loss())
 
-    def _count_body(self, event: h11.Data | h11.EndOfMessage) -> None:
+    def _count_body(self, batch: BodyBatch) -> None:
         try:
-            if isinstance(event, h11.Data):
-                self._body_count.add(len(event.data))
-            else:
+            self._body_count.add(len(batch.data))
+            if isinstance(batch.event, h11.EndOfMessage):
                 self._body_count.end()
         except FramingError as exc:
             raise self._exchange_error("read body", str(exc)) from exc
@@ -205,19 +213,28 @@
         return True
 
     async def _read_event(self) -> object:
+        while (event := self._parse(self._next_event)) is h11.NEED_DATA:
+            await self._wait_for_data()
+        return event
+
+    async def _read_batch(self) -> BodyBatch:
         while True:
-            try:
-                event = self._next_event()
-            except h11.RemoteProtocolError as exc:
-                message = (
-                    "the connection was closed before the answer" if self._is_cut else str(exc)
-                )
-                raise self._exchange_error("read answer", message) from exc
-            if event is not h11.NEED_DATA:
-                return event
-            if self.is_lost:
-                raise self._exchange_error("read answer", self._describe_loss())
-            await self._wait_for_change()
+            batch = self._parse(self._next_batch)
+            if batch.data or batch.event is not h11.NEED_DATA:
+                return batch
+            await self._wait_for_data()
+
+    def _parse(self, parse: Callable[[], _T]) -> _T:
+        try:
+            return parse()
+        except h11.RemoteProtocolError as exc:
+            message = "the connection was closed before the answer" if self._is_cut else str(exc)
+            raise self._exchange_error("read answer", message) from exc
+
+    async def _wait_for_data(self) -> None:
+        if self.is_lost:
+            raise self._exchange_error("read answer", self._describe_loss())
+        await self._wait_for_change()
 
     @property
     def _is_cut(self) -> bool:
--- a/src/chervilmill/aio/_flow.py
+++ b/src/chervilmill/aio/_flow.py
@@ -17,12 +17,30 @@
 MAX_READ_BYTES = 64 * 1024
 # Unsent bytes above which a connection waits for its peer to read.
 MAX_UNSENT_BYTES = 32 * 1024
+# Parts of a body that are passed on as one.
+BATCH_BYTES = 16 * 1024
+MAX_BATCH_PARTS = 64
 # A peer that acknowledges nothing at so many checks in a row, in 1.5 s or more, counts as gone. It
 # is below the grace period of a retry; a round trip between regions takes about 0.1 s.
 PEER_CHECK_S = 0.25
 MAX_SILENT_CHECKS = 7
 
 
+class BodyBatch:
+    """Parts of a body that had arrived, joined, and the event behind them unless it is a part.
+
+    It is small if it has as many parts as one may have and few bytes, as more of such parts may
+    follow, which take long to parse for their length.
+    """
+
+    __slots__ = ("data", "event", "is_small")
+
+    def __init__(self, data: bytes, event: Any, *, is_small: bool) -> None:
+        self.data = data
+        self.event = event
+        self.is_small = is_small
+
+
 class H11Connection(asyncio.Protocol):
     """A protocol that passes bytes between a transport and h11, and pauses the faster side.
 
@@ -39,6 +57,7 @@
         self._held = held
         self.held_bytes = 0
         self._kept_bytes = 0
+        self._parse_error: h11.RemoteProtocolError | None = None
         self._changed = asyncio.Event()
         self._can_write = asyncio.Event()
         self._can_write.set()
@@ -171,6 +190,32 @@
             self._resume_reading()
         return event
 
+    def _next_batch(self) -> BodyBatch:
+        """Return the next parts of a body, or raise RemoteProtocolError behind the last of them."""
+        if self._parse_error is not None:
+            raise self._parse_error
+        parts: list[bytes] = []
+        size = 0
+        while size < BATCH_BYTES and len(parts) < MAX_BATCH_PARTS:
+            try:
+                event = self._next_event()
+            except h11.RemoteProtocolError as exc:
+                if not parts:
+                    raise
+                self._parse_error = exc
+                break
+            if not isinstance(event, h11.Data):
+                return BodyBatch(b"".join(parts), event, is_small=False)
+            parts.append(bytes(event.data))
+            size += len(event.data)
+        is_small = self._parse_error is None and size < BATCH_BYTES
+        return BodyBatch(b"".join(parts), None, is_small=is_small)
+
+    @property
+    def _has_read_body(self) -> bool:
+        """Return whether the body of the peer's present message was read to its end."""
+        return self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
     def _begin_next_cycle(self) -> None:
         """Let the connection carry another exchange."""
         self._h11.start_next_cycle()
--- a/src/chervilmill/aio/_guard.py
+++ b/src/chervilmill/aio/_guard.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Protocol
 
-from chervilmill.aio._long_heads import LongHeads
+from chervilmill.aio._parse_turns import ParseTurns
 from chervilmill.logs import log_problem
 
 # Covers a few round trips on a link between regions, at one VM's share of the link's rate.
@@ -123,7 +123,7 @@
     max_connections: int = UNLIMITED
     max_pipelined: int = MAX_PIPELINED_REQUESTS
     counter: LimitCounter | None = None
-    long_heads: LongHeads = field(default_factory=LongHeads)
+    parse_turns: ParseTurns = field(default_factory=ParseTurns)
     refused: set[Holder] = field(default_factory=set)  # connections that are being refused
 
     def count(self, limit: CallerLimit, peer: str) -> None:
--- a/src/chervilmill/aio/_long_heads.py
+++ b/src/chervilmill/aio/_parse_turns.py
@@ -1,4 +1,4 @@
-"""Parse heads with many headers one after the other, so that others are served meanwhile."""
+"""Parse what takes long to parse one after the other, so that others are served meanwhile."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,10 +9,10 @@
 _T = TypeVar("_T")
 
 
-class LongHeads:
-    """The heads with many headers that wait to be parsed by one server.
+class ParseTurns:
+    """The turns of connections whose input takes long to parse, for its length, at one server.
 
-    One takes milliseconds. The event loop gets as long for everything else after each.
+    A turn takes milliseconds. The event loop gets as long for everything else after each.
     """
 
     __slots__ = ("_lock", "_waiting")
@@ -23,11 +23,11 @@
 
     @property
     def is_full(self) -> bool:
-        """Return whether no further head may wait."""
+        """Return whether so many wait that a new request should not."""
         return self._waiting >= MAX_WAITING
 
     async def parse(self, parse: Callable[[], _T]) -> _T:
-        """Return the result of `parse`, which is called when the heads before have been parsed."""
+        """Return the result of `parse`, which is called when those before have had their turns."""
         loop = asyncio.get_running_loop()
         self._waiting += 1
         try:
--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -11,6 +11,7 @@
 import h11
 
 from chervilmill.addresses import Address
+from chervilmill.aio._flow import BodyBatch
 from chervilmill.aio._guard import CallerLimit, HeldBytes, ServerGuard
 from chervilmill.aio._headers import Headers, count_held_bytes, hold_headers
 from chervilmill.aio._limited import LINGER_S, RETRY_AFTER, LimitedConnection
@@ -40,6 +41,7 @@
         self.answer_headers: Headers = []
         self._has_begun_answer = False
         self._is_busy = False
+        self._has_small_parts = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start serving its requests, unless there are too many."""
@@ -77,19 +79,27 @@
         if self._h11.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         while True:
-            try:
-                event = self._next_event()
-            except h11.RemoteProtocolError as exc:
-                raise self._bad_request(
-                    "read body", describe_malformed(exc), exc.error_status_hint
-                ) from exc
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
+            if self._has_read_body:
                 return None
-            if event is not h11.NEED_DATA or self.is_lost:
+            if self._has_small_parts:
+                batch = await self._guard.parse_turns.parse(self._parse_batch)
+            else:
+                batch = self._parse_batch()
+            self._has_small_parts = batch.is_small
+            if batch.data:
+                return batch.data
+            if batch.event is h11.NEED_DATA and not self.is_lost:
+                await self._wait_for_change()
+            elif not self._has_read_body:
                 raise self._caller_gone("read body")
-            await self._wait_for_change()
+
+    def _parse_batch(self) -> BodyBatch:
+        try:
+            return self._next_batch()
+        except h11.RemoteProtocolError as exc:
+            raise self._bad_request(
+                "read body", describe_malformed(exc), exc.error_status_hint
+            ) from exc
 
     async def start_answer(self, status: int, headers: Headers) -> None:
         """Send the head of an answer."""
@@ -201,11 +211,11 @@
         while True:
             if not self._is_head_long:
                 has_ended, head = self._try_parse_head()
-            elif self._guard.long_heads.is_full:
+            elif self._guard.parse_turns.is_full:
                 return CallerLimit.LONG_HEADS
             else:
                 self._is_busy = True
-                has_ended, head = await self._guard.long_heads.parse(self._try_parse_head)
+                has_ended, head = await self._guard.parse_turns.parse(self._try_parse_head)
                 self._is_busy = has_ended
             if has_ended:
                 return head
--- a/tests/aio/test_client.py
+++ b/tests/aio/test_client.py
@@ -18,6 +18,7 @@
     connect,
 )
 from chervilmill.aio._client import DEFAULT_IDLE_TIMEOUT_S, IDLE_TIMEOUT_SHARE
+from chervilmill.entry._loop_watch import LATE_S
 from tests.aio.support import answering, exchange, serving
 from tests.support import free_address, run_async
 
@@ -263,3 +264,35 @@
                     await HttpClient(address)("GET", "/", b"", 2.0)
 
     run_async(scenario)
+
+
+# All chunks that had arrived were read in one turn of the event loop.
+def test_answer_in_tiny_chunks_holds_up_the_event_loop() -> None:
+    async def scenario() -> None:
+        count = 60_000
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        latest_s = 0.0
+
+        async def watch() -> None:
+            nonlocal latest_s
+            loop = asyncio.get_running_loop()
+            while True:
+                began_s = loop.time()
+                await asyncio.sleep(0.01)
+                latest_s = max(latest_s, loop.time() - began_s - 0.01)
+
+        async with answering(head + b"2\r\nab\r\n" * count + b"0\r\n\r\n") as address:
+            conn = await connect(address, 1.0)
+            await conn.send_head(b"GET", b"/", [(b"host", b"x")])
+            conn.end_body()
+            await conn.read_head()
+            watching = asyncio.create_task(watch())
+            parts: list[bytes] = []
+            while (part := await conn.read_part()) is not None:
+                parts.append(part)
+            watching.cancel()
+            assert b"".join(parts) == b"ab" * count
+            assert latest_s <= LATE_S
+            conn.abort()
+
+    run_async(scenario)
--- a/tests/aio/test_limits.py
+++ b/tests/aio/test_limits.py
@@ -38,6 +38,8 @@
         self.seen: Counter[CallerLimit] = Counter()
         self.runs = 0
         self.cancelled = 0
+        self.reads_bodies = False
+        self.bodies: list[bytes] = []
         self.release = asyncio.Event()
         self.held = HeldBytes(max_bytes)
         counter = LimitCounter(lambda: 0.0, lambda limit: self.seen.update([limit]))
@@ -50,6 +52,11 @@
         try:
             if head.has_body:
                 await self.release.wait()
+            if head.has_body and self.reads_bodies:
+                parts: list[bytes] = []
+                while (part := await conn.read_part()) is not None:
+                    parts.append(part)
+                self.bodies.append(b"".join(parts))
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -212,6 +219,44 @@
     run_async(scenario)
 
 
+# All chunks that a connection had read ahead were parsed and passed on before anything else.
+@pytest.mark.parametrize("is_refused", [False, True])
+def test_uploads_in_tiny_chunks_hold_up_other_callers(is_refused: bool) -> None:
+    async def scenario() -> None:
+        async with guarded(max_bytes=100_000_000, max_connections=40) as (made, address):
+            made.reads_bodies = not is_refused
+            start = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            uploads = []
+            for _ in range(20):
+                _, writer = await asyncio.open_connection(address.host, address.port)
+                writer.write(start + b"2\r\nxx\r\n" * 30_000)
+                uploads.append(writer)
+            await _wait_until(lambda: made.runs == len(uploads))
+            made.release.set()
+            for _ in range(10):
+                async with asyncio.timeout(LATE_S):
+                    assert (await talk(address, LAST)).startswith(b"HTTP/1.1 200")
+            for writer in uploads:
+                _reset(writer)
+
+    run_async(scenario)
+
+
+def test_tiny_chunks_are_lost_or_mixed() -> None:
+    async def scenario() -> None:
+        async with guarded() as (made, address):
+            made.reads_bodies = True
+            made.release.set()
+            body = bytes(range(256)) * 4
+            chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\n\r\n"
+            head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            answers = await talk(address, (head + chunks) * 3 + LAST)
+            assert answers.count(b"HTTP/1.1 200") == 4
+            assert made.bodies == [body] * 3
+
+    run_async(scenario)
+
+
 def test_request_is_run_while_too_much_is_held() -> None:
     async def scenario() -> None:
         async with guarded(max_bytes=100_000) as (made, address):
