--- a/src/chervilmill/aio/_client.py
+++ b/src/chervilmill/aio/_client.py
@@ -18,7 +18,7 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for a peer that sends no Keep-Alive time-out
 MAX_INTERIM_ANSWERS = 16  # before the final answer; a peer may send them without end
 MAX_STATUS = 599
-UNTAKEN_CHECK_S = 0.01
+UNTAKEN_CHECK_S = 0.01  # nothing reports that a peer has taken bytes, so it is asked
 IDLE_TIMEOUT_SHARE = 0.85  # of the peer's time-out, so that no request crosses the peer's close
 
 _T = TypeVar("_T")
--- a/src/chervilmill/aio/_flow.py
+++ b/src/chervilmill/aio/_flow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -17,7 +18,7 @@
 MAX_READ_BYTES = 64 * 1024
 # Unsent bytes above which a connection waits for its peer to read.
 MAX_UNSENT_BYTES = 32 * 1024
-# Parts of a body that are passed on as one.
+# Of the parts of a body that have arrived, so many are passed on as one.
 BATCH_BYTES = 16 * 1024
 MAX_BATCH_PARTS = 64
 # A peer that acknowledges nothing at so many checks in a row, in 1.5 s or more, counts as gone. It
@@ -26,19 +27,17 @@
 MAX_SILENT_CHECKS = 7
 
 
+@dataclass(frozen=True, slots=True)
 class BodyBatch:
-    """Parts of a body that had arrived, joined, and the event behind them unless it is a part.
+    """Parts of a body that had arrived, joined, and the event of h11 behind them.
 
-    It is small if it has as many parts as one may have and few bytes, as more of such parts may
-    follow, which take long to parse for their length.
+    `event` is None if a further part may follow at once. `is_small` says that there were
+    MAX_BATCH_PARTS with few bytes: more of the kind take long to parse for their length.
     """
 
-    __slots__ = ("data", "event", "is_small")
-
-    def __init__(self, data: bytes, event: Any, *, is_small: bool) -> None:
-        self.data = data
-        self.event = event
-        self.is_small = is_small
+    data: bytes
+    event: Any = None
+    is_small: bool = False
 
 
 class H11Connection(asyncio.Protocol):
@@ -205,11 +204,11 @@
                 self._parse_error = exc
                 break
             if not isinstance(event, h11.Data):
-                return BodyBatch(b"".join(parts), event, is_small=False)
+                return BodyBatch(b"".join(parts), event)
             parts.append(bytes(event.data))
             size += len(event.data)
         is_small = self._parse_error is None and size < BATCH_BYTES
-        return BodyBatch(b"".join(parts), None, is_small=is_small)
+        return BodyBatch(b"".join(parts), is_small=is_small)
 
     @property
     def _has_read_body(self) -> bool:
--- a/src/chervilmill/aio/_guard.py
+++ b/src/chervilmill/aio/_guard.py
@@ -30,7 +30,7 @@
     HELD_BYTES_NEW = "held_bytes_new"  # a new request was refused with 503
     HELD_BYTES_LARGEST = "held_bytes_largest"  # the connection that held the most was closed
     PIPELINED = "pipelined"  # refused with 503
-    LONG_HEADS = "long_heads"  # refused with 503, as other heads with many headers wait
+    LONG_HEADS = "long_heads"  # refused with 503, as others wait to be parsed
     NOT_READ = "not_read"  # the caller read nothing of an answer, so its connection was closed
 
 
