Do not count the wait for a turn as late headers

Cause: the time in which headers have to arrive also ran while a head that had arrived waited to be parsed, so that it was answered with 408.

Fix: the time-out does not run during that wait, which is bounded by the number of those that may wait.

Evidence: test_head_that_waits_for_its_turn_counts_as_late fails before, with 408 in place of 200.

--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -194,8 +194,8 @@
             return None
         limit_s = self.limits.header_timeout_s
         try:
-            async with asyncio.timeout(limit_s):
-                return await self._parse_head()
+            async with asyncio.timeout(limit_s) as scope:
+                return await self._parse_head(scope)
         except TimeoutError as exc:
             raise self._bad_request(
                 "read head", f"the headers did not arrive within {limit_s} s", 408
@@ -207,7 +207,9 @@
         while not self._parser_bytes and not self.is_lost:
             await self._wait_for_change()
 
-    async def _parse_head(self) -> RequestHead | CallerLimit | None:
+    async def _parse_head(self, scope: asyncio.Timeout) -> RequestHead | CallerLimit | None:
+        """Return the next head as it arrives; the scope does not run while it waits for a turn."""
+        loop = asyncio.get_running_loop()
         while True:
             if not self._is_head_long:
                 has_ended, head = self._try_parse_head()
@@ -215,7 +217,11 @@
                 return CallerLimit.LONG_HEADS
             else:
                 self._is_busy = True
+                until_s, began_s = scope.when(), loop.time()
+                scope.reschedule(None)
                 has_ended, head = await self._guard.parse_turns.parse(self._try_parse_head)
+                if until_s is not None:
+                    scope.reschedule(until_s + loop.time() - began_s)
                 self._is_busy = has_ended
             if has_ended:
                 return head
--- a/tests/aio/test_limits.py
+++ b/tests/aio/test_limits.py
@@ -199,6 +199,21 @@
     run_async(scenario)
 
 
+# A head that had arrived was answered with 408, as its headers had not.
+def test_head_that_waits_for_its_turn_counts_as_late() -> None:
+    async def scenario() -> None:
+        async with guarded() as (made, address):
+            made.server.limits = lambda: replace(LIMITS, header_bytes=16_384)
+            async with made.server.guard.parse_turns._lock:
+                asking = asyncio.create_task(talk(address, LONG_HEAD + LAST))
+                await asyncio.sleep(LIMITS.header_timeout_s + 0.2)
+            assert (await asking).count(b"HTTP/1.1 200") == 2
+            late = await talk(address, LONG_HEAD[:-2])
+            assert late.startswith(b"HTTP/1.1 408")
+
+    run_async(scenario)
+
+
 def test_head_with_many_headers_is_refused_or_run_again() -> None:
     """It arrives in pieces, before and behind others, with and without a body of many lines."""
 
