--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -8,7 +8,7 @@
 
 from chervilmill.overload import StatedLimit, StatedPause, parse_limit, parse_pause
 
-Headers = Collection[tuple[bytes, bytes]]
+HeaderItems = Collection[tuple[bytes, bytes]]
 
 _REQUEST_ID_HEADER = b"x-chervilmill-request-id"
 _AFFINITY_HEADER = b"x-chervilmill-request-affinity"
@@ -85,7 +85,7 @@
     pause: StatedPause | None = None
 
 
-def read_request(headers: Headers) -> RequestHeaders:
+def read_request(headers: HeaderItems) -> RequestHeaders:
     """Return the values in the headers of a caller's request."""
     by_name = dict(headers)
     return RequestHeaders(
@@ -96,7 +96,7 @@
     )
 
 
-def read_answer(status: int, headers: Headers) -> AnswerHeaders:
+def read_answer(status: int, headers: HeaderItems) -> AnswerHeaders:
     """Return the values in the headers of a target's answer, with what its status implies."""
     by_name = dict(headers)
     return AnswerHeaders(
--- a/tests/aio/test_limits.py
+++ b/tests/aio/test_limits.py
@@ -20,6 +20,7 @@
     ServerConnection,
     ServerGuard,
     _limited,
+    _parse_turns,
 )
 from chervilmill.entry._loop_watch import LATE_S
 from tests.aio.support import LIMITS, talk
@@ -193,7 +194,7 @@
                 if answer.startswith(b"HTTP/1.1 503"):
                     assert b"retry-after: 1.00" in answer
                 writer.close()
-            assert made.runs >= 10 + 16
+            assert made.runs >= 10 + _parse_turns.MAX_WAITING
             assert made.seen == {CallerLimit.LONG_HEADS: 10 + 300 - made.runs}
 
     run_async(scenario)
