List a kind whose long changes have an unreadable part

Callers would see refusals as during an outage of the store: an entry VM whose watch brings more than 4 MB of changes, a part of which the strict decoder refuses (a constant, a control character, a lone surrogate, deep nesting of another writer), counts the store as lost and asks for the same changes again.

Cause: such parts are only replaced in documents of up to 4 MB, and what is longer raised the error of an answer that cannot be read, where an answer beyond 16 MB is already followed by a list.

The decoder now tells the two apart, and the watch raises HistoryTooLongError for both. A list has pages, each of which is short enough to be repaired. A document with wrong syntax of that length is not told from one that could be repaired; a list finds out.

--- a/src/chervilmill/document_parts.py
+++ b/src/chervilmill/document_parts.py
@@ -40,10 +40,15 @@
 _CONSTANTS = (b"-Infinity", b"Infinity", b"NaN")
 
 
+class DocumentTooLongError(ValueError):
+    """Raised for a document with unreadable parts that is too long for these to be replaced."""
+
+
 def decode_parts(data: bytes | msgspec.Raw, decoder: msgspec.json.Decoder[T]) -> T:
     """Return what a decoder reads of a document, or raise ValueError.
 
-    Of parts that are `msgspec.Raw`, only the syntax is checked. They refer to the whole document.
+    That is DocumentTooLongError if unreadable parts are amid more than MAX_REPAIRED_BYTES. Of
+    parts that are `msgspec.Raw`, only the syntax is checked. They refer to the whole document.
     """
     try:
         return _decode(data, decoder)
@@ -76,7 +81,8 @@
     constants that are no JSON become empty lists, and what is nested too deeply becomes null.
     """
     if len(data) > MAX_REPAIRED_BYTES:
-        raise ValueError(f"more than {MAX_REPAIRED_BYTES} bytes, with parts that cannot be read")
+        message = f"more than {MAX_REPAIRED_BYTES} bytes, with parts that cannot be read"
+        raise DocumentTooLongError(message)
     data = data.translate(_REPLACE_CONTROLS)
     data = data.replace(_BACKSLASH, _HIDDEN_BACKSLASH).replace(_QUOTE, _HIDDEN_QUOTE)
     data, structure = _separate_texts(_replace_lone_surrogates(data))
--- a/src/chervilmill/platform/_store.py
+++ b/src/chervilmill/platform/_store.py
@@ -26,7 +26,7 @@
     ExchangeTimeoutError,
     HttpAnswer,
 )
-from chervilmill.document_parts import decode_parts
+from chervilmill.document_parts import DocumentTooLongError, decode_parts
 from chervilmill.errors import ChervilmillError
 from chervilmill.platform._object_codec import (
     decode_events,
@@ -202,7 +202,7 @@
         try:
             era, changes = await self._get(kind, query, timeout_s, _changes_decoder, since.era)
         except StoreError as exc:
-            if isinstance(exc.__cause__, AnswerTooLongError):
+            if isinstance(exc.__cause__, (AnswerTooLongError, DocumentTooLongError)):
                 message = exc.message
                 raise HistoryTooLongError(message, step=exc.step, peer=self._peer) from exc
             raise
--- a/tests/entry/test_replica_sync.py
+++ b/tests/entry/test_replica_sync.py
@@ -213,7 +213,8 @@
 class _FloodedStore:
     """A store whose watches have more changes than are read, until it is `calm`."""
 
-    def __init__(self) -> None:
+    def __init__(self, changes: bytes | None) -> None:
+        self._changes = changes
         self.is_calm = False
         self.calls: list[str] = []
 
@@ -221,15 +222,23 @@
         self.calls.append("watch" if "watch=" in path else "list")
         if "watch=" not in path:
             return _answer({"items": [], "as-of": 5})
+        if not self.is_calm and self._changes is not None:
+            return HttpAnswer(200, self._changes, ())
         if not self.is_calm:
             raise AnswerTooLongError("too long", step="GET", peer="store")
         await asyncio.sleep(timeout_s - 0.1)
         return _answer({"events": [], "as-of": 5})
 
 
+LONG_UNREADABLE_CHANGES = b'{"events":[NaN,"%b"],"as-of":5}' % (b"a" * 5_000_000)
+
+
 # Sixty removals of long entries came in one answer, and the store counted as lost.
-def test_changes_that_are_too_long_count_as_an_outage_or_are_asked_for_without_a_pause() -> None:
-    store = _FloodedStore()
+@pytest.mark.parametrize("changes", [None, LONG_UNREADABLE_CHANGES], ids=["cut", "unreadable"])
+def test_changes_that_are_too_long_count_as_an_outage_or_are_asked_for_without_a_pause(
+    changes: bytes | None,
+) -> None:
+    store = _FloodedStore(changes)
 
     async def scenario() -> None:
         sync = ReplicaSync(PlatformStore(store, "store"), {KIND: KindReplica(KIND)}, _ignore_change)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -92,6 +92,18 @@
         asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
 
 
+# One byte amid five megabytes of changes made them an answer that could not be read.
+@pytest.mark.parametrize("odd", [b"NaN", b'"\x01"', b'"\\ud800"', b"[" * 1500 + b"]" * 1500])
+def test_long_changes_with_an_unreadable_part_are_an_outage(odd: bytes) -> None:
+    event = b'{"object":{"metadata":{"name":"a","revision":8},"specification":{"x":[%b,"%b"]}}}'
+    sound = event % (b"1", b"a" * 1_000_000)
+    events = b",".join([sound] * 4 + [event % (odd, b"a" * 1_000_000)])
+    answer = HttpAnswer(200, b'{"events":[%b],"as-of":9}' % events, ())
+    store = PlatformStore(_ScriptedExchange(answer), "store")
+    with pytest.raises(HistoryTooLongError):
+        asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
+
+
 # A list that says less than a list does was taken for one of a store without objects.
 @pytest.mark.parametrize(
     "pages",
