--- a/tests/aio/test_limits.py
+++ b/tests/aio/test_limits.py
@@ -180,7 +180,8 @@
 def test_many_long_heads_hold_up_other_callers() -> None:
     async def scenario() -> None:
         async with guarded(max_bytes=100_000_000, max_connections=400) as (made, address):
-            made.server.limits = lambda: replace(LIMITS, header_bytes=16_384)
+            limits = replace(LIMITS, header_bytes=16_384, idle_s=10.0)  # until all are open
+            made.server.limits = lambda: limits
             opened = [await asyncio.open_connection(address.host, address.port) for _ in range(300)]
             for _, writer in opened:
                 writer.write(LONG_HEAD)
