Give up copies of bodies before connections are cut

Cause: above the limit on what callers hold, the connection that holds the most was closed. An upload of 350 KB that was sent still counted in full, as it is kept to be sent again, and no caller that sends ahead holds as much.

Fix: such a connection first gives up its copy, and is closed only if it has none and still holds the most. A body without a copy is not sent again, as one that was begun while memory was low. Between the decision to send a body again and the end of its buffer, the copy is claimed and stays, so that no part can be missing.

--- a/src/chervilmill/aio/_guard.py
+++ b/src/chervilmill/aio/_guard.py
@@ -39,6 +39,10 @@
 
     held_bytes: int
 
+    def release_copy(self) -> bool:
+        """Drop what is held only to be sent again, and return whether there was any."""
+        ...
+
     def cut(self) -> None:
         """Close the connection at once and release what it holds."""
 
@@ -47,8 +51,8 @@
     """The bytes that the connections of a process hold for callers, and their limit.
 
     Input that was not parsed, output that was not sent and bodies kept to be sent again count, also
-    on connections to targets. Above the limit, the connection of a caller that holds the most is
-    closed until the rest is below.
+    on connections to targets. Above the limit, the connection of a caller that holds the most gives
+    up the copy of its body, or is closed if it has none, until the rest is below.
     """
 
     __slots__ = ("_low_memory_bytes", "_refusing_bytes", "callers", "max_bytes", "total", "on_cut")
@@ -77,13 +81,17 @@
         return LOW_READ_AHEAD_BYTES if self.is_low_on_memory else READ_AHEAD_BYTES
 
     def enforce(self) -> None:
-        """Cut callers' connections, those that hold the most first, until the limit holds."""
+        """Drop copies and cut callers' connections until the limit holds.
+
+        The connection that holds the most comes first, and is only cut if it has no copy.
+        """
         while self.total > self.max_bytes and self.callers:
             largest = max(self.callers, key=lambda holder: holder.held_bytes)
             if not largest.held_bytes:
                 return
-            largest.cut()
-            self.on_cut()
+            if not largest.release_copy():
+                largest.cut()
+                self.on_cut()
 
 
 class LimitCounter:
--- a/src/chervilmill/aio/_limited.py
+++ b/src/chervilmill/aio/_limited.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from typing import Protocol
 
 import h11
 
@@ -26,14 +27,26 @@
 REFUSAL = b"HTTP/1.1 503 \r\nretry-after: 1.00\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 
 
+class CopyHolder(Protocol):
+    """A holder of bytes that were sent and may be sent again."""
+
+    def release(self) -> bool:
+        """Give them up unless they are about to be sent, and return whether there were any."""
+        ...
+
+
 class LimitedConnection(H11Connection):
-    """A caller's connection within the limits of a server, with the task that serves it."""
+    """A caller's connection within the limits of a server, with the task that serves it.
+
+    `copy_holder` is asked to give up what it keeps to send it again if memory is full.
+    """
 
     def __init__(self, h11_connection: h11.Connection, guard: ServerGuard) -> None:
         super().__init__(h11_connection, guard.held)
         self._guard = guard
         self._requests_since_read = 0
         self._unparsed_lines = 0  # also of bodies; at most so many headers are unparsed
+        self.copy_holder: CopyHolder | None = None
         self._is_refused = False
         self._is_closing = False
         self._unread_since_s: float | None = None
@@ -91,6 +104,10 @@
         if self._peer_check is None:
             self._schedule_peer_check()
 
+    def release_copy(self) -> bool:
+        """Drop what is held only to be sent again, and return whether there was any."""
+        return self.copy_holder is not None and self.copy_holder.release()
+
     @property
     def is_low_on_memory(self) -> bool:
         """Return whether the connections of the process hold much."""
--- a/src/chervilmill/entry/_dispatch.py
+++ b/src/chervilmill/entry/_dispatch.py
@@ -305,7 +305,7 @@
         """
         now_s = asyncio.get_running_loop().time()
         body = progress.outgoing.body
-        if progress.caller.has_begun_answer or not (body.can_replay and body.is_complete):
+        if progress.caller.has_begun_answer or not (body.claim() and body.is_complete):
             return False
         if self._is_stopping():
             return False
@@ -325,7 +325,7 @@
             return False
         if not result.proves_not_run and progress.route.kind is not RequestKind.IDEMPOTENT:
             return False
-        if not progress.outgoing.body.can_replay:
+        if not progress.outgoing.body.claim():
             return False
         if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.WITHDRAWN):
             return True
--- a/src/chervilmill/entry/_relay.py
+++ b/src/chervilmill/entry/_relay.py
@@ -120,7 +120,7 @@
 
     def can_relay(self, progress: Progress) -> bool:
         """Return whether a peer may be asked to answer a request."""
-        if progress.is_relayed or not progress.outgoing.body.can_replay:
+        if progress.is_relayed or not progress.outgoing.body.claim():
             return False
         return bool(self._candidates(progress))
 
@@ -130,7 +130,7 @@
         detail = "no peer reaches targets"
         for _ in range(MAX_PEERS_TRIED):
             candidates = self._candidates(progress, tried)
-            if not candidates or not progress.outgoing.body.can_replay:
+            if not candidates or not progress.outgoing.body.claim():
                 break
             peer = self._choose(candidates)
             tried.add(peer.name)
--- a/tests/entry/test_uncontrolled_callers.py
+++ b/tests/entry/test_uncontrolled_callers.py
@@ -36,6 +36,9 @@
 PLAY_S = 3.0
 ANSWER_TRIES = 40  # each of up to 1.5 s; a VM that refuses states when to retry
 MAX_BODY_BYTES = 67_108_864
+UPLOADS = 4
+UPLOAD_BODY = b"x" * 350_000
+SLOW_WORK_FACTOR = 60.0  # 1.2 s
 LONG_ANSWER_BYTES = 2 * 1024 * 1024
 GET = f"GET /read/a HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
 UNKNOWN = f"GET /none HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
@@ -168,6 +171,37 @@
         run_async(scenario)
 
 
+# The copy of an upload, for another attempt, made its connection the first to be cut.
+def test_upload_that_runs_is_cut_beside_callers_that_send_ahead(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        vm = _VmUnderTest(tmp_path)
+        try:
+            await vm.start()
+            for target in vm.targets:
+                target.faults.work_factor = SLOW_WORK_FACTOR
+            conns = [await connect(vm.callers, 1.0) for _ in range(UPLOADS)]
+            uploads = [
+                asyncio.create_task(
+                    ask_on(conn, f"/bundle/{n}", "POST", UPLOAD_BODY, f"upload-{n}", 5000, "7")
+                )
+                for n, conn in enumerate(conns)
+            ]
+            async with asyncio.timeout(5.0):
+                while sum(len(target.records.runs) for target in vm.targets) < UPLOADS:
+                    await asyncio.sleep(0.01)
+            ahead = Behaviour(60, GET, GET * 100, 200_000)
+            await play(ahead, vm.callers, 1.0, vm.check)
+            answers = await asyncio.gather(*uploads)
+            assert [(answer.status, answer.is_whole) for answer in answers] == [
+                (200, True)
+            ] * UPLOADS
+        finally:
+            vm.stop()
+
+    with alone():
+        run_async(scenario)
+
+
 def test_single_request_within_the_configured_limits_is_refused(tmp_path: Path) -> None:
     """Its body is longer than all that a VM of this size may hold, so it passes in parts."""
 
