--- a/src/chervilmill/aio/_guard.py
+++ b/src/chervilmill/aio/_guard.py
@@ -39,7 +39,7 @@
 
     held_bytes: int
 
-    def release_copy(self) -> bool:
+    def release_replay_buffer(self) -> bool:
         """Drop what is held only to be sent again, and return whether there was any."""
         ...
 
@@ -52,7 +52,7 @@
 
     Input that was not parsed, output that was not sent and bodies kept to be sent again count, also
     on connections to targets. Above the limit, the connection of a caller that holds the most gives
-    up the copy of its body, or is closed if it has none, until the rest is below.
+    up its replay buffer, or is closed if it has none, until the rest is below.
     """
 
     __slots__ = ("_low_memory_bytes", "_refusing_bytes", "callers", "max_bytes", "total", "on_cut")
@@ -81,15 +81,15 @@
         return LOW_READ_AHEAD_BYTES if self.is_low_on_memory else READ_AHEAD_BYTES
 
     def enforce(self) -> None:
-        """Drop copies and cut callers' connections until the limit holds.
+        """Drop replay buffers and cut callers' connections until the limit holds.
 
-        The connection that holds the most comes first, and is only cut if it has no copy.
+        The connection that holds the most comes first, and is only cut if it has no such buffer.
         """
         while self.total > self.max_bytes and self.callers:
             largest = max(self.callers, key=lambda holder: holder.held_bytes)
             if not largest.held_bytes:
                 return
-            if not largest.release_copy():
+            if not largest.release_replay_buffer():
                 largest.cut()
                 self.on_cut()
 
--- a/src/chervilmill/aio/_limited.py
+++ b/src/chervilmill/aio/_limited.py
@@ -27,18 +27,18 @@
 REFUSAL = b"HTTP/1.1 503 \r\nretry-after: 1.00\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 
 
-class CopyHolder(Protocol):
-    """A holder of bytes that were sent and may be sent again."""
+class ReplayBuffer(Protocol):
+    """A buffer of bytes that were sent and may be sent again."""
 
     def release(self) -> bool:
-        """Give them up unless they are about to be sent, and return whether there were any."""
+        """Drop them unless they are about to be sent, and return whether there were any."""
         ...
 
 
 class LimitedConnection(H11Connection):
     """A caller's connection within the limits of a server, with the task that serves it.
 
-    `copy_holder` is asked to give up what it keeps to send it again if memory is full.
+    `replay_buffer` is that of the present request, which is released if memory is full.
     """
 
     def __init__(self, h11_connection: h11.Connection, guard: ServerGuard) -> None:
@@ -46,7 +46,7 @@
         self._guard = guard
         self._requests_since_read = 0
         self._unparsed_lines = 0  # also of bodies; at most so many headers are unparsed
-        self.copy_holder: CopyHolder | None = None
+        self.replay_buffer: ReplayBuffer | None = None
         self._is_refused = False
         self._is_closing = False
         self._unread_since_s: float | None = None
@@ -104,9 +104,9 @@
         if self._peer_check is None:
             self._schedule_peer_check()
 
-    def release_copy(self) -> bool:
+    def release_replay_buffer(self) -> bool:
         """Drop what is held only to be sent again, and return whether there was any."""
-        return self.copy_holder is not None and self.copy_holder.release()
+        return self.replay_buffer is not None and self.replay_buffer.release()
 
     @property
     def is_low_on_memory(self) -> bool:
--- a/src/chervilmill/aio/_server.py
+++ b/src/chervilmill/aio/_server.py
@@ -175,7 +175,7 @@
             return False
         finally:
             self._is_busy = False
-            self.copy_holder = None
+            self.replay_buffer = None
             if self._kept_bytes:
                 self.keep(-self._kept_bytes)
 
--- a/src/chervilmill/entry/_body.py
+++ b/src/chervilmill/entry/_body.py
@@ -12,7 +12,7 @@
     """The body of a caller's request, read on demand and buffered for replay.
 
     A body longer than `max_bytes` raises BadRequestError with status 413. A body is not buffered
-    while the connections of the process hold much, and its buffer is given up when they are full.
+    while the connections of the process hold much, and its buffer is dropped when they are full.
     """
 
     def __init__(self, conn: ServerConnection, head: RequestHead, max_bytes: int) -> None:
@@ -23,7 +23,7 @@
         self._can_replay = True
         self._is_claimed = False
         self._has_ended = not head.has_body
-        conn.copy_holder = self
+        conn.replay_buffer = self
 
     @property
     def is_empty(self) -> bool:
@@ -44,7 +44,7 @@
         return self._can_replay
 
     def release(self) -> bool:
-        """Give the buffer up unless it is claimed, and return whether it had any bytes."""
+        """Drop the buffer unless it is claimed, and return whether it had any bytes."""
         if self._is_claimed or not self._parts:
             return False
         self._drop_buffer()
--- a/src/chervilmill/platform/_headers.py
+++ b/src/chervilmill/platform/_headers.py
@@ -3,13 +3,12 @@
 The HTTP library passes header names in lower case.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from chervilmill.aio import HeaderItems
 from chervilmill.overload import StatedLimit, StatedPause, parse_limit, parse_pause
 
-HeaderItems = Collection[tuple[bytes, bytes]]
-
 _REQUEST_ID_HEADER = b"x-chervilmill-request-id"
 _AFFINITY_HEADER = b"x-chervilmill-request-affinity"
 _DEADLINE_HEADER = b"x-chervilmill-deadline-milliseconds"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -92,7 +92,7 @@
         asyncio.run(store.watch("servers", StoreVersion(0, 7), 5.0, 1.0, allow_stale=True))
 
 
-# One byte amid five megabytes of changes made them an answer that could not be read.
+# One part amid five megabytes of changes made them an answer that could not be read.
 @pytest.mark.parametrize("odd", [b"NaN", b'"\x01"', b'"\\ud800"', b"[" * 1500 + b"]" * 1500])
 def test_long_changes_with_an_unreadable_part_are_an_outage(odd: bytes) -> None:
     event = b'{"object":{"metadata":{"name":"a","revision":8},"specification":{"x":[%b,"%b"]}}}'
